--- /dev/null
+++ b/src/base/common/clock.ts
@@ -0,0 +1,77 @@
+/**
+ * Time as a dependency. Durations come only from the monotonic clock; wall time is for people and
+ * for the ledger's hours.
+ */
+import type * as disposable from './disposable.js';
+
+/** The two clocks and the timers of a process, or of a test that moves them by hand. */
+export interface Clock {
+  /** Monotonic milliseconds; never goes back and says nothing about the date. */
+  readonly monotonicMs: () => number;
+  /** Milliseconds since the Unix epoch; may jump. */
+  readonly wallMs: () => number;
+  /** Calls once after the delay, unless disposed before. */
+  readonly after: (delayMs: number, callback: () => void) => disposable.Disposable;
+}
+
+/** A clock that stands still until a test moves it. */
+export interface FakeClock extends Clock {
+  /** Moves both clocks and runs the callbacks that fall due, in order of their time. */
+  readonly advance: (durationMs: number) => Promise<void>;
+}
+
+interface Timer {
+  readonly atMs: number;
+  readonly order: number;
+  readonly callback: () => void;
+}
+
+const byTime = (a: Timer, b: Timer): number => a.atMs - b.atMs || a.order - b.order;
+
+/** Turns of the event loop that settle promises between two fake timers. */
+const SETTLE_TURNS = 20;
+
+const settle = async (): Promise<void> => {
+  for (let turn = 0; turn < SETTLE_TURNS; turn += 1) await Promise.resolve();
+};
+
+/**
+ * @param startMs - the first reading of both clocks
+ * @returns a clock for tests
+ */
+export const createFakeClock = (startMs = 0): FakeClock => {
+  let nowMs = startMs;
+  let order = 0;
+  let timers: Timer[] = [];
+  const takeDue = (untilMs: number): Timer | undefined => {
+    timers.sort(byTime);
+    const [first] = timers;
+    if (first === undefined || first.atMs > untilMs) return undefined;
+    timers = timers.slice(1);
+    return first;
+  };
+  return {
+    monotonicMs: () => nowMs,
+    wallMs: () => nowMs,
+    after: (delayMs, callback) => {
+      order += 1;
+      const timer = { atMs: nowMs + Math.max(0, delayMs), order, callback };
+      timers.push(timer);
+      return {
+        dispose: () => {
+          timers = timers.filter((it) => it !== timer);
+        },
+      };
+    },
+    advance: async (durationMs) => {
+      const untilMs = nowMs + durationMs;
+      await settle();
+      for (let due = takeDue(untilMs); due !== undefined; due = takeDue(untilMs)) {
+        nowMs = Math.max(nowMs, due.atMs);
+        due.callback();
+        await settle();
+      }
+      nowMs = untilMs;
+    },
+  };
+};
--- /dev/null
+++ b/src/base/common/random.ts
@@ -0,0 +1,44 @@
+/**
+ * Randomness as a dependency, seeded so that a run can be repeated.
+ */
+
+/** Gives the next number, at least 0 and below 1. */
+export type Random = () => number;
+
+const GOLDEN_RATIO = 0x6d2b79f5;
+const TWO_TO_32 = 4_294_967_296;
+
+/**
+ * A small generator of the mulberry kind: enough to spread load, not for secrets.
+ *
+ * @param seed - any integer; the same seed gives the same numbers
+ * @returns the generator
+ */
+export const createRandom = (seed: number): Random => {
+  /* eslint-disable no-bitwise -- the generator is defined by its bit operations */
+  let state = seed >>> 0;
+  return () => {
+    state = (state + GOLDEN_RATIO) >>> 0;
+    let mixed = state;
+    mixed = Math.imul(mixed ^ (mixed >>> 15), mixed | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / TWO_TO_32;
+  };
+  /* eslint-enable no-bitwise */
+};
+
+/**
+ * @param random - source of randomness
+ * @param below - exclusive upper bound, a positive integer
+ * @returns an integer of at least 0 and below the bound
+ */
+export const integerBelow = (random: Random, below: number): number => Math.floor(random() * below);
+
+/**
+ * @param random - source of randomness
+ * @param valueMs - the mean of the result
+ * @param share - how far the result may lie from the mean, 0 to 1
+ * @returns milliseconds spread evenly about the mean, so that many processes do not act at once
+ */
+export const jitterMs = (random: Random, valueMs: number, share: number): number =>
+  valueMs * (1 - share + 2 * share * random());
--- /dev/null
+++ b/src/bench/benches.ts
@@ -0,0 +1,12 @@
+/**
+ * The project's measurements by name.
+ */
+import * as rpcBench from './rpcBench.js';
+
+/** Runs a measurement with its arguments and prints its lines. */
+export type Bench = (args: readonly string[], print: (line: string) => void) => Promise<void>;
+
+/** All measurements. */
+export const BENCHES: Readonly<Record<string, Bench>> = {
+  rpc: rpcBench.runRpcBench,
+};
--- /dev/null
+++ b/src/cli/devCommand.ts
@@ -0,0 +1,106 @@
+/**
+ * `auburnlift dev`: the whole system with stand-ins in one process, for a first look and for work
+ * on the project.
+ */
+import * as path from 'node:path';
+import * as url from 'node:url';
+
+import * as oclif from '@oclif/core';
+
+import * as systemClock from '../base/node/systemClock.js';
+import * as settingsFile from '../base/node/settingsFile.js';
+import * as demo from '../dev/demo.js';
+import * as demoClient from '../dev/demoClient.js';
+import * as deployment from '../dev/deployment.js';
+import * as devHost from '../dev/devHost.js';
+import * as configuration from '../state/common/configuration.js';
+import * as httpClient from '../transport/node/httpClient.js';
+
+const EXAMPLES = path.join(path.dirname(url.fileURLToPath(import.meta.url)), '../../examples');
+const MAX_REPLY_BYTES = 8_388_608;
+
+const sleep = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+const untilSignal = (): Promise<void> =>
+  new Promise((resolve) => {
+    process.once('SIGINT', resolve);
+    process.once('SIGTERM', resolve);
+  });
+
+/** The command. */
+export class DevCommand extends oclif.Command {
+  static override readonly summary = 'Run every role and stand-in in one process on loopback.';
+
+  static override readonly examples = [
+    '<%= config.bin %> dev',
+    '<%= config.bin %> dev --demo --example vanua-paws',
+  ];
+
+  static override readonly flags = {
+    demo: oclif.Flags.boolean({ summary: 'Send requests and jobs, print a table and exit.' }),
+    example: oclif.Flags.string({
+      summary: 'Which deployment to host.',
+      options: ['kamarvaki', 'vanua-paws'],
+      default: 'kamarvaki',
+    }),
+    'log-level': oclif.Flags.string({
+      summary: 'Least level of the log on standard error.',
+      options: ['debug', 'info', 'warn', 'error'],
+    }),
+  };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(DevCommand);
+    const folder = path.join(EXAMPLES, flags.example);
+    const fileOf = (name: string): string => path.join(folder, name);
+    const document = settingsFile.readSettings(
+      configuration.ConfigurationDocument,
+      fileOf('configuration.jsonc'),
+    );
+    const machines = settingsFile.readSettings(deployment.Deployment, fileOf('deployment.jsonc'));
+    const fallbackLevel = flags.demo ? 'error' : 'info';
+    const logLevel = (flags['log-level'] ?? fallbackLevel) as devHost.DevHostOptions['logLevel'];
+    this.log(`${machines.name}: starting ${machines.zones.length} zones`);
+    const host = await devHost.startDevHost({ deployment: machines, document, logLevel });
+    if (flags.demo) await this.runDemo(host, document);
+    else await this.stay(host);
+  }
+
+  private async stay(host: devHost.DevHost): Promise<void> {
+    for (const { region, program } of host.entries) {
+      this.log(`${region}: callers ${program.callersUrl}, operators ${program.operatorsUrl}`);
+    }
+    this.log(`operator token: ${host.operatorToken}`);
+    await untilSignal();
+    await host.dispose();
+  }
+
+  private async runDemo(
+    host: devHost.DevHost,
+    document: configuration.ConfigurationDocument,
+  ): Promise<void> {
+    const client = httpClient.createHttpClient({
+      clock: systemClock.systemClock,
+      maxConnections: 64,
+      maxIdleMs: 20_000,
+      maxReplyBytes: MAX_REPLY_BYTES,
+    });
+    const result = await demo.runDemo({
+      host,
+      document,
+      client: demoClient.createDemoClient(client.call, host.operatorToken),
+      print: (line) => this.log(line),
+      nowMs: systemClock.systemClock.monotonicMs,
+      sleep,
+    });
+    const width = Math.max(...result.rows.map(([label]) => label.length));
+    result.rows.forEach(([label, value]) => this.log(`${label.padEnd(width)}  ${value}`));
+    await client.dispose();
+    await host.dispose();
+    result.broken.forEach((it) => this.logToStderr(`broken promise: ${it}`));
+    this.exit(result.broken.length === 0 ? 0 : 1);
+  }
+}
--- /dev/null
+++ b/src/coordination/common/agentTasks.ts
@@ -0,0 +1,317 @@
+/**
+ * What an agent lets a leader do to the worker on its VM: fencing by epoch, reservations and the
+ * memory of stopped starts.
+ *
+ * Guards against: a paused leader that wakes after its cell has a new one (its epoch is lower and
+ * refused); a start that arrives after the stop of the same token (the token is remembered as
+ * stopped); two starts on one accelerator (only a reservation or a running task holds it).
+ */
+import * as task from '../../state/common/task.js';
+
+/** One task that the agent knows. */
+export interface HeldTask {
+  readonly token: task.TaskToken;
+  readonly phase: task.TaskPhase;
+  readonly accelerators: readonly number[];
+  /** Monotonic moment at which a reservation lapses. */
+  readonly reservedUntilMs: number;
+  readonly progressMs: number;
+  readonly checkpointMs: number;
+  readonly reason: string;
+}
+
+/** Everything the agent remembers; it is lost with the agent's process. */
+export interface AgentTasks {
+  readonly acceptedEpoch: number;
+  readonly accelerators: number;
+  readonly held: ReadonlyMap<string, HeldTask>;
+  /** Tokens that must never start, with the moment until which they are remembered. */
+  readonly stopped: ReadonlyMap<string, number>;
+}
+
+/** How long a stopped token is remembered: longer than any message can be under way. */
+export const STOPPED_MEMORY_MS = 600_000;
+
+/** What the agent has to do at the worker. */
+export type AgentEffect =
+  | {
+      readonly type: 'start';
+      readonly key: string;
+      readonly accelerators: readonly number[];
+      readonly payload: string;
+      readonly resumeFromMs: number;
+    }
+  | { readonly type: 'stop'; readonly key: string; readonly graceMs: number }
+  | { readonly type: 'throttle'; readonly key: string; readonly share: number }
+  | { readonly type: 'checkpoint'; readonly key: string };
+
+/** The agent after a command. */
+export interface AgentStep {
+  readonly next: AgentTasks;
+  readonly effects: readonly AgentEffect[];
+  readonly isAccepted: boolean;
+  readonly reason: string;
+}
+
+/**
+ * @param accelerators - how many the worker has
+ * @returns an agent that holds nothing and has accepted no epoch
+ */
+export const empty = (accelerators: number): AgentTasks => ({
+  acceptedEpoch: 0,
+  accelerators,
+  held: new Map(),
+  stopped: new Map(),
+});
+
+const ENDED: ReadonlySet<task.TaskPhase> = new Set([
+  task.TaskPhase.done,
+  task.TaskPhase.failed,
+  task.TaskPhase.stopped,
+]);
+
+/**
+ * @param phase - phase of a task
+ * @returns whether the task holds no accelerators any more
+ */
+export const isEnded = (phase: task.TaskPhase): boolean => ENDED.has(phase);
+
+const refuse = (state: AgentTasks, reason: string): AgentStep => ({
+  next: state,
+  effects: [],
+  isAccepted: false,
+  reason,
+});
+
+const accept = (next: AgentTasks, effects: readonly AgentEffect[] = []): AgentStep => ({
+  next,
+  effects,
+  isAccepted: true,
+  reason: '',
+});
+
+const withHeld = (state: AgentTasks, held: HeldTask): AgentTasks => {
+  const all = new Map(state.held);
+  all.set(task.tokenKey(held.token), held);
+  return { ...state, held: all };
+};
+
+const withoutHeld = (state: AgentTasks, key: string): AgentTasks => {
+  const all = new Map(state.held);
+  all.delete(key);
+  return { ...state, held: all };
+};
+
+/**
+ * @param state - the agent
+ * @param nowMs - monotonic time
+ * @returns the agent without lapsed reservations and without tokens that need no memory any more
+ */
+export const expire = (state: AgentTasks, nowMs: number): AgentTasks => {
+  const lapsed = [...state.held.values()].some(
+    (it) => it.phase === task.TaskPhase.reserved && it.reservedUntilMs <= nowMs,
+  );
+  const forgotten = [...state.stopped.values()].some((untilMs) => untilMs <= nowMs);
+  if (!lapsed && !forgotten) return state;
+  const held = [...state.held].filter(
+    ([, it]) => it.phase !== task.TaskPhase.reserved || it.reservedUntilMs > nowMs,
+  );
+  const stopped = [...state.stopped].filter(([, untilMs]) => untilMs > nowMs);
+  return { ...state, held: new Map(held), stopped: new Map(stopped) };
+};
+
+/**
+ * @param state - the agent
+ * @param epoch - epoch of a message
+ * @returns the agent with the epoch accepted, or undefined where it has accepted a higher one
+ */
+export const fence = (state: AgentTasks, epoch: number): AgentTasks | undefined => {
+  if (epoch < state.acceptedEpoch) return undefined;
+  return epoch === state.acceptedEpoch ? state : { ...state, acceptedEpoch: epoch };
+};
+
+const busyAccelerators = (state: AgentTasks, exceptKey: string): Set<number> => {
+  const busy = new Set<number>();
+  for (const [key, held] of state.held) {
+    if (key === exceptKey || isEnded(held.phase)) continue;
+    for (const accelerator of held.accelerators) busy.add(accelerator);
+  }
+  return busy;
+};
+
+type CommandOf<T extends task.TaskCommand['type']> = Extract<task.TaskCommand, { type: T }>;
+
+const onReserve = (state: AgentTasks, command: CommandOf<'reserve'>, nowMs: number): AgentStep => {
+  const key = task.tokenKey(command.token);
+  if (state.stopped.has(key)) return refuse(state, 'the token was stopped');
+  const known = state.held.get(key);
+  if (known !== undefined && known.phase !== task.TaskPhase.reserved) {
+    return refuse(state, `the token is ${known.phase}`);
+  }
+  const busy = busyAccelerators(state, key);
+  const isFree = command.accelerators.every((it) => it < state.accelerators && !busy.has(it));
+  if (!isFree) return refuse(state, 'accelerators are held by another task');
+  const held: HeldTask = {
+    token: command.token,
+    phase: task.TaskPhase.reserved,
+    accelerators: command.accelerators,
+    reservedUntilMs: nowMs + command.leaseMs,
+    progressMs: 0,
+    checkpointMs: 0,
+    reason: '',
+  };
+  return accept(withHeld(state, held));
+};
+
+const onRelease = (state: AgentTasks, command: CommandOf<'release'>): AgentStep => {
+  const key = task.tokenKey(command.token);
+  const isReserved = state.held.get(key)?.phase === task.TaskPhase.reserved;
+  return accept(isReserved ? withoutHeld(state, key) : state);
+};
+
+const onStart = (state: AgentTasks, command: CommandOf<'start'>): AgentStep => {
+  const key = task.tokenKey(command.token);
+  if (state.stopped.has(key)) return refuse(state, 'the token was stopped');
+  const known = state.held.get(key);
+  if (known === undefined) return refuse(state, 'the reservation has lapsed');
+  if (known.phase !== task.TaskPhase.reserved) return accept(state);
+  const running: HeldTask = {
+    ...known,
+    phase: task.TaskPhase.running,
+    progressMs: command.resumeFromMs,
+    checkpointMs: command.resumeFromMs,
+  };
+  const effect: AgentEffect = {
+    type: 'start',
+    key,
+    accelerators: known.accelerators,
+    payload: command.payload,
+    resumeFromMs: command.resumeFromMs,
+  };
+  return accept(withHeld(state, running), [effect]);
+};
+
+const onStop = (state: AgentTasks, command: CommandOf<'stop'>, nowMs: number): AgentStep => {
+  const key = task.tokenKey(command.token);
+  const stopped = new Map(state.stopped).set(key, nowMs + STOPPED_MEMORY_MS);
+  const remembered = { ...state, stopped };
+  const known = state.held.get(key);
+  if (known === undefined) return accept(remembered);
+  if (isEnded(known.phase)) return accept(remembered);
+  if (known.phase === task.TaskPhase.reserved) {
+    return accept(withHeld(remembered, { ...known, phase: task.TaskPhase.stopped }));
+  }
+  return accept(withHeld(remembered, { ...known, phase: task.TaskPhase.stopping }), [
+    { type: 'stop', key, graceMs: command.graceMs },
+  ]);
+};
+
+const onRunning = (
+  state: AgentTasks,
+  token: task.TaskToken,
+  effectOf: (key: string) => AgentEffect,
+): AgentStep => {
+  const key = task.tokenKey(token);
+  const phase = state.held.get(key)?.phase;
+  return phase === task.TaskPhase.running
+    ? accept(state, [effectOf(key)])
+    : refuse(state, 'the task does not run');
+};
+
+const onCommand = (state: AgentTasks, command: task.TaskCommand, nowMs: number): AgentStep => {
+  switch (command.type) {
+    case 'reserve':
+      return onReserve(state, command, nowMs);
+    case 'release':
+      return onRelease(state, command);
+    case 'start':
+      return onStart(state, command);
+    case 'stop':
+      return onStop(state, command, nowMs);
+    case 'throttle':
+      return onRunning(state, command.token, (key) => ({
+        type: 'throttle',
+        key,
+        share: command.share,
+      }));
+    default:
+      return onRunning(state, command.token, (key) => ({ type: 'checkpoint', key }));
+  }
+};
+
+/**
+ * @param state - the agent
+ * @param epoch - epoch of the leader that sent the command
+ * @param command - what it asks for
+ * @param nowMs - monotonic time
+ * @returns the agent after the command, with what to do at the worker
+ */
+export const command = (
+  state: AgentTasks,
+  epoch: number,
+  asked: task.TaskCommand,
+  nowMs: number,
+): AgentStep => {
+  const fenced = fence(state, epoch);
+  if (fenced === undefined) {
+    return refuse(state, `epoch ${epoch} is older than ${state.acceptedEpoch}`);
+  }
+  return onCommand(expire(fenced, nowMs), asked, nowMs);
+};
+
+/** What the worker's lagged report says about one task. */
+export interface Observation {
+  readonly key: string;
+  readonly phase: task.TaskPhase;
+  readonly progressMs: number;
+  readonly checkpointMs: number;
+  readonly reason: string;
+}
+
+/**
+ * @param state - the agent
+ * @param seen - what the worker reports of one task
+ * @returns the agent with it; an ended task never runs again, whatever a late report says
+ */
+export const observe = (state: AgentTasks, seen: Observation): AgentTasks => {
+  const known = state.held.get(seen.key);
+  if (known === undefined || isEnded(known.phase)) return state;
+  if (known.phase === task.TaskPhase.reserved) return state;
+  const isBackwards =
+    known.phase === task.TaskPhase.stopping && seen.phase === task.TaskPhase.running;
+  return withHeld(state, {
+    ...known,
+    phase: isBackwards ? known.phase : seen.phase,
+    progressMs: Math.max(known.progressMs, seen.progressMs),
+    checkpointMs: Math.max(known.checkpointMs, seen.checkpointMs),
+    reason: seen.reason,
+  });
+};
+
+/**
+ * @param state - the agent
+ * @param tokens - ended tasks whose end is durable
+ * @returns the agent without them
+ */
+export const forget = (state: AgentTasks, tokens: readonly task.TaskToken[]): AgentTasks => {
+  const held = new Map(state.held);
+  for (const token of tokens) {
+    const key = task.tokenKey(token);
+    const known = held.get(key);
+    if (known !== undefined && isEnded(known.phase)) held.delete(key);
+  }
+  return { ...state, held };
+};
+
+/**
+ * @param held - a task that the agent knows
+ * @returns its report
+ */
+export const toReport = (held: HeldTask): task.TaskReport => ({
+  token: held.token,
+  phase: held.phase,
+  accelerators: [...held.accelerators],
+  progressMs: held.progressMs,
+  checkpointMs: held.checkpointMs,
+  ...(held.reason === '' ? {} : { reason: held.reason.slice(0, 400) }),
+});
--- /dev/null
+++ b/src/coordination/node/commitQueue.ts
@@ -0,0 +1,139 @@
+/**
+ * Group commit of job changes: all that changed since the last write goes out together, at most one
+ * write a segment, one round of writes at a time.
+ *
+ * Made for waves: 500 cancellations that arrive together cost no more writes than one.
+ */
+import type * as clock from '../../base/common/clock.js';
+import type * as disposable from '../../base/common/disposable.js';
+import * as errors from '../../base/common/errors.js';
+import type * as logging from '../../base/common/logging.js';
+import type * as job from '../../state/common/job.js';
+import * as store from '../../state/common/store.js';
+import * as jobSegments from '../common/jobSegments.js';
+
+import type * as jobStore from './jobStore.js';
+
+/** What the queue needs. */
+export interface CommitQueueOptions {
+  readonly jobStore: jobStore.JobStore;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  /** The jobs of a segment as they are now. */
+  readonly recordsOf: (segment: number) => readonly job.JobRecord[];
+  /** Wait before writing again what could not be written. */
+  readonly retryMs: number;
+  /** Another leader has written: this one must stop. */
+  readonly onDeposed: () => void;
+}
+
+/** Group commit of one cell. */
+export interface CommitQueue extends disposable.Disposable {
+  /** Writes the job with the next round, again and again until it is written. */
+  readonly markDirty: (jobId: string) => void;
+  /**
+   * Waits for the round that holds what the job is now.
+   *
+   * @throws AuburnliftError `storeUnavailable` where nothing was written, `StoreOutcomeUnknown`
+   *   where nobody can say
+   */
+  readonly commit: (jobId: string) => Promise<void>;
+  readonly isDirty: (jobId: string) => boolean;
+  /** Whether the last write succeeded. */
+  readonly isHealthy: () => boolean;
+  /** Writes what is dirty now, once. */
+  readonly flush: () => Promise<void>;
+}
+
+interface Waiter {
+  readonly resolve: () => void;
+  readonly reject: (thrown: unknown) => void;
+}
+
+/**
+ * @param options - what the queue needs
+ * @returns an empty queue
+ */
+export const createCommitQueue = (options: CommitQueueOptions): CommitQueue => {
+  const dirty = new Set<number>();
+  const writing = new Set<number>();
+  const waiters = new Map<number, Waiter[]>();
+  let running: Promise<void> | undefined;
+  let isHealthy = true;
+  let isDisposed = false;
+  let retry: disposable.Disposable | undefined;
+
+  const settle = (segment: number, held: readonly Waiter[], thrown: unknown): void => {
+    for (const waiter of held) {
+      if (thrown === undefined) waiter.resolve();
+      else waiter.reject(thrown);
+    }
+    if (thrown !== undefined) dirty.add(segment);
+  };
+  const writeSegment = async (segment: number): Promise<void> => {
+    const held = waiters.get(segment) ?? [];
+    waiters.delete(segment);
+    writing.add(segment);
+    try {
+      await options.jobStore.write(segment, jobSegments.retain(options.recordsOf(segment)));
+      isHealthy = true;
+      settle(segment, held, undefined);
+    } catch (thrown) {
+      isHealthy = false;
+      settle(segment, held, thrown);
+      const isUnknown = thrown instanceof store.StoreOutcomeUnknown;
+      const { kind, message } = errors.normalize(thrown);
+      options.log('warn', 'commitFailed', { segment, kind, isUnknown, reason: message });
+      if (kind === 'notLeader') options.onDeposed();
+    } finally {
+      writing.delete(segment);
+    }
+  };
+  const round = async (): Promise<void> => {
+    const segments = [...dirty];
+    dirty.clear();
+    await Promise.all(segments.map(writeSegment));
+  };
+  const run = async (): Promise<void> => {
+    // One turn of the loop lets everything that happens together join the same round.
+    await Promise.resolve();
+    while (dirty.size > 0 && !isDisposed) {
+      await round();
+      if (!isHealthy) break;
+    }
+  };
+  const kick = (): void => {
+    if (running !== undefined || isDisposed) return;
+    running = run().finally(() => {
+      running = undefined;
+      if (dirty.size === 0 || isDisposed) return;
+      retry = options.clock.after(isHealthy ? 0 : options.retryMs, kick);
+    });
+  };
+  return {
+    markDirty: (jobId) => {
+      dirty.add(jobSegments.segmentOf(jobId));
+      kick();
+    },
+    commit: (jobId) =>
+      new Promise((resolve, reject) => {
+        const segment = jobSegments.segmentOf(jobId);
+        waiters.set(segment, [...(waiters.get(segment) ?? []), { resolve, reject }]);
+        dirty.add(segment);
+        kick();
+      }),
+    isDirty: (jobId) => {
+      const segment = jobSegments.segmentOf(jobId);
+      return dirty.has(segment) || writing.has(segment);
+    },
+    isHealthy: () => isHealthy,
+    flush: async () => {
+      kick();
+      await running;
+    },
+    dispose: () => {
+      isDisposed = true;
+      void retry?.dispose();
+    },
+  };
+};
--- /dev/null
+++ b/src/coordination/node/jobStore.ts
@@ -0,0 +1,110 @@
+/**
+ * Reads and writes a cell's jobs in the store, as the one writer of its epoch.
+ *
+ * Guards against a former leader that still writes: taking over rewrites every segment, so that each
+ * revision the former leader knows is stale. Guards against lost answers: the segment is read back
+ * and its write id tells whether the write took effect.
+ */
+import * as errors from '../../base/common/errors.js';
+import * as schemaIssues from '../../base/common/schemaIssues.js';
+import type * as job from '../../state/common/job.js';
+import * as store from '../../state/common/store.js';
+import * as storeKeys from '../../state/common/storeKeys.js';
+import * as jobSegments from '../common/jobSegments.js';
+
+/** What the job store needs. */
+export interface JobStoreOptions {
+  readonly store: store.Store;
+  readonly cell: string;
+  readonly epoch: number;
+  /** Makes an id that nobody else makes. */
+  readonly newId: () => string;
+}
+
+/** The jobs of one cell in the store. */
+export interface JobStore {
+  /** Fences former leaders and reads everything. */
+  readonly takeOver: () => Promise<readonly job.JobRecord[]>;
+  /**
+   * Writes one segment.
+   *
+   * @throws AuburnliftError `notLeader` where another leader wrote since, `storeUnavailable` where
+   *   nothing was written; `StoreOutcomeUnknown` where nobody can say
+   */
+  readonly write: (segment: number, records: readonly job.JobRecord[]) => Promise<void>;
+}
+
+const SEGMENTS = Array.from({ length: jobSegments.SEGMENT_COUNT }, (_unused, index) => index);
+
+/**
+ * @param options - what the job store needs
+ * @returns the job store, which has read nothing yet
+ */
+export const createJobStore = (options: JobStoreOptions): JobStore => {
+  const revisions = new Map<number, number>();
+  const decode = (value: string): jobSegments.JobSegment =>
+    schemaIssues.decodeOrFail(jobSegments.JobSegment, JSON.parse(value), 'job segment');
+
+  /** Writes unless somebody else did; gives the revision, or what stands there instead. */
+  const swap = async (
+    key: string,
+    expectedRevision: number,
+    segment: jobSegments.JobSegment,
+  ): Promise<store.SwapResult> => {
+    const value = JSON.stringify(segment);
+    try {
+      return await options.store.compareAndSwap({ key, expectedRevision, value });
+    } catch (thrown) {
+      if (!(thrown instanceof store.StoreOutcomeUnknown)) throw thrown;
+      return readBack(key, segment.writeId, thrown);
+    }
+  };
+  /** Whether the write whose answer was lost took effect; unknown where the store stays away. */
+  const readBack = async (
+    key: string,
+    writeId: string,
+    unknown: store.StoreOutcomeUnknown,
+  ): Promise<store.SwapResult> => {
+    let current: store.StoreEntry | undefined;
+    try {
+      current = await options.store.get(key);
+    } catch {
+      throw unknown;
+    }
+    const isOurs = current !== undefined && decode(current.value).writeId === writeId;
+    return isOurs && current !== undefined
+      ? { isSwapped: true, revision: current.revision }
+      : { isSwapped: false, current };
+  };
+  const write = async (segment: number, records: readonly job.JobRecord[]): Promise<void> => {
+    const key = storeKeys.jobSegmentKey(options.cell, segment);
+    const value = { epoch: options.epoch, writeId: options.newId(), jobs: records };
+    const expected = revisions.get(segment) ?? store.ABSENT_REVISION;
+    const first = await swap(key, expected, value);
+    // An earlier write of this very leader may have taken effect although its answer was lost.
+    const current = first.isSwapped ? undefined : first.current;
+    const isOwnEarlier = current !== undefined && decode(current.value).epoch === options.epoch;
+    const isUntouched = !first.isSwapped && (current?.revision ?? 0) === expected;
+    const result =
+      isOwnEarlier || isUntouched ? await swap(key, current?.revision ?? 0, value) : first;
+    if (!result.isSwapped) {
+      throw errors.fail('notLeader', `cell ${options.cell} has another leader`);
+    }
+    revisions.set(segment, result.revision);
+  };
+  const takeOverSegment = async (segment: number): Promise<readonly job.JobRecord[]> => {
+    const current = await options.store.get(storeKeys.jobSegmentKey(options.cell, segment));
+    const held = current === undefined ? undefined : decode(current.value);
+    if ((held?.epoch ?? 0) > options.epoch) {
+      throw errors.fail('notLeader', `cell ${options.cell} has another leader`);
+    }
+    revisions.set(segment, current?.revision ?? store.ABSENT_REVISION);
+    const records = held?.jobs ?? [];
+    await write(segment, records);
+    return records;
+  };
+  return {
+    write,
+    takeOver: async () => (await Promise.all(SEGMENTS.map(takeOverSegment))).flat(),
+  };
+};
--- /dev/null
+++ b/src/coordination/node/liveWatch.ts
@@ -0,0 +1,117 @@
+/**
+ * Follows the live prefix of the store: configuration, leaders and processes.
+ *
+ * Guards against a watch that goes silent or skips: besides the watch, the whole prefix is listed at
+ * a fixed period, so that a change is seen within that period at the latest. A store that is down
+ * leaves what was seen last; nothing is taken away for want of an answer.
+ */
+import type * as clock from '../../base/common/clock.js';
+import type * as disposable from '../../base/common/disposable.js';
+import * as errors from '../../base/common/errors.js';
+import * as event from '../../base/common/event.js';
+import type * as logging from '../../base/common/logging.js';
+import type * as store from '../../state/common/store.js';
+import * as storeKeys from '../../state/common/storeKeys.js';
+
+/** What the watch needs. */
+export interface LiveWatchOptions {
+  readonly store: store.Store;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  /** Longest wait of one watch call. */
+  readonly watchMs: number;
+  /** Period of full listings. */
+  readonly listMs: number;
+  /** Wait after a failed call. */
+  readonly retryMs: number;
+}
+
+/** The live prefix as it was seen last. Disposing it ends the watch. */
+export interface LiveWatch extends disposable.Disposable {
+  readonly entries: () => ReadonlyMap<string, store.StoreEntry>;
+  readonly onDidChange: event.Event<void>;
+  /** Whether the store answered the last call. */
+  readonly isConnected: () => boolean;
+  /** Lists at once. */
+  readonly refresh: () => Promise<void>;
+}
+
+/**
+ * @param options - what the watch needs
+ * @returns the watch, already running
+ */
+export const startLiveWatch = (options: LiveWatchOptions): LiveWatch => {
+  const { store: target, clock: timeSource } = options;
+  const emitter = event.createEmitter<void>();
+  const stop = new AbortController();
+  let entries: ReadonlyMap<string, store.StoreEntry> = new Map();
+  let revision = -1;
+  let listedAtMs = Number.NEGATIVE_INFINITY;
+  let isConnected = false;
+
+  const pause = (durationMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      const finish = (): void => {
+        void timer.dispose();
+        stop.signal.removeEventListener('abort', finish);
+        resolve();
+      };
+      const timer = timeSource.after(durationMs, finish);
+      stop.signal.addEventListener('abort', finish);
+    });
+  const list = async (): Promise<void> => {
+    const listed = await target.list(storeKeys.LIVE_PREFIX);
+    // A slow listing must not undo what a watch has seen since.
+    if (listed.revision < revision) return;
+    const hasChanged =
+      listed.entries.length !== entries.size ||
+      listed.entries.some((it) => entries.get(it.key)?.revision !== it.revision);
+    entries = new Map(listed.entries.map((it) => [it.key, it]));
+    revision = listed.revision;
+    listedAtMs = timeSource.monotonicMs();
+    if (hasChanged) emitter.fire();
+  };
+  const follow = async (): Promise<void> => {
+    const seen = await target.watch(storeKeys.LIVE_PREFIX, revision, options.watchMs, stop.signal);
+    if (seen.isGap) {
+      await list();
+      return;
+    }
+    if (seen.revision <= revision) return;
+    revision = seen.revision;
+    const next = new Map(entries);
+    for (const it of seen.entries) next.set(it.key, it);
+    for (const key of seen.deletedKeys) next.delete(key);
+    entries = next;
+    emitter.fire();
+  };
+  const turn = async (): Promise<void> => {
+    const isListDue = timeSource.monotonicMs() - listedAtMs >= options.listMs;
+    await (isListDue ? list() : follow());
+  };
+  const run = async (): Promise<void> => {
+    while (!stop.signal.aborted) {
+      try {
+        await turn();
+        isConnected = true;
+      } catch (thrown) {
+        if (isConnected) {
+          options.log('warn', 'storeLost', { reason: errors.normalize(thrown).message });
+        }
+        isConnected = false;
+        await pause(options.retryMs);
+      }
+    }
+  };
+  void run();
+  return {
+    entries: () => entries,
+    onDidChange: emitter.event,
+    isConnected: () => isConnected,
+    refresh: list,
+    dispose: () => {
+      stop.abort();
+      emitter.dispose();
+    },
+  };
+};
--- /dev/null
+++ b/src/dev/demoJobs.ts
@@ -0,0 +1,81 @@
+/**
+ * The jobs of the demo: borrowers that fill a cell, a gang over several workers, a claim that
+ * reclaims what was lent, and a job that is cancelled.
+ */
+import type * as configuration from '../state/common/configuration.js';
+import type * as job from '../state/common/job.js';
+
+/** The demo's jobs by the part they play. */
+export interface DemoJobs {
+  /** Borrow spare accelerators until the cell is full. */
+  readonly borrowers: readonly job.JobSpec[];
+  readonly gang: job.JobSpec;
+  readonly claim: job.JobSpec;
+  readonly cancelled: job.JobSpec;
+}
+
+const LONG_RUN_MS = 9000;
+const GANG_RUN_MS = 2500;
+const CLAIM_RUN_MS = 3000;
+
+const specOf = (jobId: string, runMs: number, rest: Partial<job.JobSpec>): job.JobSpec => ({
+  jobId,
+  customerId: '',
+  kind: 'plan',
+  cell: '',
+  claim: 'spare',
+  members: 1,
+  acceleratorsPerMember: 4,
+  adjacency: 'worker',
+  declaredRunMs: runMs * 3,
+  isCheckpointable: true,
+  payload: JSON.stringify({ runMs }),
+  ...rest,
+});
+
+const borrowerOf = (document: configuration.ConfigurationDocument, cell: string): string => {
+  const rule = document.rules.find((it) => it.cells.length === 0 || it.cells.includes(cell));
+  return rule?.customerIds[0] ?? '';
+};
+
+/**
+ * @param document - the configuration in force
+ * @returns the jobs for its first shape's cell
+ */
+export const createDemoJobs = (document: configuration.ConfigurationDocument): DemoJobs => {
+  const [shape] = document.shapes;
+  if (shape === undefined) throw new Error('the demo needs a shape in the configuration');
+  const { cell } = shape;
+  const other = document.cells.find((it) => it.cell !== cell)?.cell ?? cell;
+  const customerId = borrowerOf(document, cell);
+  const place = document.cells.find((it) => it.cell === cell);
+  const perWorker = place?.acceleratorsPerWorker ?? 8;
+  const total = (place?.workers ?? 1) * perWorker;
+  const half = Math.max(1, Math.floor(perWorker / 2));
+  const borrowers = Array.from({ length: Math.floor(total / half) }, (_unused, index) =>
+    specOf(`borrow-${index}`, LONG_RUN_MS, { customerId, cell, acceleratorsPerMember: half }),
+  );
+  return {
+    borrowers,
+    gang: specOf('gang-0', GANG_RUN_MS, {
+      customerId: borrowerOf(document, other),
+      cell: other,
+      members: 3,
+      acceleratorsPerMember: half,
+      adjacency: 'zone',
+    }),
+    claim: specOf('claim-0', CLAIM_RUN_MS, {
+      customerId: shape.customerId,
+      cell,
+      claim: 'guaranteed',
+      shapeId: shape.shapeId,
+      members: Math.max(1, Math.floor(shape.accelerators / perWorker)),
+      acceleratorsPerMember: Math.min(perWorker, shape.accelerators),
+      adjacency: shape.adjacency,
+    }),
+    cancelled: specOf('cancel-0', LONG_RUN_MS, {
+      customerId: borrowerOf(document, other),
+      cell: other,
+    }),
+  };
+};
--- /dev/null
+++ b/src/programs/agent.ts
@@ -0,0 +1,187 @@
+/**
+ * `auburnlift-agent`: runs beside an upstream, a worker or both, and is the one process on its VM
+ * that the rest of the system talks to.
+ */
+import * as errors from '../base/common/errors.js';
+import * as http from '../base/common/http.js';
+import * as random from '../base/common/random.js';
+import * as schemaIssues from '../base/common/schemaIssues.js';
+import * as agentRuntime from '../coordination/node/agentRuntime.js';
+import * as agentRouter from '../protocol/node/agentRouter.js';
+import * as requestHost from '../protocol/node/requestHost.js';
+import type * as settingsSchema from '../state/common/settings.js';
+import * as upstreamContract from '../state/common/upstreamContract.js';
+import type * as worker from '../state/common/worker.js';
+import * as httpWorker from '../state/node/httpWorker.js';
+import * as exchangeServer from '../transport/node/exchangeServer.js';
+import * as healthApi from '../transport/node/healthApi.js';
+import * as httpServer from '../transport/node/httpServer.js';
+import * as rpcServer from '../transport/node/rpcServer.js';
+
+import * as agentLinks from './agentLinks.js';
+import * as processKit from './processKit.js';
+
+/** Path at which an upstream announces itself; taken from the VM itself only. */
+const ANNOUNCE_PATH = '/announce';
+
+const MAX_CONNECTIONS = 4096;
+const WORKER_TIMEOUT_MS = 2000;
+const REPORT_JITTER = 0.2;
+
+const workerInfoOf = (
+  settings: settingsSchema.AgentSettings,
+  agentUrl: string,
+): worker.WorkerInfo | undefined => {
+  if (settings.worker === undefined) return undefined;
+  const { url: _, ...rest } = settings.worker;
+  return { ...rest, zone: settings.zone, region: settings.region, agentUrl };
+};
+
+const startTasks = (
+  kit: processKit.ProcessKit,
+  settings: settingsSchema.AgentSettings,
+  links: agentLinks.AgentLinks,
+): agentRuntime.AgentRuntime | undefined => {
+  if (settings.worker === undefined) return undefined;
+  return kit.owned.add(
+    agentRuntime.startAgentRuntime({
+      accelerators: settings.worker.accelerators,
+      worker: httpWorker.createHttpWorker({
+        url: settings.worker.url,
+        timeoutMs: WORKER_TIMEOUT_MS,
+        call: kit.http.call,
+      }),
+      clock: kit.clock,
+      log: kit.log,
+      reportMs: settings.reportMs,
+      report: links.report,
+    }),
+  );
+};
+
+const createService = (
+  kit: processKit.ProcessKit,
+  bootId: string,
+  links: agentLinks.AgentLinks,
+  workerInfo: () => worker.WorkerInfo | undefined,
+  tasks: () => agentRuntime.AgentRuntime | undefined,
+): agentRouter.AgentService => {
+  const need = (): agentRuntime.AgentRuntime => {
+    const runtime = tasks();
+    if (runtime === undefined) throw errors.fail('notFound', 'no worker is on this VM');
+    return runtime;
+  };
+  return {
+    fence: (request) => {
+      const held = need().fence(request.epoch);
+      links.noteLeader({ url: request.leaderUrl, epoch: request.epoch });
+      const info = workerInfo();
+      return Promise.resolve({
+        from: kit.sender(),
+        bootId,
+        acceptedEpoch: need().acceptedEpoch(),
+        ...(info === undefined ? {} : { worker: info }),
+        commandCount: need().commandCount(),
+        tasks: held,
+      });
+    },
+    command: async (request) => {
+      links.noteVersion(request.from.configVersion);
+      const results = await need().command(request.epoch, request.commands);
+      return { from: kit.sender(), bootId, commandCount: need().commandCount(), results };
+    },
+  };
+};
+
+/**
+ * @param settings - decoded settings
+ * @returns the running agent
+ */
+export const startAgent = async (
+  settings: settingsSchema.AgentSettings,
+): Promise<processKit.Program> => {
+  const kit = processKit.createProcessKit('agent', settings);
+  const bootId = kit.newId();
+  let isLeaving = false;
+  let tasks: agentRuntime.AgentRuntime | undefined;
+  let info: worker.WorkerInfo | undefined;
+  const host = requestHost.createRequestHost({
+    clock: kit.clock,
+    metrics: kit.metrics,
+    call: kit.http.call,
+    maxQueued: settings.maxQueued,
+  });
+  const links = agentLinks.createAgentLinks({
+    kit,
+    settings,
+    bootId,
+    host,
+    worker: () => info,
+    isLeaving: () => isLeaving,
+    acceptedEpoch: () => tasks?.acceptedEpoch() ?? 0,
+  });
+  const service = createService(
+    kit,
+    bootId,
+    links,
+    () => info,
+    () => tasks,
+  );
+  const health: healthApi.HealthOptions = {
+    metrics: kit.metrics,
+    notReadyReason: () => (isLeaving ? 'leaving' : undefined),
+  };
+  const local: httpServer.Handler = (request) => {
+    const answer = healthApi.answerHealth(health, request);
+    if (answer !== undefined) return Promise.resolve(answer);
+    if (request.method !== 'POST' || request.path !== ANNOUNCE_PATH) {
+      throw errors.fail('notFound', `no page ${request.path}`, { field: 'path' });
+    }
+    const body = httpServer.parseJsonBody(request);
+    const announced = schemaIssues.decodeOrFail(
+      upstreamContract.Announcement,
+      body,
+      'announcement',
+    );
+    const wasKnown = host.upstream()?.isLeaving === announced.isLeaving;
+    host.announce(announced);
+    if (!wasKnown) links.registerSoon();
+    return Promise.resolve(httpServer.jsonReply({}));
+  };
+  const listener = rpcServer.createRpcListener(
+    agentRouter.createAgentRouter(service),
+    settings.peerSecret,
+    exchangeServer.createExchangeListener({
+      peerSecret: settings.peerSecret,
+      maxBodyBytes: settings.maxBodyBytes,
+      sender: kit.sender,
+      host,
+      noteVersion: links.noteVersion,
+      otherwise: httpServer.toListener(local, settings.maxBodyBytes),
+    }),
+  );
+  const server = await httpServer.listen(
+    { ...settings.peers, maxBodyBytes: settings.maxBodyBytes, maxConnections: MAX_CONNECTIONS },
+    listener,
+  );
+  kit.owned.add(server);
+  const peersUrl = http.formatAddress(server.address);
+  info = workerInfoOf(settings, peersUrl);
+  tasks = startTasks(kit, settings, links);
+  kit.owned.add(
+    links.start(peersUrl, random.jitterMs(kit.random, settings.reportMs, REPORT_JITTER)),
+  );
+  kit.log('info', 'started', { url: peersUrl, zone: settings.zone });
+  return {
+    peersUrl,
+    shutdown: async () => {
+      kit.log('info', 'draining', { open: host.openRequests() });
+      isLeaving = true;
+      host.leave();
+      await links.registerNow();
+      await server.drain(settings.drainMs);
+      await kit.owned.dispose();
+    },
+    dispose: kit.owned.dispose,
+  };
+};
--- /dev/null
+++ b/src/programs/agentLinks.ts
@@ -0,0 +1,159 @@
+/**
+ * An agent's links: registration with the entries of its region, reports to its cell's leader, and
+ * the way of the configuration to it.
+ */
+import type * as disposable from '../base/common/disposable.js';
+import * as errors from '../base/common/errors.js';
+import type * as agentRuntime from '../coordination/node/agentRuntime.js';
+import type * as agentEntryMessages from '../protocol/common/agentEntryMessages.js';
+import type * as requestHost from '../protocol/node/requestHost.js';
+import type * as settingsSchema from '../state/common/settings.js';
+import type * as worker from '../state/common/worker.js';
+
+import type * as processKit from './processKit.js';
+
+/** Where the leader of the cell answers. */
+export interface LeaderHint {
+  readonly url: string;
+  readonly epoch: number;
+}
+
+/** What the links need. */
+export interface AgentLinksOptions {
+  readonly kit: processKit.ProcessKit;
+  readonly settings: settingsSchema.AgentSettings;
+  readonly bootId: string;
+  readonly host: requestHost.RequestHost;
+  readonly worker: () => worker.WorkerInfo | undefined;
+  readonly isLeaving: () => boolean;
+  readonly acceptedEpoch: () => number;
+}
+
+/** The links of one agent. */
+export interface AgentLinks {
+  readonly report: (report: agentRuntime.OutgoingReport) => Promise<agentRuntime.ReportAnswer>;
+  /** Learns of a leader; one of a lower epoch is not taken. */
+  readonly noteLeader: (leader: LeaderHint) => void;
+  /** Learns of a configuration version; a higher one is fetched. */
+  readonly noteVersion: (version: number) => void;
+  readonly registerSoon: () => void;
+  readonly registerNow: () => Promise<void>;
+  readonly start: (url: string, firstAfterMs: number) => disposable.Disposable;
+}
+
+/** Entries remembered for one region. */
+const MAX_ENTRIES = 16;
+
+/**
+ * @param options - what the links need
+ * @returns links that are not started
+ */
+export const createAgentLinks = (options: AgentLinksOptions): AgentLinks => {
+  const { kit, settings, host } = options;
+  let entryUrls: readonly string[] = settings.entryUrls;
+  let leader: LeaderHint | undefined;
+  let ownUrl = '';
+  let timer: disposable.Disposable | undefined;
+  let isStopped = false;
+  let isFetching = false;
+
+  const upstreamState = (): agentEntryMessages.UpstreamState | undefined => {
+    const announced = host.upstream();
+    if (announced === undefined) return undefined;
+    const { upstreamId, slots, connections } = announced;
+    return { upstreamId, slots, connections, ...host.load() };
+  };
+  const registration = (): agentEntryMessages.RegisterRequest => {
+    const upstream = upstreamState();
+    return {
+      from: kit.sender(),
+      bootId: options.bootId,
+      url: ownUrl,
+      zone: settings.zone,
+      region: settings.region,
+      ...(upstream === undefined ? {} : { upstream }),
+      isLeaving: options.isLeaving(),
+    };
+  };
+  const noteLeader = (next: LeaderHint): void => {
+    if (next.epoch >= (leader?.epoch ?? 0)) leader = next;
+  };
+  const fetchConfiguration = async (): Promise<void> => {
+    for (const url of entryUrls) {
+      try {
+        const { record } = await kit.clients.entry(url).configuration({ from: kit.sender() });
+        if (record !== undefined) kit.configuration.offer(record);
+        return;
+      } catch (thrown) {
+        kit.log('debug', 'configurationNotFetched', {
+          url,
+          reason: errors.normalize(thrown).message,
+        });
+      }
+    }
+  };
+  const noteVersion = (version: number): void => {
+    if (version <= kit.configuration.version() || isFetching) return;
+    isFetching = true;
+    void fetchConfiguration().finally(() => {
+      isFetching = false;
+    });
+  };
+  const registerWith = async (url: string): Promise<readonly string[]> => {
+    try {
+      const reply = await kit.clients.entry(url).register(registration());
+      noteVersion(reply.from.configVersion);
+      if (reply.leader !== undefined) noteLeader(reply.leader);
+      return reply.entryUrls;
+    } catch (thrown) {
+      kit.log('debug', 'registerFailed', { url, reason: errors.normalize(thrown).message });
+      return [];
+    }
+  };
+  const registerNow = async (): Promise<void> => {
+    const known = await Promise.all(entryUrls.map(registerWith));
+    const found = [...new Set(known.flat())].slice(0, MAX_ENTRIES);
+    // Without any answer the settings' addresses are asked again.
+    entryUrls = found.length > 0 ? found : settings.entryUrls;
+  };
+  const loop = (): void => {
+    void registerNow().finally(() => schedule(settings.reportMs));
+  };
+  const schedule = (delayMs: number): void => {
+    void timer?.dispose();
+    if (!isStopped) timer = kit.clock.after(delayMs, loop);
+  };
+  return {
+    noteLeader,
+    noteVersion,
+    registerNow,
+    registerSoon: () => schedule(0),
+    report: async (report) => {
+      const info = options.worker();
+      if (leader === undefined || info === undefined) {
+        throw errors.fail('notLeader', 'no leader of the cell is known');
+      }
+      const reply = await kit.clients.scheduler(leader.url).report({
+        from: kit.sender(),
+        cell: settings.zone,
+        bootId: options.bootId,
+        worker: info,
+        isLeaving: options.isLeaving(),
+        ...report,
+        tasks: [...report.tasks],
+      });
+      noteVersion(reply.from.configVersion);
+      return reply;
+    },
+    start: (url, firstAfterMs) => {
+      ownUrl = url;
+      void registerNow().finally(() => schedule(firstAfterMs));
+      return {
+        dispose: () => {
+          isStopped = true;
+          void timer?.dispose();
+        },
+      };
+    },
+  };
+};
--- /dev/null
+++ b/src/programs/cellClaims.ts
@@ -0,0 +1,193 @@
+/**
+ * Which cells a scheduler leads: it claims cells without a leader, its own zone's first, so that the
+ * cells spread over the schedulers and any of them can take any cell.
+ */
+import type * as disposable from '../base/common/disposable.js';
+import * as errors from '../base/common/errors.js';
+import * as liveView from '../coordination/common/liveView.js';
+import * as cellLeader from '../coordination/node/cellLeader.js';
+import * as jobStore from '../coordination/node/jobStore.js';
+import * as leadership from '../coordination/node/leadership.js';
+import type * as liveWatch from '../coordination/node/liveWatch.js';
+import type * as settingsSchema from '../state/common/settings.js';
+import type * as store from '../state/common/store.js';
+
+import type * as processKit from './processKit.js';
+
+/** What claiming needs. */
+export interface CellClaimsOptions {
+  readonly kit: processKit.ProcessKit;
+  readonly settings: settingsSchema.SchedulerSettings;
+  readonly store: store.Store;
+  readonly live: liveWatch.LiveWatch;
+}
+
+/** The cells of one scheduler. */
+export interface CellClaims {
+  readonly start: (url: string) => void;
+  readonly leaderOf: (cell: string) => cellLeader.CellLeader | undefined;
+  /** Writes everything and lets other schedulers have the cells. */
+  readonly release: () => Promise<void>;
+  /** Stops without a word, as a killed process does. */
+  readonly abandon: () => Promise<void>;
+}
+
+interface Claim {
+  readonly leadership: leadership.Leadership;
+  readonly leader: cellLeader.CellLeader;
+  isReady: boolean;
+}
+
+/** How often a scheduler looks for cells without a leader. */
+const CLAIM_MS = 500;
+
+/** A cell of another zone is left to that zone's schedulers for this long. */
+const FOREIGN_PATIENCE_MS = 1500;
+
+/** Each cell already led makes a scheduler wait longer, so that idle ones are first. */
+const LOAD_PATIENCE_MS = 500;
+
+/**
+ * @param options - what claiming needs
+ * @returns claims that are not started
+ */
+export const createCellClaims = (options: CellClaimsOptions): CellClaims => {
+  const { kit, settings, live } = options;
+  const claims = new Map<string, Claim>();
+  const unledSinceMs = new Map<string, number>();
+  let url = '';
+  let timer: disposable.Disposable | undefined;
+  let isStopped = false;
+
+  const drop = async (cell: string, why: string): Promise<void> => {
+    const claim = claims.get(cell);
+    if (claim === undefined) return;
+    claims.delete(cell);
+    kit.log('warn', 'cellDropped', { cell, epoch: claim.leadership.epoch, why });
+    await claim.leader.dispose();
+    await claim.leadership.lease.dispose();
+  };
+  const discoverAgents = async (cell: string): Promise<readonly string[]> => {
+    const entries = liveView.processesOf(live.entries(), 'entry');
+    const found = await Promise.all(
+      entries.map(async (it) => {
+        try {
+          const request = { from: kit.sender(), zone: cell };
+          return (await kit.clients.entry(it.url).agents(request)).agentUrls;
+        } catch {
+          return [];
+        }
+      }),
+    );
+    return [...new Set(found.flat())];
+  };
+  const createLeader = (cell: string, epoch: number): cellLeader.CellLeader =>
+    cellLeader.createCellLeader({
+      cell,
+      epoch,
+      store: options.store,
+      jobStore: jobStore.createJobStore({ store: options.store, cell, epoch, newId: kit.newId }),
+      clock: kit.clock,
+      log: kit.log,
+      metrics: kit.metrics,
+      configuration: kit.configuration,
+      fence: async (agentUrl) => {
+        const request = { from: kit.sender(), cell, epoch, leaderUrl: url };
+        const reply = await kit.clients.agent(agentUrl).fence(request);
+        return { ...reply, worker: reply.worker };
+      },
+      sendCommands: async (agentUrl, commands) => {
+        const request = { from: kit.sender(), cell, epoch, commands: [...commands] };
+        return kit.clients.agent(agentUrl).command(request);
+      },
+      discoverAgents: () => discoverAgents(cell),
+      onDeposed: () => {
+        void drop(cell, 'another leader took it');
+      },
+    });
+  const claim = async (cell: string): Promise<void> => {
+    const won = await leadership.tryLead({
+      store: options.store,
+      clock: kit.clock,
+      cell,
+      leaderId: settings.processId,
+      url,
+      ttlMs: settings.leaseMs,
+      newId: kit.newId,
+    });
+    if (won === undefined) return;
+    const held: Claim = {
+      leadership: won,
+      leader: createLeader(cell, won.epoch),
+      isReady: false,
+    };
+    claims.set(cell, held);
+    try {
+      await held.leader.takeOver();
+      held.isReady = true;
+    } catch (thrown) {
+      await drop(cell, errors.normalize(thrown).message);
+    }
+  };
+  const patienceMs = (cell: string): number =>
+    (cell === settings.zone ? 0 : FOREIGN_PATIENCE_MS) + claims.size * LOAD_PATIENCE_MS;
+  const isDue = (cell: string): boolean => {
+    if (claims.has(cell) || liveView.isLed(live.entries(), cell)) {
+      unledSinceMs.delete(cell);
+      return false;
+    }
+    const nowMs = kit.clock.monotonicMs();
+    const sinceMs = unledSinceMs.get(cell) ?? nowMs;
+    unledSinceMs.set(cell, sinceMs);
+    return nowMs - sinceMs >= patienceMs(cell);
+  };
+  const turn = async (): Promise<void> => {
+    for (const [cell, held] of [...claims]) {
+      if (held.leadership.lease.isLost()) await drop(cell, 'its lease lapsed');
+    }
+    const cells = kit.configuration.current()?.document.cells ?? [];
+    if (!live.isConnected()) return;
+    for (const { cell } of cells) {
+      if (!isStopped && isDue(cell)) await claim(cell);
+    }
+  };
+  const loop = (): void => {
+    turn()
+      .catch((thrown: unknown) => {
+        kit.log('warn', 'claimFailed', { reason: errors.normalize(thrown).message });
+      })
+      .finally(() => {
+        if (!isStopped) timer = kit.clock.after(CLAIM_MS, loop);
+      })
+      .catch(() => undefined);
+  };
+  const stop = (): void => {
+    isStopped = true;
+    void timer?.dispose();
+  };
+  return {
+    start: (ownUrl) => {
+      url = ownUrl;
+      loop();
+    },
+    leaderOf: (cell) => {
+      const held = claims.get(cell);
+      return held?.isReady === true ? held.leader : undefined;
+    },
+    release: async () => {
+      stop();
+      for (const [cell, held] of [...claims]) {
+        await held.leader.flush().catch(() => undefined);
+        await drop(cell, 'the scheduler leaves');
+      }
+    },
+    abandon: async () => {
+      stop();
+      for (const held of claims.values()) {
+        held.leadership.lease.abandon();
+        await held.leader.dispose();
+      }
+      claims.clear();
+    },
+  };
+};
--- /dev/null
+++ b/src/programs/entry.ts
@@ -0,0 +1,212 @@
+/**
+ * `auburnlift-entry`: takes callers' requests and jobs, and serves operators.
+ */
+import * as errors from '../base/common/errors.js';
+import * as http from '../base/common/http.js';
+import * as agentDirectory from '../coordination/common/agentDirectory.js';
+import * as liveView from '../coordination/common/liveView.js';
+import * as liveWatch from '../coordination/node/liveWatch.js';
+import * as processPresence from '../coordination/node/processPresence.js';
+import * as entryRouter from '../protocol/node/entryRouter.js';
+import * as requestRouter from '../protocol/node/requestRouter.js';
+import type * as settingsSchema from '../state/common/settings.js';
+import * as httpStore from '../state/node/httpStore.js';
+import * as callerApi from '../transport/node/callerApi.js';
+import type * as healthApi from '../transport/node/healthApi.js';
+import * as httpServer from '../transport/node/httpServer.js';
+import * as operatorApi from '../transport/node/operatorApi.js';
+import * as rpcServer from '../transport/node/rpcServer.js';
+
+import * as entryGateways from './entryGateways.js';
+import * as processKit from './processKit.js';
+
+/** A running entry. */
+export interface EntryProgram extends processKit.Program {
+  readonly callersUrl: string;
+  readonly operatorsUrl: string;
+}
+
+const MAX_CONNECTIONS = 16_384;
+const WATCH_MS = 10_000;
+const LIST_MS = 5000;
+const RETRY_MS = 500;
+
+/** Period in which agents are asked to register again. */
+const REGISTER_MS = 2000;
+
+const DEFAULT_DEADLINE_MS = 30_000;
+
+const createService = (
+  kit: processKit.ProcessKit,
+  directory: agentDirectory.AgentDirectory,
+  live: liveWatch.LiveWatch,
+  region: string,
+): entryRouter.EntryService => ({
+  register: (request) => {
+    directory.register(
+      {
+        agentId: request.from.processId,
+        bootId: request.bootId,
+        url: request.url,
+        zone: request.zone,
+        region: request.region,
+        isLeaving: request.isLeaving,
+        upstream: request.upstream,
+        configVersion: request.from.configVersion,
+      },
+      kit.clock.monotonicMs(),
+    );
+    const leader = liveView.leaderOf(live.entries(), request.zone);
+    const entries = liveView.processesOf(live.entries(), 'entry');
+    return Promise.resolve({
+      from: kit.sender(),
+      entryUrls: entries.filter((it) => it.region === region).map((it) => it.url),
+      ...(leader === undefined ? {} : { leader: { url: leader.url, epoch: leader.epoch } }),
+      nextAfterMs: REGISTER_MS,
+    });
+  },
+  configuration: () => {
+    const record = kit.configuration.current();
+    return Promise.resolve({ from: kit.sender(), ...(record === undefined ? {} : { record }) });
+  },
+  agents: ({ zone }) => {
+    const entries = directory.entries().filter((it) => it.zone === zone);
+    return Promise.resolve({ from: kit.sender(), agentUrls: entries.map((it) => it.url) });
+  },
+});
+
+/**
+ * @param settings - decoded settings
+ * @returns the running entry
+ */
+export const startEntry = async (settings: settingsSchema.EntrySettings): Promise<EntryProgram> => {
+  const kit = processKit.createProcessKit('entry', settings);
+  const store = httpStore.createHttpStore({
+    url: settings.storeUrl,
+    timeoutMs: settings.storeTimeoutMs,
+    call: kit.http.call,
+    metrics: kit.metrics,
+  });
+  let isLeaving = false;
+  const live = kit.owned.add(
+    liveWatch.startLiveWatch({
+      store,
+      clock: kit.clock,
+      log: kit.log,
+      watchMs: WATCH_MS,
+      listMs: LIST_MS,
+      retryMs: RETRY_MS,
+    }),
+  );
+  kit.owned.add(
+    live.onDidChange(() => {
+      const record = liveView.configurationOf(live.entries());
+      if (record !== undefined) kit.configuration.offer(record);
+    }),
+  );
+  const directory = agentDirectory.createAgentDirectory();
+  const router = requestRouter.createRequestRouter({
+    zone: settings.zone,
+    region: settings.region,
+    clock: kit.clock,
+    random: kit.random,
+    metrics: kit.metrics,
+    directory,
+    call: kit.http.call,
+    sender: kit.sender,
+    policy: () => kit.configuration.current()?.document.routing,
+    peerSecretHeaders: kit.peerHeaders,
+  });
+  const health: healthApi.HealthOptions = {
+    metrics: kit.metrics,
+    notReadyReason: () => {
+      if (isLeaving) return 'leaving';
+      return kit.configuration.current() === undefined ? 'no configuration yet' : undefined;
+    },
+  };
+  const gateways = entryGateways.createGateways(kit, store, live);
+  const callers = await httpServer.listen(
+    {
+      ...settings.callers,
+      maxBodyBytes: settings.maxBodyBytes,
+      maxConnections: MAX_CONNECTIONS,
+    },
+    httpServer.toListener(
+      callerApi.createCallerApi({
+        health,
+        router,
+        jobs: gateways.jobs,
+        defaultDeadlineMs: () =>
+          kit.configuration.current()?.document.routing.defaultDeadlineMs ?? DEFAULT_DEADLINE_MS,
+        isKnownCustomer: (customerId) =>
+          kit.configuration
+            .current()
+            ?.document.customers.some((it) => it.customerId === customerId) ?? false,
+        newId: kit.newId,
+        maxOpenRequests: settings.maxOpenRequests,
+        isDraining: () => isLeaving,
+      }),
+      settings.maxBodyBytes,
+    ),
+  );
+  const operators = await httpServer.listen(
+    {
+      ...settings.operators,
+      maxBodyBytes: settings.maxBodyBytes,
+      maxConnections: MAX_CONNECTIONS,
+    },
+    httpServer.toListener(
+      operatorApi.createOperatorApi(
+        gateways.operators,
+        operatorApi.createAuthenticator(settings.operatorTokens),
+      ),
+      settings.maxBodyBytes,
+    ),
+  );
+  const notFound: httpServer.Handler = (request) => {
+    throw errors.fail('notFound', `no page ${request.path}`, { field: 'path' });
+  };
+  const peers = await httpServer.listen(
+    { ...settings.peers, maxBodyBytes: rpcServer.MAX_RPC_BYTES, maxConnections: MAX_CONNECTIONS },
+    rpcServer.createRpcListener(
+      entryRouter.createEntryRouter(createService(kit, directory, live, settings.region)),
+      settings.peerSecret,
+      httpServer.toListener(notFound, rpcServer.MAX_RPC_BYTES),
+    ),
+  );
+  [callers, operators, peers].forEach((it) => kit.owned.add(it));
+  const peersUrl = http.formatAddress(peers.address);
+  kit.owned.add(
+    processPresence.announce({
+      store,
+      clock: kit.clock,
+      ttlMs: settings.leaseMs,
+      record: {
+        processId: settings.processId,
+        role: 'entry',
+        region: settings.region,
+        zone: settings.zone,
+        url: peersUrl,
+      },
+    }),
+  );
+  const callersUrl = http.formatAddress(callers.address);
+  const operatorsUrl = http.formatAddress(operators.address);
+  kit.log('info', 'started', { url: peersUrl, callersUrl, operatorsUrl, zone: settings.zone });
+  return {
+    peersUrl,
+    callersUrl,
+    operatorsUrl,
+    shutdown: async () => {
+      isLeaving = true;
+      kit.log('info', 'draining', { open: callers.openRequests() });
+      await Promise.all([
+        callers.drain(settings.drainMs),
+        operators.drain(settings.drainMs),
+        peers.drain(settings.drainMs),
+      ]);
+      await kit.owned.dispose();
+    },
+    dispose: kit.owned.dispose,
+  };
+};
--- /dev/null
+++ b/src/programs/processKit.ts
@@ -0,0 +1,97 @@
+/**
+ * What every program is made of: log, metrics, connections and the clients of other processes.
+ */
+import * as crypto from 'node:crypto';
+
+import type * as clock from '../base/common/clock.js';
+import * as disposable from '../base/common/disposable.js';
+import type * as http from '../base/common/http.js';
+import type * as logging from '../base/common/logging.js';
+import * as metrics from '../base/common/metrics.js';
+import * as random from '../base/common/random.js';
+import * as log from '../base/node/log.js';
+import * as systemClock from '../base/node/systemClock.js';
+import * as configurationHolder from '../coordination/common/configurationHolder.js';
+import type * as envelope from '../protocol/common/envelope.js';
+import * as httpClient from '../transport/node/httpClient.js';
+import * as rpcClient from '../transport/node/rpcClient.js';
+
+/** A running program. */
+export interface Program extends disposable.Disposable {
+  /** Where other processes reach it. */
+  readonly peersUrl: string;
+  /** Finishes what is in flight, within the settings' limit, and releases everything. */
+  readonly shutdown: () => Promise<void>;
+  /** Stops at once, as a killed process does. */
+  readonly dispose: () => Promise<void>;
+}
+
+/** Settings that all programs have. */
+export interface CommonSettings {
+  readonly processId: string;
+  readonly peerSecret: string;
+  readonly logLevel: logging.LogLevel;
+}
+
+/** Parts that all programs share. */
+export interface ProcessKit {
+  readonly clock: clock.Clock;
+  readonly random: random.Random;
+  readonly newId: () => string;
+  readonly log: logging.Log;
+  readonly metrics: metrics.Metrics;
+  readonly owned: disposable.DisposableStore;
+  readonly http: httpClient.HttpClient;
+  readonly clients: rpcClient.RpcClients;
+  readonly configuration: configurationHolder.ConfigurationHolder;
+  readonly sender: () => envelope.Sender;
+  readonly peerHeaders: Readonly<Record<string, string>>;
+}
+
+/** Connections to one address. */
+const MAX_CONNECTIONS = 64;
+
+/** Below the usual state time-outs of balancers and firewalls, which start at a minute. */
+const MAX_IDLE_MS = 20_000;
+
+const MAX_REPLY_BYTES = 67_108_864;
+
+/** Calls between processes take milliseconds; past this the peer counts as silent. */
+const RPC_TIMEOUT_MS = 3000;
+
+/**
+ * @param role - which program
+ * @param settings - its settings
+ * @returns the parts, owned by the program
+ */
+export const createProcessKit = (
+  role: envelope.Sender['role'],
+  settings: CommonSettings,
+): ProcessKit => {
+  const owned = disposable.createDisposableStore();
+  const timeSource = systemClock.systemClock;
+  const client = owned.add(
+    httpClient.createHttpClient({
+      clock: timeSource,
+      maxConnections: MAX_CONNECTIONS,
+      maxIdleMs: MAX_IDLE_MS,
+      maxReplyBytes: MAX_REPLY_BYTES,
+    }),
+  );
+  const configuration = configurationHolder.createConfigurationHolder();
+  const { processId, peerSecret, logLevel } = settings;
+  const call: http.HttpCall = (request) => client.call(request);
+  return {
+    clock: timeSource,
+    random: random.createRandom(crypto.randomInt(2 ** 31)),
+    newId: () => crypto.randomUUID(),
+    log: log.createLog(logLevel, { role, processId }),
+    metrics: metrics.createMetrics(),
+    owned,
+    http: client,
+    clients: rpcClient.createRpcClients({ call, timeoutMs: RPC_TIMEOUT_MS, peerSecret }),
+    configuration,
+    sender: () => ({ processId, role, configVersion: configuration.version() }),
+    peerHeaders: { [rpcClient.PEER_SECRET_HEADER]: peerSecret },
+  };
+};
--- /dev/null
+++ b/src/programs/scheduler.ts
@@ -0,0 +1,173 @@
+/**
+ * `auburnlift-scheduler`: leads cells under leases. Any scheduler can lead any cell.
+ */
+import * as errors from '../base/common/errors.js';
+import * as http from '../base/common/http.js';
+import * as liveView from '../coordination/common/liveView.js';
+import type * as cellLeader from '../coordination/node/cellLeader.js';
+import * as liveWatch from '../coordination/node/liveWatch.js';
+import * as processPresence from '../coordination/node/processPresence.js';
+import type * as entrySchedulerMessages from '../protocol/common/entrySchedulerMessages.js';
+import * as schedulerRouter from '../protocol/node/schedulerRouter.js';
+import type * as settingsSchema from '../state/common/settings.js';
+import * as httpStore from '../state/node/httpStore.js';
+import * as healthApi from '../transport/node/healthApi.js';
+import * as httpServer from '../transport/node/httpServer.js';
+import * as rpcServer from '../transport/node/rpcServer.js';
+
+import * as cellClaims from './cellClaims.js';
+import * as processKit from './processKit.js';
+
+const MAX_CONNECTIONS = 4096;
+const WATCH_MS = 10_000;
+const LIST_MS = 5000;
+const RETRY_MS = 500;
+
+const createService = (
+  kit: processKit.ProcessKit,
+  claims: cellClaims.CellClaims,
+): schedulerRouter.SchedulerService => {
+  const led = (cell: string): cellLeader.CellLeader => {
+    const leader = claims.leaderOf(cell);
+    if (leader === undefined) {
+      throw errors.fail('notLeader', `this scheduler does not lead ${cell}; nothing ran`, {
+        retryAfterMs: 1000,
+      });
+    }
+    return leader;
+  };
+  const cellReply = (leader: cellLeader.CellLeader): entrySchedulerMessages.CellReply => ({
+    from: kit.sender(),
+    cell: leader.cell,
+    epoch: leader.epoch,
+    leaderId: kit.sender().processId,
+    workers: [...leader.workers()],
+    jobs: [...leader.jobs()],
+    warnings: [...leader.warnings()],
+  });
+  return {
+    report: (request) => {
+      const answer = led(request.cell).report({
+        bootId: request.bootId,
+        acceptedEpoch: request.epoch,
+        worker: request.worker,
+        commandCount: request.commandCount,
+        tasks: request.tasks,
+        isFull: request.isFull,
+        isLeaving: request.isLeaving,
+      });
+      const acknowledged = [...answer.acknowledged];
+      return Promise.resolve({ from: kit.sender(), ...answer, acknowledged });
+    },
+    submit: async ({ spec }) => ({
+      from: kit.sender(),
+      job: await led(spec.cell).submit(spec),
+    }),
+    cancel: async ({ cell, jobIds }) => ({
+      from: kit.sender(),
+      jobs: [...(await led(cell).cancel(jobIds))],
+    }),
+    show: ({ cell, jobId }) => Promise.resolve({ from: kit.sender(), job: led(cell).show(jobId) }),
+    cell: ({ cell }) => Promise.resolve(cellReply(led(cell))),
+    quarantine: ({ cell, workerId, isQuarantined, reason }) => {
+      const leader = led(cell);
+      leader.quarantine(workerId, isQuarantined, reason);
+      return Promise.resolve(cellReply(leader));
+    },
+    configuration: () => {
+      const record = kit.configuration.current();
+      return Promise.resolve({
+        from: kit.sender(),
+        ...(record === undefined ? {} : { record }),
+      });
+    },
+  };
+};
+
+/**
+ * @param settings - decoded settings
+ * @returns the running scheduler
+ */
+export const startScheduler = async (
+  settings: settingsSchema.SchedulerSettings,
+): Promise<processKit.Program> => {
+  const kit = processKit.createProcessKit('scheduler', settings);
+  const store = httpStore.createHttpStore({
+    url: settings.storeUrl,
+    timeoutMs: settings.storeTimeoutMs,
+    call: kit.http.call,
+    metrics: kit.metrics,
+  });
+  let isLeaving = false;
+  const live = kit.owned.add(
+    liveWatch.startLiveWatch({
+      store,
+      clock: kit.clock,
+      log: kit.log,
+      watchMs: WATCH_MS,
+      listMs: LIST_MS,
+      retryMs: RETRY_MS,
+    }),
+  );
+  const adopt = (): void => {
+    const record = liveView.configurationOf(live.entries());
+    if (record !== undefined) kit.configuration.offer(record);
+  };
+  kit.owned.add(live.onDidChange(adopt));
+  const claims = cellClaims.createCellClaims({ kit, settings, store, live });
+  const health: healthApi.HealthOptions = {
+    metrics: kit.metrics,
+    notReadyReason: () => {
+      if (isLeaving) return 'leaving';
+      return kit.configuration.current() === undefined ? 'no configuration yet' : undefined;
+    },
+  };
+  const local: httpServer.Handler = (request) => {
+    const answer = healthApi.answerHealth(health, request);
+    if (answer !== undefined) return Promise.resolve(answer);
+    throw errors.fail('notFound', `no page ${request.path}`, { field: 'path' });
+  };
+  const server = await httpServer.listen(
+    {
+      ...settings.peers,
+      maxBodyBytes: rpcServer.MAX_RPC_BYTES,
+      maxConnections: MAX_CONNECTIONS,
+    },
+    rpcServer.createRpcListener(
+      schedulerRouter.createSchedulerRouter(createService(kit, claims)),
+      settings.peerSecret,
+      httpServer.toListener(local, rpcServer.MAX_RPC_BYTES),
+    ),
+  );
+  kit.owned.add(server);
+  const peersUrl = http.formatAddress(server.address);
+  kit.owned.add(
+    processPresence.announce({
+      store,
+      clock: kit.clock,
+      ttlMs: settings.leaseMs,
+      record: {
+        processId: settings.processId,
+        role: 'scheduler',
+        region: settings.region,
+        zone: settings.zone,
+        url: peersUrl,
+      },
+    }),
+  );
+  claims.start(peersUrl);
+  kit.log('info', 'started', { url: peersUrl, zone: settings.zone });
+  return {
+    peersUrl,
+    shutdown: async () => {
+      isLeaving = true;
+      await claims.release();
+      await server.drain(settings.drainMs);
+      await kit.owned.dispose();
+    },
+    dispose: async () => {
+      await claims.abandon();
+      await kit.owned.dispose();
+    },
+  };
+};
--- /dev/null
+++ b/src/protocol/node/agentRouter.ts
@@ -0,0 +1,27 @@
+/**
+ * What an agent answers to its cell's leader.
+ */
+import type * as messages from '../common/agentSchedulerMessages.js';
+import * as schemas from '../common/agentSchedulerMessages.js';
+import * as rpc from './rpc.js';
+
+/** Handlers of the agent. */
+export interface AgentService {
+  /** Accepts a leader's epoch and tells everything that the agent holds. */
+  readonly fence: (request: messages.FenceRequest) => Promise<messages.FenceReply>;
+  /** Runs a leader's commands in their order. */
+  readonly command: (request: messages.CommandRequest) => Promise<messages.CommandReply>;
+}
+
+/**
+ * @param service - handlers of the agent
+ * @returns its router
+ */
+export const createAgentRouter = (service: AgentService) =>
+  rpc.router({
+    fence: rpc.procedure(schemas.FenceRequest, service.fence),
+    command: rpc.procedure(schemas.CommandRequest, service.command),
+  });
+
+/** Type of the router, for clients. */
+export type AgentRouter = ReturnType<typeof createAgentRouter>;
--- /dev/null
+++ b/src/protocol/node/entryRouter.ts
@@ -0,0 +1,32 @@
+/**
+ * What an entry answers to agents and schedulers.
+ */
+import type * as messages from '../common/agentEntryMessages.js';
+import * as schemas from '../common/agentEntryMessages.js';
+import * as rpc from './rpc.js';
+
+/** Handlers of the entry. */
+export interface EntryService {
+  /** Notes an agent, or renews what is known of it. */
+  readonly register: (request: messages.RegisterRequest) => Promise<messages.RegisterReply>;
+  /** Gives the configuration in force. */
+  readonly configuration: (
+    request: messages.ConfigurationRequest,
+  ) => Promise<messages.ConfigurationReply>;
+  /** Gives the agents of a zone to a new leader. */
+  readonly agents: (request: messages.AgentsRequest) => Promise<messages.AgentsReply>;
+}
+
+/**
+ * @param service - handlers of the entry
+ * @returns its router
+ */
+export const createEntryRouter = (service: EntryService) =>
+  rpc.router({
+    register: rpc.procedure(schemas.RegisterRequest, service.register),
+    configuration: rpc.procedure(schemas.ConfigurationRequest, service.configuration),
+    agents: rpc.procedure(schemas.AgentsRequest, service.agents),
+  });
+
+/** Type of the router, for clients. */
+export type EntryRouter = ReturnType<typeof createEntryRouter>;
--- /dev/null
+++ b/src/standins/memoryStore.ts
@@ -0,0 +1,226 @@
+/**
+ * A stand-in for the platform's key-value service, with the faults that the contract names.
+ */
+import type * as clock from '../base/common/clock.js';
+import * as errors from '../base/common/errors.js';
+import * as store from '../state/common/store.js';
+
+/** Fault switches; all are off at first. */
+export interface StoreFaults {
+  /** Nothing is read or written. */
+  isDown: boolean;
+  /** Each call takes this much longer. */
+  delayMs: number;
+  /** So many of the next writes take effect and lose their answers. */
+  loseWriteAnswers: number;
+  /** Watches wait for ever and see nothing. */
+  areWatchesSilent: boolean;
+  /** The next watch says that it no longer remembers. */
+  skipNextWatch: boolean;
+}
+
+/** The stand-in, with what it counted. */
+export interface MemoryStore extends store.Store {
+  readonly faults: StoreFaults;
+  readonly calls: () => Readonly<Record<string, number>>;
+  /** Ends leases whose time is over; also happens before each call. */
+  readonly expireLeases: () => void;
+}
+
+interface Lease {
+  readonly ttlMs: number;
+  untilMs: number;
+}
+
+interface Stored {
+  readonly value: string;
+  readonly revision: number;
+  readonly leaseId: string | undefined;
+}
+
+interface Change {
+  readonly key: string;
+  readonly revision: number;
+}
+
+/** Changes that a watch can still be told; older ones make a gap. */
+const MAX_REMEMBERED_CHANGES = 5000;
+
+/** How often a waiting watch looks for lapsed leases. */
+const WATCH_POLL_MS = 50;
+
+/**
+ * @param timeSource - clock for leases and delays
+ * @returns an empty store
+ */
+export const createMemoryStore = (timeSource: clock.Clock): MemoryStore => {
+  const values = new Map<string, Stored>();
+  const leases = new Map<string, Lease>();
+  const counts: Record<string, number> = {};
+  const changes: Change[] = [];
+  const waiters = new Set<() => void>();
+  const faults: StoreFaults = {
+    isDown: false,
+    delayMs: 0,
+    loseWriteAnswers: 0,
+    areWatchesSilent: false,
+    skipNextWatch: false,
+  };
+  let revision = 0;
+  let leaseCount = 0;
+  let forgottenRevision = 0;
+
+  const sleep = (durationMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      timeSource.after(durationMs, resolve);
+    });
+  const record = (key: string): void => {
+    revision += 1;
+    changes.push({ key, revision });
+    if (changes.length > MAX_REMEMBERED_CHANGES) {
+      forgottenRevision = changes.shift()?.revision ?? forgottenRevision;
+    }
+    for (const wake of [...waiters]) wake();
+  };
+  const remove = (key: string): void => {
+    if (values.delete(key)) record(key);
+  };
+  const dropLease = (leaseId: string): void => {
+    leases.delete(leaseId);
+    for (const [key, it] of [...values]) if (it.leaseId === leaseId) remove(key);
+  };
+  const expireLeases = (): void => {
+    const nowMs = timeSource.monotonicMs();
+    for (const [leaseId, lease] of [...leases]) if (lease.untilMs <= nowMs) dropLease(leaseId);
+  };
+  const enter = async (operation: string): Promise<void> => {
+    counts[operation] = (counts[operation] ?? 0) + 1;
+    if (faults.delayMs > 0) await sleep(faults.delayMs);
+    if (faults.isDown) throw errors.fail('storeUnavailable', 'the stand-in is down');
+    expireLeases();
+  };
+  const entryOf = (key: string): store.StoreEntry | undefined => {
+    const stored = values.get(key);
+    return stored === undefined
+      ? undefined
+      : { key, value: stored.value, revision: stored.revision };
+  };
+  const entriesOf = (prefix: string): store.StoreEntry[] =>
+    [...values.keys()]
+      .filter((key) => key.startsWith(prefix))
+      .sort()
+      .map((key) => entryOf(key))
+      .filter((it) => it !== undefined);
+  const swap = (request: store.CompareAndSwap): store.SwapResult => {
+    const current = entryOf(request.key);
+    if ((current?.revision ?? store.ABSENT_REVISION) !== request.expectedRevision) {
+      return { isSwapped: false, current };
+    }
+    if (request.leaseId !== undefined && !leases.has(request.leaseId)) {
+      return { isSwapped: false, current };
+    }
+    if (request.value === null) {
+      remove(request.key);
+      return { isSwapped: true, revision };
+    }
+    record(request.key);
+    values.set(request.key, { value: request.value, revision, leaseId: request.leaseId });
+    return { isSwapped: true, revision };
+  };
+  const changesAfter = (prefix: string, afterRevision: number): store.WatchResult | undefined => {
+    if (afterRevision < forgottenRevision) {
+      return { entries: [], deletedKeys: [], revision, isGap: true };
+    }
+    const keys = new Set(
+      changes
+        .filter((it) => it.revision > afterRevision && it.key.startsWith(prefix))
+        .map((it) => it.key),
+    );
+    if (keys.size === 0) return undefined;
+    const entries = [...keys].map((key) => entryOf(key)).filter((it) => it !== undefined);
+    const deletedKeys = [...keys].filter((key) => !values.has(key));
+    return { entries, deletedKeys, revision, isGap: false };
+  };
+  const waitForChange = async (waitMs: number, signal: AbortSignal): Promise<void> => {
+    await new Promise<void>((resolve) => {
+      const wake = (): void => {
+        void timer.dispose();
+        waiters.delete(wake);
+        signal.removeEventListener('abort', wake);
+        resolve();
+      };
+      const timer = timeSource.after(waitMs, wake);
+      waiters.add(wake);
+      signal.addEventListener('abort', wake);
+    });
+  };
+  const watch = async (
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<store.WatchResult> => {
+    const untilMs = timeSource.monotonicMs() + waitMs;
+    if (faults.skipNextWatch) {
+      faults.skipNextWatch = false;
+      return { entries: [], deletedKeys: [], revision, isGap: true };
+    }
+    for (;;) {
+      expireLeases();
+      const seen = faults.areWatchesSilent ? undefined : changesAfter(prefix, afterRevision);
+      if (seen !== undefined) return seen;
+      const leftMs = untilMs - timeSource.monotonicMs();
+      if (leftMs <= 0 || signal.aborted) {
+        return { entries: [], deletedKeys: [], revision: afterRevision, isGap: false };
+      }
+      await waitForChange(Math.min(leftMs, WATCH_POLL_MS), signal);
+    }
+  };
+  return {
+    faults,
+    calls: () => ({ ...counts }),
+    expireLeases,
+    get: async (key) => {
+      await enter('get');
+      return entryOf(key);
+    },
+    list: async (prefix) => {
+      await enter('list');
+      return { entries: entriesOf(prefix), revision };
+    },
+    compareAndSwap: async (request) => {
+      await enter('cas');
+      if ((request.value?.length ?? 0) > store.MAX_VALUE_BYTES) {
+        throw errors.fail('tooLarge', `the value of ${request.key} is above a megabyte`);
+      }
+      const result = swap(request);
+      if (faults.loseWriteAnswers > 0) {
+        faults.loseWriteAnswers -= 1;
+        throw new store.StoreOutcomeUnknown('the stand-in lost the answer');
+      }
+      return result;
+    },
+    grantLease: async (ttlMs) => {
+      await enter('grantLease');
+      leaseCount += 1;
+      const leaseId = `lease-${leaseCount}`;
+      leases.set(leaseId, { ttlMs, untilMs: timeSource.monotonicMs() + ttlMs });
+      return leaseId;
+    },
+    renewLease: async (leaseId) => {
+      await enter('renewLease');
+      const lease = leases.get(leaseId);
+      if (lease === undefined) return false;
+      lease.untilMs = timeSource.monotonicMs() + lease.ttlMs;
+      return true;
+    },
+    revokeLease: async (leaseId) => {
+      await enter('revokeLease');
+      dropLease(leaseId);
+    },
+    watch: async (prefix, afterRevision, waitMs, signal) => {
+      await enter('watch');
+      return watch(prefix, afterRevision, waitMs, signal);
+    },
+  };
+};
--- /dev/null
+++ b/src/state/common/settings.ts
@@ -0,0 +1,107 @@
+/**
+ * Settings of the programs. A process learns its addresses, region and availability zone from them.
+ */
+import * as Schema from 'effect/Schema';
+
+import * as units from './units.js';
+
+/** Where a server listens; port 0 takes any free port. */
+export const Listen = Schema.Struct({
+  host: Schema.String.check(Schema.isMinLength(1), Schema.isMaxLength(253)),
+  port: units.integerBetween(0, 65_535),
+});
+
+/** See {@link Listen}. */
+export type Listen = typeof Listen.Type;
+
+const Secret = Schema.String.check(
+  Schema.makeFilter((value: string) => value.length >= 16 && value.length <= 256, {
+    expected: 'a secret of 16 to 256 characters',
+  }),
+);
+
+const common = {
+  processId: units.Id,
+  region: units.Id,
+  zone: units.Id,
+  /** Where other processes of the system reach this one. */
+  peers: Listen,
+  /** Shared by the system's processes. */
+  peerSecret: Secret,
+  logLevel: Schema.Literals(['debug', 'info', 'warn', 'error']),
+  /** Longest time that a graceful shutdown waits for what is in flight. */
+  drainMs: units.DurationMs,
+};
+
+const storeAccess = {
+  storeUrl: units.Url,
+  storeTimeoutMs: units.integerBetween(10, 60_000),
+  /** Term of the leases by which the process is found and leads. */
+  leaseMs: units.integerBetween(500, 600_000),
+};
+
+/** An operator's token, kept hashed. */
+export const OperatorToken = Schema.Struct({
+  operatorId: units.Id,
+  role: Schema.Literals(['read', 'write']),
+  saltHex: Schema.String.check(Schema.isPattern(/^[0-9a-f]{16,128}$/)),
+  /** scrypt of the token with the salt, 32 bytes. */
+  hashHex: Schema.String.check(Schema.isPattern(/^[0-9a-f]{64}$/)),
+});
+
+/** See {@link OperatorToken}. */
+export type OperatorToken = typeof OperatorToken.Type;
+
+/** Settings of `auburnlift-entry`. */
+export const EntrySettings = Schema.Struct({
+  ...common,
+  ...storeAccess,
+  /** Where callers and customers reach it. */
+  callers: Listen,
+  /** Where operators reach the console and the operators' API. */
+  operators: Listen,
+  operatorTokens: Schema.Array(OperatorToken),
+  maxBodyBytes: units.integerBetween(1, 1_073_741_824),
+  /** Requests that the entry holds at once. */
+  maxOpenRequests: units.integerBetween(1, 1_000_000),
+});
+
+/** See {@link EntrySettings}. */
+export type EntrySettings = typeof EntrySettings.Type;
+
+/** Settings of `auburnlift-scheduler`. */
+export const SchedulerSettings = Schema.Struct({ ...common, ...storeAccess });
+
+/** See {@link SchedulerSettings}. */
+export type SchedulerSettings = typeof SchedulerSettings.Type;
+
+/** The worker on an agent's VM. */
+export const AgentWorker = Schema.Struct({
+  workerId: units.Id,
+  /** Where the platform's worker answers. */
+  url: units.Url,
+  rack: units.Id,
+  accelerators: units.integerBetween(0, 64),
+  cores: units.integerBetween(1, 4096),
+  memoryBytes: units.Count,
+});
+
+/** See {@link AgentWorker}. */
+export type AgentWorker = typeof AgentWorker.Type;
+
+/** Settings of `auburnlift-agent`. */
+export const AgentSettings = Schema.Struct({
+  ...common,
+  /** Entries of the region to ask first, for instance the balancer in front of them. */
+  entryUrls: Schema.Array(units.Url).check(Schema.isMinLength(1)),
+  /** Absent where no worker is on the VM. */
+  worker: Schema.optionalKey(AgentWorker),
+  /** Period of heartbeats to the cell's leader and the entries. */
+  reportMs: units.integerBetween(100, 60_000),
+  /** Requests that wait for a slot of the upstream. */
+  maxQueued: units.integerBetween(0, 100_000),
+  maxBodyBytes: units.integerBetween(1, 1_073_741_824),
+});
+
+/** See {@link AgentSettings}. */
+export type AgentSettings = typeof AgentSettings.Type;
--- /dev/null
+++ b/src/state/common/storeKeys.ts
@@ -0,0 +1,87 @@
+/**
+ * The names of all keys that the system keeps in the platform's store.
+ */
+
+/**
+ * Prefix of everything that every entry and scheduler must see at once. It is small and seldom
+ * written, so that one waiting watch for each process covers it.
+ */
+export const LIVE_PREFIX = 'live/';
+
+/** The configuration in force. */
+export const CONFIGURATION_KEY = `${LIVE_PREFIX}configuration`;
+
+/** Prefix of earlier configuration versions. */
+export const CONFIGURATION_HISTORY_PREFIX = 'configuration-history/';
+
+/** Prefix of the leased keys by which entries and schedulers find each other. */
+export const PROCESS_PREFIX = `${LIVE_PREFIX}processes/`;
+
+/** Prefix of the cells' leaderships. */
+export const LEADER_PREFIX = `${LIVE_PREFIX}leaders/`;
+
+/** Prefix of the leased keys that stand while a cell's leader is alive. */
+export const LEADER_LEASE_PREFIX = `${LIVE_PREFIX}leader-leases/`;
+
+const VERSION_DIGITS = 9;
+
+/**
+ * @param version - configuration version
+ * @returns the key of its record; keys sort as versions do
+ */
+export const configurationHistoryKey = (version: number): string =>
+  CONFIGURATION_HISTORY_PREFIX + String(version).padStart(VERSION_DIGITS, '0');
+
+/**
+ * @param role - `entry` or `scheduler`
+ * @param processId - id from the settings
+ * @returns the leased key by which the process is found
+ */
+export const processKey = (role: string, processId: string): string =>
+  `${PROCESS_PREFIX}${role}/${processId}`;
+
+/**
+ * @param cell - availability zone
+ * @returns the key that holds the cell's epoch and leader; it outlives the leader
+ */
+export const leaderKey = (cell: string): string => LEADER_PREFIX + cell;
+
+/**
+ * @param cell - availability zone
+ * @returns the leased key that stands while the cell's leader is alive
+ */
+export const leaderLeaseKey = (cell: string): string => LEADER_LEASE_PREFIX + cell;
+
+/**
+ * @param cell - availability zone
+ * @returns the key that holds what the cell knows of its workers
+ */
+export const workersKey = (cell: string): string => `cells/${cell}/workers`;
+
+/**
+ * @param cell - availability zone
+ * @returns the prefix of the cell's job segments
+ */
+export const jobsPrefix = (cell: string): string => `cells/${cell}/jobs/`;
+
+/**
+ * @param cell - availability zone
+ * @param segment - number of the segment
+ * @returns the key of one job segment
+ */
+export const jobSegmentKey = (cell: string, segment: number): string =>
+  jobsPrefix(cell) + String(segment).padStart(3, '0');
+
+/**
+ * @param cell - availability zone
+ * @returns the prefix of the cell's ledger
+ */
+export const ledgerPrefix = (cell: string): string => `cells/${cell}/ledger/`;
+
+/**
+ * @param cell - availability zone
+ * @param hour - hours since the Unix epoch
+ * @returns the key of the hour's entries; keys sort as hours do
+ */
+export const ledgerHourKey = (cell: string, hour: number): string =>
+  ledgerPrefix(cell) + String(hour).padStart(VERSION_DIGITS, '0');
--- /dev/null
+++ b/src/transport/node/exchangeServer.ts
@@ -0,0 +1,77 @@
+/**
+ * The agent's side of the exchange of callers' requests.
+ */
+import * as errors from '../../base/common/errors.js';
+import * as schemaIssues from '../../base/common/schemaIssues.js';
+import type * as envelope from '../../protocol/common/envelope.js';
+import * as exchange from '../../protocol/common/exchange.js';
+import type * as outcomeTable from '../../protocol/common/outcomeTable.js';
+import type * as requestHost from '../../protocol/node/requestHost.js';
+import * as httpServer from './httpServer.js';
+import * as rpcServer from './rpcServer.js';
+
+/** What the listener needs. */
+export interface ExchangeListenerOptions {
+  readonly peerSecret: string;
+  readonly maxBodyBytes: number;
+  readonly sender: () => envelope.Sender;
+  readonly host: requestHost.RequestHost;
+  readonly noteVersion: (version: number) => void;
+  /** Answers every other path. */
+  readonly otherwise: httpServer.Listener;
+}
+
+const parseHead = (header: string | string[] | undefined): exchange.ExchangeRequest => {
+  let head: unknown;
+  try {
+    head = JSON.parse(String(header));
+  } catch {
+    throw errors.fail('invalidRequest', 'the exchange header is not JSON', {
+      field: exchange.REQUEST_HEADER,
+    });
+  }
+  return schemaIssues.decodeOrFail(exchange.ExchangeRequest, head, 'exchange');
+};
+
+const toReply = (
+  options: ExchangeListenerOptions,
+  requestId: string,
+  outcome: outcomeTable.Outcome,
+): httpServer.ServerReply => {
+  const isAnswer = outcome.type === 'answer';
+  const head: exchange.ExchangeReply = {
+    from: options.sender(),
+    requestId,
+    kind: isAnswer ? 'answer' : 'error',
+    status: isAnswer ? outcome.answer.status : 0,
+    contentType: isAnswer ? outcome.answer.contentType : 'application/json',
+    ...options.host.load(),
+  };
+  return {
+    status: 200,
+    headers: { [exchange.REPLY_HEADER]: JSON.stringify(head) },
+    body: isAnswer ? outcome.answer.body : JSON.stringify(outcome.error),
+  };
+};
+
+/**
+ * @param options - what the listener needs
+ * @returns a listener that answers exchanges and hands everything else on
+ */
+export const createExchangeListener = (options: ExchangeListenerOptions): httpServer.Listener => {
+  const handler: httpServer.Handler = async (request) => {
+    const head = parseHead(request.headers[exchange.REQUEST_HEADER]);
+    options.noteVersion(head.from.configVersion);
+    return toReply(options, head.requestId, await options.host.exchange(head, request.body));
+  };
+  const exchangeListener = httpServer.toListener(handler, options.maxBodyBytes);
+  const refuse = httpServer.toListener(() => {
+    throw errors.fail('unauthenticated', 'the peer secret is missing or wrong');
+  }, options.maxBodyBytes);
+  return (message, response) => {
+    if (message.url !== exchange.EXCHANGE_PATH) return options.otherwise(message, response);
+    return rpcServer.isPeer(message, options.peerSecret)
+      ? exchangeListener(message, response)
+      : refuse(message, response);
+  };
+};
--- /dev/null
+++ b/src/transport/node/httpClient.ts
@@ -0,0 +1,166 @@
+/**
+ * HTTP exchanges over pooled connections that are kept open, with whole answers only.
+ *
+ * Guards against connections that have gone silent while new ones work: when an exchange times out
+ * or is cut, every idle connection to that address is closed with it, since whatever lost track of
+ * one has probably lost track of the others; and no connection is used beyond a bounded age, which
+ * lies below the usual state time-outs of balancers and firewalls.
+ */
+import * as nodeHttp from 'node:http';
+
+import type * as clock from '../../base/common/clock.js';
+import type * as disposable from '../../base/common/disposable.js';
+import * as http from '../../base/common/http.js';
+
+/** Limits of the pool. */
+export interface HttpClientOptions {
+  /** Connections to one address, in use or idle. */
+  readonly maxConnections: number;
+  /** An idle connection is closed after this time. */
+  readonly maxIdleMs: number;
+  /** A larger answer is an error. */
+  readonly maxReplyBytes: number;
+  readonly clock: clock.Clock;
+}
+
+/** A pool of connections. Disposing it closes them all. */
+export interface HttpClient extends disposable.Disposable {
+  readonly call: http.HttpCall;
+  /** Forgets all idle connections to an address. */
+  readonly dropIdle: (address: http.Address) => void;
+}
+
+const headersOf = (message: nodeHttp.IncomingMessage): Record<string, string> => {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(message.headers)) {
+    if (value !== undefined) headers[name] = Array.isArray(value) ? value.join(', ') : value;
+  }
+  return headers;
+};
+
+const createAgent = (options: HttpClientOptions): nodeHttp.Agent =>
+  new nodeHttp.Agent({
+    keepAlive: true,
+    maxSockets: options.maxConnections,
+    maxFreeSockets: options.maxConnections,
+    timeout: options.maxIdleMs,
+    scheduling: 'lifo',
+  });
+
+/** Collects an answer; only one that arrived whole is given on. */
+const collect = (
+  message: nodeHttp.IncomingMessage,
+  maxBytes: number,
+  onWhole: (reply: http.HttpReply) => void,
+  onCut: (reason: string) => void,
+): void => {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  message.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    chunks.push(chunk);
+    if (size > maxBytes) message.destroy(new Error(`answer above ${maxBytes} bytes`));
+  });
+  message.on('error', (error) => onCut(error.message));
+  message.on('close', () => {
+    if (!message.complete) onCut('the answer was cut short');
+  });
+  message.on('end', () => {
+    if (!message.complete) return;
+    const status = message.statusCode ?? 0;
+    onWhole({ status, headers: headersOf(message), body: Buffer.concat(chunks, size) });
+  });
+};
+
+const exchange = (
+  agent: nodeHttp.Agent,
+  options: HttpClientOptions,
+  request: http.HttpRequest,
+): Promise<http.HttpReply> =>
+  new Promise((resolve, reject) => {
+    let isConnected = false;
+    const outgoing = nodeHttp.request({
+      agent,
+      host: request.address.host,
+      port: request.address.port,
+      method: request.method,
+      path: request.path,
+      headers: { ...request.headers, 'content-length': String(request.body.byteLength) },
+    });
+    const fail = (failure: http.HttpFailure, message: string): void => {
+      timer.dispose();
+      reject(new http.HttpCallError(failure, message));
+      outgoing.destroy();
+    };
+    const timer = options.clock.after(request.timeoutMs, () =>
+      fail(http.HttpFailure.timeout, `no whole answer within ${request.timeoutMs} ms`),
+    );
+    const onAbort = (): void => fail(http.HttpFailure.aborted, 'withdrawn');
+    if (request.signal?.aborted === true) {
+      onAbort();
+      return;
+    }
+    request.signal?.addEventListener('abort', onAbort, { once: true });
+    const cut = (message: string): void =>
+      fail(isConnected ? http.HttpFailure.lost : http.HttpFailure.notSent, message);
+    outgoing.on('socket', (socket) => {
+      // A pooled connection may have carried bytes to the other side before it broke.
+      isConnected = !socket.connecting;
+      if (isConnected) return;
+      socket.once('connect', () => {
+        isConnected = true;
+      });
+    });
+    outgoing.on('error', (error) => cut(error.message));
+    outgoing.on('close', () => request.signal?.removeEventListener('abort', onAbort));
+    outgoing.on('response', (message) => {
+      const onWhole = (reply: http.HttpReply): void => {
+        timer.dispose();
+        resolve(reply);
+      };
+      collect(message, options.maxReplyBytes, onWhole, cut);
+    });
+    outgoing.end(request.body);
+  });
+
+/**
+ * @param options - limits of the pool
+ * @returns a pool without connections
+ */
+export const createHttpClient = (options: HttpClientOptions): HttpClient => {
+  const agents = new Map<string, nodeHttp.Agent>();
+  const agentFor = (address: http.Address): nodeHttp.Agent => {
+    const key = http.formatAddress(address);
+    const agent = agents.get(key) ?? createAgent(options);
+    agents.set(key, agent);
+    return agent;
+  };
+  /** Open exchanges keep their connections; the next exchange gets a new pool. */
+  const dropIdle = (address: http.Address): void => {
+    const key = http.formatAddress(address);
+    const agent = agents.get(key);
+    if (agent === undefined) return;
+    agents.delete(key);
+    for (const sockets of Object.values(agent.freeSockets)) {
+      sockets?.forEach((socket) => socket.destroy());
+    }
+  };
+  return {
+    dropIdle,
+    call: async (request) => {
+      if (request.isFreshConnection === true) dropIdle(request.address);
+      try {
+        return await exchange(agentFor(request.address), options, request);
+      } catch (thrown) {
+        const isAborted =
+          thrown instanceof http.HttpCallError && thrown.failure === http.HttpFailure.aborted;
+        if (!isAborted) dropIdle(request.address);
+        throw thrown;
+      }
+    },
+    dispose: () => {
+      for (const agent of agents.values()) agent.destroy();
+      agents.clear();
+    },
+  };
+};
--- /dev/null
+++ b/src/transport/node/rpcClient.ts
@@ -0,0 +1,147 @@
+/**
+ * Clients of the routers of other processes, over the shared pool of connections.
+ */
+import * as trpcClient from '@trpc/client';
+import type * as trpcServer from '@trpc/server';
+
+import * as errors from '../../base/common/errors.js';
+import * as http from '../../base/common/http.js';
+import type * as agentRouter from '../../protocol/node/agentRouter.js';
+import type * as entryRouter from '../../protocol/node/entryRouter.js';
+import type * as schedulerRouter from '../../protocol/node/schedulerRouter.js';
+
+/** Path under which every process serves its router. */
+export const RPC_PATH = '/rpc';
+
+/** Header that carries the secret shared by the system's processes. */
+export const PEER_SECRET_HEADER = 'auburnlift-peer-secret';
+
+/** How other processes are reached. */
+export interface RpcClientOptions {
+  readonly call: http.HttpCall;
+  readonly timeoutMs: number;
+  /** Shared by the system's processes; never logged. */
+  readonly peerSecret: string;
+}
+
+/** The part of a fetch request that tRPC uses. */
+interface FetchInit {
+  readonly method?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: unknown;
+}
+
+const fetchOver =
+  (options: RpcClientOptions) =>
+  async (input: unknown, init?: FetchInit): Promise<Response> => {
+    const url = new URL(String(input));
+    const reply = await options.call({
+      address: { host: url.hostname, port: Number(url.port) },
+      method: init?.method ?? 'GET',
+      path: url.pathname + url.search,
+      headers: {
+        ...init?.headers,
+        [PEER_SECRET_HEADER]: options.peerSecret,
+      },
+      body: Buffer.from(String(init?.body ?? '')),
+      timeoutMs: options.timeoutMs,
+    });
+    const text = Buffer.from(reply.body).toString('utf8');
+    const parsed = (): Promise<unknown> => Promise.resolve(JSON.parse(text) as unknown);
+    return { ok: reply.status < 300, status: reply.status, json: parsed } as unknown as Response;
+  };
+
+const bodyOf = (error: trpcClient.TRPCClientError<trpcServer.AnyTRPCRouter>): unknown =>
+  (error.data as { body?: unknown } | null | undefined)?.body;
+
+const toKnown = (thrown: unknown): errors.AuburnliftError => {
+  if (thrown instanceof trpcClient.TRPCClientError) {
+    const body = bodyOf(thrown);
+    if (body !== undefined) return errors.fromBody(body);
+    return errors.fail('peerUnreachable', thrown.message);
+  }
+  return errors.normalize(thrown);
+};
+
+const wrap =
+  <TInput, TOutput>(target: { mutate: (input: TInput) => Promise<TOutput> }) =>
+  async (input: TInput): Promise<TOutput> => {
+    try {
+      return await target.mutate(input);
+    } catch (thrown) {
+      throw toKnown(thrown);
+    }
+  };
+
+const create = <TRouter extends trpcServer.AnyTRPCRouter>(
+  options: RpcClientOptions,
+  url: string,
+): trpcClient.TRPCClient<TRouter> => {
+  const link = trpcClient.httpLink({
+    url: url + RPC_PATH,
+    fetch: fetchOver(options),
+  } as unknown as Parameters<typeof trpcClient.httpLink<TRouter>>[0]);
+  return trpcClient.createTRPCClient<TRouter>({ links: [link] });
+};
+
+const agentClient = (options: RpcClientOptions, url: string) => {
+  const client = create<agentRouter.AgentRouter>(options, url);
+  return { fence: wrap(client.fence), command: wrap(client.command) };
+};
+
+const entryClient = (options: RpcClientOptions, url: string) => {
+  const client = create<entryRouter.EntryRouter>(options, url);
+  return {
+    register: wrap(client.register),
+    configuration: wrap(client.configuration),
+    agents: wrap(client.agents),
+  };
+};
+
+const schedulerClient = (options: RpcClientOptions, url: string) => {
+  const client = create<schedulerRouter.SchedulerRouter>(options, url);
+  return {
+    report: wrap(client.report),
+    submit: wrap(client.submit),
+    cancel: wrap(client.cancel),
+    show: wrap(client.show),
+    cell: wrap(client.cell),
+    quarantine: wrap(client.quarantine),
+    configuration: wrap(client.configuration),
+  };
+};
+
+/** An agent as other processes call it. */
+export type AgentClient = ReturnType<typeof agentClient>;
+
+/** An entry as other processes call it. */
+export type EntryClient = ReturnType<typeof entryClient>;
+
+/** A scheduler as other processes call it. */
+export type SchedulerClient = ReturnType<typeof schedulerClient>;
+
+/** Clients by address. */
+export interface RpcClients {
+  readonly agent: (url: string) => AgentClient;
+  readonly entry: (url: string) => EntryClient;
+  readonly scheduler: (url: string) => SchedulerClient;
+}
+
+const memoize = <T>(make: (url: string) => T): ((url: string) => T) => {
+  const made = new Map<string, T>();
+  return (url) => {
+    const client = made.get(url) ?? make(url);
+    made.set(url, client);
+    return client;
+  };
+};
+
+/**
+ * @param options - how other processes are reached
+ * @returns clients by address, made once each
+ */
+export const createRpcClients = (options: RpcClientOptions): RpcClients => ({
+  agent: memoize((url) => agentClient(options, url)),
+  entry: memoize((url) => entryClient(options, url)),
+  scheduler: memoize((url) => schedulerClient(options, url)),
+});
