--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -2,21 +2,16 @@
  * `auburnlift dev`: the whole system with stand-ins in one process, for a first look and for work
  * on the project.
  */
-import * as path from 'node:path';
-import * as url from 'node:url';
-
 import * as oclif from '@oclif/core';
 
 import * as systemClock from '../base/node/systemClock.js';
-import * as settingsFile from '../base/node/settingsFile.js';
 import * as demo from '../dev/demo.js';
 import * as demoClient from '../dev/demoClient.js';
-import * as deployment from '../dev/deployment.js';
 import * as devHost from '../dev/devHost.js';
-import * as configuration from '../state/common/configuration.js';
+import * as examples from '../dev/examples.js';
+import type * as configuration from '../state/common/configuration.js';
 import * as httpClient from '../transport/node/httpClient.js';
 
-const EXAMPLES = path.join(path.dirname(url.fileURLToPath(import.meta.url)), '../../examples');
 const MAX_REPLY_BYTES = 8_388_608;
 
 const sleep = (durationMs: number): Promise<void> =>
@@ -43,7 +38,7 @@
     demo: oclif.Flags.boolean({ summary: 'Send requests and jobs, print a table and exit.' }),
     example: oclif.Flags.string({
       summary: 'Which deployment to host.',
-      options: ['kamarvaki', 'vanua-paws'],
+      options: examples.EXAMPLE_NAMES,
       default: 'kamarvaki',
     }),
     'log-level': oclif.Flags.string({
@@ -54,18 +49,12 @@
 
   async run(): Promise<void> {
     const { flags } = await this.parse(DevCommand);
-    const folder = path.join(EXAMPLES, flags.example);
-    const fileOf = (name: string): string => path.join(folder, name);
-    const document = settingsFile.readSettings(
-      configuration.ConfigurationDocument,
-      fileOf('configuration.jsonc'),
-    );
-    const machines = settingsFile.readSettings(deployment.Deployment, fileOf('deployment.jsonc'));
+    const example = examples.readExample(flags.example);
     const fallbackLevel = flags.demo ? 'error' : 'info';
     const logLevel = (flags['log-level'] ?? fallbackLevel) as devHost.DevHostOptions['logLevel'];
-    this.log(`${machines.name}: starting ${machines.zones.length} zones`);
-    const host = await devHost.startDevHost({ deployment: machines, document, logLevel });
-    if (flags.demo) await this.runDemo(host, document);
+    this.log(`${example.deployment.name}: starting ${example.deployment.zones.length} zones`);
+    const host = await devHost.startDevHost({ ...example, logLevel });
+    if (flags.demo) await this.runDemo(host, example.document);
     else await this.stay(host);
   }
 
