--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -9,6 +9,7 @@
 import * as demoClient from '../dev/demoClient.js';
 import * as devHost from '../dev/devHost.js';
 import * as examples from '../dev/examples.js';
+import * as standinHost from '../dev/standinHost.js';
 import type * as configuration from '../state/common/configuration.js';
 import * as httpClient from '../transport/node/httpClient.js';
 
@@ -32,10 +33,15 @@
   static override readonly examples = [
     '<%= config.bin %> dev',
     '<%= config.bin %> dev --demo --example vanua-paws',
+    '<%= config.bin %> dev --stand-ins',
   ];
 
   static override readonly flags = {
     demo: oclif.Flags.boolean({ summary: 'Send requests and jobs, print a table and exit.' }),
+    'stand-ins': oclif.Flags.boolean({
+      summary: 'Host only the stand-ins, at fixed ports, for programs started apart.',
+      exclusive: ['demo'],
+    }),
     example: oclif.Flags.string({
       summary: 'Which deployment to host.',
       options: examples.EXAMPLE_NAMES,
@@ -50,6 +56,10 @@
   async run(): Promise<void> {
     const { flags } = await this.parse(DevCommand);
     const example = examples.readExample(flags.example);
+    if (flags['stand-ins']) {
+      await this.hostStandins(example);
+      return;
+    }
     const fallbackLevel = flags.demo ? 'error' : 'info';
     const logLevel = (flags['log-level'] ?? fallbackLevel) as devHost.DevHostOptions['logLevel'];
     this.log(`${example.deployment.name}: starting ${example.deployment.zones.length} zones`);
@@ -58,6 +68,13 @@
     else await this.stay(host);
   }
 
+  private async hostStandins(example: examples.Example): Promise<void> {
+    const host = await standinHost.startStandinHost(example);
+    this.log(`store ${host.storeUrl}; workers and upstreams of ${host.vmCount} VMs`);
+    await untilSignal();
+    await host.dispose();
+  }
+
   private async stay(host: devHost.DevHost): Promise<void> {
     for (const { region, program } of host.entries) {
       this.log(`${region}: callers ${program.callersUrl}, operators ${program.operatorsUrl}`);
--- a/src/dev/devHost.ts
+++ b/src/dev/devHost.ts
@@ -6,7 +6,6 @@
 import * as disposable from '../base/common/disposable.js';
 import * as http from '../base/common/http.js';
 import * as systemClock from '../base/node/systemClock.js';
-import * as configurationStore from '../coordination/node/configurationStore.js';
 import * as agent from '../programs/agent.js';
 import * as entry from '../programs/entry.js';
 import type * as processKit from '../programs/processKit.js';
@@ -21,6 +20,7 @@
 import * as httpClient from '../transport/node/httpClient.js';
 
 import type * as deployment from './deployment.js';
+import * as standinHost from './standinHost.js';
 
 /** What the host needs. */
 export interface DevHostOptions {
@@ -82,7 +82,7 @@
  */
 export const startDevHost = async (options: DevHostOptions): Promise<DevHost> => {
   const owned = disposable.createDisposableStore();
-  const { clock } = { clock: systemClock.systemClock };
+  const clock = systemClock.systemClock;
   const store = memoryStore.createMemoryStore(clock);
   const storeHttp = owned.add(await storeServer.serveStore(store));
   const storeUrl = http.formatAddress(storeHttp.address);
@@ -97,17 +97,7 @@
   const peerSecret = crypto.randomBytes(24).toString('hex');
   const operatorToken = crypto.randomBytes(24).toString('hex');
   const operatorTokens = [operatorTokenFor(operatorToken)];
-  await configurationStore.writeConfiguration(
-    store,
-    {
-      baseVersion: 0,
-      writeId: 'dev-first',
-      author: 'dev',
-      reason: 'first configuration',
-      document: options.document,
-    },
-    clock.wallMs(),
-  );
+  await standinHost.writeFirstConfiguration(store, options.document);
   const common = { peerSecret, logLevel: options.logLevel, drainMs: DRAIN_MS, peers: LOOPBACK };
   const storeAccess = { storeUrl, storeTimeoutMs: STORE_TIMEOUT_MS, leaseMs: LEASE_MS };
   const entries: DevEntry[] = [];
