Measure each role's cost against its peers, and work out the target from it

Cause: the target size decides the design, and no figure said where the thin path stands against the budget of control.

Change: 'npm run bench -- capacity' runs the real entry, scheduler and agent as child processes against stand-ins and up to 160 fake agents, fits slopes for processor time, memory, bytes, store calls, take-over and time in force, and writes the measurements and the derived tables of docs/CAPACITY.md; a test recomputes the tables from the committed measurements.

--- /dev/null
+++ b/src/bench/capacity/fakeAgents.ts
@@ -0,0 +1,125 @@
+/**
+ * Many agents in one process: each answers its leader at an address of its own, holds tasks and
+ * reports, without a worker behind it.
+ */
+import * as http from '../../base/common/http.js';
+import type * as agentEntryMessages from '../../protocol/common/agentEntryMessages.js';
+import type * as agentSchedulerMessages from '../../protocol/common/agentSchedulerMessages.js';
+import * as agentRouter from '../../protocol/node/agentRouter.js';
+import type * as task from '../../state/common/task.js';
+import * as httpServer from '../../transport/node/httpServer.js';
+import * as rpcServer from '../../transport/node/rpcServer.js';
+
+/** One agent that holds no worker. */
+export interface FakeAgent {
+  readonly url: string;
+  readonly registration: () => agentEntryMessages.RegisterRequest;
+  readonly report: () => agentSchedulerMessages.ReportRequest;
+  readonly dispose: () => void | Promise<void>;
+}
+
+const ACCELERATORS = 8;
+const MAX_BODY_BYTES = 2_097_152;
+
+/**
+ * @param index - number of the agent
+ * @param peerSecret - secret shared by the processes
+ * @returns the agent, listening
+ */
+export const startFakeAgent = async (index: number, peerSecret: string): Promise<FakeAgent> => {
+  const from = { processId: `agent-${index}`, role: 'agent', configVersion: 1 } as const;
+  const bootId = `boot-${index}`;
+  const held = new Map<string, task.TaskReport>();
+  let epoch = 0;
+  let commandCount = 0;
+  let url = '';
+  const workerInfo = () => ({
+    workerId: `worker-${index}`,
+    zone: 'zone-a',
+    region: 'region-a',
+    rack: `rack-${Math.floor(index / 3)}`,
+    accelerators: ACCELERATORS,
+    cores: 64,
+    memoryBytes: 1_073_741_824,
+    agentUrl: url,
+  });
+  const keyOf = (token: task.TaskToken): string =>
+    `${token.jobId}/${token.attempt}/${token.member}`;
+  const obey = (command: task.TaskCommand): void => {
+    const key = keyOf(command.token);
+    if (command.type === 'stop' || command.type === 'release') held.delete(key);
+    if (command.type === 'reserve') {
+      const { token, accelerators } = command;
+      held.set(key, { token, accelerators, phase: 'reserved', progressMs: 0, checkpointMs: 0 });
+    }
+    const known = held.get(key);
+    if (command.type === 'start' && known !== undefined) {
+      held.set(key, { ...known, phase: 'running' });
+    }
+  };
+  const router = agentRouter.createAgentRouter({
+    fence: (request) => {
+      epoch = Math.max(epoch, request.epoch);
+      return Promise.resolve({
+        from,
+        bootId,
+        acceptedEpoch: epoch,
+        worker: workerInfo(),
+        commandCount,
+        tasks: [...held.values()],
+      });
+    },
+    command: (request) => {
+      commandCount += 1;
+      request.commands.forEach(obey);
+      const results = request.commands.map(() => ({ isAccepted: true }));
+      return Promise.resolve({ from, bootId, commandCount, results });
+    },
+  });
+  const notFound = httpServer.toListener(() => Promise.resolve({ status: 404 }), MAX_BODY_BYTES);
+  const server = await httpServer.listen(
+    { host: '127.0.0.1', port: 0, maxBodyBytes: MAX_BODY_BYTES, maxConnections: 64 },
+    rpcServer.createRpcListener(router, peerSecret, notFound),
+  );
+  url = http.formatAddress(server.address);
+  return {
+    url,
+    registration: () => ({
+      from,
+      bootId,
+      url,
+      zone: 'zone-a',
+      region: 'region-a',
+      upstream: {
+        upstreamId: `upstream-${index}`,
+        slots: 8,
+        connections: 64,
+        isLeaving: false,
+        running: 3,
+        queued: 0,
+        serviceMs: 40,
+      },
+      isLeaving: false,
+    }),
+    report: () => ({
+      from,
+      cell: 'zone-a',
+      bootId,
+      epoch,
+      worker: workerInfo(),
+      isLeaving: false,
+      isFull: true,
+      commandCount,
+      tasks: [...held.values()],
+    }),
+    dispose: server.dispose,
+  };
+};
+
+/**
+ * @param count - how many
+ * @param peerSecret - secret shared by the processes
+ * @returns the agents, listening
+ */
+export const startFakeAgents = (count: number, peerSecret: string): Promise<readonly FakeAgent[]> =>
+  Promise.all(Array.from({ length: count }, (_unused, index) => startFakeAgent(index, peerSecret)));
--- /dev/null
+++ b/src/bench/capacity/slopes.ts
@@ -0,0 +1,48 @@
+/**
+ * Straight lines through measured points.
+ */
+
+/** One measured point. */
+export interface Point {
+  /** What was varied: peers, jobs, bytes. */
+  readonly size: number;
+  readonly value: number;
+}
+
+/** A line fitted to points, with how far the points lie from it. */
+export interface Slope {
+  readonly perUnit: number;
+  readonly intercept: number;
+  /** Largest distance of a point from the line, as a part of the largest value. */
+  readonly spreadShare: number;
+  readonly points: readonly Point[];
+}
+
+const mean = (values: readonly number[]): number =>
+  values.reduce((sum, it) => sum + it, 0) / values.length;
+
+/**
+ * Least squares.
+ *
+ * @param points - at least two sizes
+ * @returns the line
+ */
+export const fitSlope = (points: readonly Point[]): Slope => {
+  const meanSize = mean(points.map((it) => it.size));
+  const meanValue = mean(points.map((it) => it.value));
+  const covariance = mean(points.map((it) => (it.size - meanSize) * (it.value - meanValue)));
+  const variance = mean(points.map((it) => (it.size - meanSize) ** 2));
+  const perUnit = variance === 0 ? 0 : covariance / variance;
+  const intercept = meanValue - perUnit * meanSize;
+  const largest = Math.max(...points.map((it) => Math.abs(it.value)), Number.MIN_VALUE);
+  const distances = points.map((it) => Math.abs(it.value - (intercept + perUnit * it.size)));
+  return { perUnit, intercept, spreadShare: Math.max(...distances) / largest, points };
+};
+
+/**
+ * @param slope - a fitted line
+ * @param size - where to read it
+ * @returns the value there, never below 0
+ */
+export const valueAt = (slope: Slope, size: number): number =>
+  Math.max(0, slope.intercept + slope.perUnit * size);
--- /dev/null
+++ b/src/bench/capacity/test/capacityPage.test.ts
@@ -0,0 +1,93 @@
+/**
+ * The capacity page says what the committed measurements give, and the arithmetic is right.
+ */
+import * as assert from 'node:assert/strict';
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import * as test from 'node:test';
+import * as url from 'node:url';
+
+import * as assumptions from '../assumptions.js';
+import * as capacityModel from '../capacityModel.js';
+import type * as measurement from '../measurement.js';
+import * as renderPage from '../renderPage.js';
+import * as slopes from '../slopes.js';
+
+const ROOT = path.join(path.dirname(url.fileURLToPath(import.meta.url)), '../../../..');
+const readText = (file: string): string => fs.readFileSync(path.join(ROOT, file), 'utf8');
+
+test.test('the page and the committed measurements have not drifted apart', () => {
+  const measured = JSON.parse(
+    readText('docs/capacity/measurements.json'),
+  ) as measurement.Measurements;
+  const page = readText('docs/CAPACITY.md');
+  assert.equal(page, renderPage.replaceDerived(page, renderPage.renderDerived(measured)));
+});
+
+const FITS = [
+  {
+    points: [
+      [10, 20],
+      [20, 30],
+      [40, 50],
+    ],
+    perUnit: 1,
+    intercept: 10,
+    spread: 0,
+  },
+  {
+    points: [
+      [1, 5],
+      [2, 5],
+      [3, 5],
+    ],
+    perUnit: 0,
+    intercept: 5,
+    spread: 0,
+  },
+  {
+    points: [
+      [0, 0],
+      [1, 2],
+      [2, 1],
+    ],
+    perUnit: 0.5,
+    intercept: 0.5,
+    spread: 0.5,
+  },
+] as const;
+
+test.test('lines are fitted by least squares, with their spread', () => {
+  for (const { points, perUnit, intercept, spread } of FITS) {
+    const slope = slopes.fitSlope(points.map(([size, value]) => ({ size, value })));
+    assert.ok(Math.abs(slope.perUnit - perUnit) < 1e-9);
+    assert.ok(Math.abs(slope.intercept - intercept) < 1e-9);
+    assert.ok(Math.abs(slope.spreadShare - spread) < 1e-9);
+  }
+});
+
+const flat = (value: number): slopes.Slope => ({
+  perUnit: 0,
+  intercept: value,
+  spreadShare: 0,
+  points: [{ size: 1, value }],
+});
+
+test.test('the cost of an agent is its messages times their slopes', () => {
+  const measured: measurement.Measurements = {
+    machine: 'a test',
+    slopes: {
+      'reportSenderCpuMs by tasks': flat(2),
+      'registrationSenderCpuMs by agents': flat(1),
+      'reportBytes by tasks': flat(1000),
+      'registrationBytes by agents': flat(500),
+    },
+    figures: { agentCycleCpuMs: 1.5, agentResidentMib: 100 },
+  };
+  const size = { ...assumptions.TARGET, reportMs: 500, registerMs: 1000, entriesPerAgent: 3 };
+  const cost = capacityModel.agentCost(measured, size);
+  // Two reports of 2 ms, three registrations of 1 ms and two looks of 0.5 ms in a second.
+  assert.ok(Math.abs(cost.cpuShare - 0.008) < 1e-12);
+  assert.equal(cost.messagesPerSecond, 5);
+  assert.equal(cost.bytesPerSecond, 2 * 1000 + 3 * 500);
+});
--- a/src/programs/test/childPrograms.ts
+++ b/src/programs/test/childPrograms.ts
@@ -10,6 +10,7 @@
 
 /** A program that runs as a child process. */
 export interface ChildProgram {
+  readonly processId: number;
   /** Facts of its `started` line, by key. */
   readonly started: ReadonlyMap<string, string>;
   /** Ends it as a power cut would. */
@@ -83,6 +84,7 @@
       children.add(child);
       const started = await whenStarted(child);
       return {
+        processId: child.pid ?? 0,
         started,
         kill: async () => {
           await end(child, 'SIGKILL');
