--- a/src/coordination/common/agentTasks.ts
+++ b/src/coordination/common/agentTasks.ts
@@ -3,7 +3,8 @@
  * memory of stopped starts.
  *
  * Guards against: a paused leader that wakes after its cell has a new one (its epoch is lower and
- * refused); a start that arrives after the stop of the same token (the token is remembered as
+ * refused); an agent that restarted and has forgotten which epoch it had accepted (no command is
+ * taken before a leader has fenced this boot); a start that arrives after the stop of the same token (the token is remembered as
  * stopped); two starts on one accelerator (only a reservation or a running task holds it).
  */
 import * as task from '../../state/common/task.js';
@@ -252,11 +253,11 @@
   asked: task.TaskCommand,
   nowMs: number,
 ): AgentStep => {
-  const fenced = fence(state, epoch);
-  if (fenced === undefined) {
-    return refuse(state, `epoch ${epoch} is older than ${state.acceptedEpoch}`);
+  // A command never makes an epoch known: after a restart any epoch would look new.
+  if (epoch !== state.acceptedEpoch || epoch === 0) {
+    return refuse(state, `epoch ${epoch} is not ${state.acceptedEpoch}, the accepted one`);
   }
-  return onCommand(expire(fenced, nowMs), asked, nowMs);
+  return onCommand(expire(state, nowMs), asked, nowMs);
 };
 
 /** What the worker's lagged report says about one task. */
--- a/src/coordination/common/jobMachine.ts
+++ b/src/coordination/common/jobMachine.ts
@@ -164,6 +164,16 @@
 const settleStopping = (runtime: JobRuntime, context: JobContext): JobStep =>
   runtime.members.some(holds) ? { next: runtime, effects: PERSIST } : afterStop(runtime, context);
 
+/**
+ * @param record - a job that is being stopped
+ * @param reclaimGraceMs - time that the configuration gives for a checkpoint
+ * @returns the time that its members get; nothing is kept of a cancelled job
+ */
+export const graceMsOf = (record: job.JobRecord, reclaimGraceMs: number): number => {
+  const isCancelled = record.stopCause === job.StopCause.cancelled;
+  return record.spec.isCheckpointable && !isCancelled ? reclaimGraceMs : 0;
+};
+
 /** Starts stopping every member that still holds something. */
 const beginStop = (
   runtime: JobRuntime,
@@ -171,14 +181,13 @@
   cause: job.StopCause,
   why: string,
 ): JobStep => {
-  const canCheckpoint = cause !== job.StopCause.cancelled && runtime.record.spec.isCheckpointable;
-  const graceMs = canCheckpoint ? context.reclaimGraceMs : 0;
   const record = decide(
     { ...runtime.record, state: job.JobState.stopping, stopCause: cause },
     context,
     'stopping',
     why,
   );
+  const graceMs = graceMsOf(record, context.reclaimGraceMs);
   const stops: JobEffect[] = indexesOf(runtime.members, holds).map((member) => ({
     type: 'stop',
     member,
--- a/src/coordination/node/agentRuntime.ts
+++ b/src/coordination/node/agentRuntime.ts
@@ -19,13 +19,20 @@
   readonly isFull: boolean;
   /** Command messages handled before this was built. */
   readonly commandCount: number;
+  readonly uptimeMs: number;
+  /** Stamp of the last answer from the leader of the epoch. */
+  readonly stampMs?: number;
   readonly tasks: readonly task.TaskReport[];
 }
 
 /** The leader's answer. */
 export interface ReportAnswer {
   readonly epoch: number;
+  /** 0 where the leader may not grant. */
   readonly leaseMs: number;
+  readonly stampMs: number;
+  /** Period of the next reports while nothing happens. */
+  readonly reportMs: number;
   readonly wantsFull: boolean;
   readonly acknowledged: readonly task.TaskToken[];
 }
@@ -36,7 +43,7 @@
   readonly worker: workerContract.Worker;
   readonly clock: clock.Clock;
   readonly log: logging.Log;
-  /** Period of reports and of looks at the worker. */
+  /** Period of looks at the worker, and of reports until the leader names another. */
   readonly reportMs: number;
   /** Sends a report to the leader; throws where none is known or it does not answer. */
   readonly report: (report: OutgoingReport) => Promise<ReportAnswer>;
@@ -50,6 +57,7 @@
    */
   readonly fence: (epoch: number) => readonly task.TaskReport[];
   readonly acceptedEpoch: () => number;
+  readonly uptimeMs: () => number;
   /** Command messages handled since the start. */
   readonly commandCount: () => number;
   readonly command: (
@@ -60,6 +68,12 @@
   readonly activeTasks: () => readonly task.TaskReport[];
 }
 
+/** Reports of changes alone between two whole ones. */
+const FULL_EVERY = 8;
+
+const isActive = (it: workerContract.WorkerTask): boolean =>
+  it.phase === 'running' || it.phase === 'stopping';
+
 /** Starts at the worker are repeated this often before the task counts as failed. */
 const START_TRIES = 3;
 
@@ -79,13 +93,22 @@
   let state = agentTasks.empty(options.accelerators);
   let hasAdopted = false;
   let wantsFull = true;
-  let leaseUntilMs = timeSource.monotonicMs();
+  const bootedAtMs = timeSource.monotonicMs();
+  let leaseUntilMs = bootedAtMs;
+  let stampMs: number | undefined;
+  let periodMs = options.reportMs;
+  let reportDueMs = bootedAtMs;
+  let retryAtMs = bootedAtMs;
+  /** Phases as the leader has them, by task. */
+  let told: ReadonlyMap<string, task.TaskPhase> = new Map();
+  let reportsSinceFull = 0;
   let timer: disposable.Disposable | undefined;
   let isDisposed = false;
   let isTurning = false;
   let commandCount = 0;
 
   const nowMs = (): number => timeSource.monotonicMs();
+  const uptimeMs = (): number => Math.floor(nowMs() - bootedAtMs);
   const reports = (): task.TaskReport[] => [...state.held.values()].map(agentTasks.toReport);
   const startAtWorker = async (
     effect: Extract<agentTasks.AgentEffect, { type: 'start' }>,
@@ -170,6 +193,9 @@
     const usage = await worker.report();
     if (!hasAdopted) adopt(usage);
     const seen = new Map(usage.tasks.map((it) => [it.key, it]));
+    const strays = usage.tasks.filter((it) => isActive(it) && !state.held.has(it.key));
+    // A start of an earlier boot of this agent may reach the worker late; nobody would renew it.
+    for (const it of strays) await worker.stop(it.key, 0);
     for (const held of [...state.held.values()]) {
       const key = task.tokenKey(held.token);
       const observation = seen.get(key);
@@ -179,17 +205,57 @@
     }
     state = agentTasks.expire(state, nowMs());
   };
+  /** The leader does not have it yet, or has not said that the task's end is durable. */
+  const isNews = (it: task.TaskReport): boolean =>
+    agentTasks.isEnded(it.phase) || told.get(task.tokenKey(it.token)) !== it.phase;
+  const hasNews = (): boolean =>
+    reports().some(
+      (it) => agentTasks.isEnded(it.phase) && told.get(task.tokenKey(it.token)) !== it.phase,
+    );
+  /**
+   * The end of a task frees accelerators that urgent work may wait for, so it is told at once. After
+   * a failure a quarter of a period passes: a leader that is slow under the reports of a whole cell
+   * would otherwise get them all again with each look.
+   */
+  const isReportDue = (): boolean =>
+    nowMs() >= retryAtMs && (wantsFull || hasNews() || nowMs() >= reportDueMs);
   const tell = async (): Promise<void> => {
     const sentAtMs = nowMs();
-    const isFull = wantsFull;
-    const answer = await options.report({
-      epoch: state.acceptedEpoch,
-      isFull: true,
-      commandCount,
-      tasks: reports(),
-    });
-    if (answer.epoch >= state.acceptedEpoch) leaseUntilMs = sentAtMs + answer.leaseMs;
-    wantsFull = answer.wantsFull || !isFull;
+    const epoch = state.acceptedEpoch;
+    const isFull = wantsFull || reportsSinceFull >= FULL_EVERY;
+    const all = reports();
+    const phases = new Map(all.map((it) => [task.tokenKey(it.token), it.phase]));
+    const tasks = isFull ? all : all.filter(isNews);
+    // What changes while the report is under way counts as news again.
+    wantsFull = false;
+    let answer: ReportAnswer;
+    try {
+      answer = await options.report({
+        epoch,
+        isFull,
+        commandCount,
+        uptimeMs: uptimeMs(),
+        ...(stampMs === undefined ? {} : { stampMs }),
+        tasks,
+      });
+    } catch (thrown) {
+      wantsFull = true;
+      retryAtMs = nowMs() + periodMs / 4;
+      throw thrown;
+    }
+    const isCurrent = answer.epoch === epoch && epoch === state.acceptedEpoch;
+    if (!isCurrent) {
+      // The leader does not know what this boot has accepted; it fences before anything else.
+      wantsFull = true;
+      return;
+    }
+    leaseUntilMs = Math.max(leaseUntilMs, sentAtMs + answer.leaseMs);
+    stampMs = answer.stampMs;
+    periodMs = answer.reportMs;
+    reportDueMs = sentAtMs + periodMs;
+    reportsSinceFull = isFull ? 0 : reportsSinceFull + 1;
+    wantsFull ||= answer.wantsFull;
+    told = phases;
     const forgotten = answer.acknowledged.map(task.tokenKey);
     state = agentTasks.forget(state, answer.acknowledged);
     if (forgotten.length > 0) await worker.forget(forgotten);
@@ -198,7 +264,7 @@
     isTurning = true;
     try {
       await look();
-      await tell();
+      if (isReportDue()) await tell();
     } catch (thrown) {
       log('debug', 'reportFailed', { reason: errors.normalize(thrown).message });
     }
@@ -226,11 +292,15 @@
       if (!hasAdopted) {
         throw errors.fail('peerUnreachable', 'the agent has not seen its worker yet');
       }
+      if (fenced !== state) stampMs = undefined;
       state = fenced;
+      wantsFull = true;
+      retryAtMs = nowMs();
       schedule(0);
       return reports();
     },
     acceptedEpoch: () => state.acceptedEpoch,
+    uptimeMs,
     commandCount: () => commandCount,
     command: async (epoch, commands) => {
       const results = [];
--- a/src/coordination/node/cellLeader.ts
+++ b/src/coordination/node/cellLeader.ts
@@ -1,9 +1,9 @@
 /**
  * Leads one cell: keeps its jobs and workers in memory, plans, commits and commands.
  *
- * What the leader decides is pure (`jobMachine`, `placement`, `ledgerBook`); this module carries
- * the decisions out and turns what happens into events. It acts only after `takeOver` has fenced
- * former leaders in the store and at the agents.
+ * What the leader decides is pure (`jobMachine`, `reportIntake`, `memberOutcome`, `workerRoster`,
+ * `placement`, `ledgerBook`); this module carries the decisions out and turns what happens into
+ * events. It acts only after `takeOver` has fenced former leaders in the store and at the agents.
  */
 import type * as clock from '../../base/common/clock.js';
 import * as disposable from '../../base/common/disposable.js';
@@ -12,45 +12,23 @@
 import type * as metrics from '../../base/common/metrics.js';
 import type * as configuration from '../../state/common/configuration.js';
 import * as job from '../../state/common/job.js';
-import * as store from '../../state/common/store.js';
-import * as task from '../../state/common/task.js';
+import type * as store from '../../state/common/store.js';
+import type * as task from '../../state/common/task.js';
 import type * as worker from '../../state/common/worker.js';
 import type * as configurationHolder from '../common/configurationHolder.js';
 import * as jobMachine from '../common/jobMachine.js';
 import * as jobSegments from '../common/jobSegments.js';
 import * as placement from '../common/placement.js';
-import * as roster from '../common/workerRoster.js';
+import * as reportIntake from '../common/reportIntake.js';
 
+import type * as agentStatements from './agentStatements.js';
 import * as commandOutbox from './commandOutbox.js';
 import * as commitQueue from './commitQueue.js';
+import * as jobIntake from './jobIntake.js';
 import type * as jobStore from './jobStore.js';
+import * as leaderRoster from './leaderRoster.js';
 import * as ledgerKeeper from './ledgerKeeper.js';
-import * as workerInventory from './workerInventory.js';
-
-/** What an agent holds, as it says when it accepts an epoch or reports. */
-export interface AgentState {
-  readonly bootId: string;
-  readonly acceptedEpoch: number;
-  readonly worker: worker.WorkerInfo | undefined;
-  /** Command messages that the agent had handled when it wrote this. */
-  readonly commandCount: number;
-  readonly tasks: readonly task.TaskReport[];
-}
-
-/** A report as the leader takes it. */
-export interface AgentReport extends AgentState {
-  readonly worker: worker.WorkerInfo;
-  readonly isFull: boolean;
-  readonly isLeaving: boolean;
-}
-
-/** What the leader answers to a report. */
-export interface ReportAnswer {
-  readonly epoch: number;
-  readonly leaseMs: number;
-  readonly wantsFull: boolean;
-  readonly acknowledged: readonly task.TaskToken[];
-}
+import * as memberCommands from './memberCommands.js';
 
 /** What the leader needs. */
 export interface CellLeaderOptions {
@@ -63,21 +41,20 @@
   readonly metrics: metrics.Metrics;
   readonly configuration: configurationHolder.ConfigurationHolder;
   /** Makes the epoch known to an agent and asks what it holds. */
-  readonly fence: (agentUrl: string) => Promise<AgentState>;
-  readonly sendCommands: commandOutbox.SendCommands;
+  readonly fence: (agentUrl: string) => Promise<agentStatements.AgentState>;
+  readonly sendCommands: (
+    agentUrl: string,
+    bootId: string,
+    commands: readonly task.TaskCommand[],
+  ) => Promise<commandOutbox.CommandResults>;
+  /** Whether the store's lease on the leadership certainly stands. */
+  readonly isLeaseHeld: () => boolean;
   /** Agents of the zone that entries know; an agent that is missing reports by itself later. */
   readonly discoverAgents: () => Promise<readonly string[]>;
   /** Another leader took the cell. */
   readonly onDeposed: () => void;
 }
 
-/** A worker as operators see it. */
-export interface WorkerView {
-  readonly worker: worker.WorkerInfo;
-  readonly health: worker.WorkerHealth;
-  readonly healthReason: string;
-}
-
 /** The leader of one cell. */
 export interface CellLeader extends disposable.Disposable {
   readonly cell: string;
@@ -88,36 +65,26 @@
   readonly cancel: (jobIds: readonly string[]) => Promise<readonly job.JobRecord[]>;
   readonly show: (jobId: string) => job.JobRecord;
   readonly jobs: () => readonly job.JobRecord[];
-  readonly workers: () => readonly WorkerView[];
+  readonly workers: () => readonly leaderRoster.WorkerView[];
   readonly warnings: () => readonly string[];
-  readonly report: (report: AgentReport) => ReportAnswer;
+  readonly report: (report: agentStatements.AgentReport) => agentStatements.ReportAnswer;
   readonly quarantine: (workerId: string, isQuarantined: boolean, reason: string) => void;
   /** Writes what is not yet written. */
   readonly flush: () => Promise<void>;
 }
 
-/** Wait before a start or stop whose answer was lost is sent again. */
-const RESEND_MS = 500;
-
 /** Wait that lets what happens together be planned together. */
 const PLAN_DELAY_MS = 5;
 
 /** Period of the checks that nothing else triggers: lapsed leases, the ledger. */
 const TICK_MS = 500;
 
-/** Reservations outlive a slow commit; a start after them is refused. */
-const RESERVATION_LEASE_MS = 10_000;
+/** Ticks between two tries to reach agents that have not accepted the epoch. */
+const FENCE_EVERY_TICKS = 8;
 
 /** Wait before writing again what could not be written. */
 const COMMIT_RETRY_MS = 500;
 
-const PHASE_EVENTS = {
-  running: 'started',
-  done: 'memberDone',
-  failed: 'memberFailed',
-  stopped: 'memberStopped',
-} as const;
-
 /**
  * @param options - what the leader needs
  * @returns a leader that has not taken over yet
@@ -126,9 +93,11 @@
   const { clock: timeSource, log } = options;
   const owned = disposable.createDisposableStore();
   const runtimes = new Map<string, jobMachine.JobRuntime>();
-  const entries = new Map<string, roster.RosterEntry>();
+  const fencing = new Set<string>();
   let warnings: readonly string[] = [];
   let planTimer: disposable.Disposable | undefined;
+  let tickTimer: disposable.Disposable | undefined;
+  let ticks = 0;
 
   const nowMs = (): number => timeSource.monotonicMs();
   const policy = (): configuration.PlacementPolicy | undefined =>
@@ -142,12 +111,21 @@
     reclaimGraceMs: policy()?.reclaimGraceMs ?? 0,
   });
   const records = (): job.JobRecord[] => [...runtimes.values()].map((it) => it.record);
-  const noteAnswered = (agentUrl: string, commandCount: number): void => {
-    for (const [workerId, entry] of entries) {
-      if (entry.info.agentUrl === agentUrl) entries.set(workerId, { ...entry, commandCount });
-    }
-  };
-  const outbox = commandOutbox.createCommandOutbox(options.sendCommands, log, noteAnswered);
+  const workers = leaderRoster.createLeaderRoster({
+    cell: options.cell,
+    store: options.store,
+    clock: timeSource,
+    log,
+    leaseMs,
+    isLeaseHeld: options.isLeaseHeld,
+    onWillChange: () => ledger.settle(),
+  });
+  const outbox = commandOutbox.createCommandOutbox(
+    (agentUrl, commands) => options.sendCommands(agentUrl, workers.bootIdOf(agentUrl), commands),
+    log,
+    workers.noteAnswered,
+    workers.noteSilent,
+  );
   const commits = owned.add(
     commitQueue.createCommitQueue({
       jobStore: options.jobStore,
@@ -159,13 +137,6 @@
       onDeposed: options.onDeposed,
     }),
   );
-  const inventory = workerInventory.createWorkerInventory(options.store, options.cell);
-  const workerViews = (): WorkerView[] =>
-    [...entries.values()].map((it) => ({
-      worker: it.info,
-      health: roster.healthOf(it, nowMs()),
-      healthReason: it.healthReason,
-    }));
   const ledger = owned.add(
     ledgerKeeper.createLedgerKeeper({
       cell: options.cell,
@@ -173,7 +144,7 @@
       clock: timeSource,
       log,
       holdings: () => ({
-        workers: workerViews().map((it) => ({
+        workers: workers.views().map((it) => ({
           workerId: it.worker.workerId,
           accelerators: it.worker.accelerators,
           health: it.health,
@@ -183,6 +154,15 @@
       }),
     }),
   );
+  const members = owned.add(
+    memberCommands.createMemberCommands({
+      clock: timeSource,
+      outbox,
+      agentUrlOf: workers.agentUrlOf,
+      runtimeOf: (jobId) => runtimes.get(jobId),
+      dispatch: (jobId, event) => dispatch(jobId, event),
+    }),
+  );
 
   const dispatch = (jobId: string, event: jobMachine.JobEvent): void => {
     const before = runtimes.get(jobId);
@@ -211,7 +191,7 @@
         void commitPlacement(record);
         break;
       default:
-        sendToMember(record, effect);
+        members.send(record, effect);
     }
   };
   const commitPlacement = async (record: job.JobRecord): Promise<void> => {
@@ -225,87 +205,6 @@
     }
   };
 
-  const commandOf = (
-    record: job.JobRecord,
-    effect: Exclude<jobMachine.JobEffect, { type: 'persist' | 'commit' }>,
-  ): task.TaskCommand => {
-    const { spec, attempt, checkpointMs } = record;
-    const token = { jobId: spec.jobId, attempt, member: effect.member };
-    const accelerators = record.placement[effect.member]?.accelerators ?? [];
-    switch (effect.type) {
-      case 'reserve':
-        return { type: 'reserve', token, accelerators, leaseMs: RESERVATION_LEASE_MS };
-      case 'start':
-        return { type: 'start', token, resumeFromMs: checkpointMs, payload: spec.payload };
-      case 'stop':
-        return { type: 'stop', token, graceMs: effect.graceMs };
-      default:
-        return { type: 'release', token };
-    }
-  };
-  const sendToMember = (
-    record: job.JobRecord,
-    effect: Exclude<jobMachine.JobEffect, { type: 'persist' | 'commit' }>,
-  ): void => {
-    const workerId = record.placement[effect.member]?.workerId ?? '';
-    const agentUrl = entries.get(workerId)?.info.agentUrl;
-    if (agentUrl === undefined) {
-      onOutcome(record, effect, undefined);
-      return;
-    }
-    outbox.enqueue(agentUrl, commandOf(record, effect), (outcome) =>
-      onOutcome(record, effect, outcome),
-    );
-  };
-  const onOutcome = (
-    record: job.JobRecord,
-    effect: Exclude<jobMachine.JobEffect, { type: 'persist' | 'commit' }>,
-    outcome: commandOutbox.CommandOutcome,
-  ): void => {
-    const { jobId } = record.spec;
-    const { member } = effect;
-    if (runtimes.get(jobId)?.record.attempt !== record.attempt) return;
-    const reason = outcome?.reason ?? 'the agent does not answer';
-    if (effect.type === 'reserve') {
-      dispatch(
-        jobId,
-        outcome?.isAccepted === true
-          ? { type: 'reserved', member }
-          : { type: 'reserveRefused', member, reason },
-      );
-      return;
-    }
-    if (effect.type === 'release') return;
-    if (outcome === undefined) {
-      resendLater(record, effect);
-      return;
-    }
-    if (effect.type === 'start') {
-      dispatch(
-        jobId,
-        outcome.isAccepted ? { type: 'started', member } : { type: 'startRefused', member, reason },
-      );
-    }
-  };
-  /** Starts and stops are idempotent by token, so what may be lost is sent again. */
-  const resendLater = (
-    record: job.JobRecord,
-    effect: Exclude<jobMachine.JobEffect, { type: 'persist' | 'commit' }>,
-  ): void => {
-    owned.add(
-      timeSource.after(RESEND_MS, () => {
-        const current = runtimes.get(record.spec.jobId);
-        const phase = current?.members[effect.member];
-        const isSameAttempt = current?.record.attempt === record.attempt;
-        if (current === undefined || phase === undefined || !isSameAttempt) return;
-        if (phase === 'gone' || phase === 'done') return;
-        const isStopping = current.record.state === job.JobState.stopping;
-        if (effect.type === 'start' && isStopping) return;
-        sendToMember(record, effect);
-      }),
-    );
-  };
-
   const planSoon = (): void => {
     if (planTimer !== undefined || owned.isDisposed()) return;
     planTimer = timeSource.after(PLAN_DELAY_MS, () => {
@@ -323,7 +222,7 @@
       cell: options.cell,
       configVersion: current.version,
       document: current.document,
-      workers: workerViews().map((it) => ({
+      workers: workers.views().map((it) => ({
         workerId: it.worker.workerId,
         rack: it.worker.rack,
         accelerators: it.worker.accelerators,
@@ -339,146 +238,124 @@
     round.placements.forEach((it) => dispatch(it.jobId, { type: 'planned', ...it }));
   };
 
-  const remember = (info: worker.WorkerInfo): void => {
-    if (inventory.remember(info)) {
-      void inventory.save().catch((thrown: unknown) => {
-        log('warn', 'inventoryNotSaved', { reason: errors.normalize(thrown).message });
-      });
-    }
-  };
-  const enroll = (
-    info: worker.WorkerInfo,
-    seen: { readonly bootId: string; readonly isLeaving: boolean; readonly isFenced: boolean },
-    isReport: boolean,
-  ): roster.RosterEntry => {
-    const known = entries.get(info.workerId);
-    const isSameBoot = known?.bootId === seen.bootId;
-    const entry: roster.RosterEntry = {
-      isQuarantined: false,
-      healthReason: '',
-      ...known,
-      commandCount: isSameBoot ? known.commandCount : 0,
-      info,
-      ...seen,
-      // Only a report is answered with a lease, and a start without a lease would be stopped.
-      lastReportMs: isReport ? nowMs() : Number.NEGATIVE_INFINITY,
-      leaseUntilMs: nowMs() + roster.certainLapseMs(leaseMs()),
-    };
-    ledger.settle();
-    entries.set(info.workerId, entry);
-    remember(info);
-    return entry;
-  };
-
-  const eventOf = (report: task.TaskReport): jobMachine.JobEvent | undefined => {
-    const { member } = report.token;
-    const reason = report.reason ?? 'no reason given';
-    switch (PHASE_EVENTS[report.phase as keyof typeof PHASE_EVENTS]) {
-      case 'started':
-        return { type: 'started', member };
-      case 'memberDone':
-        return { type: 'memberDone', member };
-      case 'memberFailed':
-        return { type: 'memberFailed', member, reason };
-      case 'memberStopped':
-        return { type: 'memberStopped', member, checkpointMs: report.checkpointMs };
-      default:
-        return undefined;
-    }
-  };
-  const isEnded = (report: task.TaskReport): boolean =>
-    report.phase === 'done' || report.phase === 'failed' || report.phase === 'stopped';
-  /** A task that no job wants any more: of an earlier attempt, or of a job that has ended. */
-  const stopStray = (agentUrl: string, report: task.TaskReport): void => {
-    if (isEnded(report)) return;
-    outbox.enqueue(agentUrl, { type: 'stop', token: report.token, graceMs: 0 }, () => undefined);
-  };
-  const takeTask = (agentUrl: string, report: task.TaskReport): void => {
-    const { jobId, attempt, member } = report.token;
+  const intake = jobIntake.createJobIntake({
+    cell: options.cell,
+    runtimes,
+    commits,
+    context,
+    dispatch,
+    onDidAccept: planSoon,
+  });
+  const takeTask = (agentUrl: string, report: task.TaskReport, isTakeOver: boolean): void => {
+    const { jobId } = report.token;
     const runtime = runtimes.get(jobId);
-    const isWanted =
-      runtime !== undefined &&
-      runtime.record.attempt === attempt &&
-      runtime.members[member] !== undefined;
-    if (!isWanted) {
-      stopStray(agentUrl, report);
-      return;
+    const reading = reportIntake.readTask(runtime, report, isTakeOver);
+    if (reading.type === 'event') dispatch(jobId, reading.event);
+    if (reading.type === 'stopStray') members.stopStray(agentUrl, report.token);
+    if (runtime === undefined) return;
+    if (reading.type === 'startOwed') {
+      members.send(runtime.record, { type: 'start', member: reading.member });
     }
-    const isStopOwed =
-      runtime.record.state === job.JobState.stopping && report.phase === task.TaskPhase.running;
-    if (isStopOwed) {
-      // The leader that decided to stop may have died before its command was sent.
-      sendToMember(runtime.record, { type: 'stop', member, graceMs: context().reclaimGraceMs });
-      return;
+    if (reading.type === 'stopOwed') {
+      const { reclaimGraceMs } = context();
+      const graceMs = jobMachine.graceMsOf(runtime.record, reclaimGraceMs);
+      members.send(runtime.record, { type: 'stop', member: reading.member, graceMs });
     }
-    const event = eventOf(report);
-    if (event !== undefined) dispatch(jobId, event);
   };
   /** Whether a statement was written before the agent handled commands that it has answered. */
-  const isOutdated = (workerId: string, state: AgentState): boolean => {
-    const known = entries.get(workerId);
+  const isOutdated = (workerId: string, state: agentStatements.AgentState): boolean => {
+    const known = workers.get(workerId);
     return known?.bootId === state.bootId && state.commandCount < known.commandCount;
   };
-  /** A full report without a task that should be there: it is gone, and nothing of it runs. */
-  const missTasks = (
-    workerId: string,
-    tasks: readonly task.TaskReport[],
-    isTakeOver: boolean,
-  ): void => {
-    const present = new Set(tasks.map((it) => task.tokenKey(it.token)));
-    for (const { record, members } of [...runtimes.values()]) {
-      record.placement.forEach((place, member) => {
-        const phase = members[member];
-        const token = { jobId: record.spec.jobId, attempt: record.attempt, member };
-        const isExpected = phase === 'running' || (phase === 'starting' && isTakeOver);
-        if (place.workerId !== workerId || !isExpected) return;
-        if (present.has(task.tokenKey(token))) return;
-        const reason = `${workerId} does not know the task any more`;
-        dispatch(token.jobId, { type: 'memberLost', member, reason });
-      });
+  /** A whole statement without a task that should be there: nothing of it runs. */
+  const missTasks = (workerId: string, tasks: readonly task.TaskReport[], why: string): void => {
+    for (const { jobId, member } of reportIntake.missingMembers(
+      [...runtimes.values()],
+      workerId,
+      tasks,
+    )) {
+      dispatch(jobId, { type: 'memberLost', member, reason: `${workerId} ${why}` });
     }
   };
-  const acknowledgeable = (report: task.TaskReport): boolean => {
-    if (!isEnded(report)) return false;
-    const runtime = runtimes.get(report.token.jobId);
-    if (runtime === undefined || runtime.record.attempt !== report.token.attempt) return true;
-    const phase = runtime.members[report.token.member];
-    const isSettled = phase === undefined || phase === 'done' || phase === 'gone';
-    return isSettled && !commits.isDirty(report.token.jobId);
+  const takeTasks = (
+    state: agentStatements.AgentState & { worker: worker.WorkerInfo },
+    isNew: boolean,
+  ): void => {
+    const { agentUrl } = state.worker;
+    state.tasks.forEach((it) => takeTask(agentUrl, it, isNew));
+    if (isNew) planSoon();
+  };
+  /** What crossed a command on its way does not know the command's task yet. */
+  const takeWhole = (state: agentStatements.AgentState & { worker: worker.WorkerInfo }): void => {
+    const { workerId } = state.worker;
+    if (isOutdated(workerId, state)) return;
+    missTasks(workerId, state.tasks, 'does not know the task any more');
   };
 
   const fenceAgent = async (agentUrl: string): Promise<void> => {
+    if (fencing.has(agentUrl) || owned.isDisposed()) return;
+    fencing.add(agentUrl);
     try {
       const state = await options.fence(agentUrl);
+      if (owned.isDisposed()) return;
       if (state.acceptedEpoch > options.epoch) options.onDeposed();
       if (state.worker === undefined || state.acceptedEpoch !== options.epoch) return;
-      enroll(state.worker, { bootId: state.bootId, isLeaving: false, isFenced: true }, false);
-      state.tasks.forEach((it) => takeTask(agentUrl, it));
-      if (!isOutdated(state.worker.workerId, state)) {
-        missTasks(state.worker.workerId, state.tasks, true);
-      }
-      planSoon();
+      const { bootId, uptimeMs } = state;
+      workers.enroll(state.worker, {
+        bootId,
+        uptimeMs,
+        stampMs: undefined,
+        isLeaving: false,
+        isReport: false,
+      });
+      const whole = { ...state, worker: state.worker };
+      takeTasks(whole, true);
+      takeWhole(whole);
     } catch (thrown) {
       log('warn', 'fenceFailed', { agentUrl, reason: errors.normalize(thrown).message });
-    }
-  };
-  const loseLapsed = (): void => {
-    for (const [workerId, entry] of entries) {
-      if (!roster.isLapsed(entry, nowMs())) continue;
-      missTasks(workerId, [], true);
+    } finally {
+      fencing.delete(agentUrl);
     }
   };
   const tick = (): void => {
-    loseLapsed();
+    ticks += 1;
+    workers.lapsed().forEach((it) => missTasks(it, [], 'is silent and its leases have lapsed'));
+    if (ticks % FENCE_EVERY_TICKS === 0) {
+      for (const agentUrl of workers.unfencedUrls()) void fenceAgent(agentUrl);
+      workers.retrySave();
+    }
     ledger.settle();
     planSoon();
-    owned.add(timeSource.after(TICK_MS, tick));
+    if (!owned.isDisposed()) tickTimer = timeSource.after(TICK_MS, tick);
   };
-  const knownInventory = async (): Promise<void> => {
-    const infos = await inventory.load();
-    for (const info of infos) {
-      enroll(info, { bootId: '', isLeaving: false, isFenced: false }, false);
+  const report = (stated: agentStatements.AgentReport): agentStatements.ReportAnswer => {
+    const { workerId, agentUrl } = stated.worker;
+    const known = workers.get(workerId);
+    const answer = {
+      epoch: options.epoch,
+      stampMs: Math.floor(nowMs()),
+      reportMs: workers.reportMs(),
+    };
+    if (stated.acceptedEpoch > options.epoch) options.onDeposed();
+    const isFenced = stated.acceptedEpoch === options.epoch;
+    const isKnownBoot = known?.isFenced === true && known.bootId === stated.bootId;
+    if (!isFenced || !isKnownBoot) {
+      if (known !== undefined) workers.noteUnfenced(workerId);
+      void fenceAgent(agentUrl);
+      return { ...answer, leaseMs: 0, wantsFull: true, acknowledged: [] };
     }
+    const isFirst = known.lastReportMs === Number.NEGATIVE_INFINITY;
+    workers.enroll(stated.worker, { ...stated, isReport: true });
+    takeTasks(stated, false);
+    if (stated.isFull) takeWhole(stated);
+    if (isFirst) planSoon();
+    const acknowledged = stated.tasks
+      .filter((it) => {
+        const { jobId } = it.token;
+        return reportIntake.isAcknowledgeable(runtimes.get(jobId), it, !commits.isDirty(jobId));
+      })
+      .map((it) => it.token);
+    return { ...answer, leaseMs: workers.grantMs(workerId), wantsFull: false, acknowledged };
   };
   return {
     cell: options.cell,
@@ -486,88 +363,24 @@
     takeOver: async () => {
       const kept = await options.jobStore.takeOver();
       kept.forEach((it) => runtimes.set(it.spec.jobId, jobMachine.takeOver(it)));
-      await knownInventory();
+      await workers.load();
       await ledger.load();
-      const known = [...entries.values()].map((it) => it.info.agentUrl);
       const discovered = await options.discoverAgents();
-      await Promise.all([...new Set([...known, ...discovered])].map(fenceAgent));
+      await Promise.all([...new Set([...workers.unfencedUrls(), ...discovered])].map(fenceAgent));
       log('info', 'cellTaken', { cell: options.cell, epoch: options.epoch, jobs: kept.length });
       tick();
     },
-    submit: async (spec) => {
-      const known = runtimes.get(spec.jobId);
-      if (known !== undefined) {
-        if (JSON.stringify(known.record.spec) === JSON.stringify(spec)) return known.record;
-        throw errors.fail('conflict', `job ${spec.jobId} exists with another content`, {
-          field: 'jobId',
-        });
-      }
-      runtimes.set(spec.jobId, jobMachine.accept(spec, context()));
-      try {
-        await commits.commit(spec.jobId);
-      } catch (thrown) {
-        if (thrown instanceof store.StoreOutcomeUnknown) {
-          throw errors.fail('outcomeUnknown', 'submit the same job id again to learn the outcome');
-        }
-        runtimes.delete(spec.jobId);
-        throw thrown;
-      }
-      planSoon();
-      return runtimes.get(spec.jobId)?.record ?? jobMachine.accept(spec, context()).record;
-    },
-    cancel: async (jobIds) => {
-      const known = jobIds.filter((it) => runtimes.has(it));
-      known.forEach((it) => dispatch(it, { type: 'cancel' }));
-      try {
-        await Promise.all(known.map((it) => commits.commit(it)));
-      } catch {
-        throw errors.fail('outcomeUnknown', 'the cancellation is not durable yet; ask again');
-      }
-      return known.map((it) => runtimes.get(it)?.record).filter((it) => it !== undefined);
-    },
-    show: (jobId) => {
-      const record = runtimes.get(jobId)?.record;
-      if (record === undefined) {
-        throw errors.fail('notFound', `no job ${jobId} in cell ${options.cell}`, {
-          field: 'jobId',
-        });
-      }
-      return record;
-    },
+    submit: intake.submit,
+    cancel: intake.cancel,
+    show: intake.show,
     jobs: records,
-    workers: workerViews,
-    warnings: () => warnings,
-    report: (report) => {
-      const { workerId, agentUrl } = report.worker;
-      const known = entries.get(workerId);
-      if (report.acceptedEpoch > options.epoch) options.onDeposed();
-      const isFenced = report.acceptedEpoch === options.epoch;
-      const isNew = known === undefined || known.bootId !== report.bootId || !known.isFenced;
-      if (!isFenced) {
-        void fenceAgent(agentUrl);
-        return { epoch: options.epoch, leaseMs: leaseMs(), wantsFull: true, acknowledged: [] };
-      }
-      enroll(report.worker, { bootId: report.bootId, isLeaving: report.isLeaving, isFenced }, true);
-      report.tasks.forEach((it) => takeTask(agentUrl, it));
-      // A report that crossed a start on its way does not know the task yet.
-      const isWhole = report.isFull && !isOutdated(workerId, report);
-      if (isWhole) missTasks(workerId, report.tasks, isNew);
-      if (isNew) planSoon();
-      const acknowledged = report.tasks.filter(acknowledgeable).map((it) => it.token);
-      const wantsFull = isNew && !report.isFull;
-      return { epoch: options.epoch, leaseMs: leaseMs(), wantsFull, acknowledged };
-    },
+    workers: workers.views,
+    warnings: () => [...warnings, ...workers.warnings()],
+    report,
     quarantine: (workerId, isQuarantined, reason) => {
-      const entry = entries.get(workerId);
-      if (entry === undefined) {
+      if (!workers.noteQuarantine(workerId, isQuarantined, reason)) {
         throw errors.fail('notFound', `no worker ${workerId}`, { field: 'workerId' });
       }
-      ledger.settle();
-      entries.set(workerId, {
-        ...entry,
-        isQuarantined,
-        healthReason: isQuarantined ? reason : '',
-      });
       planSoon();
     },
     flush: async () => {
@@ -576,6 +389,7 @@
     },
     dispose: async () => {
       void planTimer?.dispose();
+      void tickTimer?.dispose();
       await owned.dispose();
     },
   };
--- a/src/coordination/node/commandOutbox.ts
+++ b/src/coordination/node/commandOutbox.ts
@@ -4,9 +4,7 @@
 import * as errors from '../../base/common/errors.js';
 import type * as logging from '../../base/common/logging.js';
 import type * as task from '../../state/common/task.js';
-
-/** What became of a command; undefined where no answer came. */
-export type CommandOutcome = { readonly isAccepted: boolean; readonly reason: string } | undefined;
+import type * as memberOutcome from '../common/memberOutcome.js';
 
 /** What an agent answers to a batch. */
 export interface CommandResults {
@@ -23,7 +21,7 @@
 
 interface Pending {
   readonly command: task.TaskCommand;
-  readonly onOutcome: (outcome: CommandOutcome) => void;
+  readonly onOutcome: (outcome: memberOutcome.CommandOutcome) => void;
 }
 
 /** Commands under way to the agents of a cell. */
@@ -31,7 +29,7 @@
   readonly enqueue: (
     agentUrl: string,
     command: task.TaskCommand,
-    onOutcome: (outcome: CommandOutcome) => void,
+    onOutcome: (outcome: memberOutcome.CommandOutcome) => void,
   ) => void;
 }
 
@@ -42,12 +40,14 @@
  * @param send - sends a batch to one agent
  * @param log - the process log
  * @param onAnswered - told of the agent's count of command messages before the outcomes are
+ * @param onSilent - told of an agent that did not answer
  * @returns an empty outbox
  */
 export const createCommandOutbox = (
   send: SendCommands,
   log: logging.Log,
   onAnswered: (agentUrl: string, commandCount: number) => void,
+  onSilent: (agentUrl: string) => void,
 ): CommandOutbox => {
   const queues = new Map<string, Pending[]>();
   const active = new Set<string>();
@@ -66,6 +66,7 @@
     } catch (thrown) {
       const { kind, message } = errors.normalize(thrown);
       log('warn', 'commandsLost', { agentUrl, count: batch.length, kind, reason: message });
+      onSilent(agentUrl);
       batch.forEach((it) => it.onOutcome(undefined));
     }
   };
--- a/src/coordination/node/commitQueue.ts
+++ b/src/coordination/node/commitQueue.ts
@@ -75,7 +75,7 @@
     waiters.delete(segment);
     writing.add(segment);
     try {
-      await options.jobStore.write(segment, jobSegments.retain(options.recordsOf(segment)));
+      await options.jobStore.write(segment, jobSegments.fit(options.recordsOf(segment)));
       isHealthy = true;
       settle(segment, held, undefined);
     } catch (thrown) {
--- /dev/null
+++ b/src/coordination/node/jobIntake.ts
@@ -0,0 +1,92 @@
+/**
+ * Takes what customers ask of a cell's leader: submit, cancel and show.
+ */
+import * as errors from '../../base/common/errors.js';
+import type * as job from '../../state/common/job.js';
+import * as store from '../../state/common/store.js';
+import * as jobMachine from '../common/jobMachine.js';
+import * as jobSegments from '../common/jobSegments.js';
+
+import type * as commitQueue from './commitQueue.js';
+
+/** What the intake needs. */
+export interface JobIntakeOptions {
+  readonly cell: string;
+  /** The jobs of the cell; accepted ones are added. */
+  readonly runtimes: Map<string, jobMachine.JobRuntime>;
+  readonly commits: commitQueue.CommitQueue;
+  readonly context: () => jobMachine.JobContext;
+  readonly dispatch: (jobId: string, event: jobMachine.JobEvent) => void;
+  readonly onDidAccept: () => void;
+}
+
+/** The intake of one leader. */
+export interface JobIntake {
+  readonly submit: (spec: job.JobSpec) => Promise<job.JobRecord>;
+  readonly cancel: (jobIds: readonly string[]) => Promise<readonly job.JobRecord[]>;
+  readonly show: (jobId: string) => job.JobRecord;
+}
+
+/**
+ * @param options - what the intake needs
+ * @returns the intake
+ */
+export const createJobIntake = (options: JobIntakeOptions): JobIntake => {
+  const { cell, runtimes, commits, context } = options;
+  const show = (jobId: string): job.JobRecord => {
+    const record = runtimes.get(jobId)?.record;
+    if (record === undefined) {
+      throw errors.fail('notFound', `no job ${jobId} in cell ${cell}`, { field: 'jobId' });
+    }
+    return record;
+  };
+  const assertRoom = (accepted: job.JobRecord): void => {
+    const segment = jobSegments.segmentOf(accepted.spec.jobId);
+    const kept = [...runtimes.values()]
+      .map((it) => it.record)
+      .filter((it) => jobSegments.segmentOf(it.spec.jobId) === segment);
+    if (jobSegments.hasRoom(kept, accepted)) return;
+    throw errors.fail('overloaded', `cell ${cell} keeps too many jobs; nothing ran`, {
+      retryAfterMs: 60_000,
+    });
+  };
+  const repeated = (known: job.JobRecord, spec: job.JobSpec): job.JobRecord => {
+    if (JSON.stringify(known.spec) === JSON.stringify(spec)) return known;
+    throw errors.fail('conflict', `job ${spec.jobId} exists with another content`, {
+      field: 'jobId',
+    });
+  };
+  return {
+    show,
+    submit: async (spec) => {
+      const known = runtimes.get(spec.jobId);
+      if (known !== undefined && !commits.isDirty(spec.jobId)) return repeated(known.record, spec);
+      if (known === undefined) {
+        const accepted = jobMachine.accept(spec, context());
+        assertRoom(accepted.record);
+        runtimes.set(spec.jobId, accepted);
+      } else repeated(known.record, spec);
+      try {
+        await commits.commit(spec.jobId);
+      } catch (thrown) {
+        if (known !== undefined || thrown instanceof store.StoreOutcomeUnknown) {
+          throw errors.fail('outcomeUnknown', 'submit the same job id again to learn the outcome');
+        }
+        runtimes.delete(spec.jobId);
+        throw thrown;
+      }
+      options.onDidAccept();
+      return show(spec.jobId);
+    },
+    cancel: async (jobIds) => {
+      const known = jobIds.filter((it) => runtimes.has(it));
+      known.forEach((it) => options.dispatch(it, { type: 'cancel' }));
+      try {
+        await Promise.all(known.map((it) => commits.commit(it)));
+      } catch {
+        throw errors.fail('outcomeUnknown', 'the cancellation is not durable yet; ask again');
+      }
+      return known.map(show);
+    },
+  };
+};
--- /dev/null
+++ b/src/coordination/node/leaderRoster.ts
@@ -0,0 +1,202 @@
+/**
+ * The leader's roster of workers: keeps it, keeps the inventory in the store and tells whether the
+ * leader may grant leases.
+ */
+import type * as clock from '../../base/common/clock.js';
+import * as errors from '../../base/common/errors.js';
+import type * as logging from '../../base/common/logging.js';
+import type * as store from '../../state/common/store.js';
+import type * as worker from '../../state/common/worker.js';
+import * as roster from '../common/workerRoster.js';
+
+import * as workerInventory from './workerInventory.js';
+
+/** What the roster needs. */
+export interface LeaderRosterOptions {
+  readonly cell: string;
+  readonly store: store.Store;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  readonly leaseMs: () => number;
+  /** Whether the store's lease on the leadership certainly stands. */
+  readonly isLeaseHeld: () => boolean;
+  /** Called before anything changes that the ledger books. */
+  readonly onWillChange: () => void;
+}
+
+/** What an agent's statement says of its worker. */
+export interface Sighting {
+  readonly bootId: string;
+  readonly isLeaving: boolean;
+  /** How long the agent has been up. */
+  readonly uptimeMs: number;
+  /** This leader's own stamp that the agent had received; undefined before the first. */
+  readonly stampMs: number | undefined;
+  /** Whether it is a report; only a report is answered with a lease. */
+  readonly isReport: boolean;
+}
+
+/** A worker as operators see it. */
+export interface WorkerView {
+  readonly worker: worker.WorkerInfo;
+  readonly health: worker.WorkerHealth;
+  readonly healthReason: string;
+}
+
+/** The roster of one leader. */
+export interface LeaderRoster {
+  readonly load: () => Promise<void>;
+  readonly get: (workerId: string) => roster.RosterEntry | undefined;
+  readonly agentUrlOf: (workerId: string) => string | undefined;
+  /** Addresses of agents that have not accepted this leader's epoch. */
+  readonly unfencedUrls: () => readonly string[];
+  readonly views: () => WorkerView[];
+  /** Takes the statement of an agent that has accepted this leader's epoch. */
+  readonly enroll: (info: worker.WorkerInfo, seen: Sighting) => void;
+  /** The agent has another boot or epoch than this leader has fenced. */
+  readonly noteUnfenced: (workerId: string) => void;
+  /** No answer came: the worker gets no new work until its agent reports again. */
+  readonly noteSilent: (agentUrl: string) => void;
+  readonly bootIdOf: (agentUrl: string) => string;
+  /** Period at which agents are asked to report. */
+  readonly reportMs: () => number;
+  /** Saves what could not be saved before. */
+  readonly retrySave: () => void;
+  readonly noteAnswered: (agentUrl: string, commandCount: number) => void;
+  readonly noteQuarantine: (workerId: string, isQuarantined: boolean, reason: string) => boolean;
+  /** @returns the lease to answer a report with; 0 where the leader may not grant now */
+  readonly grantMs: (workerId: string) => number;
+  /** Workers none of whose tasks can run any more. */
+  readonly lapsed: () => readonly string[];
+  /** Workers whose tasks count as running although nothing is heard of them, for operators. */
+  readonly warnings: () => readonly string[];
+}
+
+/**
+ * @param options - what the roster needs
+ * @returns an empty roster
+ */
+export const createLeaderRoster = (options: LeaderRosterOptions): LeaderRoster => {
+  const { clock: timeSource, leaseMs } = options;
+  const entries = new Map<string, roster.RosterEntry>();
+  const inventory = workerInventory.createWorkerInventory(options.store, options.cell);
+  let majorityFencedAtMs: number | undefined;
+
+  const nowMs = (): number => timeSource.monotonicMs();
+  const authority = (): roster.Authority => ({
+    isStoreLeaseHeld: options.isLeaseHeld(),
+    voterSets: inventory.possibleSets(),
+  });
+  const remember = (info: worker.WorkerInfo): void => {
+    if (inventory.remember(info)) save();
+  };
+  const save = (): void => {
+    void inventory.save().catch((thrown: unknown) => {
+      options.log('warn', 'inventoryNotSaved', { reason: errors.normalize(thrown).message });
+    });
+  };
+  const reportMs = (): number => roster.reportPeriodMs(entries.size, leaseMs());
+  const update = (agentUrl: string, change: Partial<roster.RosterEntry>): void => {
+    for (const [workerId, entry] of entries) {
+      if (entry.info.agentUrl === agentUrl) entries.set(workerId, { ...entry, ...change });
+    }
+  };
+  const confirmedAtMs = (seen: Sighting, before: number): number => {
+    const isVote = seen.stampMs !== undefined && seen.uptimeMs >= roster.votingDelayMs(leaseMs());
+    return isVote ? Math.max(before, seen.stampMs ?? before) : before;
+  };
+  const enroll = (info: worker.WorkerInfo, seen: Sighting): void => {
+    const known = entries.get(info.workerId);
+    const isSameBoot = known?.bootId === seen.bootId;
+    const never = Number.NEGATIVE_INFINITY;
+    const foundUntilMs = nowMs() + roster.certainLapseMs(leaseMs());
+    options.onWillChange();
+    entries.set(info.workerId, {
+      isQuarantined: known?.isQuarantined ?? false,
+      healthReason: known?.healthReason ?? '',
+      commandCount: isSameBoot ? known.commandCount : 0,
+      info,
+      bootId: seen.bootId,
+      isLeaving: seen.isLeaving,
+      isFenced: true,
+      // Only a report is answered with a lease, and a start without a lease would be refused.
+      lastReportMs: seen.isReport ? nowMs() : never,
+      // A boot that is new to this leader may hold a lease of its predecessor.
+      leaseUntilMs: isSameBoot ? known.leaseUntilMs : foundUntilMs,
+      confirmedAtMs: confirmedAtMs(seen, isSameBoot ? known.confirmedAtMs : never),
+    });
+    remember(info);
+    const isMajorityNew = majorityFencedAtMs === undefined;
+    if (isMajorityNew && roster.hasFencedMajority(entries, authority())) {
+      majorityFencedAtMs = nowMs();
+    }
+  };
+  const isLapsed = (entry: roster.RosterEntry): boolean =>
+    roster.isLapsed(entry, roster.formerLeasesEndMs(majorityFencedAtMs, leaseMs()), nowMs());
+  const views = (): WorkerView[] =>
+    [...entries.values()].map((it) => ({
+      worker: it.info,
+      health: roster.healthOf(it, nowMs(), reportMs()),
+      healthReason: it.healthReason,
+    }));
+  return {
+    load: async () => {
+      for (const info of await inventory.load()) {
+        entries.set(info.workerId, {
+          info,
+          bootId: '',
+          isLeaving: false,
+          isFenced: false,
+          isQuarantined: false,
+          healthReason: '',
+          commandCount: 0,
+          lastReportMs: Number.NEGATIVE_INFINITY,
+          leaseUntilMs: Number.NEGATIVE_INFINITY,
+          confirmedAtMs: Number.NEGATIVE_INFINITY,
+        });
+      }
+    },
+    get: (workerId) => entries.get(workerId),
+    agentUrlOf: (workerId) => entries.get(workerId)?.info.agentUrl,
+    unfencedUrls: () =>
+      [...entries.values()].filter((it) => !it.isFenced).map((it) => it.info.agentUrl),
+    views,
+    enroll,
+    noteUnfenced: (workerId) => {
+      const entry = entries.get(workerId);
+      if (entry !== undefined) entries.set(workerId, { ...entry, isFenced: false });
+    },
+    noteSilent: (agentUrl) => {
+      options.onWillChange();
+      update(agentUrl, { lastReportMs: Number.NEGATIVE_INFINITY });
+    },
+    bootIdOf: (agentUrl) =>
+      [...entries.values()].find((it) => it.info.agentUrl === agentUrl)?.bootId ?? '',
+    reportMs,
+    retrySave: () => {
+      if (inventory.isSaveOwed()) save();
+    },
+    noteAnswered: (agentUrl, commandCount) => update(agentUrl, { commandCount }),
+    noteQuarantine: (workerId, isQuarantined, reason) => {
+      const entry = entries.get(workerId);
+      if (entry === undefined) return false;
+      options.onWillChange();
+      const healthReason = isQuarantined ? reason : '';
+      entries.set(workerId, { ...entry, isQuarantined, healthReason });
+      return true;
+    },
+    grantMs: (workerId) => {
+      const entry = entries.get(workerId);
+      const mayGrant = roster.mayGrant(entries, authority(), nowMs(), leaseMs());
+      if (entry === undefined || !mayGrant) return 0;
+      const leaseUntilMs = nowMs() + roster.certainLapseMs(leaseMs());
+      entries.set(workerId, { ...entry, leaseUntilMs });
+      return leaseMs();
+    },
+    lapsed: () => [...entries].filter(([, it]) => isLapsed(it)).map(([workerId]) => workerId),
+    warnings: () =>
+      [...entries.values()]
+        .filter((it) => !it.isFenced && !isLapsed(it))
+        .map((it) => `${it.info.workerId} has not answered: its tasks count as running`),
+  };
+};
--- /dev/null
+++ b/src/coordination/node/memberCommands.ts
@@ -0,0 +1,99 @@
+/**
+ * Carries a job's commands to its members' agents and brings the outcomes back as events.
+ */
+import type * as clock from '../../base/common/clock.js';
+import * as disposable from '../../base/common/disposable.js';
+import type * as job from '../../state/common/job.js';
+import type * as task from '../../state/common/task.js';
+import type * as jobMachine from '../common/jobMachine.js';
+import * as memberOutcome from '../common/memberOutcome.js';
+
+import type * as commandOutbox from './commandOutbox.js';
+
+/** What the commands need. */
+export interface MemberCommandsOptions {
+  readonly clock: clock.Clock;
+  readonly outbox: commandOutbox.CommandOutbox;
+  readonly agentUrlOf: (workerId: string) => string | undefined;
+  readonly runtimeOf: (jobId: string) => jobMachine.JobRuntime | undefined;
+  readonly dispatch: (jobId: string, event: jobMachine.JobEvent) => void;
+}
+
+/** Commands to the members of a cell's jobs. */
+export interface MemberCommands extends disposable.Disposable {
+  /** Sends to the member's agent; starts and stops are repeated until they are answered. */
+  readonly send: (record: job.JobRecord, effect: memberOutcome.MemberEffect) => void;
+  /** Stops a task that no job wants. */
+  readonly stopStray: (agentUrl: string, token: task.TaskToken) => void;
+}
+
+/** Wait before a start or stop whose answer was lost is sent again. */
+const RESEND_MS = 500;
+
+/** Reservations outlive a slow commit; a start after them is refused. */
+const RESERVATION_LEASE_MS = 10_000;
+
+const commandOf = (record: job.JobRecord, effect: memberOutcome.MemberEffect): task.TaskCommand => {
+  const { spec, attempt, checkpointMs } = record;
+  const token = { jobId: spec.jobId, attempt, member: effect.member };
+  const accelerators = record.placement[effect.member]?.accelerators ?? [];
+  switch (effect.type) {
+    case 'reserve':
+      return { type: 'reserve', token, accelerators, leaseMs: RESERVATION_LEASE_MS };
+    case 'start':
+      return { type: 'start', token, resumeFromMs: checkpointMs, payload: spec.payload };
+    case 'stop':
+      return { type: 'stop', token, graceMs: effect.graceMs };
+    default:
+      return { type: 'release', token };
+  }
+};
+
+/**
+ * @param options - what the commands need
+ * @returns commands, none of which is under way
+ */
+export const createMemberCommands = (options: MemberCommandsOptions): MemberCommands => {
+  const resends = new Set<disposable.Disposable>();
+  let isDisposed = false;
+
+  const send = (record: job.JobRecord, effect: memberOutcome.MemberEffect): void => {
+    const agentUrl = options.agentUrlOf(record.placement[effect.member]?.workerId ?? '');
+    if (agentUrl === undefined) {
+      onOutcome(record, effect, undefined);
+      return;
+    }
+    options.outbox.enqueue(agentUrl, commandOf(record, effect), (outcome) =>
+      onOutcome(record, effect, outcome),
+    );
+  };
+  const onOutcome = (
+    record: job.JobRecord,
+    effect: memberOutcome.MemberEffect,
+    outcome: memberOutcome.CommandOutcome,
+  ): void => {
+    const { jobId } = record.spec;
+    if (isDisposed || options.runtimeOf(jobId)?.record.attempt !== record.attempt) return;
+    const reading = memberOutcome.readOutcome(effect, outcome);
+    if (reading.type === 'event') options.dispatch(jobId, reading.event);
+    if (reading.type === 'resend') resendLater(record, effect);
+  };
+  const resendLater = (record: job.JobRecord, effect: memberOutcome.MemberEffect): void => {
+    const timer = options.clock.after(RESEND_MS, () => {
+      resends.delete(timer);
+      const runtime = options.runtimeOf(record.spec.jobId);
+      if (memberOutcome.isStillWanted(runtime, record.attempt, effect)) send(record, effect);
+    });
+    resends.add(timer);
+  };
+  return {
+    send,
+    stopStray: (agentUrl, token) => {
+      options.outbox.enqueue(agentUrl, { type: 'stop', token, graceMs: 0 }, () => undefined);
+    },
+    dispose: () => {
+      isDisposed = true;
+      for (const timer of resends) void timer.dispose();
+    },
+  };
+};
--- a/src/coordination/node/workerInventory.ts
+++ b/src/coordination/node/workerInventory.ts
@@ -1,9 +1,13 @@
 /**
  * Which workers a cell has, kept in the store so that a new leader also knows of those that it can't
  * reach: their tasks may still run.
+ *
+ * Guards against a former leader that writes an older list: a write keeps every worker that stands
+ * in the store already.
  */
 import * as Schema from 'effect/Schema';
 
+import * as errors from '../../base/common/errors.js';
 import * as schemaIssues from '../../base/common/schemaIssues.js';
 import type * as store from '../../state/common/store.js';
 import * as storeKeys from '../../state/common/storeKeys.js';
@@ -18,8 +22,18 @@
   readonly remember: (info: worker.WorkerInfo) => boolean;
   /** Writes once, whatever was remembered meanwhile. */
   readonly save: () => Promise<void>;
+  /** Whether something that was remembered could not be saved yet. */
+  readonly isSaveOwed: () => boolean;
+  /** The workers that certainly stand in the store, then each list that may stand there instead. */
+  readonly possibleSets: () => readonly ReadonlySet<string>[];
 }
 
+const decode = (entry: store.StoreEntry): readonly worker.WorkerInfo[] =>
+  schemaIssues.decodeOrFail(Inventory, JSON.parse(entry.value), 'worker inventory').workers;
+
+/** Tries of one save against others that write at the same time. */
+const SAVE_TRIES = 3;
+
 /**
  * @param target - the store
  * @param cell - availability zone
@@ -28,25 +42,44 @@
 export const createWorkerInventory = (target: store.Store, cell: string): WorkerInventory => {
   const key = storeKeys.workersKey(cell);
   const known = new Map<string, worker.WorkerInfo>();
+  let durable: ReadonlySet<string> = new Set();
+  let unsettled: readonly ReadonlySet<string>[] = [];
+  let isSaveOwed = false;
   let saving: Promise<void> | undefined;
+  let writing: Promise<void> = Promise.resolve();
+
+  const isWritten = async (): Promise<boolean> => {
+    const current = await target.get(key);
+    const kept = current === undefined ? [] : decode(current);
+    const all = new Map([...kept, ...known.values()].map((it) => [it.workerId, it]));
+    const ids = new Set(all.keys());
+    unsettled = [...unsettled, ids];
+    const value = JSON.stringify({ workers: [...all.values()] });
+    const expectedRevision = current?.revision ?? 0;
+    const { isSwapped } = await target.compareAndSwap({ key, expectedRevision, value });
+    if (!isSwapped) return false;
+    durable = ids;
+    isSaveOwed = [...known.keys()].some((it) => !ids.has(it));
+    unsettled = [];
+    return true;
+  };
   const write = async (): Promise<void> => {
     // One turn of the loop lets workers that register together share a write.
     await Promise.resolve();
     saving = undefined;
-    const current = await target.get(key);
-    const value = JSON.stringify({ workers: [...known.values()] });
-    await target.compareAndSwap({ key, expectedRevision: current?.revision ?? 0, value });
+    isSaveOwed = true;
+    for (let attempt = 0; attempt < SAVE_TRIES; attempt += 1) {
+      if (await isWritten()) return;
+    }
+    throw errors.fail('conflict', 'the worker inventory is written by others');
   };
   return {
     load: async () => {
       const entry = await target.get(key);
       if (entry === undefined) return [];
-      const { workers } = schemaIssues.decodeOrFail(
-        Inventory,
-        JSON.parse(entry.value),
-        'worker inventory',
-      );
+      const workers = decode(entry);
       workers.forEach((it) => known.set(it.workerId, it));
+      durable = new Set(known.keys());
       return workers;
     },
     remember: (info) => {
@@ -55,8 +88,13 @@
       return !isSame;
     },
     save: () => {
-      saving ??= write();
+      if (saving === undefined) {
+        writing = writing.catch(() => undefined).then(write);
+        saving = writing;
+      }
       return saving;
     },
+    isSaveOwed: () => isSaveOwed && saving === undefined,
+    possibleSets: () => [durable, ...unsettled],
   };
 };
--- a/src/programs/agent.ts
+++ b/src/programs/agent.ts
@@ -80,6 +80,7 @@
         from: kit.sender(),
         bootId,
         acceptedEpoch: need().acceptedEpoch(),
+        uptimeMs: need().uptimeMs(),
         ...(info === undefined ? {} : { worker: info }),
         commandCount: need().commandCount(),
         tasks: held,
@@ -87,6 +88,9 @@
     },
     command: async (request) => {
       links.noteVersion(request.from.configVersion);
+      if (request.bootId !== bootId) {
+        throw errors.fail('staleEpoch', 'the command is for an earlier boot of this agent');
+      }
       const results = await need().command(request.epoch, request.commands);
       return { from: kit.sender(), bootId, commandCount: need().commandCount(), results };
     },
--- a/src/programs/cellClaims.ts
+++ b/src/programs/cellClaims.ts
@@ -81,10 +81,12 @@
     );
     return [...new Set(found.flat())];
   };
-  const createLeader = (cell: string, epoch: number): cellLeader.CellLeader =>
-    cellLeader.createCellLeader({
+  const createLeader = (cell: string, won: leadership.Leadership): cellLeader.CellLeader => {
+    const { epoch } = won;
+    return cellLeader.createCellLeader({
       cell,
       epoch,
+      isLeaseHeld: won.lease.isHeld,
       store: options.store,
       jobStore: jobStore.createJobStore({ store: options.store, cell, epoch, newId: kit.newId }),
       clock: kit.clock,
@@ -96,8 +98,8 @@
         const reply = await kit.clients.agent(agentUrl).fence(request);
         return { ...reply, worker: reply.worker };
       },
-      sendCommands: async (agentUrl, commands) => {
-        const request = { from: kit.sender(), cell, epoch, commands: [...commands] };
+      sendCommands: async (agentUrl, bootId, commands) => {
+        const request = { from: kit.sender(), cell, epoch, bootId, commands: [...commands] };
         return kit.clients.agent(agentUrl).command(request);
       },
       discoverAgents: () => discoverAgents(cell),
@@ -105,6 +107,7 @@
         void drop(cell, 'another leader took it');
       },
     });
+  };
   const claim = async (cell: string): Promise<void> => {
     const won = await leadership.tryLead({
       store: options.store,
@@ -118,7 +121,7 @@
     if (won === undefined) return;
     const held: Claim = {
       leadership: won,
-      leader: createLeader(cell, won.epoch),
+      leader: createLeader(cell, won),
       isReady: false,
     };
     claims.set(cell, held);
--- a/src/programs/scheduler.ts
+++ b/src/programs/scheduler.ts
@@ -50,6 +50,8 @@
       const answer = led(request.cell).report({
         bootId: request.bootId,
         acceptedEpoch: request.epoch,
+        uptimeMs: request.uptimeMs,
+        stampMs: request.stampMs,
         worker: request.worker,
         commandCount: request.commandCount,
         tasks: request.tasks,
--- a/src/protocol/common/agentSchedulerMessages.ts
+++ b/src/protocol/common/agentSchedulerMessages.ts
@@ -25,6 +25,8 @@
   from: envelope.Sender,
   bootId: units.CallerKey,
   acceptedEpoch: units.Count,
+  /** How long the agent's process has been up. */
+  uptimeMs: units.Count,
   worker: Schema.optionalKey(worker.WorkerInfo),
   /** Counts the command messages that the agent has handled since its boot. */
   commandCount: units.Count,
@@ -39,6 +41,8 @@
   from: envelope.Sender,
   cell: units.Id,
   epoch: units.Count,
+  /** Boot of the agent that the leader has fenced: a command that outlived it is refused. */
+  bootId: units.CallerKey,
   commands: Schema.Array(task.TaskCommand),
 });
 
@@ -74,6 +78,10 @@
   bootId: units.CallerKey,
   /** Epoch that the agent has accepted. */
   epoch: units.Count,
+  /** How long the agent's process has been up. */
+  uptimeMs: units.Count,
+  /** Stamp of the last answer from the leader of the epoch. */
+  stampMs: Schema.optionalKey(units.Count),
   worker: worker.WorkerInfo,
   isLeaving: Schema.Boolean,
   /** All tasks, or only those that changed since the last acknowledged report. */
@@ -90,8 +98,15 @@
 export const ReportReply = Schema.Struct({
   from: envelope.Sender,
   epoch: units.Count,
-  /** From the sending of the report on, the worker's tasks may run this long without another. */
+  /**
+   * From the sending of the report on, the worker's tasks may run this long without another. 0 where
+   * the leader may not grant: what was granted before stands.
+   */
   leaseMs: units.DurationMs,
+  /** The leader's monotonic time, to be sent back with the next report. */
+  stampMs: units.Count,
+  /** Period of the next reports while nothing happens. */
+  reportMs: units.DurationMs,
   /** The leader wants to be told everything. */
   wantsFull: Schema.Boolean,
   /** Ended tasks whose end is durable; the agent may forget them. */
