Give planning learned run times and the evidence against workers

A planning round saw declared run times only, which are wrong by up to ten times, and nothing of the failures that tell a bad worker from a bad job.

PlanView now carries learned run times, ended jobs that failed, and since when a worker is quarantined or was last released; Plan carries quarantines and releases, which the cell's leader carries out. The types moved to planTypes. The decisions themselves are pure (runEstimates, blame).

--- a/src/coordination/common/placement.ts
+++ b/src/coordination/common/placement.ts
@@ -4,61 +4,17 @@
  */
 import type * as configuration from '../../state/common/configuration.js';
 import * as job from '../../state/common/job.js';
-import type * as worker from '../../state/common/worker.js';
 
-/** A worker as planning sees it. */
-export interface PlanWorker {
-  readonly workerId: string;
-  readonly rack: string;
-  readonly accelerators: number;
-  readonly health: worker.WorkerHealth;
-}
-
-/** What a round is planned from. */
-export interface PlanView {
-  readonly nowMs: number;
-  readonly cell: string;
-  readonly configVersion: number;
-  readonly document: configuration.ConfigurationDocument;
-  readonly workers: readonly PlanWorker[];
-  /** All jobs of the cell that have not ended, in the order of their submission. */
-  readonly jobs: readonly job.JobRecord[];
-}
-
-/** A job that gets accelerators. */
-export interface PlannedPlacement {
-  readonly jobId: string;
-  readonly placement: readonly job.MemberPlacement[];
-  readonly ruleId: string | undefined;
-  readonly why: string;
-}
-
-/** A job that must give its accelerators back. */
-export interface PlannedStop {
-  readonly jobId: string;
-  readonly cause: 'reclaimed' | 'compacted';
-  readonly why: string;
-}
-
-/** A job that waits, with the reason for people. */
-export interface PlannedWait {
-  readonly jobId: string;
-  readonly why: string;
-}
-
-/** What a round decided. */
-export interface Plan {
-  readonly placements: readonly PlannedPlacement[];
-  readonly stops: readonly PlannedStop[];
-  readonly waits: readonly PlannedWait[];
-  /** What operators must know: guarantees that can't be met now, for instance. */
-  readonly warnings: readonly string[];
-}
+import * as blame from './blame.js';
+import type * as planTypes from './planTypes.js';
 
 /** Free accelerators by worker. */
 type FreeMap = Map<string, number[]>;
 
-const freeOf = (view: PlanView, isHolding: (record: job.JobRecord) => boolean): FreeMap => {
+const freeOf = (
+  view: planTypes.PlanView,
+  isHolding: (record: job.JobRecord) => boolean,
+): FreeMap => {
   const free: FreeMap = new Map();
   for (const it of view.workers) {
     if (it.health !== 'ready') continue;
@@ -105,7 +61,7 @@
 };
 
 const groupsFor = (
-  workers: readonly PlanWorker[],
+  workers: readonly planTypes.PlanWorker[],
   adjacency: configuration.Adjacency,
 ): string[][] => {
   const groups = new Map<string, string[]>();
@@ -130,7 +86,7 @@
  */
 const findPlacement = (
   free: FreeMap,
-  workers: readonly PlanWorker[],
+  workers: readonly planTypes.PlanWorker[],
   spec: job.JobSpec,
 ): job.MemberPlacement[] | undefined => {
   const groups = groupsFor(workers, spec.adjacency).sort(
@@ -149,11 +105,11 @@
   record.spec.claim === job.Claim.spare && holdsAccelerators(record);
 
 interface Round {
-  readonly view: PlanView;
+  readonly view: planTypes.PlanView;
   readonly free: FreeMap;
-  readonly placements: PlannedPlacement[];
-  readonly stops: PlannedStop[];
-  readonly waits: PlannedWait[];
+  readonly placements: planTypes.PlannedPlacement[];
+  readonly stops: planTypes.PlannedStop[];
+  readonly waits: planTypes.PlannedWait[];
 }
 
 const accept = (
@@ -208,7 +164,10 @@
   wait(round, record, 'waits for borrowed accelerators to be given back');
 };
 
-const ruleFor = (view: PlanView, record: job.JobRecord): configuration.SpareRule | undefined => {
+const ruleFor = (
+  view: planTypes.PlanView,
+  record: job.JobRecord,
+): configuration.SpareRule | undefined => {
   const borrowedBy = (rule: configuration.SpareRule): number =>
     view.jobs
       .filter(
@@ -244,7 +203,7 @@
  * @param view - the cell now
  * @returns what to place, what to take back and why the rest waits
  */
-export const planRound = (view: PlanView): Plan => {
+export const planRound = (view: planTypes.PlanView): planTypes.Plan => {
   const round: Round = {
     view,
     free: freeOf(view, holdsAccelerators),
@@ -263,5 +222,6 @@
     else planSpare(round, record);
   }
   const { placements, stops, waits } = round;
-  return { placements, stops, waits, warnings: [] };
+  const { quarantines, releases, warnings } = blame.judge(view);
+  return { placements, stops, waits, quarantines, releases, warnings };
 };
--- a/src/coordination/node/cellLeader.ts
+++ b/src/coordination/node/cellLeader.ts
@@ -19,6 +19,8 @@
 import * as jobMachine from '../common/jobMachine.js';
 import * as jobSegments from '../common/jobSegments.js';
 import * as placement from '../common/placement.js';
+import type * as planTypes from '../common/planTypes.js';
+import * as runEstimates from '../common/runEstimates.js';
 import * as roster from '../common/workerRoster.js';
 
 import * as commandOutbox from './commandOutbox.js';
@@ -127,6 +129,11 @@
   const owned = disposable.createDisposableStore();
   const runtimes = new Map<string, jobMachine.JobRuntime>();
   const entries = new Map<string, roster.RosterEntry>();
+  /** Workers that planning quarantined, with the moment; operators' quarantines are not in it. */
+  const autoQuarantines = new Map<string, number>();
+  /** Moment of each worker's last release: earlier failures no longer count against it. */
+  const releasedAtMs = new Map<string, number>();
+  let estimates = runEstimates.NO_ESTIMATES;
   let warnings: readonly string[] = [];
   let planTimer: disposable.Disposable | undefined;
 
@@ -190,6 +197,9 @@
     ledger.settle();
     const { next, effects } = jobMachine.step(before, event, context());
     runtimes.set(jobId, next);
+    if (before.record.state !== next.record.state) {
+      estimates = runEstimates.learn(estimates, next.record);
+    }
     logTransition(before.record, next.record);
     // Effects speak of the placement that the event found.
     const placed = next.record.placement.length > 0 ? next.record : before.record;
@@ -328,17 +338,42 @@
         rack: it.worker.rack,
         accelerators: it.worker.accelerators,
         health: it.health,
+        ...autoQuarantineOf(it.worker.workerId),
       })),
+      endedFailedJobs: records().filter((it) => job.isTerminal(it.state) && it.failures.length > 0),
+      estimates,
       jobs: records()
         .filter((it) => !job.isTerminal(it.state))
         .sort((a, b) => a.submittedAtMs - b.submittedAtMs),
     });
     options.metrics.time('auburnlift_plan_ms', nowMs() - startedMs, { cell: options.cell });
     warnings = round.warnings;
+    round.quarantines.forEach((it) => setAutoQuarantine(it.workerId, it.why));
+    round.releases.forEach((it) => setAutoQuarantine(it.workerId, undefined));
     round.stops.forEach((it) => dispatch(it.jobId, { type: 'stop', cause: it.cause, why: it.why }));
     round.placements.forEach((it) => dispatch(it.jobId, { type: 'planned', ...it }));
   };
 
+  const autoQuarantineOf = (workerId: string): Partial<planTypes.PlanWorker> => {
+    const sinceMs = autoQuarantines.get(workerId);
+    const blameFromMs = releasedAtMs.get(workerId) ?? 0;
+    return sinceMs === undefined
+      ? { blameFromMs }
+      : { blameFromMs, autoQuarantinedSinceMs: sinceMs };
+  };
+  const setAutoQuarantine = (workerId: string, why: string | undefined): void => {
+    const entry = entries.get(workerId);
+    if (entry === undefined) return;
+    ledger.settle();
+    if (why === undefined) {
+      autoQuarantines.delete(workerId);
+      releasedAtMs.set(workerId, timeSource.wallMs());
+    } else autoQuarantines.set(workerId, timeSource.wallMs());
+    const isQuarantined = why !== undefined;
+    entries.set(workerId, { ...entry, isQuarantined, healthReason: why ?? '' });
+    log('warn', 'quarantine', { workerId, isQuarantined, reason: why ?? 'released' });
+    planSoon();
+  };
   const remember = (info: worker.WorkerInfo): void => {
     if (inventory.remember(info)) {
       void inventory.save().catch((thrown: unknown) => {
@@ -485,7 +520,10 @@
     epoch: options.epoch,
     takeOver: async () => {
       const kept = await options.jobStore.takeOver();
-      kept.forEach((it) => runtimes.set(it.spec.jobId, jobMachine.takeOver(it)));
+      kept.forEach((it) => {
+        runtimes.set(it.spec.jobId, jobMachine.takeOver(it));
+        estimates = runEstimates.learn(estimates, it);
+      });
       await knownInventory();
       await ledger.load();
       const known = [...entries.values()].map((it) => it.info.agentUrl);
@@ -563,6 +601,8 @@
         throw errors.fail('notFound', `no worker ${workerId}`, { field: 'workerId' });
       }
       ledger.settle();
+      autoQuarantines.delete(workerId);
+      if (!isQuarantined) releasedAtMs.set(workerId, timeSource.wallMs());
       entries.set(workerId, {
         ...entry,
         isQuarantined,
