Plan by shapes, least loss, shares, reservations and blame

The round placed jobs first come first served, stopped any borrowers until a claim happened to fit, lent nothing while a claim waited, and knew neither estimates nor bad workers.

Unclaimed shapes are now assigned to workers in a canonical form each round, and a claim may take only what the other shapes' places leave, so the rest of the assignment stays a proof that they fit. Reclaim chooses, per group of adjacent workers, the set that loses least. Borrowers go by shares of rule weights and expected work; large jobs get reservations, jobs beneath them yield, and small jobs move where it pays. A claim that could not fit its shape wherever that lies is refused at submission.

--- /dev/null
+++ b/src/coordination/common/cellSpace.ts
@@ -0,0 +1,171 @@
+/**
+ * The accelerators of a cell during one planning round: who holds which, what is free, and what is
+ * free or lent. Built once for a round and changed as the round decides, so that no job of the queue
+ * pays for reading the cell again.
+ */
+import * as job from '../../state/common/job.js';
+
+import type * as planTypes from './planTypes.js';
+
+/** How many members of a gang go to one worker. */
+export interface WorkerShare {
+  /** Index into {@link CellSpace.workers}. */
+  readonly worker: number;
+  readonly members: number;
+}
+
+/** Where a whole gang goes. */
+export type GangPlan = readonly WorkerShare[];
+
+/** A borrowed job with what it holds, by worker index. */
+export interface Borrower {
+  readonly record: job.JobRecord;
+  readonly held: ReadonlyMap<number, number>;
+  /** It is giving its accelerators back, from before or by a decision of this round. */
+  isLeaving: boolean;
+}
+
+/** The cell as the round sees and changes it. Arrays are indexed by worker. */
+export interface CellSpace {
+  readonly workers: readonly planTypes.PlanWorker[];
+  readonly indexOf: ReadonlyMap<string, number>;
+  /** Worker indexes of each rack. */
+  readonly racks: readonly (readonly number[])[];
+  readonly rackOf: readonly number[];
+  readonly all: readonly number[];
+  /** Accelerators that nobody holds; 0 on workers that are not ready. */
+  readonly free: number[];
+  /** Free accelerators that this round keeps for a claim or a reservation. */
+  readonly kept: number[];
+  /** Free or lent accelerators: what guarantees may count on. */
+  readonly claimable: number[];
+  readonly borrowers: readonly (readonly Borrower[])[];
+  readonly isUsed: readonly (readonly boolean[])[];
+  readonly use: (worker: number, accelerators: readonly number[]) => void;
+}
+
+const isBorrowing = (record: job.JobRecord): boolean => record.spec.claim === job.Claim.spare;
+
+const heldByWorker = (
+  record: job.JobRecord,
+  indexOf: ReadonlyMap<string, number>,
+): Map<number, number> => {
+  const held = new Map<number, number>();
+  for (const place of record.placement) {
+    const worker = indexOf.get(place.workerId);
+    if (worker === undefined) continue;
+    held.set(worker, (held.get(worker) ?? 0) + place.accelerators.length);
+  }
+  return held;
+};
+
+const groupByRack = (workers: readonly planTypes.PlanWorker[]): Map<string, number[]> => {
+  const racks = new Map<string, number[]>();
+  workers.forEach(({ rack }, index) => {
+    const members = racks.get(rack) ?? [];
+    members.push(index);
+    racks.set(rack, members);
+  });
+  return racks;
+};
+
+/**
+ * @param view - the cell now
+ * @returns its accelerators, ready for a round
+ */
+export const createCellSpace = (view: planTypes.PlanView): CellSpace => {
+  const { workers } = view;
+  const indexOf = new Map(workers.map((it, index) => [it.workerId, index]));
+  const byRack = groupByRack(workers);
+  const rackNumber = new Map([...byRack.keys()].map((rack, index) => [rack, index]));
+  const isUsed = workers.map((it) => Array.from({ length: it.accelerators }, () => false));
+  const claimable = workers.map((it) => (it.health === 'ready' ? it.accelerators : 0));
+  const borrowers: Borrower[][] = workers.map(() => []);
+  for (const record of view.jobs) {
+    if (record.placement.length === 0) continue;
+    for (const { workerId, accelerators } of record.placement) {
+      const used = isUsed[indexOf.get(workerId) ?? -1];
+      if (used === undefined) continue;
+      for (const index of accelerators) used[index] = true;
+    }
+    const held = heldByWorker(record, indexOf);
+    if (isBorrowing(record)) {
+      const isLeaving = record.state === job.JobState.stopping;
+      const borrower = { record, held, isLeaving };
+      for (const worker of held.keys()) borrowers[worker]?.push(borrower);
+    } else {
+      for (const [worker, count] of held) {
+        claimable[worker] = Math.max(0, (claimable[worker] ?? 0) - count);
+      }
+    }
+  }
+  const free = workers.map((it, index) =>
+    it.health === 'ready' ? (isUsed[index] ?? []).filter((used) => !used).length : 0,
+  );
+  return {
+    workers,
+    indexOf,
+    racks: [...byRack.values()],
+    rackOf: workers.map((it) => rackNumber.get(it.rack) ?? 0),
+    all: workers.map((_it, index) => index),
+    free,
+    kept: workers.map(() => 0),
+    claimable,
+    borrowers,
+    isUsed,
+    use: (worker, accelerators) => {
+      const used = isUsed[worker] ?? [];
+      for (const index of accelerators) used[index] = true;
+      free[worker] = Math.max(0, (free[worker] ?? 0) - accelerators.length);
+    },
+  };
+};
+
+/**
+ * @param space - the cell
+ * @param worker - index of a worker
+ * @returns accelerators that a borrower may be given there
+ */
+export const openOn = (space: CellSpace, worker: number): number =>
+  Math.max(0, (space.free[worker] ?? 0) - (space.kept[worker] ?? 0));
+
+/**
+ * Takes free accelerators for a gang.
+ *
+ * @param space - the cell; changed
+ * @param plan - where the members go
+ * @param perMember - accelerators of each member
+ * @returns the members' places; every index was free, so none is given twice
+ */
+export const takeGang = (
+  space: CellSpace,
+  plan: GangPlan,
+  perMember: number,
+): job.MemberPlacement[] => {
+  const placement: job.MemberPlacement[] = [];
+  for (const { worker, members } of plan) {
+    const workerId = space.workers[worker]?.workerId ?? '';
+    const used = space.isUsed[worker] ?? [];
+    const open = used.flatMap((isTaken, index) => (isTaken ? [] : [index]));
+    const accelerators = open.slice(0, members * perMember);
+    space.use(worker, accelerators);
+    for (let at = 0; at < members; at += 1) {
+      placement.push({
+        member: placement.length,
+        workerId,
+        accelerators: accelerators.slice(at * perMember, (at + 1) * perMember),
+      });
+    }
+  }
+  return placement;
+};
+
+/**
+ * @param space - the cell
+ * @param spec - a job
+ * @returns the groups of workers that lie close enough together for it
+ */
+export const groupsFor = (space: CellSpace, spec: job.JobSpec): readonly (readonly number[])[] => {
+  if (spec.adjacency === 'rack') return space.racks;
+  return spec.adjacency === 'zone' ? [space.all] : space.all.map((it) => [it]);
+};
--- a/src/coordination/common/jobAdmission.ts
+++ b/src/coordination/common/jobAdmission.ts
@@ -5,6 +5,8 @@
 import type * as configuration from '../../state/common/configuration.js';
 import * as job from '../../state/common/job.js';
 
+import * as guaranteeCheck from './guaranteeCheck.js';
+
 const refuse = (field: string, message: string): errors.AuburnliftError =>
   errors.fail('invalidRequest', `${field}: ${message}; nothing ran`, { field });
 
@@ -40,6 +42,7 @@
 const checkClaim = (
   spec: job.JobSpec,
   document: configuration.ConfigurationDocument,
+  cell: configuration.Cell,
 ): errors.AuburnliftError | undefined => {
   if (spec.claim === job.Claim.spare) {
     return spec.shapeId === undefined
@@ -54,6 +57,15 @@
   if (job.acceleratorsOf({ spec }) > shape.accelerators) {
     return refuse('members', `the shape has ${shape.accelerators} accelerators`);
   }
+  const perWorker = cell.acceleratorsPerWorker;
+  if (!guaranteeCheck.fitsShape(spec, shape, perWorker)) {
+    const { wholes, remainder } = guaranteeCheck.canonicalForm(shape.accelerators, perWorker);
+    return refuse(
+      'members',
+      `the shape guarantees ${wholes} whole workers and ${remainder} accelerators on one more ` +
+        `in one ${shape.adjacency}; the members don't fit that`,
+    );
+  }
   return undefined;
 };
 
@@ -73,5 +85,5 @@
   if (job.acceleratorsOf({ spec }) > customer.quotaAccelerators) {
     return unrunnable('members', `the quota is ${customer.quotaAccelerators} accelerators`);
   }
-  return checkClaim(spec, document) ?? checkCapacity(spec, cell);
+  return checkClaim(spec, document, cell) ?? checkCapacity(spec, cell);
 };
--- /dev/null
+++ b/src/coordination/common/sparePlanning.ts
@@ -0,0 +1,287 @@
+/**
+ * Borrowing jobs of a round: who borrows next, by which rule, and where.
+ *
+ * Made for bursts of a thousand small jobs beside long ones of other customers. The harm prevented:
+ * one customer's burst takes all spare capacity, and a short job waits behind long ones. The
+ * customer that holds least for its weight goes next; of its own jobs the one with the least
+ * expected work does, with a discount that grows with the wait so that none waits for ever.
+ */
+import type * as configuration from '../../state/common/configuration.js';
+import * as job from '../../state/common/job.js';
+
+import * as cellSpace from './cellSpace.js';
+import * as gangFit from './gangFit.js';
+import * as planningRound from './planningRound.js';
+import * as reservations from './reservations.js';
+import * as runEstimates from './runEstimates.js';
+
+/**
+ * Searches without success after which a round lets the rest of the queue wait. Searches repeat only
+ * for sizes not yet found wanting, so the limit counts different sizes; it bounds the round's time,
+ * and what is left is planned a few milliseconds later when the cell changes.
+ */
+export const BACKFILL_DEPTH = 64;
+
+interface Lane {
+  readonly customerId: string;
+  readonly rules: readonly configuration.SpareRule[];
+  readonly weight: number;
+  readonly queue: readonly job.JobRecord[];
+  next: number;
+}
+
+interface Borrowing {
+  /** Accelerators by rule and customer. */
+  readonly byRule: Map<string, number>;
+  readonly byCustomer: Map<string, number>;
+}
+
+const ruleKey = (ruleId: string, customerId: string): string => `${ruleId}\n${customerId}`;
+
+const add = (counts: Map<string, number>, key: string, by: number): void => {
+  counts.set(key, (counts.get(key) ?? 0) + by);
+};
+
+const borrowingOf = (jobs: readonly job.JobRecord[]): Borrowing => {
+  const borrowing: Borrowing = { byRule: new Map(), byCustomer: new Map() };
+  for (const record of jobs) {
+    if (record.spec.claim !== job.Claim.spare || record.placement.length === 0) continue;
+    note(borrowing, record, record.ruleId ?? '');
+  }
+  return borrowing;
+};
+
+const note = (borrowing: Borrowing, record: job.JobRecord, ruleId: string): void => {
+  const accelerators = job.acceleratorsOf(record);
+  const { customerId } = record.spec;
+  add(borrowing.byRule, ruleKey(ruleId, customerId), accelerators);
+  add(borrowing.byCustomer, customerId, accelerators);
+};
+
+/**
+ * The order of one customer's jobs. With weight on completion time the least expected work goes
+ * first; with weight on fragmentation the order leans to first come, first served, so that large
+ * jobs are not passed over as often.
+ *
+ * @param round - the round
+ * @param record - a queued job
+ * @returns a rank; the lowest goes first
+ */
+export const rankOf = (round: planningRound.PlanningRound, record: job.JobRecord): number => {
+  const { completionWeight, largeJobWaitMs } = round.view.document.placement;
+  const { nowMs } = round.view;
+  const quantile = runEstimates.ORDER_QUANTILE;
+  const leftMs = runEstimates.remainingMs(round.estimates, record, nowMs, quantile);
+  const work = leftMs * job.acceleratorsOf(record);
+  const waitedMs = Math.max(0, nowMs - record.submittedAtMs);
+  return work ** completionWeight / (1 + waitedMs / Math.max(1, largeJobWaitMs));
+};
+
+const lanesOf = (round: planningRound.PlanningRound, queued: readonly job.JobRecord[]): Lane[] => {
+  const { document, cell } = round.view;
+  const byCustomer = new Map<string, { readonly record: job.JobRecord; readonly rank: number }[]>();
+  for (const record of queued) {
+    const lane = byCustomer.get(record.spec.customerId) ?? [];
+    lane.push({ record, rank: rankOf(round, record) });
+    byCustomer.set(record.spec.customerId, lane);
+  }
+  return [...byCustomer].map(([customerId, ranked]) => {
+    const rules = document.rules.filter(
+      (rule) =>
+        rule.customerIds.includes(customerId) &&
+        (rule.cells.length === 0 || rule.cells.includes(cell)),
+    );
+    ranked.sort((a, b) => a.rank - b.rank);
+    const weight = Math.max(0.01, ...rules.map((it) => it.weight));
+    return { customerId, rules, weight, queue: ranked.map((it) => it.record), next: 0 };
+  });
+};
+
+const nextLane = (lanes: readonly Lane[], borrowing: Borrowing): Lane | undefined => {
+  let best: Lane | undefined;
+  let bestShare = Number.POSITIVE_INFINITY;
+  for (const lane of lanes) {
+    if (lane.next >= lane.queue.length) continue;
+    const share = (borrowing.byCustomer.get(lane.customerId) ?? 0) / lane.weight;
+    if (share < bestShare) {
+      best = lane;
+      bestShare = share;
+    }
+  }
+  return best;
+};
+
+const ruleFor = (
+  lane: Lane,
+  borrowing: Borrowing,
+  accelerators: number,
+): configuration.SpareRule | undefined =>
+  lane.rules.find((rule) => {
+    const borrowed = borrowing.byRule.get(ruleKey(rule.ruleId, lane.customerId)) ?? 0;
+    return borrowed + accelerators <= rule.maxAccelerators;
+  });
+
+interface SpareStep {
+  readonly round: planningRound.PlanningRound;
+  readonly borrowing: Borrowing;
+  /** Sizes for which a search found nothing; what is free only shrinks within the step. */
+  readonly wanting: Set<string>;
+  readonly quotas: ReadonlyMap<string, number>;
+  misses: number;
+}
+
+/**
+ * Where weight lies on fragmentation, a small job would rather wait for a share of its own run time
+ * than break open a place that is whole for a guaranteed shape. The bound keeps its loss in
+ * proportion to what it gains.
+ */
+const isPatient = (round: planningRound.PlanningRound, record: job.JobRecord): boolean => {
+  const { completionWeight } = round.view.document.placement;
+  if (completionWeight >= 0.5) return false;
+  const { nowMs } = round.view;
+  const runMs = runEstimates.runMsOf(round.estimates, record.spec, runEstimates.ORDER_QUANTILE);
+  return nowMs - record.submittedAtMs < (0.5 - completionWeight) * runMs;
+};
+
+const openFor = (
+  round: planningRound.PlanningRound,
+  record: job.JobRecord,
+): ((worker: number) => number) => {
+  const { space, estimates, view } = round;
+  const failed = planningRound.failedOn(round, record);
+  const patient = isPatient(round, record);
+  const yields = reservations.canYield(record);
+  const quantile = runEstimates.SAFE_QUANTILE;
+  const endMs = view.nowMs + runEstimates.remainingMs(estimates, record, view.nowMs, quantile);
+  return (worker) => {
+    if (failed.has(worker)) return 0;
+    if (!yields && endMs > (round.backfillUntilMs[worker] ?? 0)) return 0;
+    const open = cellSpace.openOn(space, worker);
+    return patient ? Math.max(0, open - (round.setAside[worker] ?? 0)) : open;
+  };
+};
+
+const sizeKey = (round: planningRound.PlanningRound, record: job.JobRecord): string => {
+  const { members, acceleratorsPerMember, adjacency } = record.spec;
+  const kind = `${reservations.canYield(record)} ${isPatient(round, record)}`;
+  return `${members}x${acceleratorsPerMember} ${adjacency} ${kind}`;
+};
+
+const refusalOf = (step: SpareStep, record: job.JobRecord): string | undefined => {
+  const { round } = step;
+  const { customerId, isCheckpointable } = record.spec;
+  const held = round.heldBy.get(customerId) ?? 0;
+  if (held + job.acceleratorsOf(record) > (step.quotas.get(customerId) ?? 0)) {
+    return 'the customer holds its whole quota';
+  }
+  if (round.unplaced.length > 0 && !isCheckpointable) {
+    return 'guarantees do not fit now, so only jobs that can checkpoint may borrow';
+  }
+  return undefined;
+};
+
+const NO_ROOM = 'no free accelerators lie close enough together';
+
+const tryLend = (step: SpareStep, lane: Lane, record: job.JobRecord): string | undefined => {
+  const { round } = step;
+  const refusal = refusalOf(step, record);
+  if (refusal !== undefined) return refusal;
+  const rule = ruleFor(lane, step.borrowing, job.acceleratorsOf(record));
+  if (rule === undefined) return 'no spare rule allows it more accelerators now';
+  const key = sizeKey(round, record);
+  if (step.wanting.has(key)) return NO_ROOM;
+  if (step.misses >= BACKFILL_DEPTH) return 'others go first';
+  const open = openFor(round, record);
+  const plan = gangFit.findGang(round.space, record.spec, { open, setAside: round.setAside });
+  if (plan === undefined) {
+    step.misses += 1;
+    // A job that failed somewhere, or that must end early, may use fewer workers than others do.
+    if (record.failures.length === 0 && reservations.canYield(record)) step.wanting.add(key);
+    return NO_ROOM;
+  }
+  planningRound.accept(round, record, plan, rule.ruleId, `borrows by rule ${rule.ruleId}`);
+  note(step.borrowing, record, rule.ruleId);
+  return undefined;
+};
+
+const lendOrReserve = (step: SpareStep, lane: Lane, record: job.JobRecord): void => {
+  const why = tryLend(step, lane, record);
+  if (why === NO_ROOM) reservations.reserve(step.round, record);
+  else if (why !== undefined) planningRound.wait(step.round, record, why);
+};
+
+/** Tries one small job on each worker that is due for a probe. */
+const probe = (
+  step: SpareStep,
+  queued: readonly job.JobRecord[],
+  probeWorkerIds: ReadonlySet<string>,
+): ReadonlySet<string> => {
+  const { round } = step;
+  const probing = new Set<string>();
+  for (const workerId of probeWorkerIds) {
+    const worker = round.space.indexOf.get(workerId) ?? -1;
+    const used = round.space.isUsed[worker] ?? [];
+    const size = used.length;
+    if (size === 0 || used.some((it) => it)) continue;
+    const record = queued.find(
+      (it) =>
+        it.failures.length === 0 &&
+        it.spec.members === 1 &&
+        it.spec.acceleratorsPerMember <= size &&
+        !probing.has(it.spec.jobId) &&
+        !reservations.isDue(round, it) &&
+        refusalOf(step, it) === undefined,
+    );
+    if (record === undefined) continue;
+    const [lane] = lanesOf(round, [record]);
+    const rule = lane && ruleFor(lane, step.borrowing, job.acceleratorsOf(record));
+    if (rule === undefined) continue;
+    const why = `probes quarantined worker ${workerId}`;
+    planningRound.accept(round, record, [{ worker, members: 1 }], rule.ruleId, why);
+    note(step.borrowing, record, rule.ruleId);
+    probing.add(record.spec.jobId);
+  }
+  return probing;
+};
+
+/**
+ * @param round - the round; changed
+ * @param queued - queued jobs that borrow, in the order of their submission
+ * @param probeWorkerIds - quarantined workers on which one job may be tried
+ */
+export const planSpare = (
+  round: planningRound.PlanningRound,
+  queued: readonly job.JobRecord[],
+  probeWorkerIds: ReadonlySet<string>,
+): void => {
+  const { view } = round;
+  const step: SpareStep = {
+    round,
+    borrowing: borrowingOf(view.jobs),
+    wanting: new Set(),
+    quotas: new Map(view.document.customers.map((it) => [it.customerId, it.quotaAccelerators])),
+    misses: 0,
+  };
+  const probing = probe(step, queued, probeWorkerIds);
+  const due = queued
+    .filter((it) => !probing.has(it.spec.jobId) && reservations.isDue(round, it))
+    .slice(0, reservations.MAX_RESERVATIONS);
+  const dueIds = new Set(due.map((it) => it.spec.jobId));
+  const lanes = lanesOf(
+    round,
+    queued.filter((it) => !dueIds.has(it.spec.jobId) && !probing.has(it.spec.jobId)),
+  );
+  for (const record of due) {
+    const [lane] = lanesOf(round, [record]);
+    if (lane !== undefined) lendOrReserve(step, lane, record);
+  }
+  for (let lane = nextLane(lanes, step.borrowing); lane !== undefined;) {
+    const record = lane.queue[lane.next];
+    lane.next += 1;
+    if (record !== undefined) {
+      const why = tryLend(step, lane, record);
+      if (why !== undefined) planningRound.wait(round, record, why);
+    }
+    lane = nextLane(lanes, step.borrowing);
+  }
+};
