Measure job placement against two baselines

Nothing measured how well or how fast jobs are placed.

Searches over a full cell no longer look at workers without free accelerators.

--- /dev/null
+++ b/src/bench/jobsBaselines.ts
@@ -0,0 +1,112 @@
+/**
+ * The planners that the project's own is measured against. Both keep the limits of the spare rules
+ * and use the same verdict on bad workers, so that only the placement differs; neither reclaims,
+ * learns run times or knows guarantees.
+ */
+import * as blame from '../coordination/common/blame.js';
+import * as cellSpace from '../coordination/common/cellSpace.js';
+import * as gangFit from '../coordination/common/gangFit.js';
+import * as planningRound from '../coordination/common/planningRound.js';
+import type * as planTypes from '../coordination/common/planTypes.js';
+import * as reservations from '../coordination/common/reservations.js';
+import * as runEstimates from '../coordination/common/runEstimates.js';
+import * as spareShares from '../coordination/common/spareShares.js';
+import * as job from '../state/common/job.js';
+
+/** Plans one round. */
+export type Planner = (view: planTypes.PlanView) => planTypes.Plan;
+
+type Find = (
+  round: planningRound.PlanningRound,
+  record: job.JobRecord,
+) => cellSpace.GangPlan | undefined;
+
+const openFor =
+  (round: planningRound.PlanningRound, record: job.JobRecord) =>
+  (worker: number): number => {
+    if (planningRound.failedOn(round, record).has(worker)) return 0;
+    return cellSpace.openOn(round.space, worker);
+  };
+
+/** The first workers in their order that hold the gang. */
+const firstFit: Find = (round, record) => {
+  const { spec } = record;
+  const open = openFor(round, record);
+  for (const group of cellSpace.groupsFor(round.space, spec)) {
+    const plan: cellSpace.WorkerShare[] = [];
+    let left = spec.members;
+    for (const worker of group) {
+      const members = Math.min(left, Math.floor(open(worker) / spec.acceleratorsPerMember));
+      if (members > 0) plan.push({ worker, members });
+      left -= members;
+      if (left === 0) return plan;
+    }
+  }
+  return undefined;
+};
+
+/** The tightest workers, without regard to guarantees. */
+const bestFit: Find = (round, record) => {
+  const open = openFor(round, record);
+  const endMs = round.view.nowMs + record.spec.declaredRunMs;
+  const beneath = (worker: number): number =>
+    endMs <= (round.backfillUntilMs[worker] ?? 0) ? open(worker) : 0;
+  return gangFit.findGang(round.space, record.spec, { open: beneath, setAside: [] });
+};
+
+const mayBorrow = (
+  round: planningRound.PlanningRound,
+  borrowing: spareShares.Borrowing,
+  record: job.JobRecord,
+): string | undefined => {
+  const [lane] = spareShares.lanesOf(round, [record]);
+  if (lane === undefined) return undefined;
+  return spareShares.ruleFor(lane, borrowing, job.acceleratorsOf(record))?.ruleId;
+};
+
+const planWith =
+  (find: Find, hasBackfill: boolean): Planner =>
+  (view) => {
+    const verdict = blame.judge(view);
+    const bad = new Set(verdict.quarantines.map((it) => it.workerId));
+    const workers = view.workers.map((it) =>
+      bad.has(it.workerId) ? { ...it, health: 'quarantined' as const } : it,
+    );
+    const round = planningRound.beginRound({
+      ...view,
+      workers,
+      estimates: runEstimates.NO_ESTIMATES,
+    });
+    const borrowing = spareShares.borrowingOf(view.jobs);
+    let isHeadReserved = false;
+    for (const record of view.jobs) {
+      if (record.state !== job.JobState.queued) continue;
+      const isClaim = record.spec.claim === job.Claim.guaranteed;
+      const ruleId = isClaim ? undefined : mayBorrow(round, borrowing, record);
+      if (!isClaim && ruleId === undefined) continue;
+      const plan = find(round, record);
+      if (plan !== undefined) {
+        planningRound.accept(round, record, plan, ruleId, 'fits');
+        if (ruleId !== undefined) spareShares.note(borrowing, record, ruleId);
+        continue;
+      }
+      if (!hasBackfill) break;
+      if (isHeadReserved) continue;
+      isHeadReserved = true;
+      const reservation = reservations.earliestFit(round, record);
+      for (const { worker } of reservation?.plan ?? []) {
+        round.backfillUntilMs[worker] = reservation?.atMs ?? 0;
+      }
+    }
+    const { placements, stops, waits } = round;
+    return { ...verdict, placements, stops, waits };
+  };
+
+/** First come, first served, on the first workers that fit; the head of the queue holds up the rest. */
+export const firstFitFifo: Planner = planWith(firstFit, false);
+
+/**
+ * First come, first served, on the tightest workers; the first job that doesn't fit gets a reservation,
+ * and later ones run beneath it if their declared time ends before.
+ */
+export const bestFitBackfill: Planner = planWith(bestFit, true);
--- a/src/coordination/common/cellSpace.ts
+++ b/src/coordination/common/cellSpace.ts
@@ -35,6 +35,8 @@
   readonly all: readonly number[];
   /** Accelerators that nobody holds; 0 on workers that are not ready. */
   readonly free: number[];
+  /** Sum of `free` by rack. */
+  readonly rackFree: number[];
   /** Free accelerators that this round keeps for a claim or a reservation. */
   readonly kept: number[];
   /** Free or lent accelerators: what guarantees may count on. */
@@ -102,13 +104,17 @@
   const free = workers.map((it, index) =>
     it.health === 'ready' ? (isUsed[index] ?? []).filter((used) => !used).length : 0,
   );
+  const rackOf = workers.map((it) => rackNumber.get(it.rack) ?? 0);
+  const racks = [...byRack.values()];
+  const rackFree = racks.map((rack) => rack.reduce((sum, it) => sum + (free[it] ?? 0), 0));
   return {
     workers,
     indexOf,
-    racks: [...byRack.values()],
-    rackOf: workers.map((it) => rackNumber.get(it.rack) ?? 0),
+    racks,
+    rackOf,
     all: workers.map((_it, index) => index),
     free,
+    rackFree,
     kept: workers.map(() => 0),
     claimable,
     borrowers,
@@ -117,6 +123,8 @@
       const used = isUsed[worker] ?? [];
       for (const index of accelerators) used[index] = true;
       free[worker] = Math.max(0, (free[worker] ?? 0) - accelerators.length);
+      const rack = rackOf[worker] ?? 0;
+      rackFree[rack] = Math.max(0, (rackFree[rack] ?? 0) - accelerators.length);
     },
   };
 };
--- a/src/coordination/common/gangFit.ts
+++ b/src/coordination/common/gangFit.ts
@@ -15,6 +15,8 @@
   readonly open: (worker: number) => number;
   /** Accelerators that unclaimed guarantees would take on each worker. */
   readonly setAside: readonly number[];
+  /** Whether `open` counts accelerators that are not free yet. */
+  readonly isAhead?: boolean;
 }
 
 /** Outweighs every difference in leftovers: a worker holds at most 64 accelerators. */
@@ -27,28 +29,26 @@
   rules: FitRules,
   worker: number,
   need: number,
-  rackFree: readonly number[],
+  open: number,
 ): number => {
-  const open = rules.open(worker);
   const isSetAside = open - need < (rules.setAside[worker] ?? 0);
-  const leftover = (open - need) * LEFTOVER_COST + (rackFree[space.rackOf[worker] ?? 0] ?? 0);
+  const leftover = (open - need) * LEFTOVER_COST + (space.rackFree[space.rackOf[worker] ?? 0] ?? 0);
   return leftover + (isSetAside ? SET_ASIDE_COST : 0);
 };
 
-const freeByRack = (space: cellSpace.CellSpace): number[] =>
-  space.racks.map((rack) => rack.reduce((sum, worker) => sum + (space.free[worker] ?? 0), 0));
-
 const fitOnWorker = (
   space: cellSpace.CellSpace,
   rules: FitRules,
   need: number,
 ): cellSpace.GangPlan | undefined => {
-  const rackFree = freeByRack(space);
   let best = -1;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const worker of space.all) {
-    if (rules.open(worker) < need) continue;
-    const cost = costOn(space, rules, worker, need, rackFree);
+    // The free count comes first, since on a full cell it rules out almost every worker.
+    if (rules.isAhead !== true && (space.free[worker] ?? 0) < need) continue;
+    const open = rules.open(worker);
+    if (open < need) continue;
+    const cost = costOn(space, rules, worker, need, open);
     if (cost < bestCost) {
       best = worker;
       bestCost = cost;
@@ -63,17 +63,24 @@
 }
 
 const fitInGroup = (
+  space: cellSpace.CellSpace,
   rules: FitRules,
   group: readonly number[],
   spec: job.JobSpec,
 ): GroupFit | undefined => {
   const { members, acceleratorsPerMember: per } = spec;
-  const open = group.filter((worker) => rules.open(worker) >= per);
-  const room = open.reduce((sum, worker) => sum + Math.floor(rules.open(worker) / per), 0);
+  const open: { readonly worker: number; readonly size: number }[] = [];
+  let room = 0;
+  for (const worker of group) {
+    if (rules.isAhead !== true && (space.free[worker] ?? 0) < per) continue;
+    const size = rules.open(worker);
+    if (size < per) continue;
+    open.push({ worker, size });
+    room += Math.floor(size / per);
+  }
   if (room < members) return undefined;
   const order = open
-    .map((worker) => {
-      const size = rules.open(worker);
+    .map(({ worker, size }) => {
       const fits = Math.floor(size / per);
       const isSetAside = size - fits * per < (rules.setAside[worker] ?? 0);
       return { worker, fits, size, rank: (isSetAside ? SET_ASIDE_COST : 0) + size };
@@ -110,7 +117,7 @@
   }
   let best: GroupFit | undefined;
   for (const group of cellSpace.groupsFor(space, spec)) {
-    const fit = fitInGroup(rules, group, spec);
+    const fit = fitInGroup(space, rules, group, spec);
     if (fit !== undefined && fit.cost < (best?.cost ?? Number.POSITIVE_INFINITY)) best = fit;
   }
   return best?.plan;
--- a/src/coordination/common/planningRound.ts
+++ b/src/coordination/common/planningRound.ts
@@ -21,6 +21,8 @@
   readonly unplaced: readonly guaranteeCheck.UnclaimedShape[];
   /** Beneath a reservation, the moment by which a job that can't yield must end, by worker. */
   readonly backfillUntilMs: number[];
+  /** When the reservations of this round are expected to start. */
+  readonly reservedAtMs: number[];
   readonly placements: planTypes.PlannedPlacement[];
   readonly stops: planTypes.PlannedStop[];
   readonly waits: planTypes.PlannedWait[];
@@ -69,6 +71,7 @@
     slots: [...packing.slots],
     unplaced: packing.unplaced,
     backfillUntilMs: space.all.map(() => Number.POSITIVE_INFINITY),
+    reservedAtMs: [],
     placements: [],
     stops: [],
     waits: [],
@@ -132,19 +135,40 @@
   }
 };
 
+const NO_WORKERS: ReadonlySet<number> = new Set();
+
+/** Whether the job would fit on ready workers outside a set if they were empty. */
+const couldFit = (
+  round: PlanningRound,
+  spec: job.JobSpec,
+  excluded: ReadonlySet<number>,
+): boolean =>
+  cellSpace.groupsFor(round.space, spec).some((group) => {
+    let room = 0;
+    for (const worker of group) {
+      const it = round.space.workers[worker];
+      if (it?.health !== 'ready' || excluded.has(worker)) continue;
+      room += Math.floor(it.accelerators / spec.acceleratorsPerMember);
+    }
+    return room >= spec.members;
+  });
+
 /**
+ * Guards against a job that fails again and again on one bad worker, and against a bad job that is
+ * never given up because it comes back to the worker that it has failed on: the second failure there
+ * would say nothing about which of the two is bad.
+ *
  * @param round - the round
  * @param record - a job
- * @returns indexes of the workers on which it failed and is not tried again: a second failure there
- *   would say nothing about which of the two is bad. Empty where it has failed on all that are ready.
+ * @returns indexes of the workers on which it failed and is not tried again; where too few others
+ *   are left to hold it, the workers of its oldest failures are tried again first
  */
 export const failedOn = (round: PlanningRound, record: job.JobRecord): ReadonlySet<number> => {
   if (record.failures.length === 0) return NO_WORKERS;
-  const failed = new Set(record.failures.map((it) => round.space.indexOf.get(it.workerId) ?? -1));
-  const isLeft = round.space.workers.some(
-    (it, index) => it.health === 'ready' && !failed.has(index),
-  );
-  return isLeft ? failed : NO_WORKERS;
+  const workerIds = [...new Set(record.failures.map((it) => it.workerId))];
+  for (let from = 0; from < workerIds.length; from += 1) {
+    const excluded = new Set(workerIds.slice(from).map((it) => round.space.indexOf.get(it) ?? -1));
+    if (couldFit(round, record.spec, excluded)) return excluded;
+  }
+  return NO_WORKERS;
 };
-
-const NO_WORKERS: ReadonlySet<number> = new Set();
--- a/src/coordination/common/reclaim.ts
+++ b/src/coordination/common/reclaim.ts
@@ -74,8 +74,11 @@
   const victims: cellSpace.Borrower[] = [];
   let lossMs = 0;
   if (open >= need) return { victims, lossMs };
-  const candidates = (space.borrowers[worker] ?? [])
-    .filter((it) => !it.isLeaving && !chosen.has(it) && rules.canStop(it))
+  const most = (space.borrowers[worker] ?? []).filter(
+    (it) => !it.isLeaving && !chosen.has(it) && rules.canStop(it),
+  );
+  if (open + most.reduce((sum, it) => sum + (it.held.get(worker) ?? 0), 0) < need) return undefined;
+  const candidates = most
     .map((it) => ({ it, loss: rules.lossMs(it.record) }))
     .sort(
       (a, b) => a.loss - b.loss || a.it.record.spec.jobId.localeCompare(b.it.record.spec.jobId),
--- a/src/coordination/common/reservations.ts
+++ b/src/coordination/common/reservations.ts
@@ -82,13 +82,18 @@
     .sort((a, b) => a.atMs - b.atMs);
 };
 
-interface Reservation {
+/** When and where a large job is expected to fit. */
+export interface Reservation {
   readonly atMs: number;
   readonly plan: cellSpace.GangPlan;
 }
 
-/** The earliest moment at which running jobs are expected to have left room for the gang. */
-const earliestFit = (
+/**
+ * @param round - the round
+ * @param record - a queued job
+ * @returns the earliest moment at which running jobs are expected to have left room for the gang
+ */
+export const earliestFit = (
   round: planningRound.PlanningRound,
   record: job.JobRecord,
 ): Reservation | undefined => {
@@ -97,16 +102,28 @@
   const coming = space.all.map((worker) => cellSpace.openOn(space, worker));
   const isReady = space.workers.map((it) => it.health === 'ready');
   const open = (worker: number): number => (failed.has(worker) ? 0 : (coming[worker] ?? 0));
-  let total = coming.reduce((sum, it) => sum + it, 0);
+  const groups = cellSpace.groupsFor(space, record.spec);
+  const { members, acceleratorsPerMember: per } = record.spec;
+  const roomOn = (worker: number): number => Math.floor(open(worker) / per);
+  const groupOf = space.all.map(() => 0);
+  const room = groups.map((group, index) => {
+    for (const worker of group) groupOf[worker] = index;
+    return group.reduce((sum, worker) => sum + roomOn(worker), 0);
+  });
   for (const ending of endingsOf(round)) {
+    let isRoom = false;
     for (const { workerId, accelerators } of ending.record.placement) {
       const worker = space.indexOf.get(workerId) ?? -1;
       if (isReady[worker] !== true) continue;
+      const before = roomOn(worker);
       coming[worker] = (coming[worker] ?? 0) + accelerators.length;
-      total += accelerators.length;
+      const group = groupOf[worker] ?? 0;
+      room[group] = (room[group] ?? 0) + roomOn(worker) - before;
+      isRoom ||= (room[group] ?? 0) >= members;
     }
-    if (total < job.acceleratorsOf(record)) continue;
-    const plan = gangFit.findGang(space, record.spec, { open, setAside: NOTHING_SET_ASIDE });
+    if (!isRoom) continue;
+    const rules = { open, setAside: NOTHING_SET_ASIDE, isAhead: true };
+    const plan = gangFit.findGang(space, record.spec, rules);
     if (plan !== undefined) return { atMs: ending.atMs, plan };
   }
   return undefined;
@@ -197,6 +214,7 @@
     planningRound.wait(round, record, 'no workers that are ready could hold it, even when empty');
     return;
   }
+  round.reservedAtMs.push(reservation.atMs);
   for (const { worker } of reservation.plan) {
     const untilMs = round.backfillUntilMs[worker] ?? Number.POSITIVE_INFINITY;
     round.backfillUntilMs[worker] = Math.min(untilMs, reservation.atMs);
--- a/src/coordination/common/sparePlanning.ts
+++ b/src/coordination/common/sparePlanning.ts
@@ -6,7 +6,6 @@
  * customer that holds least for its weight goes next; of its own jobs the one with the least
  * expected work does, with a discount that grows with the wait so that none waits for ever.
  */
-import type * as configuration from '../../state/common/configuration.js';
 import * as job from '../../state/common/job.js';
 
 import * as cellSpace from './cellSpace.js';
@@ -14,6 +13,7 @@
 import * as planningRound from './planningRound.js';
 import * as reservations from './reservations.js';
 import * as runEstimates from './runEstimates.js';
+import * as spareShares from './spareShares.js';
 
 /**
  * Searches without success after which a round lets the rest of the queue wait. Searches repeat only
@@ -22,108 +22,9 @@
  */
 export const BACKFILL_DEPTH = 64;
 
-interface Lane {
-  readonly customerId: string;
-  readonly rules: readonly configuration.SpareRule[];
-  readonly weight: number;
-  readonly queue: readonly job.JobRecord[];
-  next: number;
-}
-
-interface Borrowing {
-  /** Accelerators by rule and customer. */
-  readonly byRule: Map<string, number>;
-  readonly byCustomer: Map<string, number>;
-}
-
-const ruleKey = (ruleId: string, customerId: string): string => `${ruleId}\n${customerId}`;
-
-const add = (counts: Map<string, number>, key: string, by: number): void => {
-  counts.set(key, (counts.get(key) ?? 0) + by);
-};
-
-const borrowingOf = (jobs: readonly job.JobRecord[]): Borrowing => {
-  const borrowing: Borrowing = { byRule: new Map(), byCustomer: new Map() };
-  for (const record of jobs) {
-    if (record.spec.claim !== job.Claim.spare || record.placement.length === 0) continue;
-    note(borrowing, record, record.ruleId ?? '');
-  }
-  return borrowing;
-};
-
-const note = (borrowing: Borrowing, record: job.JobRecord, ruleId: string): void => {
-  const accelerators = job.acceleratorsOf(record);
-  const { customerId } = record.spec;
-  add(borrowing.byRule, ruleKey(ruleId, customerId), accelerators);
-  add(borrowing.byCustomer, customerId, accelerators);
-};
-
-/**
- * The order of one customer's jobs. With weight on completion time the least expected work goes
- * first; with weight on fragmentation the order leans to first come, first served, so that large
- * jobs are not passed over as often.
- *
- * @param round - the round
- * @param record - a queued job
- * @returns a rank; the lowest goes first
- */
-export const rankOf = (round: planningRound.PlanningRound, record: job.JobRecord): number => {
-  const { completionWeight, largeJobWaitMs } = round.view.document.placement;
-  const { nowMs } = round.view;
-  const quantile = runEstimates.ORDER_QUANTILE;
-  const leftMs = runEstimates.remainingMs(round.estimates, record, nowMs, quantile);
-  const work = leftMs * job.acceleratorsOf(record);
-  const waitedMs = Math.max(0, nowMs - record.submittedAtMs);
-  return work ** completionWeight / (1 + waitedMs / Math.max(1, largeJobWaitMs));
-};
-
-const lanesOf = (round: planningRound.PlanningRound, queued: readonly job.JobRecord[]): Lane[] => {
-  const { document, cell } = round.view;
-  const byCustomer = new Map<string, { readonly record: job.JobRecord; readonly rank: number }[]>();
-  for (const record of queued) {
-    const lane = byCustomer.get(record.spec.customerId) ?? [];
-    lane.push({ record, rank: rankOf(round, record) });
-    byCustomer.set(record.spec.customerId, lane);
-  }
-  return [...byCustomer].map(([customerId, ranked]) => {
-    const rules = document.rules.filter(
-      (rule) =>
-        rule.customerIds.includes(customerId) &&
-        (rule.cells.length === 0 || rule.cells.includes(cell)),
-    );
-    ranked.sort((a, b) => a.rank - b.rank);
-    const weight = Math.max(0.01, ...rules.map((it) => it.weight));
-    return { customerId, rules, weight, queue: ranked.map((it) => it.record), next: 0 };
-  });
-};
-
-const nextLane = (lanes: readonly Lane[], borrowing: Borrowing): Lane | undefined => {
-  let best: Lane | undefined;
-  let bestShare = Number.POSITIVE_INFINITY;
-  for (const lane of lanes) {
-    if (lane.next >= lane.queue.length) continue;
-    const share = (borrowing.byCustomer.get(lane.customerId) ?? 0) / lane.weight;
-    if (share < bestShare) {
-      best = lane;
-      bestShare = share;
-    }
-  }
-  return best;
-};
-
-const ruleFor = (
-  lane: Lane,
-  borrowing: Borrowing,
-  accelerators: number,
-): configuration.SpareRule | undefined =>
-  lane.rules.find((rule) => {
-    const borrowed = borrowing.byRule.get(ruleKey(rule.ruleId, lane.customerId)) ?? 0;
-    return borrowed + accelerators <= rule.maxAccelerators;
-  });
-
 interface SpareStep {
   readonly round: planningRound.PlanningRound;
-  readonly borrowing: Borrowing;
+  readonly borrowing: spareShares.Borrowing;
   /** Sizes for which a search found nothing; what is free only shrinks within the step. */
   readonly wanting: Set<string>;
   readonly quotas: ReadonlyMap<string, number>;
@@ -143,16 +44,21 @@
   return nowMs - record.submittedAtMs < (0.5 - completionWeight) * runMs;
 };
 
+const endOf = (round: planningRound.PlanningRound, record: job.JobRecord): number => {
+  const { nowMs } = round.view;
+  const quantile = runEstimates.SAFE_QUANTILE;
+  return nowMs + runEstimates.remainingMs(round.estimates, record, nowMs, quantile);
+};
+
 const openFor = (
   round: planningRound.PlanningRound,
   record: job.JobRecord,
 ): ((worker: number) => number) => {
-  const { space, estimates, view } = round;
+  const { space } = round;
   const failed = planningRound.failedOn(round, record);
   const patient = isPatient(round, record);
   const yields = reservations.canYield(record);
-  const quantile = runEstimates.SAFE_QUANTILE;
-  const endMs = view.nowMs + runEstimates.remainingMs(estimates, record, view.nowMs, quantile);
+  const endMs = endOf(round, record);
   return (worker) => {
     if (failed.has(worker)) return 0;
     if (!yields && endMs > (round.backfillUntilMs[worker] ?? 0)) return 0;
@@ -161,9 +67,16 @@
   };
 };
 
+/** How many reservations the job may not run beneath; jobs with one answer may use the same workers. */
+const beneath = (round: planningRound.PlanningRound, record: job.JobRecord): number => {
+  if (round.reservedAtMs.length === 0 || reservations.canYield(record)) return 0;
+  const endMs = endOf(round, record);
+  return round.reservedAtMs.filter((it) => endMs > it).length;
+};
+
 const sizeKey = (round: planningRound.PlanningRound, record: job.JobRecord): string => {
   const { members, acceleratorsPerMember, adjacency } = record.spec;
-  const kind = `${reservations.canYield(record)} ${isPatient(round, record)}`;
+  const kind = `${beneath(round, record)} ${isPatient(round, record)}`;
   return `${members}x${acceleratorsPerMember} ${adjacency} ${kind}`;
 };
 
@@ -182,11 +95,15 @@
 
 const NO_ROOM = 'no free accelerators lie close enough together';
 
-const tryLend = (step: SpareStep, lane: Lane, record: job.JobRecord): string | undefined => {
+const tryLend = (
+  step: SpareStep,
+  lane: spareShares.Lane,
+  record: job.JobRecord,
+): string | undefined => {
   const { round } = step;
   const refusal = refusalOf(step, record);
   if (refusal !== undefined) return refusal;
-  const rule = ruleFor(lane, step.borrowing, job.acceleratorsOf(record));
+  const rule = spareShares.ruleFor(lane, step.borrowing, job.acceleratorsOf(record));
   if (rule === undefined) return 'no spare rule allows it more accelerators now';
   const key = sizeKey(round, record);
   if (step.wanting.has(key)) return NO_ROOM;
@@ -195,16 +112,28 @@
   const plan = gangFit.findGang(round.space, record.spec, { open, setAside: round.setAside });
   if (plan === undefined) {
     step.misses += 1;
-    // A job that failed somewhere, or that must end early, may use fewer workers than others do.
-    if (record.failures.length === 0 && reservations.canYield(record)) step.wanting.add(key);
+    // A job that failed somewhere may use fewer workers than others of its size.
+    if (record.failures.length === 0) step.wanting.add(key);
     return NO_ROOM;
   }
   planningRound.accept(round, record, plan, rule.ruleId, `borrows by rule ${rule.ruleId}`);
-  note(step.borrowing, record, rule.ruleId);
+  spareShares.note(step.borrowing, record, rule.ruleId);
   return undefined;
 };
 
-const lendOrReserve = (step: SpareStep, lane: Lane, record: job.JobRecord): void => {
+/** Tries a customer's jobs until one borrows: until then its share stays the lowest. */
+const lendNext = (step: SpareStep, lane: spareShares.Lane): void => {
+  while (lane.next < lane.queue.length) {
+    const record = lane.queue[lane.next];
+    lane.next += 1;
+    if (record === undefined) return;
+    const why = tryLend(step, lane, record);
+    if (why === undefined) return;
+    planningRound.wait(step.round, record, why);
+  }
+};
+
+const lendOrReserve = (step: SpareStep, lane: spareShares.Lane, record: job.JobRecord): void => {
   const why = tryLend(step, lane, record);
   if (why === NO_ROOM) reservations.reserve(step.round, record);
   else if (why !== undefined) planningRound.wait(step.round, record, why);
@@ -233,12 +162,12 @@
         refusalOf(step, it) === undefined,
     );
     if (record === undefined) continue;
-    const [lane] = lanesOf(round, [record]);
-    const rule = lane && ruleFor(lane, step.borrowing, job.acceleratorsOf(record));
+    const [lane] = spareShares.lanesOf(round, [record]);
+    const rule = lane && spareShares.ruleFor(lane, step.borrowing, job.acceleratorsOf(record));
     if (rule === undefined) continue;
     const why = `probes quarantined worker ${workerId}`;
     planningRound.accept(round, record, [{ worker, members: 1 }], rule.ruleId, why);
-    note(step.borrowing, record, rule.ruleId);
+    spareShares.note(step.borrowing, record, rule.ruleId);
     probing.add(record.spec.jobId);
   }
   return probing;
@@ -257,7 +186,7 @@
   const { view } = round;
   const step: SpareStep = {
     round,
-    borrowing: borrowingOf(view.jobs),
+    borrowing: spareShares.borrowingOf(view.jobs),
     wanting: new Set(),
     quotas: new Map(view.document.customers.map((it) => [it.customerId, it.quotaAccelerators])),
     misses: 0,
@@ -267,21 +196,17 @@
     .filter((it) => !probing.has(it.spec.jobId) && reservations.isDue(round, it))
     .slice(0, reservations.MAX_RESERVATIONS);
   const dueIds = new Set(due.map((it) => it.spec.jobId));
-  const lanes = lanesOf(
+  const lanes = spareShares.lanesOf(
     round,
     queued.filter((it) => !dueIds.has(it.spec.jobId) && !probing.has(it.spec.jobId)),
   );
   for (const record of due) {
-    const [lane] = lanesOf(round, [record]);
+    const [lane] = spareShares.lanesOf(round, [record]);
     if (lane !== undefined) lendOrReserve(step, lane, record);
   }
-  for (let lane = nextLane(lanes, step.borrowing); lane !== undefined;) {
-    const record = lane.queue[lane.next];
-    lane.next += 1;
-    if (record !== undefined) {
-      const why = tryLend(step, lane, record);
-      if (why !== undefined) planningRound.wait(round, record, why);
-    }
-    lane = nextLane(lanes, step.borrowing);
+  for (;;) {
+    const lane = spareShares.nextLane(lanes, step.borrowing);
+    if (lane === undefined) return;
+    lendNext(step, lane);
   }
 };
--- /dev/null
+++ b/src/coordination/common/spareShares.ts
@@ -0,0 +1,138 @@
+/**
+ * Who borrows next and by which rule: shares between customers by the weights of their rules, and
+ * within a customer the order of its jobs.
+ */
+import type * as configuration from '../../state/common/configuration.js';
+import * as job from '../../state/common/job.js';
+
+import type * as planningRound from './planningRound.js';
+import * as runEstimates from './runEstimates.js';
+
+/** One customer's queue with the rules it borrows by. */
+export interface Lane {
+  readonly customerId: string;
+  readonly rules: readonly configuration.SpareRule[];
+  readonly weight: number;
+  readonly queue: readonly job.JobRecord[];
+  next: number;
+}
+
+/** What is lent now. */
+export interface Borrowing {
+  /** Accelerators by rule and customer. */
+  readonly byRule: Map<string, number>;
+  readonly byCustomer: Map<string, number>;
+}
+
+const ruleKey = (ruleId: string, customerId: string): string => `${ruleId}\n${customerId}`;
+
+const add = (counts: Map<string, number>, key: string, by: number): void => {
+  counts.set(key, (counts.get(key) ?? 0) + by);
+};
+
+/**
+ * @param jobs - the cell's jobs
+ * @returns what they borrow
+ */
+export const borrowingOf = (jobs: readonly job.JobRecord[]): Borrowing => {
+  const borrowing: Borrowing = { byRule: new Map(), byCustomer: new Map() };
+  for (const record of jobs) {
+    if (record.spec.claim !== job.Claim.spare || record.placement.length === 0) continue;
+    note(borrowing, record, record.ruleId ?? '');
+  }
+  return borrowing;
+};
+
+/**
+ * @param borrowing - what is lent; changed
+ * @param record - a job that borrows
+ * @param ruleId - its rule
+ */
+export const note = (borrowing: Borrowing, record: job.JobRecord, ruleId: string): void => {
+  const accelerators = job.acceleratorsOf(record);
+  const { customerId } = record.spec;
+  add(borrowing.byRule, ruleKey(ruleId, customerId), accelerators);
+  add(borrowing.byCustomer, customerId, accelerators);
+};
+
+/**
+ * The order of one customer's jobs. With weight on completion time the least expected work goes
+ * first; with weight on fragmentation the order leans to first come, first served, so that large
+ * jobs are not passed over as often.
+ *
+ * @param round - the round
+ * @param record - a queued job
+ * @returns a rank; the lowest goes first
+ */
+export const rankOf = (round: planningRound.PlanningRound, record: job.JobRecord): number => {
+  const { completionWeight, largeJobWaitMs } = round.view.document.placement;
+  const { nowMs } = round.view;
+  const quantile = runEstimates.ORDER_QUANTILE;
+  const leftMs = runEstimates.remainingMs(round.estimates, record, nowMs, quantile);
+  const work = leftMs * job.acceleratorsOf(record);
+  const waitedMs = Math.max(0, nowMs - record.submittedAtMs);
+  return work ** completionWeight / (1 + waitedMs / Math.max(1, largeJobWaitMs));
+};
+
+/**
+ * @param round - the round
+ * @param queued - queued jobs that borrow
+ * @returns a lane for each of their customers
+ */
+export const lanesOf = (
+  round: planningRound.PlanningRound,
+  queued: readonly job.JobRecord[],
+): Lane[] => {
+  const { document, cell } = round.view;
+  const byCustomer = new Map<string, { readonly record: job.JobRecord; readonly rank: number }[]>();
+  for (const record of queued) {
+    const lane = byCustomer.get(record.spec.customerId) ?? [];
+    lane.push({ record, rank: rankOf(round, record) });
+    byCustomer.set(record.spec.customerId, lane);
+  }
+  return [...byCustomer].map(([customerId, ranked]) => {
+    const rules = document.rules.filter(
+      (rule) =>
+        rule.customerIds.includes(customerId) &&
+        (rule.cells.length === 0 || rule.cells.includes(cell)),
+    );
+    ranked.sort((a, b) => a.rank - b.rank);
+    const weight = Math.max(0.01, ...rules.map((it) => it.weight));
+    return { customerId, rules, weight, queue: ranked.map((it) => it.record), next: 0 };
+  });
+};
+
+/**
+ * @param lanes - the customers' lanes
+ * @param borrowing - what is lent
+ * @returns the lane of the customer that borrows least for its weight and still has jobs to try
+ */
+export const nextLane = (lanes: readonly Lane[], borrowing: Borrowing): Lane | undefined => {
+  let best: Lane | undefined;
+  let bestShare = Number.POSITIVE_INFINITY;
+  for (const lane of lanes) {
+    if (lane.next >= lane.queue.length) continue;
+    const share = (borrowing.byCustomer.get(lane.customerId) ?? 0) / lane.weight;
+    if (share < bestShare) {
+      best = lane;
+      bestShare = share;
+    }
+  }
+  return best;
+};
+
+/**
+ * @param lane - a customer's lane
+ * @param borrowing - what is lent
+ * @param accelerators - what a job asks for
+ * @returns the first rule with room for it
+ */
+export const ruleFor = (
+  lane: Lane,
+  borrowing: Borrowing,
+  accelerators: number,
+): configuration.SpareRule | undefined =>
+  lane.rules.find((rule) => {
+    const borrowed = borrowing.byRule.get(ruleKey(rule.ruleId, lane.customerId)) ?? 0;
+    return borrowed + accelerators <= rule.maxAccelerators;
+  });
