--- a/src/bench/benches.ts
+++ b/src/bench/benches.ts
@@ -2,6 +2,7 @@
  * The project's measurements by name.
  */
 import * as runCapacity from './capacity/runCapacity.js';
+import * as jobsBench from './jobsBench.js';
 import * as rpcBench from './rpcBench.js';
 
 /** Runs a measurement with its arguments and prints its lines. */
@@ -10,5 +11,6 @@
 /** All measurements. */
 export const BENCHES: Readonly<Record<string, Bench>> = {
   capacity: runCapacity.runCapacity,
+  jobs: jobsBench.runJobsBench,
   rpc: rpcBench.runRpcBench,
 };
--- a/src/bench/capacity/fakeAgents.ts
+++ b/src/bench/capacity/fakeAgents.ts
@@ -15,10 +15,15 @@
   readonly url: string;
   readonly registration: () => agentEntryMessages.RegisterRequest;
   readonly report: () => agentSchedulerMessages.ReportRequest;
+  /** Keeps the leader's stamp for the next report. */
+  readonly noteAnswer: (reply: agentSchedulerMessages.ReportReply) => void;
   readonly dispose: () => void | Promise<void>;
 }
 
 const ACCELERATORS = 8;
+
+/** Agents that have been up for long: the leader grants them leases at once. */
+const UPTIME_MS = 86_400_000;
 const MAX_BODY_BYTES = 2_097_152;
 
 /**
@@ -33,6 +38,7 @@
   let epoch = 0;
   let commandCount = 0;
   let url = '';
+  let stampMs: number | undefined;
   const workerInfo = () => ({
     workerId: `worker-${index}`,
     zone: 'zone-a',
@@ -64,6 +70,7 @@
         from,
         bootId,
         acceptedEpoch: epoch,
+        uptimeMs: UPTIME_MS,
         worker: workerInfo(),
         commandCount,
         tasks: [...held.values()],
@@ -106,12 +113,17 @@
       cell: 'zone-a',
       bootId,
       epoch,
+      uptimeMs: UPTIME_MS,
+      ...(stampMs === undefined ? {} : { stampMs }),
       worker: workerInfo(),
       isLeaving: false,
       isFull: true,
       commandCount,
       tasks: [...held.values()],
     }),
+    noteAnswer: (reply) => {
+      stampMs = reply.stampMs;
+    },
     dispose: server.dispose,
   };
 };
--- a/src/bench/capacity/measureControl.ts
+++ b/src/bench/capacity/measureControl.ts
@@ -84,8 +84,12 @@
 
 const reportTo =
   (parts: rigs.Rig, url: string, agents: readonly fakeAgents.FakeAgent[]) =>
-  (index: number): Promise<unknown> =>
-    parts.clients.scheduler(url).report(pick(agents, index).report());
+  async (index: number): Promise<unknown> => {
+    const agent = pick(agents, index);
+    const reply = await parts.clients.scheduler(url).report(agent.report());
+    agent.noteAnswer(reply);
+    return reply;
+  };
 
 const takeCell = async (
   parts: rigs.Rig,
--- a/src/bench/capacity/measurePlanning.ts
+++ b/src/bench/capacity/measurePlanning.ts
@@ -4,6 +4,7 @@
  */
 import * as schemaIssues from '../../base/common/schemaIssues.js';
 import * as placement from '../../coordination/common/placement.js';
+import type * as planTypes from '../../coordination/common/planTypes.js';
 import * as smallConfiguration from '../../programs/test/smallConfiguration.js';
 import * as configuration from '../../state/common/configuration.js';
 import type * as job from '../../state/common/job.js';
@@ -43,7 +44,7 @@
   decisions: [],
 });
 
-const viewOf = (workers: number, jobs: number): placement.PlanView => ({
+const viewOf = (workers: number, jobs: number): planTypes.PlanView => ({
   nowMs: jobs,
   cell: 'zone-a',
   configVersion: 1,
--- a/src/coordination/node/cellLeader.ts
+++ b/src/coordination/node/cellLeader.ts
@@ -29,6 +29,8 @@
 import * as leaderRoster from './leaderRoster.js';
 import * as ledgerKeeper from './ledgerKeeper.js';
 import * as memberCommands from './memberCommands.js';
+import * as planInputs from './planInputs.js';
+import * as transitionLog from './transitionLog.js';
 
 /** What the leader needs. */
 export interface CellLeaderOptions {
@@ -120,6 +122,7 @@
     isLeaseHeld: options.isLeaseHeld,
     onWillChange: () => ledger.settle(),
   });
+  const inputs = planInputs.createPlanInputs({ clock: timeSource, log, workers });
   const outbox = commandOutbox.createCommandOutbox(
     (agentUrl, commands) => options.sendCommands(agentUrl, workers.bootIdOf(agentUrl), commands),
     log,
@@ -164,24 +167,22 @@
     }),
   );
 
+  const logTransition = transitionLog.createTransitionLog(log, options.metrics);
   const dispatch = (jobId: string, event: jobMachine.JobEvent): void => {
     const before = runtimes.get(jobId);
     if (before === undefined) return;
-    ledger.settle();
     const { next, effects } = jobMachine.step(before, event, context());
+    // Most reports repeat what is known; only a change may cost a look at the whole ledger.
+    if (next === before && effects.length === 0) return;
+    ledger.settle();
     runtimes.set(jobId, next);
+    if (before.record.state !== next.record.state) inputs.learn(next.record);
     logTransition(before.record, next.record);
     // Effects speak of the placement that the event found.
     const placed = next.record.placement.length > 0 ? next.record : before.record;
     effects.forEach((effect) => perform(placed, effect));
     if (next.record.state !== before.record.state) planSoon();
   };
-  const logTransition = (before: job.JobRecord, after: job.JobRecord): void => {
-    if (before.state === after.state) return;
-    const { spec, attempt } = after;
-    log('info', 'jobChanged', { jobId: spec.jobId, from: before.state, to: after.state, attempt });
-    options.metrics.count('auburnlift_job_transitions_total', { to: after.state });
-  };
   const perform = (record: job.JobRecord, effect: jobMachine.JobEffect): void => {
     switch (effect.type) {
       case 'persist':
@@ -222,18 +223,18 @@
       cell: options.cell,
       configVersion: current.version,
       document: current.document,
-      workers: workers.views().map((it) => ({
-        workerId: it.worker.workerId,
-        rack: it.worker.rack,
-        accelerators: it.worker.accelerators,
-        health: it.health,
-      })),
+      workers: inputs.workersOf(workers.views()),
+      endedFailedJobs: records().filter((it) => job.isTerminal(it.state) && it.failures.length > 0),
+      estimates: inputs.estimates(),
       jobs: records()
         .filter((it) => !job.isTerminal(it.state))
         .sort((a, b) => a.submittedAtMs - b.submittedAtMs),
     });
     options.metrics.time('auburnlift_plan_ms', nowMs() - startedMs, { cell: options.cell });
     warnings = round.warnings;
+    round.quarantines.forEach((it) => inputs.setQuarantine(it.workerId, it.why));
+    round.releases.forEach((it) => inputs.setQuarantine(it.workerId, undefined));
+    if (round.quarantines.length + round.releases.length > 0) planSoon();
     round.stops.forEach((it) => dispatch(it.jobId, { type: 'stop', cause: it.cause, why: it.why }));
     round.placements.forEach((it) => dispatch(it.jobId, { type: 'planned', ...it }));
   };
@@ -362,7 +363,10 @@
     epoch: options.epoch,
     takeOver: async () => {
       const kept = await options.jobStore.takeOver();
-      kept.forEach((it) => runtimes.set(it.spec.jobId, jobMachine.takeOver(it)));
+      kept.forEach((it) => {
+        runtimes.set(it.spec.jobId, jobMachine.takeOver(it));
+        inputs.learn(it);
+      });
       await workers.load();
       await ledger.load();
       const discovered = await options.discoverAgents();
@@ -381,6 +385,7 @@
       if (!workers.noteQuarantine(workerId, isQuarantined, reason)) {
         throw errors.fail('notFound', `no worker ${workerId}`, { field: 'workerId' });
       }
+      inputs.noteOperator(workerId, isQuarantined);
       planSoon();
     },
     flush: async () => {
