Make at-most-once whole: boots, last starts, bounded memory

Cause: an agent that restarted, or one whose tombstone had expired, called a request that it had run "unknown here", and the entry then ran it elsewhere; the outcome table copied itself on every request.

Change: the two halves of the protocol are pure (requestRecord, attemptSteps). An attempt names the agent's boot and its last start on the agent's own clock; bars are kept to that moment, ends a window longer, and past it an agent gives no proof. The table costs a constant time per message and drops answers' bytes, never the fact that a request ran. A later refusal no longer hides an earlier run of an idempotent request. Admission serves customers by weight, guaranteed slots first; routing goes by the expected time to the answer, with ejection, avoidance and slow start; retries and requests to other regions have budgets.

--- a/src/bench/rpcBench.ts
+++ b/src/bench/rpcBench.ts
@@ -21,6 +21,7 @@
 const registration = {
   from,
   bootId: 'boot-1',
+  clockMs: 1,
   url: 'http://127.0.0.1:1',
   zone: 'zone-a',
   region: 'region-a',
--- a/src/coordination/common/agentDirectory.ts
+++ b/src/coordination/common/agentDirectory.ts
@@ -1,13 +1,30 @@
 /**
- * The agents that an entry knows, as soft state: what is not renewed goes away, what fails is
- * avoided at once and comes back with its next registration.
+ * The agents that an entry knows, as soft state: what is not renewed goes away; what fails is
+ * avoided at once and tried again later, since it may be alive for other entries.
+ *
+ * Registrations are slow (a minute), because one costs about a millisecond of processor time and
+ * there are hundreds of agents; loads, boots and clocks ride on every answer, and failed calls and
+ * leaving are known at once.
  */
+import * as agentHealth from './agentHealth.js';
 import type * as routing from './routing.js';
 
-/** An agent as it registered last, with what this entry knows besides. */
-export interface DirectoryEntry {
+/** An agent's upstream. */
+export interface DirectoryUpstream {
+  readonly upstreamId: string;
+  readonly slots: number;
+  readonly isLeaving: boolean;
+  readonly running: number;
+  readonly queued: number;
+  readonly serviceMs: number;
+}
+
+/** What an agent says of itself. */
+export interface Registration {
   readonly agentId: string;
   readonly bootId: string;
+  /** The agent's monotonic clock when it wrote this. */
+  readonly clockMs: number;
   readonly url: string;
   readonly zone: string;
   readonly region: string;
@@ -15,52 +32,80 @@
   /** Absent where no upstream has announced itself on the VM. */
   readonly upstream: DirectoryUpstream | undefined;
   readonly configVersion: number;
+}
+
+/** An agent as it registered last, with what this entry knows besides. */
+export interface DirectoryEntry extends Registration {
   readonly seenAtMs: number;
+  /** When the load was last told by an answer. */
+  readonly loadAtMs: number;
   /** Requests that this entry sent there and that are open. */
   readonly outstanding: number;
-  readonly penaltyMs: number;
+  readonly health: agentHealth.AgentHealth;
+  /** Lower bound of the agent's clock minus this one's. */
+  readonly clockOffsetMs: number;
 }
 
-/** An agent's upstream. */
-export interface DirectoryUpstream {
-  readonly upstreamId: string;
-  readonly slots: number;
-  readonly isLeaving: boolean;
+/** What came with an answer. */
+export interface AnswerNote {
   readonly running: number;
   readonly queued: number;
   readonly serviceMs: number;
+  readonly isLeaving: boolean;
+  readonly bootId: string;
+  readonly clockMs: number;
 }
 
-/** What an agent says of itself. */
-export type Registration = Omit<DirectoryEntry, 'seenAtMs' | 'outstanding' | 'penaltyMs'>;
-
-/** Load that came with an answer. */
-export interface ReportedLoad {
-  readonly running: number;
-  readonly queued: number;
-  readonly serviceMs: number;
-  readonly isLeaving: boolean;
+/** Which boot of an agent an attempt is meant for, and what its clock reads at least. */
+export interface AgentBoot {
+  readonly bootId: string;
+  readonly clockMs: number;
 }
 
 /** The agents that an entry knows. */
 export interface AgentDirectory {
   readonly register: (registration: Registration, nowMs: number) => void;
-  /** The agent does not answer; it comes back with its next registration. */
-  readonly remove: (url: string) => void;
   readonly expire: (nowMs: number) => void;
   readonly entries: () => readonly DirectoryEntry[];
-  readonly candidates: () => readonly routing.RouteCandidate[];
+  readonly candidates: (nowMs: number) => readonly routing.RouteCandidate[];
+  readonly bootOf: (url: string, nowMs: number) => AgentBoot | undefined;
   /** Counts a request that is sent (1) or has ended (-1). */
   readonly addOutstanding: (url: string, change: 1 | -1) => void;
-  readonly noteLoad: (url: string, load: ReportedLoad) => void;
+  readonly noteAnswer: (url: string, note: AnswerNote, nowMs: number) => void;
+  readonly noteSuccess: (url: string, nowMs: number) => void;
+  /** The upstream answered with a failure of its own. */
+  readonly noteFailure: (url: string, nowMs: number, ejectionCapShare: number) => void;
+  /** The agent does not answer. */
+  readonly noteSilence: (url: string, nowMs: number) => void;
 }
 
-/** An agent that has not registered for this long is forgotten. */
-export const REGISTRATION_TTL_MS = 6000;
+/** Period in which agents are asked to register again. */
+export const REGISTER_MS = 60_000;
+
+/** An agent that has missed two registrations is forgotten. */
+export const REGISTRATION_TTL_MS = 2.5 * REGISTER_MS;
+
+/** Time in which half of an old report of slowness is forgiven, so that recovery is noticed. */
+const FORGIVENESS_MS = 5000;
+
+/** Weight of one answer in the service time that is typical of all. */
+const TYPICAL_SMOOTHING = 0.02;
+
+/** Slowness beyond the typical fades while no answer confirms it. */
+const believedServiceMs = (
+  reportedMs: number,
+  typicalMs: number | undefined,
+  ageMs: number,
+): number => {
+  if (typicalMs === undefined || reportedMs <= typicalMs) return reportedMs;
+  return typicalMs + (reportedMs - typicalMs) * 0.5 ** (ageMs / FORGIVENESS_MS);
+};
 
 const toCandidate = (
   entry: DirectoryEntry,
   upstream: DirectoryUpstream,
+  typicalMs: number | undefined,
+  nowMs: number,
 ): routing.RouteCandidate => ({
   agentUrl: entry.url,
   upstreamId: upstream.upstreamId,
@@ -70,32 +115,61 @@
   reportedRunning: upstream.running,
   reportedQueued: upstream.queued,
   outstanding: entry.outstanding,
-  serviceMs: upstream.serviceMs,
+  serviceMs: believedServiceMs(upstream.serviceMs, typicalMs, nowMs - entry.loadAtMs),
   isLeaving: entry.isLeaving || upstream.isLeaving,
-  penaltyMs: entry.penaltyMs,
+  isAvoided: agentHealth.isAvoided(entry.health, nowMs),
+  penaltyMs: agentHealth.penaltyMs(entry.health, nowMs),
+  startShare: agentHealth.startShare(entry.health, nowMs),
 });
 
+const renew = (
+  known: DirectoryEntry | undefined,
+  registration: Registration,
+  nowMs: number,
+): DirectoryEntry => {
+  const offsetMs = registration.clockMs - nowMs;
+  const same = known?.bootId === registration.bootId ? known : undefined;
+  return {
+    ...registration,
+    seenAtMs: nowMs,
+    loadAtMs: same?.loadAtMs ?? nowMs,
+    outstanding: known?.outstanding ?? 0,
+    health: same?.health ?? agentHealth.newHealth(nowMs),
+    clockOffsetMs: Math.max(offsetMs, same?.clockOffsetMs ?? -Infinity),
+  };
+};
+
+const withAnswer = (entry: DirectoryEntry, note: AnswerNote, nowMs: number): DirectoryEntry => {
+  const { running, queued, serviceMs, isLeaving, bootId, clockMs } = note;
+  const next = renew(entry, { ...entry, bootId, clockMs }, nowMs);
+  const upstream = next.upstream && { ...next.upstream, running, queued, serviceMs, isLeaving };
+  return { ...next, upstream, loadAtMs: nowMs };
+};
+
 /**
  * @returns a directory without agents
  */
 export const createAgentDirectory = (): AgentDirectory => {
   const entries = new Map<string, DirectoryEntry>();
+  let typicalMs: number | undefined;
   const update = (url: string, change: (entry: DirectoryEntry) => DirectoryEntry): void => {
     const entry = entries.get(url);
     if (entry !== undefined) entries.set(url, change(entry));
   };
+  const updateHealth = (
+    url: string,
+    change: (health: agentHealth.AgentHealth) => agentHealth.AgentHealth,
+  ): void => update(url, (it) => ({ ...it, health: change(it.health) }));
+  /** The cap keeps a fault that hits all agents from taking all of them out. */
+  const mayEject = (nowMs: number, capShare: number): boolean => {
+    const all = [...entries.values()];
+    const avoided = all.filter((it) => agentHealth.isAvoided(it.health, nowMs)).length;
+    return avoided + 1 <= Math.floor(all.length * capShare);
+  };
   return {
     register: (registration, nowMs) => {
       const known = entries.get(registration.url);
-      entries.set(registration.url, {
-        ...registration,
-        seenAtMs: nowMs,
-        outstanding: known?.outstanding ?? 0,
-        penaltyMs: known?.penaltyMs ?? 0,
-      });
-    },
-    remove: (url) => {
-      entries.delete(url);
+      entries.set(registration.url, renew(known, registration, nowMs));
     },
     expire: (nowMs) => {
       for (const [url, entry] of entries) {
@@ -103,15 +177,25 @@
       }
     },
     entries: () => [...entries.values()],
-    candidates: () =>
+    candidates: (nowMs) =>
       [...entries.values()].flatMap((it) =>
-        it.upstream === undefined ? [] : [toCandidate(it, it.upstream)],
+        it.upstream === undefined ? [] : [toCandidate(it, it.upstream, typicalMs, nowMs)],
       ),
+    bootOf: (url, nowMs) => {
+      const entry = entries.get(url);
+      if (entry === undefined) return undefined;
+      return { bootId: entry.bootId, clockMs: Math.max(0, nowMs + entry.clockOffsetMs) };
+    },
     addOutstanding: (url, change) =>
       update(url, (it) => ({ ...it, outstanding: Math.max(0, it.outstanding + change) })),
-    noteLoad: (url, load) =>
-      update(url, (it) =>
-        it.upstream === undefined ? it : { ...it, upstream: { ...it.upstream, ...load } },
-      ),
+    noteAnswer: (url, note, nowMs) => {
+      typicalMs = (typicalMs ?? note.serviceMs) * (1 - TYPICAL_SMOOTHING);
+      typicalMs += note.serviceMs * TYPICAL_SMOOTHING;
+      update(url, (it) => withAnswer(it, note, nowMs));
+    },
+    noteSuccess: (url, nowMs) => updateHealth(url, (it) => agentHealth.afterSuccess(it, nowMs)),
+    noteFailure: (url, nowMs, capShare) =>
+      updateHealth(url, (it) => agentHealth.afterFailure(it, nowMs, mayEject(nowMs, capShare))),
+    noteSilence: (url, nowMs) => updateHealth(url, (it) => agentHealth.afterSilence(it, nowMs)),
   };
 };
--- a/src/coordination/common/routing.ts
+++ b/src/coordination/common/routing.ts
@@ -2,7 +2,9 @@
  * Choosing the upstream for a request.
  *
  * Made for regions that are far apart and links that are paid by volume: a request stays in its
- * zone, then its region, and leaves it only where waiting at home costs more than the price.
+ * zone, then its region, and leaves it only where waiting at home costs more than the price. Made
+ * also for one upstream that is much slower than the others: choices go by the expected time to the
+ * answer, so that it gets only what it can do as fast as they can.
  */
 import type * as random from '../../base/common/random.js';
 import type * as configuration from '../../state/common/configuration.js';
@@ -21,8 +23,12 @@
   readonly outstanding: number;
   readonly serviceMs: number;
   readonly isLeaving: boolean;
-  /** Added to the expected wait for errors and slowness. */
+  /** Ejected, or silent a moment ago; used only where nothing else is left. */
+  readonly isAvoided: boolean;
+  /** Added to the expected wait for errors. */
   readonly penaltyMs: number;
+  /** Part of a full load that it may take, above 0 to 1. */
+  readonly startShare: number;
 }
 
 /** What a choice is made from. */
@@ -32,26 +38,28 @@
   readonly candidates: readonly RouteCandidate[];
   /** Agents that the request must not go to again. */
   readonly excludedUrls: ReadonlySet<string>;
-  readonly policy: configuration.RoutingPolicy;
+  readonly policy: Pick<configuration.RoutingPolicy, 'crossRegionPriceMs'>;
+  /** Whether the bound on requests to other regions leaves room for this one. */
+  readonly mayLeaveRegion: boolean;
 }
 
+const loadOf = (candidate: RouteCandidate): number =>
+  Math.max(candidate.reportedRunning + candidate.reportedQueued, candidate.outstanding);
+
 /**
  * @param candidate - an upstream
  * @returns the time that a request sent there now would wait for a slot
  */
 export const expectedWaitMs = (candidate: RouteCandidate): number => {
-  const load = Math.max(
-    candidate.reportedRunning + candidate.reportedQueued,
-    candidate.outstanding,
-  );
-  const waiting = Math.max(0, load + 1 - candidate.slots);
+  const waiting = Math.max(0, loadOf(candidate) + 1 - candidate.slots);
   return (waiting * candidate.serviceMs) / candidate.slots + candidate.penaltyMs;
 };
 
-const loadOf = (candidate: RouteCandidate): number =>
-  expectedWaitMs(candidate) +
-  (Math.max(candidate.outstanding, candidate.reportedRunning) / candidate.slots) *
-    candidate.serviceMs;
+/** Expected time to the answer; among equals the emptier one. A new agent counts as fuller. */
+const costOf = (candidate: RouteCandidate): number => {
+  const fullness = (loadOf(candidate) + 1) / (candidate.slots * candidate.startShare);
+  return expectedWaitMs(candidate) + candidate.serviceMs * (1 + fullness);
+};
 
 /** Two choices: almost as even as the best of all, and no herd follows a stale report. */
 const betterOfTwo = (
@@ -64,7 +72,15 @@
   const a = candidates[first];
   const b = candidates[(first + shift) % candidates.length];
   if (a === undefined || b === undefined) return a ?? b;
-  return loadOf(a) <= loadOf(b) ? a : b;
+  return costOf(a) <= costOf(b) ? a : b;
+};
+
+/** Avoided ones are a last resort: with all of them avoided, trying one is better than refusing. */
+const usableOf = (view: RouteView): readonly RouteCandidate[] => {
+  const open = view.candidates.filter((it) => !it.isLeaving && !view.excludedUrls.has(it.agentUrl));
+  const sound = open.filter((it) => !it.isAvoided);
+  const hasHome = sound.some((it) => it.region === view.region);
+  return hasHome ? sound : open;
 };
 
 /**
@@ -73,20 +89,18 @@
  * @returns the upstream, or undefined where none may be used
  */
 export const choose = (view: RouteView, next: random.Random): RouteCandidate | undefined => {
-  const usable = view.candidates.filter(
-    (it) => !it.isLeaving && !view.excludedUrls.has(it.agentUrl),
-  );
+  const usable = usableOf(view);
   const inZone = usable.filter((it) => it.zone === view.zone);
-  const inRegion = usable.filter((it) => it.region === view.region);
+  const near = betterOfTwo(inZone, next);
+  if (near !== undefined && expectedWaitMs(near) === 0) return near;
+  const home = betterOfTwo(
+    usable.filter((it) => it.region === view.region),
+    next,
+  );
+  if (home !== undefined && expectedWaitMs(home) === 0) return home;
   const elsewhere = usable.filter((it) => it.region !== view.region);
-  const local = [inZone, inRegion]
-    .map((tier) => betterOfTwo(tier, next))
-    .find((it) => it !== undefined && expectedWaitMs(it) === 0);
-  if (local !== undefined) return local;
-  const home = betterOfTwo(inRegion, next);
-  const remote = betterOfTwo(elsewhere, next);
-  if (home === undefined) return remote;
-  if (remote === undefined) return home;
+  const remote = view.mayLeaveRegion ? betterOfTwo(elsewhere, next) : undefined;
+  if (home === undefined || remote === undefined) return home ?? remote;
   const gainMs = expectedWaitMs(home) - expectedWaitMs(remote);
   return gainMs > view.policy.crossRegionPriceMs ? remote : home;
 };
--- a/src/programs/agent.ts
+++ b/src/programs/agent.ts
@@ -6,6 +6,7 @@
 import * as http from '../base/common/http.js';
 import * as random from '../base/common/random.js';
 import * as schemaIssues from '../base/common/schemaIssues.js';
+import * as admission from '../coordination/common/admission.js';
 import * as agentRuntime from '../coordination/node/agentRuntime.js';
 import * as agentRouter from '../protocol/node/agentRouter.js';
 import * as requestHost from '../protocol/node/requestHost.js';
@@ -93,6 +94,13 @@
   };
 };
 
+const shareOf = (kit: processKit.ProcessKit, customerId: string): admission.CustomerShare => {
+  const customers = kit.configuration.current()?.document.customers ?? [];
+  const customer = customers.find((it) => it.customerId === customerId);
+  if (customer === undefined) return admission.DEFAULT_SHARE;
+  return { weight: customer.requestWeight, guaranteedSlots: customer.guaranteedSlots };
+};
+
 /**
  * @param settings - decoded settings
  * @returns the running agent
@@ -106,10 +114,12 @@
   let tasks: agentRuntime.AgentRuntime | undefined;
   let info: worker.WorkerInfo | undefined;
   const host = requestHost.createRequestHost({
+    bootId,
     clock: kit.clock,
     metrics: kit.metrics,
     call: kit.http.call,
     maxQueued: settings.maxQueued,
+    shareOf: (customerId) => shareOf(kit, customerId),
   });
   const links = agentLinks.createAgentLinks({
     kit,
--- a/src/programs/agentLinks.ts
+++ b/src/programs/agentLinks.ts
@@ -68,6 +68,7 @@
     return {
       from: kit.sender(),
       bootId: options.bootId,
+      clockMs: host.clockMs(),
       url: ownUrl,
       zone: settings.zone,
       region: settings.region,
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -47,6 +47,7 @@
       {
         agentId: request.from.processId,
         bootId: request.bootId,
+        clockMs: request.clockMs,
         url: request.url,
         zone: request.zone,
         region: request.region,
@@ -112,6 +113,7 @@
     random: kit.random,
     metrics: kit.metrics,
     directory,
+    newId: kit.newId,
     call: kit.http.call,
     sender: kit.sender,
     policy: () => kit.configuration.current()?.document.routing,
--- a/src/protocol/common/agentEntryMessages.ts
+++ b/src/protocol/common/agentEntryMessages.ts
@@ -29,6 +29,8 @@
   from: envelope.Sender,
   /** Changes when the agent restarts: what it held before is gone. */
   bootId: units.CallerKey,
+  /** The agent's monotonic clock, from which entries work out when an attempt is too late. */
+  clockMs: units.Count,
   url: units.Url,
   zone: units.Id,
   region: units.Id,
--- a/src/protocol/common/exchange.ts
+++ b/src/protocol/common/exchange.ts
@@ -35,6 +35,12 @@
   mode: Schema.Literals(['run', 'settle']),
   /** Unique for each request of each customer; the same id is the same request. */
   requestId: units.CallerKey,
+  /** Unique for each time that an entry sends the request to an agent. */
+  attemptId: units.CallerKey,
+  /** Boot of the agent that the entry means; another boot can't know what this one ran. */
+  bootId: units.CallerKey,
+  /** Last moment on that boot's clock at which the attempt may start the request. */
+  startBeforeMs: units.Count,
   customerId: units.Id,
   isIdempotent: Schema.Boolean,
   /** Time left when the entry sent it; the agent counts from its arrival. */
@@ -52,6 +58,11 @@
   from: envelope.Sender,
   /** Echoed, so that an answer can never be taken for another request's. */
   requestId: units.CallerKey,
+  /** Echoed, so that a late answer to one attempt is never taken for the word on another. */
+  attemptId: units.CallerKey,
+  bootId: units.CallerKey,
+  /** The agent's clock, from which entries work out `startBeforeMs`. */
+  clockMs: units.Count,
   /** `answer`: the body is the upstream's. `error`: the body is an `ErrorBody`. */
   kind: Schema.Literals(['answer', 'error']),
   /** The upstream's status. */
--- a/src/protocol/node/requestHost.ts
+++ b/src/protocol/node/requestHost.ts
@@ -9,6 +9,7 @@
 import type * as upstreamContract from '../../state/common/upstreamContract.js';
 import type * as exchange from '../common/exchange.js';
 import * as outcomeTable from '../common/outcomeTable.js';
+import type * as requestRecord from '../common/requestRecord.js';
 
 /** Load that travels with every answer. */
 export interface HostLoad {
@@ -20,12 +21,16 @@
 
 /** What the host needs. */
 export interface RequestHostOptions {
+  /** Changes with each start of the agent. */
+  readonly bootId: string;
   readonly clock: clock.Clock;
   readonly metrics: metrics.Metrics;
   /** Sends a request to the upstream. */
   readonly call: http.HttpCall;
   /** Most requests that wait for a slot. */
   readonly maxQueued: number;
+  /** What the configuration in force gives a customer. */
+  readonly shareOf: (customerId: string) => admission.CustomerShare;
 }
 
 /** Runs requests on one upstream. */
@@ -38,32 +43,59 @@
   readonly exchange: (
     request: exchange.ExchangeRequest,
     body: Uint8Array,
-  ) => Promise<outcomeTable.Outcome>;
+  ) => Promise<requestRecord.Outcome>;
   /** Requests that run or wait. */
   readonly openRequests: () => number;
+  readonly bootId: string;
+  /** Monotonic time of this boot. */
+  readonly clockMs: () => number;
 }
 
 /** An upstream that has not announced itself for this long is gone. */
 export const ANNOUNCEMENT_TTL_MS = 5000;
 
-const errorOutcome = (error: errors.AuburnliftError): outcomeTable.Outcome => ({
+/** Records free up as their time passes, evenly over two minutes. */
+const FULL_RETRY_MS = 2000;
+
+const errorOutcome = (error: errors.AuburnliftError): requestRecord.Outcome => ({
   type: 'error',
   error: errors.toBody(error),
 });
 
+/**
+ * Each request in work has one connection, and each may leave one idle behind when the pool is
+ * renewed under it; with half of the connections in use at the most, the upstream's limit holds.
+ */
+const usableSlots = ({ slots, connections }: upstreamContract.Announcement): number =>
+  Math.max(1, Math.min(slots, Math.floor(connections / 2)));
+
+/** What a message is told that neither runs nor has a run to wait for. */
+const ARRIVAL_ERRORS = {
+  full: () =>
+    errors.fail('overloaded', 'no room to remember another request', {
+      retryAfterMs: FULL_RETRY_MS,
+    }),
+  answerDropped: () => errors.fail('incompleteAnswer', 'it ran; its answer is no longer kept'),
+  neverRan: () => errors.fail('tombstoned', 'it did not run here and never will'),
+  tooLate: () => errors.fail('deadlineUnmeetable', 'it came after its last start; it did not run'),
+  unknowable: () => errors.fail('outcomeUnknown', 'this boot of the agent can not know'),
+} as const;
+
 /**
  * @param options - what the host needs
  * @returns a host without upstream
  */
 export const createRequestHost = (options: RequestHostOptions): RequestHost => {
   const { clock: timeSource } = options;
-  let table: outcomeTable.OutcomeTable = new Map();
+  const { maxQueued, shareOf } = options;
+  const limits = { maxQueued, shareOf, order: admission.QueueOrder.fifo };
+  const table = outcomeTable.createOutcomeTable(options.bootId);
   let load = admission.idle(1);
   let announced: upstreamContract.Announcement | undefined;
   let announcedAtMs = 0;
   let isLeaving = false;
   const waiting = new Map<string, (isStarted: boolean) => void>();
-  const ends = new Map<string, Promise<outcomeTable.Outcome>>();
+  const ends = new Map<string, Promise<requestRecord.Outcome>>();
 
   const nowMs = (): number => timeSource.monotonicMs();
   const upstream = (): upstreamContract.Announcement | undefined =>
@@ -75,14 +107,16 @@
     return undefined;
   };
   const release = (key: string, heldMs: number | undefined): void => {
-    const step = admission.release(load, key, nowMs(), heldMs);
+    const step = admission.release(load, limits, key, nowMs(), heldMs);
     load = step.next;
     step.started.forEach((it) => waiting.get(it.requestId)?.(true));
     step.expired.forEach((it) => waiting.get(it.requestId)?.(false));
   };
   const waitForSlot = async (key: string, deadlineAtMs: number): Promise<boolean> => {
     const isStarted = await new Promise<boolean>((resolve) => {
-      const timer = timeSource.after(deadlineAtMs - nowMs(), () => resolve(false));
+      // Past this moment it could not be answered in time: its refusal goes out while it is of use.
+      const lastStartMs = deadlineAtMs - load.serviceMs - nowMs();
+      const timer = timeSource.after(Math.max(1, lastStartMs), () => resolve(false));
       waiting.set(key, (started) => {
         void timer.dispose();
         resolve(started);
@@ -97,7 +131,7 @@
     request: exchange.ExchangeRequest,
     body: Uint8Array,
     deadlineAtMs: number,
-  ): Promise<outcomeTable.Outcome> => {
+  ): Promise<requestRecord.Outcome> => {
     try {
       const reply = await options.call({
         address: http.parseAddress(target.url),
@@ -127,7 +161,7 @@
     request: exchange.ExchangeRequest,
     body: Uint8Array,
     deadlineAtMs: number,
-  ): Promise<outcomeTable.Outcome> => {
+  ): Promise<requestRecord.Outcome> => {
     const target = upstream();
     const startedMs = nowMs();
     try {
@@ -144,13 +178,16 @@
     key: string,
     request: exchange.ExchangeRequest,
     body: Uint8Array,
-  ): Promise<outcomeTable.Outcome> => {
+  ): Promise<requestRecord.Outcome> => {
     const refused = refusal();
     if (refused !== undefined) return errorOutcome(refused);
     const deadlineAtMs = nowMs() + request.remainingMs;
     const ticket = { requestId: key, customerId: request.customerId, deadlineAtMs };
-    const step = admission.offer(load, options, ticket, nowMs());
+    const step = admission.offer(load, limits, ticket, nowMs());
     load = step.next;
+    if (step.decision.type === 'queue' && step.decision.displaced !== undefined) {
+      waiting.get(step.decision.displaced.requestId)?.(false);
+    }
     if (step.decision.type === 'refuse') {
       const { kind, message, retryAfterMs } = step.decision;
       return errorOutcome(errors.fail(kind, message, { retryAfterMs }));
@@ -165,20 +202,31 @@
     key: string,
     request: exchange.ExchangeRequest,
     body: Uint8Array,
-  ): Promise<outcomeTable.Outcome> => {
+  ): Promise<requestRecord.Outcome> => {
     const ended = run(key, request, body).then((outcome) => {
-      table = outcomeTable.end(table, key, outcome, nowMs());
+      table.end(request, outcome, nowMs());
       ends.delete(key);
       return outcome;
     });
     ends.set(key, ended);
     return ended;
   };
+  const answerTo = async (
+    request: exchange.ExchangeRequest,
+    body: Uint8Array,
+  ): Promise<requestRecord.Outcome> => {
+    const arrival = table.arrive(request, nowMs());
+    const key = outcomeTable.keyOf(request);
+    if (arrival.type === 'run') return begin(key, request, body);
+    if (arrival.type === 'replay') return arrival.outcome;
+    if (arrival.type !== 'attach') return errorOutcome(ARRIVAL_ERRORS[arrival.type]());
+    const ended = ends.get(key);
+    return ended ?? errorOutcome(errors.fail('outcomeUnknown', 'the run is not known'));
+  };
   return {
     announce: (announcement) => {
-      if (announced?.slots !== announcement.slots) {
-        load = { ...load, slots: announcement.slots };
-      }
+      const slots = usableSlots(announcement);
+      if (load.slots !== slots) load = { ...load, slots };
       announced = announcement;
       announcedAtMs = nowMs();
     },
@@ -192,24 +240,9 @@
     leave: () => {
       isLeaving = true;
     },
-    exchange: async (request, body) => {
-      const key = outcomeTable.outcomeKey(request.customerId, request.requestId);
-      table = outcomeTable.expire(table, nowMs());
-      const step = outcomeTable.arrive(table, key, request.mode, nowMs());
-      table = step.next;
-      switch (step.arrival.type) {
-        case 'run':
-          return begin(key, request, body);
-        case 'attach':
-          return (
-            ends.get(key) ?? errorOutcome(errors.fail('outcomeUnknown', 'the run is not known'))
-          );
-        case 'replay':
-          return step.arrival.outcome;
-        default:
-          return errorOutcome(errors.fail('tombstoned', 'it did not run here and never will'));
-      }
-    },
+    exchange: answerTo,
+    bootId: options.bootId,
+    clockMs: () => Math.floor(nowMs()),
     openRequests: () => load.running.length + load.queue.length,
   };
 };
--- a/src/protocol/node/requestRouter.ts
+++ b/src/protocol/node/requestRouter.ts
@@ -6,15 +6,16 @@
  * that is not idempotent ends as `outcomeUnknown`.
  */
 import type * as clock from '../../base/common/clock.js';
-import * as errorKinds from '../../base/common/errorKinds.js';
 import * as errors from '../../base/common/errors.js';
 import * as http from '../../base/common/http.js';
 import type * as metrics from '../../base/common/metrics.js';
 import type * as random from '../../base/common/random.js';
 import * as schemaIssues from '../../base/common/schemaIssues.js';
 import type * as agentDirectory from '../../coordination/common/agentDirectory.js';
+import * as requestBudgets from '../../coordination/common/requestBudgets.js';
 import * as routing from '../../coordination/common/routing.js';
 import type * as configuration from '../../state/common/configuration.js';
+import * as attemptSteps from '../common/attemptSteps.js';
 import type * as envelope from '../common/envelope.js';
 import * as exchange from '../common/exchange.js';
 
@@ -40,9 +41,12 @@
   readonly metrics: metrics.Metrics;
   readonly directory: agentDirectory.AgentDirectory;
   readonly call: http.HttpCall;
+  readonly newId: () => string;
   readonly sender: () => envelope.Sender;
   readonly policy: () => configuration.RoutingPolicy | undefined;
   readonly peerSecretHeaders: Readonly<Record<string, string>>;
+  /** Told when home is so full that agents of other regions should be known. */
+  readonly onHomeSaturated?: () => void;
 }
 
 /** Takes requests to upstreams. */
@@ -52,136 +56,221 @@
   readonly openRequests: () => number;
 }
 
-/** Retries a burst may use before any request was answered. */
-const INITIAL_RETRY_CREDIT = 10;
+/** Retries, and requests to other regions, that may be used before any were earned. */
+const INITIAL_CREDIT = 10;
 
-/** Time kept back from the deadline for asking what became of a request. */
+/** Part of the deadline that is kept for asking what became of a request. */
 const SETTLE_RESERVE_SHARE = 0.25;
 
-/** What came of one attempt. */
-type Attempt =
-  | { readonly type: 'answer'; readonly answer: exchange.Answer }
-  /** It did not run there and never will: it may go elsewhere. */
-  | { readonly type: 'elsewhere'; readonly error: errors.AuburnliftError }
-  | { readonly type: 'final'; readonly error: errors.AuburnliftError }
-  /** Nobody knows: ask over a fresh connection. */
-  | { readonly type: 'unknown'; readonly error: errors.AuburnliftError };
+/**
+ * Silence is asked about after this many times the expected answer, and not before a floor: asking
+ * is harmless (a running request is attached to), but costs an exchange.
+ */
+const PATIENCE_FACTOR = 5;
+const PATIENCE_FLOOR_MS = 2000;
+
+/** An attempt at a request: to one boot of one agent. */
+interface Attempt {
+  readonly request: CallerRequest;
+  readonly agent: routing.RouteCandidate;
+  readonly attemptId: string;
+  readonly bootId: string;
+  readonly startBeforeMs: number;
+  readonly deadlineAtMs: number;
+}
 
-const toAttempt = (reply: http.HttpReply, requestId: string): Attempt => {
+const noWord = (message: string): attemptSteps.ExchangeResult => ({
+  type: 'noWord',
+  error: errors.fail('outcomeUnknown', message),
+});
+
+const parseReply = (reply: http.HttpReply): exchange.ExchangeReply | undefined => {
   const header = reply.headers[exchange.REPLY_HEADER];
-  if (header === undefined) {
-    return { type: 'unknown', error: errors.fail('outcomeUnknown', 'an answer without envelope') };
+  if (header === undefined) return undefined;
+  try {
+    const decoded = schemaIssues.decode(exchange.ExchangeReply, JSON.parse(header));
+    return decoded.isValid ? decoded.value : undefined;
+  } catch {
+    return undefined;
   }
-  const envelopeOf = schemaIssues.decodeOrFail(
-    exchange.ExchangeReply,
-    JSON.parse(header),
-    'exchange reply',
-  );
-  if (envelopeOf.requestId !== requestId) {
-    return { type: 'unknown', error: errors.fail('outcomeUnknown', "another request's answer") };
+};
+
+const toResult = (head: exchange.ExchangeReply, body: Uint8Array): attemptSteps.ExchangeResult => {
+  if (head.kind === 'answer') {
+    const { status, contentType } = head;
+    return { type: 'answer', answer: { status, contentType, body } };
   }
-  if (envelopeOf.kind === 'answer') {
-    const { status, contentType } = envelopeOf;
-    return { type: 'answer', answer: { status, contentType, body: reply.body } };
+  try {
+    const error = errors.fromBody(JSON.parse(Buffer.from(body).toString('utf8')));
+    return { type: 'error', error };
+  } catch {
+    return noWord('an error without a body');
   }
-  const error = errors.fromBody(JSON.parse(Buffer.from(reply.body).toString('utf8')));
-  const didNotRun = errorKinds.ERROR_TABLE[error.kind].ran === errorKinds.Ran.no;
-  return { type: didNotRun ? 'elsewhere' : 'final', error };
 };
 
+const SERVER_ERROR = 500;
+
 /**
  * @param options - what the router needs
  * @returns a router
  */
 export const createRequestRouter = (options: RequestRouterOptions): RequestRouter => {
-  const { clock: timeSource, directory } = options;
-  let credit = INITIAL_RETRY_CREDIT;
+  const { clock: timeSource, directory, metrics: counters } = options;
+  const retries = requestBudgets.createBudget(INITIAL_CREDIT);
+  const crossings = requestBudgets.createBudget(INITIAL_CREDIT);
   let open = 0;
+  const nowMs = (): number => timeSource.monotonicMs();
 
-  const send = async (
-    agentUrl: string,
-    request: CallerRequest,
+  const countBytes = (attempt: Attempt, bytes: number, direction: 'out' | 'back'): void => {
+    const { region } = attempt.agent;
+    const pair = direction === 'out' ? [options.region, region] : [region, options.region];
+    const labels = { from: String(pair[0]), to: String(pair[1]) };
+    counters.count('auburnlift_region_bytes_total', labels, bytes);
+    if (direction === 'out') counters.count('auburnlift_region_requests_total', labels);
+  };
+  const headOf = (
+    attempt: Attempt,
     mode: exchange.ExchangeMode,
     timeoutMs: number,
-  ): Promise<Attempt> => {
-    const head: exchange.ExchangeRequest = {
+  ): exchange.ExchangeRequest => {
+    const { request, attemptId, bootId, startBeforeMs } = attempt;
+    const { requestId, customerId, isIdempotent, method, path, contentType } = request;
+    return {
       from: options.sender(),
       mode,
-      requestId: request.requestId,
-      customerId: request.customerId,
-      isIdempotent: request.isIdempotent,
-      remainingMs: Math.floor(timeoutMs),
-      method: request.method,
-      path: request.path,
-      contentType: request.contentType,
+      requestId,
+      attemptId,
+      bootId,
+      startBeforeMs,
+      customerId,
+      isIdempotent,
+      remainingMs: Math.max(1, Math.floor(timeoutMs)),
+      method,
+      path,
+      contentType,
     };
+  };
+  const read = (attempt: Attempt, reply: http.HttpReply): attemptSteps.ExchangeResult => {
+    const head = parseReply(reply);
+    if (head === undefined) return noWord('an answer without envelope');
+    directory.noteAnswer(attempt.agent.agentUrl, head, nowMs());
+    const isOwn =
+      head.requestId === attempt.request.requestId && head.attemptId === attempt.attemptId;
+    return isOwn ? toResult(head, reply.body) : noWord("another attempt's answer");
+  };
+  const send = async (
+    attempt: Attempt,
+    mode: exchange.ExchangeMode,
+    leftMs: number,
+    timeoutMs: number,
+  ): Promise<attemptSteps.ExchangeResult> => {
+    const body = mode === 'run' ? attempt.request.body : new Uint8Array();
+    const header = JSON.stringify(headOf(attempt, mode, leftMs));
+    countBytes(attempt, body.byteLength + header.length, 'out');
     try {
       const reply = await options.call({
-        address: http.parseAddress(agentUrl),
+        address: http.parseAddress(attempt.agent.agentUrl),
         method: 'POST',
         path: exchange.EXCHANGE_PATH,
-        headers: {
-          ...options.peerSecretHeaders,
-          [exchange.REQUEST_HEADER]: JSON.stringify(head),
-        },
-        body: mode === 'run' ? request.body : new Uint8Array(),
-        timeoutMs,
+        headers: { ...options.peerSecretHeaders, [exchange.REQUEST_HEADER]: header },
+        body,
+        timeoutMs: Math.max(1, timeoutMs),
         isFreshConnection: mode === 'settle',
       });
-      noteLoad(agentUrl, reply);
-      return toAttempt(reply, request.requestId);
+      countBytes(attempt, reply.body.byteLength, 'back');
+      return read(attempt, reply);
     } catch (thrown) {
       const { message } = errors.normalize(thrown);
       const isUnseen =
         thrown instanceof http.HttpCallError && thrown.failure === http.HttpFailure.notSent;
-      if (isUnseen && mode === 'run') {
-        directory.remove(agentUrl);
-        return { type: 'elsewhere', error: errors.fail('noUpstream', message) };
-      }
-      return { type: 'unknown', error: errors.fail('outcomeUnknown', message) };
+      if (!isUnseen) return noWord(message);
+      directory.noteSilence(attempt.agent.agentUrl, nowMs());
+      return { type: 'notSent', error: errors.fail('noUpstream', message) };
     }
   };
-  const noteLoad = (agentUrl: string, reply: http.HttpReply): void => {
-    const header = reply.headers[exchange.REPLY_HEADER];
-    if (header === undefined) return;
-    const { running, queued, serviceMs, isLeaving } = JSON.parse(header) as exchange.ExchangeReply;
-    directory.noteLoad(agentUrl, { running, queued, serviceMs, isLeaving });
-  };
   /** Asks what became of a request whose connection went silent or broke. */
-  const settle = async (
-    agentUrl: string,
-    request: CallerRequest,
-    leftMs: number,
-  ): Promise<Attempt> => {
-    options.metrics.count('auburnlift_settles_total');
-    const attempt = await send(agentUrl, request, exchange.ExchangeMode.settle, leftMs);
-    if (attempt.type !== 'unknown') return attempt;
-    directory.remove(agentUrl);
-    const error = errors.fail('outcomeUnknown', 'the agent does not say what became of it');
-    return request.isIdempotent ? { type: 'elsewhere', error } : { type: 'final', error };
+  const settle = async (attempt: Attempt): Promise<attemptSteps.NextStep> => {
+    counters.count('auburnlift_settles_total');
+    const leftMs = Math.max(1, attempt.deadlineAtMs - nowMs());
+    const result = await send(attempt, exchange.ExchangeMode.settle, leftMs, leftMs);
+    if (result.type === 'noWord') directory.noteSilence(attempt.agent.agentUrl, nowMs());
+    return attemptSteps.afterSettle(result, attempt.request.isIdempotent);
+  };
+  const noteEnd = (
+    attempt: Attempt,
+    step: attemptSteps.NextStep,
+    policy: configuration.RoutingPolicy,
+  ): void => {
+    const url = attempt.agent.agentUrl;
+    const isAnswer = step.type === 'answer';
+    if (isAnswer && step.answer.status < SERVER_ERROR) directory.noteSuccess(url, nowMs());
+    const hasFailed = step.type === 'fail' || (isAnswer && step.answer.status >= SERVER_ERROR);
+    if (hasFailed) directory.noteFailure(url, nowMs(), policy.ejectionCapShare);
   };
   const tryOne = async (
-    agentUrl: string,
-    request: CallerRequest,
-    deadlineAtMs: number,
-  ): Promise<Attempt> => {
-    directory.addOutstanding(agentUrl, 1);
+    attempt: Attempt,
+    policy: configuration.RoutingPolicy,
+  ): Promise<attemptSteps.NextStep> => {
+    const { agent, request, deadlineAtMs } = attempt;
+    directory.addOutstanding(agent.agentUrl, 1);
     try {
-      const leftMs = deadlineAtMs - timeSource.monotonicMs();
-      const reserveMs = leftMs * SETTLE_RESERVE_SHARE;
-      const first = await send(agentUrl, request, exchange.ExchangeMode.run, leftMs - reserveMs);
-      if (first.type !== 'unknown') return first;
-      const stillMs = Math.max(1, deadlineAtMs - timeSource.monotonicMs());
-      return await settle(agentUrl, request, stillMs);
+      const leftMs = deadlineAtMs - nowMs();
+      const expectedMs = routing.expectedWaitMs(agent) + agent.serviceMs;
+      const patienceMs = Math.max(PATIENCE_FLOOR_MS, expectedMs * PATIENCE_FACTOR);
+      const timeoutMs = Math.min(leftMs * (1 - SETTLE_RESERVE_SHARE), patienceMs);
+      const result = await send(attempt, exchange.ExchangeMode.run, leftMs, timeoutMs);
+      const first = attemptSteps.afterRun(result, request.isIdempotent);
+      const step = first.type === 'settle' ? await settle(attempt) : first;
+      noteEnd(attempt, step, policy);
+      return step;
     } finally {
-      directory.addOutstanding(agentUrl, -1);
+      directory.addOutstanding(agent.agentUrl, -1);
     }
   };
-  const takeCredit = (): boolean => {
-    if (credit < 1) return false;
-    credit -= 1;
-    return true;
+  const chooseAgent = (
+    policy: configuration.RoutingPolicy,
+    excludedUrls: ReadonlySet<string>,
+  ): routing.RouteCandidate | undefined => {
+    const { zone, region } = options;
+    directory.expire(nowMs());
+    const chosen = routing.choose(
+      {
+        zone,
+        region,
+        candidates: directory.candidates(nowMs()),
+        excludedUrls,
+        policy,
+        mayLeaveRegion: crossings.hasCredit(),
+      },
+      options.random,
+    );
+    const isFull =
+      chosen === undefined || routing.expectedWaitMs(chosen) > policy.crossRegionPriceMs;
+    if (isFull) options.onHomeSaturated?.();
+    if (chosen !== undefined && chosen.region !== region) crossings.take();
+    return chosen;
+  };
+  const toAttempt = (
+    request: CallerRequest,
+    agent: routing.RouteCandidate,
+    deadlineAtMs: number,
+  ): Attempt | undefined => {
+    const boot = directory.bootOf(agent.agentUrl, nowMs());
+    if (boot === undefined) return undefined;
+    return {
+      request,
+      agent,
+      attemptId: options.newId(),
+      bootId: boot.bootId,
+      startBeforeMs: Math.floor(boot.clockMs + Math.max(0, deadlineAtMs - nowMs())),
+      deadlineAtMs,
+    };
   };
+  const pause = (durationMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      timeSource.after(durationMs, resolve);
+    });
+  /** A refusal from every agent asked is final at once, with the time after which to come back. */
   const routeUntil = async (
     request: CallerRequest,
     policy: configuration.RoutingPolicy,
@@ -189,25 +278,24 @@
   ): Promise<exchange.Answer> => {
     const excludedUrls = new Set<string>();
     let last = errors.fail('noUpstream', 'no upstream is known', { retryAfterMs: 1000 });
-    for (;;) {
-      directory.expire(timeSource.monotonicMs());
-      const { zone, region } = options;
-      const candidates = directory.candidates();
-      const chosen = routing.choose(
-        { zone, region, candidates, excludedUrls, policy },
-        options.random,
-      );
-      if (chosen === undefined) throw last;
-      const attempt = await tryOne(chosen.agentUrl, request, deadlineAtMs);
-      if (attempt.type === 'answer') {
-        credit = Math.min(INITIAL_RETRY_CREDIT, credit + policy.retryBudgetShare);
-        return attempt.answer;
+    crossings.earn(policy.crossRegionMaxShare);
+    for (let retry = 1; ; retry += 1) {
+      const agent = chooseAgent(policy, excludedUrls);
+      const attempt = agent && toAttempt(request, agent, deadlineAtMs);
+      if (attempt === undefined) throw last;
+      const step = await tryOne(attempt, policy);
+      if (step.type === 'answer') {
+        retries.earn(policy.retryBudgetShare);
+        return step.answer;
+      }
+      if (step.type !== 'elsewhere') {
+        throw step.type === 'fail' ? step.error : errors.fail('outcomeUnknown', 'not settled');
       }
-      if (attempt.type === 'final' || attempt.type === 'unknown') throw attempt.error;
-      last = attempt.error;
-      excludedUrls.add(chosen.agentUrl);
-      if (timeSource.monotonicMs() >= deadlineAtMs || !takeCredit()) throw last;
-      options.metrics.count('auburnlift_request_retries_total');
+      last = attemptSteps.worstOf(last, step.error);
+      excludedUrls.add(attempt.agent.agentUrl);
+      if (nowMs() >= deadlineAtMs || !retries.take()) throw last;
+      counters.count('auburnlift_request_retries_total');
+      await pause(requestBudgets.backoffMs(retry, options.random()));
     }
   };
   return {
@@ -218,13 +306,13 @@
         throw errors.fail('noUpstream', 'no configuration is in force yet', { retryAfterMs: 1000 });
       }
       open += 1;
-      const startedMs = timeSource.monotonicMs();
+      const startedMs = nowMs();
       try {
         return await routeUntil(request, policy, startedMs + request.deadlineMs);
       } finally {
         open -= 1;
-        const tookMs = timeSource.monotonicMs() - startedMs;
-        options.metrics.time('auburnlift_request_ms', tookMs, { customer: request.customerId });
+        const labels = { customer: request.customerId };
+        counters.time('auburnlift_request_ms', nowMs() - startedMs, labels);
       }
     },
   };
--- a/src/transport/node/exchangeServer.ts
+++ b/src/transport/node/exchangeServer.ts
@@ -5,7 +5,7 @@
 import * as schemaIssues from '../../base/common/schemaIssues.js';
 import type * as envelope from '../../protocol/common/envelope.js';
 import * as exchange from '../../protocol/common/exchange.js';
-import type * as outcomeTable from '../../protocol/common/outcomeTable.js';
+import type * as requestRecord from '../../protocol/common/requestRecord.js';
 import type * as requestHost from '../../protocol/node/requestHost.js';
 import * as httpServer from './httpServer.js';
 import * as rpcServer from './rpcServer.js';
@@ -35,13 +35,16 @@
 
 const toReply = (
   options: ExchangeListenerOptions,
-  requestId: string,
-  outcome: outcomeTable.Outcome,
+  { requestId, attemptId }: exchange.ExchangeRequest,
+  outcome: requestRecord.Outcome,
 ): httpServer.ServerReply => {
   const isAnswer = outcome.type === 'answer';
   const head: exchange.ExchangeReply = {
     from: options.sender(),
     requestId,
+    attemptId,
+    bootId: options.host.bootId,
+    clockMs: options.host.clockMs(),
     kind: isAnswer ? 'answer' : 'error',
     status: isAnswer ? outcome.answer.status : 0,
     contentType: isAnswer ? outcome.answer.contentType : 'application/json',
@@ -62,7 +65,7 @@
   const handler: httpServer.Handler = async (request) => {
     const head = parseHead(request.headers[exchange.REQUEST_HEADER]);
     options.noteVersion(head.from.configVersion);
-    return toReply(options, head.requestId, await options.host.exchange(head, request.body));
+    return toReply(options, head, await options.host.exchange(head, request.body));
   };
   const exchangeListener = httpServer.toListener(handler, options.maxBodyBytes);
   const refuse = httpServer.toListener(() => {
