Give the operators' API a route table and the configuration its checks

Cause: the operators' API was one switch over paths, so that nobody could add routes beside it; the configuration was validated field by field only, its history could lose a version when the writer died between two writes, and a lost answer was settled by one read that a second loss defeated.

Change: routes are a table of method, pattern, role and handler; further modules add theirs. The document is checked as a whole (unique ids, references, shapes that fit their cell with adjacency, quotas, slots that add up). A writer copies the version that it replaces to the history before it swaps, and sends the same swap again after a lost answer. Entries and schedulers catch up with a higher version on any message, ask their peers while the store is down and raise an alarm for a store that was restored from an older state.

--- a/src/base/common/errorKinds.ts
+++ b/src/base/common/errorKinds.ts
@@ -58,7 +58,7 @@
   notLeader: answer(503, 26, true, Ran.no),
   /** The message carries an older leadership epoch than the receiver has accepted. */
   staleEpoch: answer(409, 27, false, Ran.no),
-  /** The sender's configuration is older than the receiver's. */
+  /** One side's configuration is older than the other's, and it could not catch up. */
   staleConfiguration: answer(409, 28, true, Ran.no),
   /** The request was settled as not run before it arrived. */
   tombstoned: answer(409, 29, false, Ran.no),
--- a/src/bench/rpcBench.ts
+++ b/src/bench/rpcBench.ts
@@ -59,6 +59,8 @@
     register: () => Promise.resolve({ from, entryUrls: [], nextAfterMs: 1000 }),
     configuration: () => Promise.resolve({ from }),
     agents: () => Promise.resolve({ from, agentUrls: [] }),
+    version: () => Promise.resolve({ from }),
+    overview: () => Promise.resolve({ from, agents: [] }),
   });
   const plain = httpServer.toListener(
     (request) => Promise.resolve({ status: 200, body: request.body }),
--- a/src/coordination/node/configurationStore.ts
+++ b/src/coordination/node/configurationStore.ts
@@ -1,15 +1,22 @@
 /**
  * Writes the configuration: compare-and-swap on the version that the author had before them.
  *
- * Guards against two operators who race (the second gets a conflict that names the version in
- * force) and against lost answers (the document is read back and its write id tells).
+ * Guards against
+ * - two operators who race: the second gets a conflict that carries the version in force;
+ * - an answer that is lost: the same swap is sent again, which either takes effect or shows what
+ *   stands there; a swap that arrives late finds another revision and changes nothing;
+ * - an answer that is lost while somebody writes on top: the history tells whether ours was
+ *   accepted, since a writer archives the version that it replaces;
+ * - a store that was restored from an older state: nothing is written on top of it.
  */
 import * as errors from '../../base/common/errors.js';
-import * as schemaIssues from '../../base/common/schemaIssues.js';
 import * as configuration from '../../state/common/configuration.js';
+import * as configurationChecks from '../../state/common/configurationChecks.js';
 import * as store from '../../state/common/store.js';
 import * as storeKeys from '../../state/common/storeKeys.js';
 
+import * as configurationHistory from './configurationHistory.js';
+
 /** A change as an operator asks for it. */
 export interface ConfigurationChange {
   /** Version that the author saw. */
@@ -20,71 +27,127 @@
   readonly document: configuration.ConfigurationDocument;
 }
 
-const decode = (value: string): configuration.ConfigurationRecord =>
-  schemaIssues.decodeOrFail(
-    configuration.ConfigurationRecord,
-    JSON.parse(value),
-    'configuration record',
+/** The version that the writer has in force, by which a restored store is recognised. */
+export type KnownVersion = Pick<configuration.ConfigurationRecord, 'version' | 'writeId'>;
+
+type ConfigurationRecord = configuration.ConfigurationRecord;
+
+/** Same swaps sent before the outcome is given up as unknown. */
+const SWAP_TRIES = 3;
+
+const conflict = (change: ConfigurationChange, current: ConfigurationRecord | undefined) =>
+  errors.fail(
+    'conflict',
+    `version ${current?.version ?? 0} by ${current?.author ?? 'nobody'} is in force, not version ` +
+      `${change.baseVersion} that you changed; nothing was written`,
+    { field: 'baseVersion', facts: { current, yours: change } },
+  );
+
+const unknown = (change: ConfigurationChange) =>
+  errors.fail(
+    'outcomeUnknown',
+    'the store went away before it answered; send the same change with the same write id again',
+    { facts: { writeId: change.writeId, baseVersion: change.baseVersion } },
+  );
+
+/** What a store that was restored from an older state shows, against the version in force. */
+const isBehind = (current: ConfigurationRecord | undefined, known: KnownVersion): boolean => {
+  const version = current?.version ?? configuration.NO_VERSION;
+  return (
+    version < known.version || (version === known.version && current?.writeId !== known.writeId)
+  );
+};
+
+const assertNotRestored = (
+  current: ConfigurationRecord | undefined,
+  known: KnownVersion | undefined,
+): void => {
+  if (known === undefined || !isBehind(current, known)) return;
+  throw errors.fail(
+    'conflict',
+    `the store holds version ${current?.version ?? 0}, and version ${known.version} is in force: ` +
+      'the store was restored from an older state; nothing was written',
+    { field: 'baseVersion' },
   );
+};
 
-const conflict = (current: configuration.ConfigurationRecord | undefined) =>
-  errors.fail('conflict', `version ${current?.version ?? 0} is in force, not the one you saw`, {
-    field: 'baseVersion',
-    facts: { current },
-  });
+const read = async (
+  target: store.Store,
+): Promise<{ entry: store.StoreEntry | undefined; current: ConfigurationRecord | undefined }> => {
+  const entry = await target.get(storeKeys.CONFIGURATION_KEY);
+  const current = entry === undefined ? undefined : configurationHistory.decodeRecord(entry.value);
+  return { entry, current };
+};
+
+/** The change where an earlier try of it was accepted and somebody may have written since. */
+const findAccepted = async (
+  target: store.Store,
+  change: ConfigurationChange,
+  current: ConfigurationRecord | undefined,
+): Promise<ConfigurationRecord | undefined> => {
+  if (current?.writeId === change.writeId) return current;
+  const version = change.baseVersion + 1;
+  if (current === undefined || current.version <= version) return undefined;
+  const archived = await configurationHistory.readArchived(target, version);
+  return archived?.writeId === change.writeId ? archived : undefined;
+};
+
+const swap = async (
+  target: store.Store,
+  change: ConfigurationChange,
+  record: ConfigurationRecord,
+  expectedRevision: number,
+): Promise<ConfigurationRecord> => {
+  const key = storeKeys.CONFIGURATION_KEY;
+  const value = JSON.stringify(record);
+  let isUncertain = false;
+  for (let attempt = 1; attempt <= SWAP_TRIES; attempt += 1) {
+    try {
+      const result = await target.compareAndSwap({ key, expectedRevision, value });
+      if (result.isSwapped) return record;
+      const current = result.current && configurationHistory.decodeRecord(result.current.value);
+      const accepted = await findAccepted(target, change, current);
+      if (accepted !== undefined) return accepted;
+      throw conflict(change, current);
+    } catch (thrown) {
+      const isLost = thrown instanceof store.StoreOutcomeUnknown;
+      const isDown = errors.isKnown(thrown) && thrown.kind === 'storeUnavailable';
+      if (!isLost && !(isDown && isUncertain)) throw thrown;
+      isUncertain = true;
+    }
+  }
+  throw unknown(change);
+};
 
 /**
  * @param target - the store
  * @param change - what the operator asks for
  * @param nowMs - wall time
- * @returns the record that is in force from now on
- * @throws AuburnliftError `conflict` with the current record in its facts, `storeUnavailable`
- *   where nothing was written, `outcomeUnknown` where nobody can say
+ * @param known - the version that the writer has in force, where it has any
+ * @returns the record that was accepted; for a write id that was accepted before, that one
+ * @throws AuburnliftError `invalidRequest` naming each complaint, `conflict` with both changes in its
+ *   facts, `storeUnavailable` where nothing was written, `outcomeUnknown` where nobody can say yet
  */
 export const writeConfiguration = async (
   target: store.Store,
   change: ConfigurationChange,
   nowMs: number,
-): Promise<configuration.ConfigurationRecord> => {
-  const entry = await target.get(storeKeys.CONFIGURATION_KEY);
-  const current = entry === undefined ? undefined : decode(entry.value);
-  if (current?.writeId === change.writeId) return current;
+  known?: KnownVersion,
+): Promise<ConfigurationRecord> => {
+  configurationChecks.assertDocument(change.document);
+  const { entry, current } = await read(target);
+  assertNotRestored(current, known);
+  const accepted = await findAccepted(target, change, current);
+  if (accepted !== undefined) return accepted;
   if ((current?.version ?? configuration.NO_VERSION) !== change.baseVersion) {
-    throw conflict(current);
+    throw conflict(change, current);
   }
   const { writeId, author, reason, document } = change;
   const version = change.baseVersion + 1;
   const record = { version, writeId, author, reason, writtenAtMs: nowMs, document };
-  const value = JSON.stringify(record);
-  const key = storeKeys.CONFIGURATION_KEY;
-  try {
-    const expectedRevision = entry?.revision ?? store.ABSENT_REVISION;
-    const result = await target.compareAndSwap({ key, expectedRevision, value });
-    if (!result.isSwapped) {
-      throw conflict(result.current && decode(result.current.value));
-    }
-  } catch (thrown) {
-    if (!(thrown instanceof store.StoreOutcomeUnknown)) throw thrown;
-    await settle(target, record);
-  }
-  await target.compareAndSwap({
-    key: storeKeys.configurationHistoryKey(version),
-    expectedRevision: store.ABSENT_REVISION,
-    value,
-  });
-  return record;
-};
-
-const settle = async (
-  target: store.Store,
-  record: configuration.ConfigurationRecord,
-): Promise<void> => {
-  let entry: store.StoreEntry | undefined;
-  try {
-    entry = await target.get(storeKeys.CONFIGURATION_KEY);
-  } catch {
-    throw errors.fail('outcomeUnknown', 'the store went away; look which version is in force');
-  }
-  const current = entry === undefined ? undefined : decode(entry.value);
-  if (current?.writeId !== record.writeId) throw conflict(current);
+  if (current !== undefined) await configurationHistory.archive(target, current);
+  const written = await swap(target, change, record, entry?.revision ?? store.ABSENT_REVISION);
+  // The change stands; a bound that is not kept now is kept by the next write.
+  await configurationHistory.prune(target, written.version).catch(() => undefined);
+  return written;
 };
--- /dev/null
+++ b/src/coordination/node/configurationSync.ts
@@ -0,0 +1,172 @@
+/**
+ * The configuration's way into one entry or scheduler: from the store's watch, from its peers while
+ * the store is down, and from any message that carries a higher version.
+ *
+ * Guards against a store that was restored from an older state. It shows as an older version in the
+ * watch, but so does a watch that lags behind a write of this process. A version in force was in
+ * the store before anybody had it, so a read that begins afterwards and finds an older one proves
+ * the restoration; only then is the alarm raised. The process stays at its version in either case.
+ */
+import type * as clock from '../../base/common/clock.js';
+import type * as disposable from '../../base/common/disposable.js';
+import * as errors from '../../base/common/errors.js';
+import type * as logging from '../../base/common/logging.js';
+import type * as metrics from '../../base/common/metrics.js';
+import type * as configuration from '../../state/common/configuration.js';
+import type * as store from '../../state/common/store.js';
+import * as storeKeys from '../../state/common/storeKeys.js';
+import * as configurationHolder from '../common/configurationHolder.js';
+import * as liveView from '../common/liveView.js';
+
+import type * as liveWatch from './liveWatch.js';
+
+/** What the configuration's way needs. */
+export interface ConfigurationSyncOptions {
+  readonly holder: configurationHolder.ConfigurationHolder;
+  readonly store: store.Store;
+  readonly live: liveWatch.LiveWatch;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  readonly metrics: metrics.Metrics;
+  /** Peers of the settings, asked besides those that the store names. */
+  readonly settingsPeerUrls: readonly string[];
+  /** Asks another entry or scheduler for what it has in force. */
+  readonly fetch: (url: string) => Promise<configuration.ConfigurationRecord | undefined>;
+}
+
+/** The configuration's way. Disposing it ends it. */
+export interface ConfigurationSync extends disposable.Disposable {
+  /** Learns that a peer has the version; a higher one is fetched in the background. */
+  readonly noteVersion: (version: number) => void;
+  /** @returns whether at least the version is in force, after asking the peers where it is not */
+  readonly catchUp: (version: number) => Promise<boolean>;
+  /** Asks every peer and takes the highest version. */
+  readonly askPeers: () => Promise<void>;
+  /** What operators must know, one sentence each. */
+  readonly warnings: () => readonly string[];
+}
+
+/** Wait between two rounds of questions while there is no configuration at all. */
+const FIRST_RETRY_MS = 500;
+
+/** Peers asked at once: entries and schedulers are few, and any one of them suffices. */
+const MAX_PEERS = 16;
+
+const BEHIND_METRIC = 'auburnlift_configuration_store_behind';
+
+const decodeEntry = (
+  entry: store.StoreEntry | undefined,
+): configuration.ConfigurationRecord | undefined =>
+  entry === undefined ? undefined : liveView.configurationOf(new Map([[entry.key, entry]]));
+
+/**
+ * @param options - what it needs
+ * @returns the way, already running
+ */
+export const startConfigurationSync = (options: ConfigurationSyncOptions): ConfigurationSync => {
+  const { holder, live, log } = options;
+  let behind: string | undefined;
+  let isChecking = false;
+  let asking: Promise<void> | undefined;
+  let timer: disposable.Disposable | undefined;
+  let isDisposed = false;
+
+  const clear = (): void => {
+    if (behind !== undefined)
+      {log('info', 'configurationStoreCaughtUp', { version: holder.version() });}
+    behind = undefined;
+    options.metrics.gauge(BEHIND_METRIC, 0);
+  };
+  const raise = (found: configuration.ConfigurationRecord | undefined): void => {
+    const storeVersion = found?.version ?? 0;
+    const sentence =
+      `the store holds configuration version ${storeVersion}, but version ${holder.version()} is ` +
+      'in force: the store was restored from an older state; nothing is written on top of it';
+    if (sentence === behind) return;
+    behind = sentence;
+    options.metrics.gauge(BEHIND_METRIC, 1);
+    log('error', 'configurationRefused', {
+      storeVersion,
+      storeWriteId: found?.writeId,
+      inForceVersion: holder.version(),
+      inForceWriteId: holder.current()?.writeId,
+    });
+  };
+  /** Reads the key itself, since a refused version in the watch may only be late. */
+  const verify = async (): Promise<void> => {
+    if (isChecking) return;
+    isChecking = true;
+    try {
+      const known = holder.current();
+      const entry = await options.store.get(storeKeys.CONFIGURATION_KEY);
+      const found = decodeEntry(entry);
+      const adoption =
+        found === undefined ? configurationHolder.Adoption.refused : holder.offer(found);
+      const isStale =
+        known !== undefined &&
+        (found === undefined ||
+          found.version < known.version ||
+          (found.version === known.version && found.writeId !== known.writeId));
+      if (isStale) raise(found);
+      else if (adoption !== configurationHolder.Adoption.refused) clear();
+    } catch (thrown) {
+      log('debug', 'configurationNotVerified', { reason: errors.normalize(thrown).message });
+    } finally {
+      isChecking = false;
+    }
+  };
+  const adopt = (): void => {
+    const record = liveView.configurationOf(live.entries());
+    const adoption =
+      record === undefined ? configurationHolder.Adoption.refused : holder.offer(record);
+    if (adoption === configurationHolder.Adoption.refused) {
+      if (holder.current() !== undefined) void verify();
+    } else if (behind !== undefined) clear();
+  };
+  const peerUrls = (): readonly string[] => {
+    const known = (['entry', 'scheduler'] as const).flatMap((role) =>
+      liveView.processesOf(live.entries(), role).map((it) => it.url),
+    );
+    return [...new Set([...known, ...options.settingsPeerUrls])].slice(0, MAX_PEERS);
+  };
+  const ask = async (url: string): Promise<void> => {
+    try {
+      const record = await options.fetch(url);
+      if (record !== undefined) holder.offer(record);
+    } catch (thrown) {
+      log('debug', 'configurationNotFetched', { url, reason: errors.normalize(thrown).message });
+    }
+  };
+  const askPeers = async (): Promise<void> => {
+    // Whoever comes while the peers are being asked shares that round.
+    asking ??= Promise.all(peerUrls().map(ask)).then(() => {
+      asking = undefined;
+    });
+    await asking;
+  };
+  const catchUp = async (version: number): Promise<boolean> => {
+    if (holder.version() < version) await askPeers();
+    return holder.version() >= version;
+  };
+  const loop = (): void => {
+    void askPeers().finally(() => {
+      const isDone = isDisposed || holder.current() !== undefined;
+      if (!isDone) timer = options.clock.after(FIRST_RETRY_MS, loop);
+    });
+  };
+  const subscription = live.onDidChange(adopt);
+  loop();
+  return {
+    noteVersion: (version) => {
+      if (version > holder.version()) void catchUp(version);
+    },
+    catchUp,
+    askPeers,
+    warnings: () => (behind === undefined ? [] : [behind]),
+    dispose: async () => {
+      isDisposed = true;
+      void timer?.dispose();
+      await subscription.dispose();
+    },
+  };
+};
--- a/src/programs/agent.ts
+++ b/src/programs/agent.ts
@@ -65,6 +65,7 @@
   links: agentLinks.AgentLinks,
   workerInfo: () => worker.WorkerInfo | undefined,
   tasks: () => agentRuntime.AgentRuntime | undefined,
+  drainUpstream: (isDraining: boolean) => void,
 ): agentRouter.AgentService => {
   const need = (): agentRuntime.AgentRuntime => {
     const runtime = tasks();
@@ -90,6 +91,14 @@
       const results = await need().command(request.epoch, request.commands);
       return { from: kit.sender(), bootId, commandCount: need().commandCount(), results };
     },
+    drain: async (request) => {
+      links.noteVersion(request.from.configVersion);
+      drainUpstream(request.isDraining);
+      // The entries of the region know before the operator has the answer.
+      await links.registerNow();
+      const upstream = links.upstreamState();
+      return { from: kit.sender(), ...(upstream === undefined ? {} : { upstream }) };
+    },
   };
 };
 
@@ -103,6 +112,8 @@
   const kit = processKit.createProcessKit('agent', settings);
   const bootId = kit.newId();
   let isLeaving = false;
+  let isDrained = false;
+  let lastAnnounced: upstreamContract.Announcement | undefined;
   let tasks: agentRuntime.AgentRuntime | undefined;
   let info: worker.WorkerInfo | undefined;
   const host = requestHost.createRequestHost({
@@ -120,12 +131,20 @@
     isLeaving: () => isLeaving,
     acceptedEpoch: () => tasks?.acceptedEpoch() ?? 0,
   });
+  const announce = (announced: upstreamContract.Announcement): void => {
+    lastAnnounced = announced;
+    host.announce({ ...announced, isLeaving: announced.isLeaving || isDrained });
+  };
   const service = createService(
     kit,
     bootId,
     links,
     () => info,
     () => tasks,
+    (isDraining) => {
+      isDrained = isDraining;
+      if (lastAnnounced !== undefined && host.upstream() !== undefined) announce(lastAnnounced);
+    },
   );
   const health: healthApi.HealthOptions = {
     metrics: kit.metrics,
@@ -143,9 +162,9 @@
       body,
       'announcement',
     );
-    const wasKnown = host.upstream()?.isLeaving === announced.isLeaving;
-    host.announce(announced);
-    if (!wasKnown) links.registerSoon();
+    const wasLeaving = host.upstream()?.isLeaving;
+    announce(announced);
+    if (host.upstream()?.isLeaving !== wasLeaving) links.registerSoon();
     return Promise.resolve(httpServer.jsonReply({}));
   };
   const listener = rpcServer.createRpcListener(
--- a/src/programs/agentLinks.ts
+++ b/src/programs/agentLinks.ts
@@ -37,6 +37,8 @@
   /** Learns of a configuration version; a higher one is fetched. */
   readonly noteVersion: (version: number) => void;
   readonly registerSoon: () => void;
+  /** The upstream as it is registered. */
+  readonly upstreamState: () => agentEntryMessages.UpstreamState | undefined;
   readonly registerNow: () => Promise<void>;
   readonly start: (url: string, firstAfterMs: number) => disposable.Disposable;
 }
@@ -127,6 +129,7 @@
     noteLeader,
     noteVersion,
     registerNow,
+    upstreamState,
     registerSoon: () => schedule(0),
     report: async (report) => {
       const info = options.worker();
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -15,9 +15,12 @@
 import type * as healthApi from '../transport/node/healthApi.js';
 import * as httpServer from '../transport/node/httpServer.js';
 import * as operatorApi from '../transport/node/operatorApi.js';
+import * as operatorAuth from '../transport/node/operatorAuth.js';
 import * as rpcServer from '../transport/node/rpcServer.js';
 
+import * as configurationLinks from './configurationLinks.js';
 import * as entryGateways from './entryGateways.js';
+import * as operatorViews from './operatorViews.js';
 import * as processKit from './processKit.js';
 
 /** A running entry. */
@@ -73,6 +76,9 @@
     const entries = directory.entries().filter((it) => it.zone === zone);
     return Promise.resolve({ from: kit.sender(), agentUrls: entries.map((it) => it.url) });
   },
+  version: () => Promise.resolve({ from: kit.sender() }),
+  overview: () =>
+    Promise.resolve({ from: kit.sender(), agents: operatorViews.agentViews(directory) }),
 });
 
 /**
@@ -98,12 +104,7 @@
       retryMs: RETRY_MS,
     }),
   );
-  kit.owned.add(
-    live.onDidChange(() => {
-      const record = liveView.configurationOf(live.entries());
-      if (record !== undefined) kit.configuration.offer(record);
-    }),
-  );
+  const sync = configurationLinks.startSync(kit, store, live, settings.peerUrls);
   const directory = agentDirectory.createAgentDirectory();
   const router = requestRouter.createRequestRouter({
     zone: settings.zone,
@@ -124,7 +125,7 @@
       return kit.configuration.current() === undefined ? 'no configuration yet' : undefined;
     },
   };
-  const gateways = entryGateways.createGateways(kit, store, live);
+  const gateways = entryGateways.createGateways({ kit, store, live, sync, directory });
   const callers = await httpServer.listen(
     {
       ...settings.callers,
@@ -157,8 +158,8 @@
     },
     httpServer.toListener(
       operatorApi.createOperatorApi(
-        gateways.operators,
-        operatorApi.createAuthenticator(settings.operatorTokens),
+        operatorApi.createApiRoutes(gateways.operators),
+        operatorAuth.createAuthenticator(settings.operatorTokens),
       ),
       settings.maxBodyBytes,
     ),
@@ -169,7 +170,13 @@
   const peers = await httpServer.listen(
     { ...settings.peers, maxBodyBytes: rpcServer.MAX_RPC_BYTES, maxConnections: MAX_CONNECTIONS },
     rpcServer.createRpcListener(
-      entryRouter.createEntryRouter(createService(kit, directory, live, settings.region)),
+      entryRouter.createEntryRouter(
+        configurationLinks.withVersions(
+          createService(kit, directory, live, settings.region),
+          sync,
+          [],
+        ),
+      ),
       settings.peerSecret,
       httpServer.toListener(notFound, rpcServer.MAX_RPC_BYTES),
     ),
--- a/src/programs/entryGateways.ts
+++ b/src/programs/entryGateways.ts
@@ -3,39 +3,46 @@
  */
 import * as errors from '../base/common/errors.js';
 import * as schemaIssues from '../base/common/schemaIssues.js';
+import type * as agentDirectory from '../coordination/common/agentDirectory.js';
 import * as jobAdmission from '../coordination/common/jobAdmission.js';
 import * as liveView from '../coordination/common/liveView.js';
-import * as configurationStore from '../coordination/node/configurationStore.js';
+import type * as configurationSync from '../coordination/node/configurationSync.js';
 import type * as liveWatch from '../coordination/node/liveWatch.js';
 import type * as configuration from '../state/common/configuration.js';
 import * as ledgerEntry from '../state/common/ledgerEntry.js';
 import type * as store from '../state/common/store.js';
 import * as storeKeys from '../state/common/storeKeys.js';
 import type * as callerApi from '../transport/node/callerApi.js';
-import type * as operatorApi from '../transport/node/operatorApi.js';
+import type * as operatorGateway from '../transport/node/operatorGateway.js';
 import type * as rpcClient from '../transport/node/rpcClient.js';
 
+import * as configurationGateway from './configurationGateway.js';
+import * as operatorViews from './operatorViews.js';
 import type * as processKit from './processKit.js';
 
 /** Both gateways of an entry. */
 export interface Gateways {
   readonly jobs: callerApi.JobGateway;
-  readonly operators: operatorApi.OperatorGateway;
+  readonly operators: operatorGateway.OperatorGateway;
 }
 
 const RETRY_MS = 1000;
 
+/** What the gateways need. */
+export interface GatewayOptions {
+  readonly kit: processKit.ProcessKit;
+  readonly store: store.Store;
+  readonly live: liveWatch.LiveWatch;
+  readonly sync: configurationSync.ConfigurationSync;
+  readonly directory: agentDirectory.AgentDirectory;
+}
+
 /**
- * @param kit - parts of the process
- * @param target - the store
- * @param live - the live prefix
+ * @param options - what the gateways need
  * @returns the gateways
  */
-export const createGateways = (
-  kit: processKit.ProcessKit,
-  target: store.Store,
-  live: liveWatch.LiveWatch,
-): Gateways => {
+export const createGateways = (options: GatewayOptions): Gateways => {
+  const { kit, store: target, live, sync } = options;
   const document = (): configuration.ConfigurationDocument => {
     const current = kit.configuration.current();
     if (current !== undefined) return current.document;
@@ -63,17 +70,30 @@
     cancel: async (cell, jobIds) =>
       (await leader(cell).cancel({ from: kit.sender(), cell, jobIds: [...jobIds] })).jobs,
   };
-  const operators: operatorApi.OperatorGateway = {
-    configuration: () => kit.configuration.current(),
-    writeConfiguration: async (change) => {
-      const record = await configurationStore.writeConfiguration(
-        target,
-        change,
-        kit.clock.wallMs(),
-      );
-      kit.configuration.offer(record);
-      return record;
-    },
+  const views = operatorViews.createOperatorViews({
+    kit,
+    live,
+    directory: options.directory,
+    cells: () => document().cells.map((it) => it.cell),
+    leader,
+  });
+  const drainUpstream = async (
+    upstreamId: string,
+    isDraining: boolean,
+  ): Promise<operatorGateway.UpstreamSummary> => {
+    const agent = (await views.agents()).find((it) => it.upstream?.upstreamId === upstreamId);
+    if (agent === undefined) {
+      throw errors.fail('notFound', `no upstream ${upstreamId}; nothing ran`, {
+        field: 'upstream',
+      });
+    }
+    const request = { from: kit.sender(), isDraining };
+    const { upstream } = await kit.clients.agent(agent.url).drain(request);
+    if (upstream !== undefined) return operatorViews.toUpstreamSummary(agent, upstream);
+    throw errors.fail('notFound', `upstream ${upstreamId} has gone`, { field: 'upstream' });
+  };
+  const operators: operatorGateway.OperatorGateway = {
+    ...configurationGateway.createConfigurationGateway({ kit, store: target, sync, views }),
     cells: () =>
       Promise.resolve(
         document().cells.map(({ cell, region }) => {
@@ -86,6 +106,12 @@
     cell: (cell) => leader(cell).cell({ from: kit.sender(), cell }),
     quarantine: (cell, workerId, isQuarantined, reason) =>
       leader(cell).quarantine({ from: kit.sender(), cell, workerId, isQuarantined, reason }),
+    jobs: views.jobs,
+    upstreams: async () =>
+      (await views.agents()).flatMap((it) =>
+        it.upstream === undefined ? [] : [operatorViews.toUpstreamSummary(it, it.upstream)],
+      ),
+    drainUpstream,
     ledger: async (cell) => {
       const { entries } = await target.list(storeKeys.ledgerPrefix(cell));
       return entries.map((it) =>
--- /dev/null
+++ b/src/programs/operatorViews.ts
@@ -0,0 +1,125 @@
+/**
+ * What an entry gathers from the other processes for operators: versions, upstreams, jobs.
+ */
+import type * as agentDirectory from '../coordination/common/agentDirectory.js';
+import * as liveView from '../coordination/common/liveView.js';
+import type * as liveWatch from '../coordination/node/liveWatch.js';
+import type * as operatorMessages from '../protocol/common/operatorMessages.js';
+import type * as job from '../state/common/job.js';
+import type * as operatorGateway from '../transport/node/operatorGateway.js';
+import type * as rpcClient from '../transport/node/rpcClient.js';
+
+import type * as processKit from './processKit.js';
+
+/** What the views need. */
+export interface OperatorViewOptions {
+  readonly kit: processKit.ProcessKit;
+  readonly live: liveWatch.LiveWatch;
+  readonly directory: agentDirectory.AgentDirectory;
+  readonly cells: () => readonly string[];
+  readonly leader: (cell: string) => rpcClient.SchedulerClient;
+}
+
+/** Gathered views. */
+export interface OperatorViews {
+  readonly agents: () => Promise<readonly operatorMessages.AgentView[]>;
+  readonly versions: () => Promise<readonly operatorGateway.ProcessVersion[]>;
+  readonly jobs: () => Promise<operatorGateway.JobList>;
+}
+
+/**
+ * @param directory - agents that an entry knows
+ * @returns them as another entry is told
+ */
+export const agentViews = (
+  directory: agentDirectory.AgentDirectory,
+): operatorMessages.AgentView[] =>
+  directory.entries().map((it) => ({
+    agentId: it.agentId,
+    url: it.url,
+    zone: it.zone,
+    region: it.region,
+    configVersion: it.configVersion,
+    ...(it.upstream === undefined
+      ? {}
+      : { upstream: { connections: it.upstream.slots, ...it.upstream } }),
+  }));
+
+/**
+ * @param agent - an agent with an upstream
+ * @param upstream - its upstream
+ * @returns one line of the list of upstreams
+ */
+export const toUpstreamSummary = (
+  agent: operatorMessages.AgentView,
+  upstream: NonNullable<operatorMessages.AgentView['upstream']>,
+): operatorGateway.UpstreamSummary => {
+  const { upstreamId, slots, running, queued, serviceMs, isLeaving } = upstream;
+  const { agentId, zone, region } = agent;
+  return { upstreamId, agentId, zone, region, slots, running, queued, serviceMs, isLeaving };
+};
+
+const orElse = async <T>(asked: Promise<T>, otherwise: T): Promise<T> =>
+  asked.catch(() => otherwise);
+
+/**
+ * @param options - what the views need
+ * @returns views gathered anew with each call
+ */
+export const createOperatorViews = (options: OperatorViewOptions): OperatorViews => {
+  const { kit, live } = options;
+  const agents = async (): Promise<readonly operatorMessages.AgentView[]> => {
+    const entries = liveView.processesOf(live.entries(), 'entry');
+    const own = agentViews(options.directory);
+    const others = await Promise.all(
+      entries
+        .filter((it) => it.processId !== kit.sender().processId)
+        .map((it) =>
+          orElse(
+            kit.clients
+              .entry(it.url)
+              .overview({ from: kit.sender() })
+              .then((reply) => reply.agents),
+            [],
+          ),
+        ),
+    );
+    const newest = new Map<string, operatorMessages.AgentView>();
+    for (const it of [...own, ...others.flat()]) {
+      const known = newest.get(it.agentId);
+      if (known === undefined || known.configVersion <= it.configVersion)
+        {newest.set(it.agentId, it);}
+    }
+    return [...newest.values()].sort((a, b) => a.agentId.localeCompare(b.agentId));
+  };
+  const versions = async (): Promise<readonly operatorGateway.ProcessVersion[]> => {
+    const processes = (['entry', 'scheduler'] as const).flatMap((role) =>
+      liveView.processesOf(live.entries(), role),
+    );
+    const asked = processes.map(async ({ processId, role, zone, url }) => {
+      const reply = await orElse(kit.clients.entry(url).version({ from: kit.sender() }), undefined);
+      return { processId, role, zone, version: reply?.from.configVersion };
+    });
+    const known = (await agents()).map(({ agentId, zone, configVersion }) => ({
+      processId: agentId,
+      role: 'agent',
+      zone,
+      version: configVersion,
+    }));
+    return [...(await Promise.all(asked)), ...known];
+  };
+  const jobs = async (): Promise<operatorGateway.JobList> => {
+    const lists = await Promise.all(
+      options.cells().map(async (cell) => {
+        const ask = async (): Promise<readonly job.JobRecord[]> =>
+          (await options.leader(cell).cell({ from: kit.sender(), cell })).jobs;
+        return { cell, jobs: await orElse<readonly job.JobRecord[] | undefined>(ask(), undefined) };
+      }),
+    );
+    return {
+      jobs: lists.flatMap((it) => it.jobs ?? []),
+      unansweredCells: lists.filter((it) => it.jobs === undefined).map((it) => it.cell),
+    };
+  };
+  return { agents, versions, jobs };
+};
--- a/src/programs/scheduler.ts
+++ b/src/programs/scheduler.ts
@@ -3,7 +3,6 @@
  */
 import * as errors from '../base/common/errors.js';
 import * as http from '../base/common/http.js';
-import * as liveView from '../coordination/common/liveView.js';
 import type * as cellLeader from '../coordination/node/cellLeader.js';
 import * as liveWatch from '../coordination/node/liveWatch.js';
 import * as processPresence from '../coordination/node/processPresence.js';
@@ -16,6 +15,7 @@
 import * as rpcServer from '../transport/node/rpcServer.js';
 
 import * as cellClaims from './cellClaims.js';
+import * as configurationLinks from './configurationLinks.js';
 import * as processKit from './processKit.js';
 
 const MAX_CONNECTIONS = 4096;
@@ -74,6 +74,7 @@
       leader.quarantine(workerId, isQuarantined, reason);
       return Promise.resolve(cellReply(leader));
     },
+    version: () => Promise.resolve({ from: kit.sender() }),
     configuration: () => {
       const record = kit.configuration.current();
       return Promise.resolve({
@@ -109,11 +110,7 @@
       retryMs: RETRY_MS,
     }),
   );
-  const adopt = (): void => {
-    const record = liveView.configurationOf(live.entries());
-    if (record !== undefined) kit.configuration.offer(record);
-  };
-  kit.owned.add(live.onDidChange(adopt));
+  const sync = configurationLinks.startSync(kit, store, live, settings.peerUrls);
   const claims = cellClaims.createCellClaims({ kit, settings, store, live });
   const health: healthApi.HealthOptions = {
     metrics: kit.metrics,
@@ -134,7 +131,9 @@
       maxConnections: MAX_CONNECTIONS,
     },
     rpcServer.createRpcListener(
-      schedulerRouter.createSchedulerRouter(createService(kit, claims)),
+      schedulerRouter.createSchedulerRouter(
+        configurationLinks.withVersions(createService(kit, claims), sync, ['submit']),
+      ),
       settings.peerSecret,
       httpServer.toListener(local, rpcServer.MAX_RPC_BYTES),
     ),
--- /dev/null
+++ b/src/protocol/common/operatorMessages.ts
@@ -0,0 +1,63 @@
+/**
+ * Messages between entries, and from an entry to an agent, on behalf of operators.
+ */
+import * as Schema from 'effect/Schema';
+
+import * as units from '../../state/common/units.js';
+import * as agentEntryMessages from './agentEntryMessages.js';
+import * as envelope from './envelope.js';
+
+/** Asks an entry for the agents that it knows. */
+export const OverviewRequest = Schema.Struct({ from: envelope.Sender });
+
+/** See {@link OverviewRequest}. */
+export type OverviewRequest = typeof OverviewRequest.Type;
+
+/** Asks a process which configuration version it has in force. */
+export const VersionRequest = Schema.Struct({ from: envelope.Sender });
+
+/** See {@link VersionRequest}. */
+export type VersionRequest = typeof VersionRequest.Type;
+
+/** The sender carries the version. */
+export const VersionReply = Schema.Struct({ from: envelope.Sender });
+
+/** See {@link VersionReply}. */
+export type VersionReply = typeof VersionReply.Type;
+
+/** One agent as an entry of its region knows it. */
+export const AgentView = Schema.Struct({
+  agentId: units.Id,
+  url: units.Url,
+  zone: units.Id,
+  region: units.Id,
+  configVersion: units.Count,
+  upstream: Schema.optionalKey(agentEntryMessages.UpstreamState),
+});
+
+/** See {@link AgentView}. */
+export type AgentView = typeof AgentView.Type;
+
+/** The agents that the entry knows. */
+export const OverviewReply = Schema.Struct({
+  from: envelope.Sender,
+  agents: Schema.Array(AgentView),
+});
+
+/** See {@link OverviewReply}. */
+export type OverviewReply = typeof OverviewReply.Type;
+
+/** Takes an upstream out of service or back into it, until its agent restarts. */
+export const DrainRequest = Schema.Struct({ from: envelope.Sender, isDraining: Schema.Boolean });
+
+/** See {@link DrainRequest}. */
+export type DrainRequest = typeof DrainRequest.Type;
+
+/** The upstream as the agent has it now; absent where none has announced itself. */
+export const DrainReply = Schema.Struct({
+  from: envelope.Sender,
+  upstream: Schema.optionalKey(agentEntryMessages.UpstreamState),
+});
+
+/** See {@link DrainReply}. */
+export type DrainReply = typeof DrainReply.Type;
--- a/src/protocol/node/agentRouter.ts
+++ b/src/protocol/node/agentRouter.ts
@@ -3,6 +3,7 @@
  */
 import type * as messages from '../common/agentSchedulerMessages.js';
 import * as schemas from '../common/agentSchedulerMessages.js';
+import * as operatorMessages from '../common/operatorMessages.js';
 import * as rpc from './rpc.js';
 
 /** Handlers of the agent. */
@@ -11,6 +12,8 @@
   readonly fence: (request: messages.FenceRequest) => Promise<messages.FenceReply>;
   /** Runs a leader's commands in their order. */
   readonly command: (request: messages.CommandRequest) => Promise<messages.CommandReply>;
+  /** Takes the upstream out of service or back, on behalf of operators. */
+  readonly drain: (request: operatorMessages.DrainRequest) => Promise<operatorMessages.DrainReply>;
 }
 
 /**
@@ -21,6 +24,7 @@
   rpc.router({
     fence: rpc.procedure(schemas.FenceRequest, service.fence),
     command: rpc.procedure(schemas.CommandRequest, service.command),
+    drain: rpc.procedure(operatorMessages.DrainRequest, service.drain),
   });
 
 /** Type of the router, for clients. */
--- a/src/protocol/node/entryRouter.ts
+++ b/src/protocol/node/entryRouter.ts
@@ -3,6 +3,7 @@
  */
 import type * as messages from '../common/agentEntryMessages.js';
 import * as schemas from '../common/agentEntryMessages.js';
+import * as operatorMessages from '../common/operatorMessages.js';
 import * as rpc from './rpc.js';
 
 /** Handlers of the entry. */
@@ -15,6 +16,14 @@
   ) => Promise<messages.ConfigurationReply>;
   /** Gives the agents of a zone to a new leader. */
   readonly agents: (request: messages.AgentsRequest) => Promise<messages.AgentsReply>;
+  /** Gives all agents that the entry knows, to another entry, for operators. */
+  readonly overview: (
+    request: operatorMessages.OverviewRequest,
+  ) => Promise<operatorMessages.OverviewReply>;
+  /** Tells which configuration version is in force here. */
+  readonly version: (
+    request: operatorMessages.VersionRequest,
+  ) => Promise<operatorMessages.VersionReply>;
 }
 
 /**
@@ -26,6 +35,8 @@
     register: rpc.procedure(schemas.RegisterRequest, service.register),
     configuration: rpc.procedure(schemas.ConfigurationRequest, service.configuration),
     agents: rpc.procedure(schemas.AgentsRequest, service.agents),
+    overview: rpc.procedure(operatorMessages.OverviewRequest, service.overview),
+    version: rpc.procedure(operatorMessages.VersionRequest, service.version),
   });
 
 /** Type of the router, for clients. */
--- a/src/protocol/node/schedulerRouter.ts
+++ b/src/protocol/node/schedulerRouter.ts
@@ -4,6 +4,7 @@
 import * as agentEntryMessages from '../common/agentEntryMessages.js';
 import * as agentSchedulerMessages from '../common/agentSchedulerMessages.js';
 import * as entrySchedulerMessages from '../common/entrySchedulerMessages.js';
+import * as operatorMessages from '../common/operatorMessages.js';
 import * as rpc from './rpc.js';
 
 /** Handlers of the scheduler; each throws `notLeader` for a cell that it does not lead. */
@@ -33,6 +34,10 @@
   readonly configuration: (
     request: agentEntryMessages.ConfigurationRequest,
   ) => Promise<agentEntryMessages.ConfigurationReply>;
+  /** Tells which configuration version is in force here. */
+  readonly version: (
+    request: operatorMessages.VersionRequest,
+  ) => Promise<operatorMessages.VersionReply>;
 }
 
 /**
@@ -48,6 +53,7 @@
     cell: rpc.procedure(entrySchedulerMessages.CellRequest, service.cell),
     quarantine: rpc.procedure(entrySchedulerMessages.QuarantineRequest, service.quarantine),
     configuration: rpc.procedure(agentEntryMessages.ConfigurationRequest, service.configuration),
+    version: rpc.procedure(operatorMessages.VersionRequest, service.version),
   });
 
 /** Type of the router, for clients. */
--- a/src/state/common/configuration.ts
+++ b/src/state/common/configuration.ts
@@ -109,6 +109,8 @@
   ejectionCapShare: units.Share,
   /** Deadline of a request that names none. */
   defaultDeadlineMs: units.integerBetween(1, 3_600_000),
+  /** Slots that operators expect of each upstream; guaranteed slots must fit in them. */
+  slotsPerUpstream: Schema.optionalKey(units.integerBetween(1, 4096)),
 });
 
 /** See {@link RoutingPolicy}. */
--- a/src/state/common/settings.ts
+++ b/src/state/common/settings.ts
@@ -38,6 +38,8 @@
   storeTimeoutMs: units.integerBetween(10, 60_000),
   /** Term of the leases by which the process is found and leads. */
   leaseMs: units.integerBetween(500, 600_000),
+  /** Other entries or schedulers that are asked for the configuration while the store is down. */
+  peerUrls: Schema.optionalKey(Schema.Array(units.Url)),
 };
 
 /** An operator's token, kept hashed. */
--- a/src/transport/node/rpcClient.ts
+++ b/src/transport/node/rpcClient.ts
@@ -86,7 +86,7 @@
 
 const agentClient = (options: RpcClientOptions, url: string) => {
   const client = create<agentRouter.AgentRouter>(options, url);
-  return { fence: wrap(client.fence), command: wrap(client.command) };
+  return { fence: wrap(client.fence), command: wrap(client.command), drain: wrap(client.drain) };
 };
 
 const entryClient = (options: RpcClientOptions, url: string) => {
@@ -95,6 +95,8 @@
     register: wrap(client.register),
     configuration: wrap(client.configuration),
     agents: wrap(client.agents),
+    overview: wrap(client.overview),
+    version: wrap(client.version),
   };
 };
 
