Serve the operators' console of forms from the entry

Cause: operators had no way but the JSON API to see or change anything.

Change: server-rendered pages on the operators' port for every part of the configuration document, its history with differences and undoing, the versions in force, cells with a picture of who holds which accelerator and why, jobs, upstreams with draining and workers with quarantine. Processes catch up with versions heard in answers too, and a live watch follows a store whose revisions went back.

--- a/src/coordination/node/configurationStore.ts
+++ b/src/coordination/node/configurationStore.ts
@@ -12,6 +12,7 @@
 import * as errors from '../../base/common/errors.js';
 import * as configuration from '../../state/common/configuration.js';
 import * as configurationChecks from '../../state/common/configurationChecks.js';
+import * as configurationDifference from '../../state/common/configurationDifference.js';
 import * as store from '../../state/common/store.js';
 import * as storeKeys from '../../state/common/storeKeys.js';
 
@@ -79,17 +80,35 @@
   return { entry, current };
 };
 
+/**
+ * Guards against a form that is sent, changed and sent again under the same write id: it would be
+ * told that it was accepted although only the first document was.
+ */
+const sameChange = (
+  accepted: ConfigurationRecord,
+  change: ConfigurationChange,
+): ConfigurationRecord => {
+  const changes = configurationDifference.compareDocuments(accepted.document, change.document);
+  if (changes.length === 0) return accepted;
+  throw errors.fail(
+    'conflict',
+    `the write id was accepted with another document as version ${accepted.version}; nothing was ` +
+      'written',
+    { field: 'writeId', facts: { current: accepted, yours: change } },
+  );
+};
+
 /** The change where an earlier try of it was accepted and somebody may have written since. */
 const findAccepted = async (
   target: store.Store,
   change: ConfigurationChange,
   current: ConfigurationRecord | undefined,
 ): Promise<ConfigurationRecord | undefined> => {
-  if (current?.writeId === change.writeId) return current;
+  if (current?.writeId === change.writeId) return sameChange(current, change);
   const version = change.baseVersion + 1;
   if (current === undefined || current.version <= version) return undefined;
   const archived = await configurationHistory.readArchived(target, version);
-  return archived?.writeId === change.writeId ? archived : undefined;
+  return archived?.writeId === change.writeId ? sameChange(archived, change) : undefined;
 };
 
 const swap = async (
--- a/src/coordination/node/configurationSync.ts
+++ b/src/coordination/node/configurationSync.ts
@@ -72,8 +72,9 @@
   let isDisposed = false;
 
   const clear = (): void => {
-    if (behind !== undefined)
-      {log('info', 'configurationStoreCaughtUp', { version: holder.version() });}
+    if (behind !== undefined) {
+      log('info', 'configurationStoreCaughtUp', { version: holder.version() });
+    }
     behind = undefined;
     options.metrics.gauge(BEHIND_METRIC, 0);
   };
--- a/src/coordination/node/liveWatch.ts
+++ b/src/coordination/node/liveWatch.ts
@@ -60,10 +60,22 @@
       stop.signal.addEventListener('abort', finish);
     });
   const list = async (): Promise<void> => {
+    const revisionBefore = revision;
     const listed = await target.list(storeKeys.LIVE_PREFIX);
+    // Guards against a store that was restored from an older state: its revisions begin again
+    // below the one seen last, so that every watch would wait in vain and every listing would be
+    // dropped as late. A listing that began after the higher revision was seen can't be late.
+    const wentBack = listed.revision < revisionBefore;
+    if (wentBack) {
+      options.log('error', 'storeWentBack', {
+        revision: listed.revision,
+        seenRevision: revisionBefore,
+      });
+    }
     // A slow listing must not undo what a watch has seen since.
-    if (listed.revision < revision) return;
+    if (listed.revision < revision && !wentBack) return;
     const hasChanged =
+      wentBack ||
       listed.entries.length !== entries.size ||
       listed.entries.some((it) => entries.get(it.key)?.revision !== it.revision);
     entries = new Map(listed.entries.map((it) => [it.key, it]));
@@ -77,7 +89,11 @@
       await list();
       return;
     }
-    if (seen.revision <= revision) return;
+    if (seen.revision < revision) {
+      await list();
+      return;
+    }
+    if (seen.revision === revision) return;
     revision = seen.revision;
     const next = new Map(entries);
     for (const it of seen.entries) next.set(it.key, it);
--- a/src/programs/configurationLinks.ts
+++ b/src/programs/configurationLinks.ts
@@ -21,8 +21,8 @@
   target: store.Store,
   live: liveWatch.LiveWatch,
   peerUrls: readonly string[] = [],
-): configurationSync.ConfigurationSync =>
-  kit.owned.add(
+): configurationSync.ConfigurationSync => {
+  const sync = kit.owned.add(
     configurationSync.startConfigurationSync({
       holder: kit.configuration,
       store: target,
@@ -38,6 +38,9 @@
       },
     }),
   );
+  kit.owned.add(kit.onDidHearVersion(sync.noteVersion));
+  return sync;
+};
 
 interface Message {
   readonly from: envelope.Sender;
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -12,6 +12,8 @@
 import type * as settingsSchema from '../state/common/settings.js';
 import * as httpStore from '../state/node/httpStore.js';
 import * as callerApi from '../transport/node/callerApi.js';
+import * as consoleApp from '../transport/node/console/consoleApp.js';
+import * as session from '../transport/node/console/session.js';
 import type * as healthApi from '../transport/node/healthApi.js';
 import * as httpServer from '../transport/node/httpServer.js';
 import * as operatorApi from '../transport/node/operatorApi.js';
@@ -124,6 +126,7 @@
       if (isLeaving) return 'leaving';
       return kit.configuration.current() === undefined ? 'no configuration yet' : undefined;
     },
+    warnings: sync.warnings,
   };
   const gateways = entryGateways.createGateways({ kit, store, live, sync, directory });
   const callers = await httpServer.listen(
@@ -150,6 +153,21 @@
       settings.maxBodyBytes,
     ),
   );
+  const authenticate = operatorAuth.createAuthenticator(settings.operatorTokens);
+  const api = operatorApi.createOperatorApi(
+    operatorApi.createApiRoutes(gateways.operators),
+    authenticate,
+  );
+  const pages = consoleApp.createConsole({
+    gateway: gateways.operators,
+    newId: kit.newId,
+    authenticate,
+    sessions: session.createSessions({
+      peerSecret: settings.peerSecret,
+      nowMs: kit.clock.wallMs,
+      operators: settings.operatorTokens,
+    }),
+  });
   const operators = await httpServer.listen(
     {
       ...settings.operators,
@@ -157,10 +175,7 @@
       maxConnections: MAX_CONNECTIONS,
     },
     httpServer.toListener(
-      operatorApi.createOperatorApi(
-        operatorApi.createApiRoutes(gateways.operators),
-        operatorAuth.createAuthenticator(settings.operatorTokens),
-      ),
+      (request) => (consoleApp.isConsolePath(request.path) ? pages(request) : api(request)),
       settings.maxBodyBytes,
     ),
   );
--- a/src/programs/operatorViews.ts
+++ b/src/programs/operatorViews.ts
@@ -87,8 +87,9 @@
     const newest = new Map<string, operatorMessages.AgentView>();
     for (const it of [...own, ...others.flat()]) {
       const known = newest.get(it.agentId);
-      if (known === undefined || known.configVersion <= it.configVersion)
-        {newest.set(it.agentId, it);}
+      if (known === undefined || known.configVersion <= it.configVersion) {
+        newest.set(it.agentId, it);
+      }
     }
     return [...newest.values()].sort((a, b) => a.agentId.localeCompare(b.agentId));
   };
--- a/src/programs/processKit.ts
+++ b/src/programs/processKit.ts
@@ -5,6 +5,7 @@
 
 import type * as clock from '../base/common/clock.js';
 import * as disposable from '../base/common/disposable.js';
+import * as event from '../base/common/event.js';
 import type * as http from '../base/common/http.js';
 import type * as logging from '../base/common/logging.js';
 import * as metrics from '../base/common/metrics.js';
@@ -44,6 +45,8 @@
   readonly http: httpClient.HttpClient;
   readonly clients: rpcClient.RpcClients;
   readonly configuration: configurationHolder.ConfigurationHolder;
+  /** Fires with the configuration version of each answer from another process. */
+  readonly onDidHearVersion: event.Event<number>;
   readonly sender: () => envelope.Sender;
   readonly peerHeaders: Readonly<Record<string, string>>;
 }
@@ -78,6 +81,7 @@
       maxReplyBytes: MAX_REPLY_BYTES,
     }),
   );
+  const heard = owned.add(event.createEmitter<number>());
   const configuration = configurationHolder.createConfigurationHolder();
   const { processId, peerSecret, logLevel } = settings;
   const call: http.HttpCall = (request) => client.call(request);
@@ -89,7 +93,13 @@
     metrics: metrics.createMetrics(),
     owned,
     http: client,
-    clients: rpcClient.createRpcClients({ call, timeoutMs: RPC_TIMEOUT_MS, peerSecret }),
+    clients: rpcClient.createRpcClients({
+      call,
+      timeoutMs: RPC_TIMEOUT_MS,
+      peerSecret,
+      noteVersion: heard.fire,
+    }),
+    onDidHearVersion: heard.event,
     configuration,
     sender: () => ({ processId, role, configVersion: configuration.version() }),
     peerHeaders: { [rpcClient.PEER_SECRET_HEADER]: peerSecret },
--- a/src/programs/scheduler.ts
+++ b/src/programs/scheduler.ts
@@ -118,6 +118,7 @@
       if (isLeaving) return 'leaving';
       return kit.configuration.current() === undefined ? 'no configuration yet' : undefined;
     },
+    warnings: sync.warnings,
   };
   const local: httpServer.Handler = (request) => {
     const answer = healthApi.answerHealth(health, request);
--- a/src/state/common/configurationDifference.ts
+++ b/src/state/common/configurationDifference.ts
@@ -91,8 +91,9 @@
   jobs.filter((it) => it.spec.claim === job.Claim.guaranteed && !job.isTerminal(it.state));
 
 const describe = (record: job.JobRecord): string =>
-  `guaranteed job ${record.spec.jobId} of ${record.spec.customerId} (${record.state}) in ${ 
-  record.spec.cell}`;
+  `guaranteed job ${record.spec.jobId} of ${record.spec.customerId} (${record.state}) in ${
+    record.spec.cell
+  }`;
 
 const strandedBy = (record: job.JobRecord, after: Document): string | undefined => {
   const { customerId, cell, shapeId } = record.spec;
--- /dev/null
+++ b/src/transport/node/console/cellPicture.ts
@@ -0,0 +1,175 @@
+/**
+ * The picture of a cell: each accelerator by rack and worker, with who holds it and why.
+ */
+import type * as entrySchedulerMessages from '../../../protocol/common/entrySchedulerMessages.js';
+import * as job from '../../../state/common/job.js';
+import * as html from './html.js';
+
+/** Who holds one accelerator. */
+export interface Holding {
+  readonly record: job.JobRecord;
+  readonly workerId: string;
+  readonly accelerator: number;
+}
+
+/** Colours that stay apart from each other for most colour-blind readers. */
+const COLOURS = [
+  '#0072b2',
+  '#e69f00',
+  '#009e73',
+  '#cc79a7',
+  '#56b4e9',
+  '#d55e00',
+  '#8c6d31',
+  '#756bb1',
+];
+const FREE_COLOUR = '#ffffff';
+const UNUSABLE_COLOUR = '#d0d4d9';
+
+const SIZE = 22;
+const GAP = 3;
+const LABEL_WIDTH = 190;
+const RACK_GAP = 20;
+const LEGEND_WIDTH = 150;
+
+/**
+ * @param record - a job that holds accelerators
+ * @returns by which right, and the last decision on it
+ */
+export const reasonOf = (record: job.JobRecord): string => {
+  const { spec, ruleId, state } = record;
+  const right =
+    spec.claim === job.Claim.guaranteed
+      ? `guaranteed shape ${spec.shapeId ?? ''}`
+      : `spare rule ${ruleId ?? ''}`;
+  const why = record.decisions.at(-1)?.why ?? '';
+  return `${right}; ${state}${why === '' ? '' : `; ${why}`}`;
+};
+
+/**
+ * @param jobs - jobs of a cell
+ * @returns every held accelerator
+ */
+export const holdingsOf = (jobs: readonly job.JobRecord[]): readonly Holding[] =>
+  jobs
+    .filter((it) => !job.isTerminal(it.state))
+    .flatMap((record) =>
+      record.placement.flatMap(({ workerId, accelerators }) =>
+        accelerators.map((accelerator) => ({ record, workerId, accelerator })),
+      ),
+    );
+
+type WorkerView = entrySchedulerMessages.WorkerView;
+
+const byRack = (workers: readonly WorkerView[]): ReadonlyMap<string, readonly WorkerView[]> => {
+  const racks = new Map<string, WorkerView[]>();
+  const sorted = [...workers].sort((a, b) => a.worker.workerId.localeCompare(b.worker.workerId));
+  for (const it of sorted) {
+    racks.set(it.worker.rack, [...(racks.get(it.worker.rack) ?? []), it]);
+  }
+  return racks;
+};
+
+/**
+ * @param customerIds - customers of the configuration
+ * @param customerId - one of them
+ * @returns its colour, the same on every page
+ */
+const colourOf = (customerIds: readonly string[], customerId: string): string =>
+  COLOURS[Math.max(0, customerIds.indexOf(customerId)) % COLOURS.length] ?? FREE_COLOUR;
+
+interface Square {
+  readonly x: number;
+  readonly y: number;
+  readonly colour: string;
+  readonly title: string;
+  readonly isBorrowed: boolean;
+}
+
+const renderSquare = (it: Square): html.Html => {
+  const mark = html.when(
+    it.isBorrowed,
+    () => html.html`<circle cx="${it.x + SIZE / 2}" cy="${it.y + SIZE / 2}" r="4" fill="#fff"/>`,
+  );
+  return html.html`<g><title>${it.title}</title><rect x="${it.x}" y="${it.y}" width="${SIZE}"
+height="${SIZE}" rx="3" fill="${it.colour}" stroke="#5b6876"/>${mark}</g>`;
+};
+
+const squaresOf = (
+  view: WorkerView,
+  y: number,
+  holdings: readonly Holding[],
+  customerIds: readonly string[],
+): readonly html.Html[] =>
+  Array.from({ length: view.worker.accelerators }, (_unused, accelerator) => {
+    const { workerId } = view.worker;
+    const holding = holdings.find(
+      (it) => it.workerId === workerId && it.accelerator === accelerator,
+    );
+    const x = LABEL_WIDTH + accelerator * (SIZE + GAP);
+    const place = `${workerId} accelerator ${accelerator}`;
+    if (holding === undefined) {
+      const isReady = view.health === 'ready';
+      const title = `${place}: ${isReady ? 'free' : view.health}`;
+      const colour = isReady ? FREE_COLOUR : UNUSABLE_COLOUR;
+      return renderSquare({ x, y, colour, title, isBorrowed: false });
+    }
+    const { record } = holding;
+    const { customerId, jobId, claim } = record.spec;
+    return renderSquare({
+      x,
+      y,
+      colour: colourOf(customerIds, customerId),
+      title: `${place}: ${customerId}, job ${jobId}, ${reasonOf(record)}`,
+      isBorrowed: claim === job.Claim.spare,
+    });
+  });
+
+const legend = (customerIds: readonly string[]): html.Html => {
+  const items = [
+    ...customerIds.map((it) => [colourOf(customerIds, it), it] as const),
+    [FREE_COLOUR, 'free'] as const,
+    [UNUSABLE_COLOUR, 'not usable'] as const,
+  ];
+  const perRow = 4;
+  const rows = Math.ceil(items.length / perRow);
+  return html.html`<svg role="img" aria-label="Colours of the customers; a dot marks a borrower"
+width="${perRow * LEGEND_WIDTH}" height="${rows * (SIZE + GAP)}">${items.map(
+    ([colour, label], index) => {
+      const x = (index % perRow) * LEGEND_WIDTH;
+      const y = Math.floor(index / perRow) * (SIZE + GAP);
+      return html.html`<rect x="${x + 1}" y="${y + 1}" width="14" height="14" rx="3" fill="${colour}"
+stroke="#5b6876"/><text x="${x + 21}" y="${y + 13}">${label}</text>`;
+    },
+  )}</svg>`;
+};
+
+/**
+ * @param cell - a cell as its leader sees it
+ * @param customerIds - customers of the configuration, which give the colours
+ * @returns the picture with its legend
+ */
+export const renderPicture = (
+  cell: entrySchedulerMessages.CellReply,
+  customerIds: readonly string[],
+): html.Html => {
+  const holdings = holdingsOf(cell.jobs);
+  const parts: html.Html[] = [];
+  let y = 0;
+  for (const [rack, workers] of byRack(cell.workers)) {
+    parts.push(html.html`<text x="0" y="${y + 14}" font-weight="600">${rack}</text>`);
+    y += RACK_GAP;
+    for (const view of workers) {
+      parts.push(html.html`<text x="12" y="${y + 15}">${view.worker.workerId}</text>`);
+      parts.push(...squaresOf(view, y, holdings, customerIds));
+      y += SIZE + GAP;
+    }
+    y += GAP;
+  }
+  const most = Math.max(0, ...cell.workers.map((it) => it.worker.accelerators));
+  const width = LABEL_WIDTH + most * (SIZE + GAP);
+  return html.html`<p class="hint">A dot marks a borrower; the table below says the same.</p>
+${legend(customerIds)}<br>
+<svg role="img" aria-label="Accelerators of ${cell.cell} by rack and worker" width="${width}"
+height="${y}">${parts}</svg>`;
+};
--- /dev/null
+++ b/src/transport/node/console/fields.ts
@@ -0,0 +1,122 @@
+/**
+ * Form fields: how they are shown, what was typed, and the value that it stands for.
+ */
+import * as html from './html.js';
+
+/** How a field is typed. */
+export type FieldKind = 'text' | 'number' | 'checkbox' | 'select' | 'list';
+
+/** One field of a form. */
+export interface Field {
+  /** Key in the document. */
+  readonly name: string;
+  readonly label: string;
+  readonly kind: FieldKind;
+  /** Unit, limits and meaning in a few words. */
+  readonly hint?: string;
+  /** Choices of a select. */
+  readonly choices?: readonly string[];
+  /** Whether an empty text leaves the key out. */
+  readonly isOptional?: boolean;
+}
+
+/** What was typed, by field. */
+export type Typed = Readonly<Record<string, string>>;
+
+/** Complaints by field; those of no field stand under the empty name. */
+export type FieldErrors = ReadonlyMap<string, readonly string[]>;
+
+const LIST_SEPARATOR = ', ';
+
+const toText = (value: unknown): string => {
+  if (value === undefined) return '';
+  if (Array.isArray(value)) return value.join(LIST_SEPARATOR);
+  if (value === true) return 'on';
+  return value === false ? '' : String(value);
+};
+
+/**
+ * @param fields - fields of the form
+ * @param item - an item of the document
+ * @returns the item as it would have been typed
+ */
+export const toTyped = (fields: readonly Field[], item: Readonly<Record<string, unknown>>): Typed =>
+  Object.fromEntries(fields.map((it) => [it.name, toText(item[it.name])]));
+
+/**
+ * @param fields - fields of the form
+ * @param form - a post
+ * @returns what was typed
+ */
+export const readTyped = (fields: readonly Field[], form: URLSearchParams): Typed =>
+  Object.fromEntries(fields.map((it) => [it.name, (form.get(it.name) ?? '').trim()]));
+
+const toValue = (field: Field, text: string): unknown => {
+  switch (field.kind) {
+    case 'number':
+      // What is no number fails the schema's limits, whose message then names them.
+      return text === '' ? Number.NaN : Number(text);
+    case 'checkbox':
+      return text !== '';
+    case 'list':
+      return text.split(/[\s,]+/).filter((it) => it !== '');
+    default:
+      return text;
+  }
+};
+
+/**
+ * @param fields - fields of the form
+ * @param typed - what was typed
+ * @returns the item, not validated
+ */
+export const toItem = (fields: readonly Field[], typed: Typed): Record<string, unknown> =>
+  Object.fromEntries(
+    fields
+      .filter((it) => !(it.isOptional === true && (typed[it.name] ?? '') === ''))
+      .map((it) => [it.name, toValue(it, typed[it.name] ?? '')]),
+  );
+
+const control = (field: Field, text: string, attributes: html.Html): html.Html => {
+  switch (field.kind) {
+    case 'checkbox': {
+      const checked = text === '' ? html.EMPTY : html.html` checked`;
+      return html.html`<input type="checkbox"${attributes}${checked}>`;
+    }
+    case 'select': {
+      const options = (field.choices ?? []).map((it) => {
+        const selected = it === text ? html.html` selected` : html.EMPTY;
+        return html.html`<option value="${it}"${selected}>${it}</option>`;
+      });
+      return html.html`<select${attributes}>${options}</select>`;
+    }
+    case 'number':
+      return html.html`<input type="text" inputmode="decimal"${attributes} value="${text}">`;
+    default:
+      return html.html`<input type="text"${attributes} value="${text}">`;
+  }
+};
+
+/**
+ * @param field - the field
+ * @param text - what stands in it
+ * @param complaints - what is wrong with it
+ * @returns label, hint, control and complaints, tied together for screen readers
+ */
+export const renderField = (
+  field: Field,
+  text: string,
+  complaints: readonly string[] = [],
+): html.Html => {
+  const hintId = `${field.name}-hint`;
+  const errorId = `${field.name}-error`;
+  const isInvalid = complaints.length > 0;
+  const described = isInvalid ? `${errorId} ${hintId}` : hintId;
+  const invalid = isInvalid ? html.html` aria-invalid="true"` : html.EMPTY;
+  const attributes = html.html` id="${field.name}" name="${field.name}" aria-describedby="${described}"${invalid}`;
+  return html.html`<div class="field"><label for="${field.name}">${field.label}</label>
+<p class="hint" id="${hintId}">${field.hint ?? ''}</p>
+${control(field, text, attributes)}
+${html.when(isInvalid, () => html.html`<p class="error" id="${errorId}" role="alert">${complaints.join('; ')}</p>`)}
+</div>`;
+};
--- /dev/null
+++ b/src/transport/node/console/html.ts
@@ -0,0 +1,91 @@
+/**
+ * HTML from templates in which every value is escaped, so that no text from outside becomes markup.
+ */
+
+/** Text that is safe to send as HTML. Only {@link html} and {@link join} make it. */
+export interface Html {
+  readonly safe: string;
+}
+
+/** What a template may hold. */
+export type HtmlValue = Html | readonly Html[] | string | number | undefined;
+
+const ESCAPES: Readonly<Record<string, string>> = {
+  '&': '&amp;',
+  '<': '&lt;',
+  '>': '&gt;',
+  '"': '&quot;',
+  "'": '&#39;',
+};
+
+/**
+ * @param text - any text
+ * @returns the text for an element's content or a quoted attribute
+ */
+export const escapeHtml = (text: string): string =>
+  text.replace(/[&<>"']/g, (it) => ESCAPES[it] ?? it);
+
+const isHtml = (value: unknown): value is Html =>
+  typeof value === 'object' && value !== null && 'safe' in value;
+
+const render = (value: HtmlValue): string => {
+  if (value === undefined) return '';
+  if (isHtml(value)) return value.safe;
+  if (typeof value === 'string' || typeof value === 'number') return escapeHtml(String(value));
+  return value.map((it) => it.safe).join('');
+};
+
+/**
+ * @param parts - literal parts of the template
+ * @param values - values, escaped unless they are HTML already
+ * @returns the HTML
+ */
+export const html = (parts: TemplateStringsArray, ...values: readonly HtmlValue[]): Html => ({
+  safe: parts.map((part, index) => part + render(values[index])).join(''),
+});
+
+/** Nothing. */
+export const EMPTY: Html = { safe: '' };
+
+/**
+ * @param condition - whether the part is wanted
+ * @param make - makes it
+ * @returns the part or nothing
+ */
+export const when = (condition: boolean, make: () => Html): Html => (condition ? make() : EMPTY);
+
+/**
+ * @param headings - heading of each column
+ * @param rows - cells of each row
+ * @param caption - what the table shows
+ * @returns a table
+ */
+export const table = (
+  headings: readonly string[],
+  rows: readonly (readonly HtmlValue[])[],
+  caption: string,
+): Html =>
+  html`<table>
+    <caption>
+      ${caption}
+    </caption>
+    <thead>
+      <tr>
+        ${headings.map((it) => html`<th scope="col">${it}</th>`)}
+      </tr>
+    </thead>
+    <tbody>
+      ${
+        rows.length === 0
+          ? html`<tr>
+              <td colspan="${headings.length}">none</td>
+            </tr>`
+          : rows.map(
+              (row) =>
+                html`<tr>
+                  ${row.map((cell) => html`<td>${cell}</td>`)}
+                </tr>`,
+            )
+      }
+    </tbody>
+  </table>`;
--- a/src/transport/node/healthApi.ts
+++ b/src/transport/node/healthApi.ts
@@ -9,6 +9,8 @@
   /** Why the process should get no traffic now; undefined where it should. */
   readonly notReadyReason: () => string | undefined;
   readonly metrics: metrics.Metrics;
+  /** What is wrong although the process serves; told beside its readiness. */
+  readonly warnings?: () => readonly string[];
 }
 
 /**
@@ -26,7 +28,8 @@
     case '/readyz': {
       const reason = options.notReadyReason();
       const status = reason === undefined ? 200 : 503;
-      const body = `${reason ?? 'ready'}\n`;
+      const warnings = (options.warnings?.() ?? []).map((it) => `warning: ${it}\n`);
+      const body = [`${reason ?? 'ready'}\n`, ...warnings].join('');
       return { status, headers: { 'content-type': 'text/plain' }, body };
     }
     case '/metrics':
--- a/src/transport/node/rpcClient.ts
+++ b/src/transport/node/rpcClient.ts
@@ -22,6 +22,8 @@
   readonly timeoutMs: number;
   /** Shared by the system's processes; never logged. */
   readonly peerSecret: string;
+  /** Hears the configuration version of each answer. */
+  readonly noteVersion?: (version: number) => void;
 }
 
 /** The part of a fetch request that tRPC uses. */
@@ -63,11 +65,18 @@
   return errors.normalize(thrown);
 };
 
-const wrap =
-  <TInput, TOutput>(target: { mutate: (input: TInput) => Promise<TOutput> }) =>
+interface Answer {
+  readonly from: { readonly configVersion: number };
+}
+
+const wrapFor =
+  (options: RpcClientOptions) =>
+  <TInput, TOutput extends Answer>(target: { mutate: (input: TInput) => Promise<TOutput> }) =>
   async (input: TInput): Promise<TOutput> => {
     try {
-      return await target.mutate(input);
+      const answer = await target.mutate(input);
+      options.noteVersion?.(answer.from.configVersion);
+      return answer;
     } catch (thrown) {
       throw toKnown(thrown);
     }
@@ -86,11 +95,13 @@
 
 const agentClient = (options: RpcClientOptions, url: string) => {
   const client = create<agentRouter.AgentRouter>(options, url);
+  const wrap = wrapFor(options);
   return { fence: wrap(client.fence), command: wrap(client.command), drain: wrap(client.drain) };
 };
 
 const entryClient = (options: RpcClientOptions, url: string) => {
   const client = create<entryRouter.EntryRouter>(options, url);
+  const wrap = wrapFor(options);
   return {
     register: wrap(client.register),
     configuration: wrap(client.configuration),
@@ -102,6 +113,7 @@
 
 const schedulerClient = (options: RpcClientOptions, url: string) => {
   const client = create<schedulerRouter.SchedulerRouter>(options, url);
+  const wrap = wrapFor(options);
   return {
     report: wrap(client.report),
     submit: wrap(client.submit),
