--- a/src/state/common/configurationChecks.ts
+++ b/src/state/common/configurationChecks.ts
@@ -197,13 +197,31 @@
 export const checkDocument = (document: Document): readonly schemaIssues.FieldIssue[] =>
   RULES.flatMap((rule) => rule(document));
 
+const MAX_SHOWN = 80;
+
+const valueAt = (input: unknown, path: Path): unknown =>
+  path.reduce<unknown>(
+    (value, key) => (value as Record<string, unknown> | undefined)?.[key],
+    input,
+  );
+
+/** The schema's complaints tell what is expected; this adds what is there. */
+const withValue = (input: unknown, it: schemaIssues.FieldIssue): schemaIssues.FieldIssue => {
+  const value = valueAt(input, it.path);
+  if (value === undefined || it.message.includes(', got ')) return it;
+  const text = typeof value === 'number' ? String(value) : show(value);
+  return { ...it, message: `${it.message}, got ${text.slice(0, MAX_SHOWN)}` };
+};
+
 /**
  * @param input - what came from outside
  * @returns the document, or every complaint: the schema's, or else those across fields
  */
 export const decodeDocument = (input: unknown): schemaIssues.Decoded<Document> => {
   const decoded = schemaIssues.decode(configuration.ConfigurationDocument, input);
-  if (!decoded.isValid) return decoded;
+  if (!decoded.isValid) {
+    return { isValid: false, issues: decoded.issues.map((it) => withValue(input, it)) };
+  }
   const issues = checkDocument(decoded.value);
   return issues.length === 0 ? decoded : { isValid: false, issues };
 };
--- a/src/transport/node/operatorApi.ts
+++ b/src/transport/node/operatorApi.ts
@@ -6,7 +6,7 @@
 
 import * as errors from '../../base/common/errors.js';
 import * as schemaIssues from '../../base/common/schemaIssues.js';
-import * as configuration from '../../state/common/configuration.js';
+import * as configurationChecks from '../../state/common/configurationChecks.js';
 import * as units from '../../state/common/units.js';
 import * as httpServer from './httpServer.js';
 import * as operatorAuth from './operatorAuth.js';
@@ -18,7 +18,8 @@
   baseVersion: units.Count,
   writeId: units.CallerKey,
   reason: units.ShortText.check(Schema.isMinLength(1)),
-  document: configuration.ConfigurationDocument,
+  /** Decoded apart from the rest, so that complaints name paths within the document. */
+  document: Schema.Unknown,
   /** Whether running guaranteed jobs may lose their guarantee. */
   isStrandingAccepted: Schema.optionalKey(Schema.Boolean),
 });
@@ -45,12 +46,20 @@
   async ({ operator, request }) => {
     const body = httpServer.parseJsonBody(request);
     const change = schemaIssues.decodeOrFail(ChangeBody, body, 'configuration change');
-    const { baseVersion, document, isStrandingAccepted = false } = change;
+    const { baseVersion, isStrandingAccepted = false } = change;
+    const decoded = configurationChecks.decodeDocument(change.document);
+    if (!decoded.isValid) throw configurationChecks.refusal(decoded.issues);
+    const { value: document } = decoded;
     if (request.query.get('dryRun') === 'true') {
       return httpServer.jsonReply(await gateway.previewConfiguration(baseVersion, document));
     }
     const author = operator.operatorId;
-    const record = await gateway.writeConfiguration({ ...change, author, isStrandingAccepted });
+    const record = await gateway.writeConfiguration({
+      ...change,
+      document,
+      author,
+      isStrandingAccepted,
+    });
     return httpServer.jsonReply({ record });
   };
 
