--- a/src/coordination/common/configurationHolder.ts
+++ b/src/coordination/common/configurationHolder.ts
@@ -7,6 +7,8 @@
 import * as event from '../../base/common/event.js';
 import * as configuration from '../../state/common/configuration.js';
 
+import * as configurationOrder from './configurationOrder.js';
+
 /** What came of a version that was offered. */
 export const Adoption = {
   adopted: 'adopted',
@@ -38,10 +40,9 @@
     current: () => current,
     version,
     offer: (record) => {
-      if (record.version < version()) return Adoption.refused;
-      if (record.version === version()) {
-        return record.writeId === current?.writeId ? Adoption.alreadyInForce : Adoption.refused;
-      }
+      const order = configurationOrder.orderOf(record, current);
+      if (order === configurationOrder.Order.same) return Adoption.alreadyInForce;
+      if (order !== configurationOrder.Order.newer) return Adoption.refused;
       current = record;
       emitter.fire(record);
       return Adoption.adopted;
--- a/src/coordination/node/configurationStore.ts
+++ b/src/coordination/node/configurationStore.ts
@@ -15,6 +15,7 @@
 import * as configurationDifference from '../../state/common/configurationDifference.js';
 import * as store from '../../state/common/store.js';
 import * as storeKeys from '../../state/common/storeKeys.js';
+import * as configurationOrder from '../common/configurationOrder.js';
 
 import * as configurationHistory from './configurationHistory.js';
 
@@ -28,9 +29,6 @@
   readonly document: configuration.ConfigurationDocument;
 }
 
-/** The version that the writer has in force, by which a restored store is recognised. */
-export type KnownVersion = Pick<configuration.ConfigurationRecord, 'version' | 'writeId'>;
-
 type ConfigurationRecord = configuration.ConfigurationRecord;
 
 /** Same swaps sent before the outcome is given up as unknown. */
@@ -51,19 +49,11 @@
     { facts: { writeId: change.writeId, baseVersion: change.baseVersion } },
   );
 
-/** What a store that was restored from an older state shows, against the version in force. */
-const isBehind = (current: ConfigurationRecord | undefined, known: KnownVersion): boolean => {
-  const version = current?.version ?? configuration.NO_VERSION;
-  return (
-    version < known.version || (version === known.version && current?.writeId !== known.writeId)
-  );
-};
-
 const assertNotRestored = (
   current: ConfigurationRecord | undefined,
-  known: KnownVersion | undefined,
+  known: configurationOrder.VersionMark | undefined,
 ): void => {
-  if (known === undefined || !isBehind(current, known)) return;
+  if (known === undefined || !configurationOrder.isRestored(current, known)) return;
   throw errors.fail(
     'conflict',
     `the store holds version ${current?.version ?? 0}, and version ${known.version} is in force: ` +
@@ -151,7 +141,7 @@
   target: store.Store,
   change: ConfigurationChange,
   nowMs: number,
-  known?: KnownVersion,
+  known?: configurationOrder.VersionMark,
 ): Promise<ConfigurationRecord> => {
   configurationChecks.assertDocument(change.document);
   const { entry, current } = await read(target);
--- a/src/coordination/node/configurationSync.ts
+++ b/src/coordination/node/configurationSync.ts
@@ -16,6 +16,7 @@
 import type * as store from '../../state/common/store.js';
 import * as storeKeys from '../../state/common/storeKeys.js';
 import * as configurationHolder from '../common/configurationHolder.js';
+import * as configurationOrder from '../common/configurationOrder.js';
 import * as liveView from '../common/liveView.js';
 
 import type * as liveWatch from './liveWatch.js';
@@ -36,10 +37,14 @@
 
 /** The configuration's way. Disposing it ends it. */
 export interface ConfigurationSync extends disposable.Disposable {
-  /** Learns that a peer has the version; a higher one is fetched in the background. */
-  readonly noteVersion: (version: number) => void;
-  /** @returns whether at least the version is in force, after asking the peers where it is not */
-  readonly catchUp: (version: number) => Promise<boolean>;
+  /**
+   * Learns that a process has the version; a higher one is fetched in the background, from that
+   * process where its address is known: after a restored store an agent may be the only one that
+   * still has it.
+   */
+  readonly noteVersion: (version: number, url?: string) => void;
+  /** @returns whether at least the version is in force, after asking for it where it is not */
+  readonly catchUp: (version: number, url?: string) => Promise<boolean>;
   /** Asks every peer and takes the highest version. */
   readonly askPeers: () => Promise<void>;
   /** What operators must know, one sentence each. */
@@ -70,6 +75,7 @@
   let asking: Promise<void> | undefined;
   let timer: disposable.Disposable | undefined;
   let isDisposed = false;
+  const askedUrls = new Map<string, Promise<void>>();
 
   const clear = (): void => {
     if (behind !== undefined) {
@@ -103,12 +109,7 @@
       const found = decodeEntry(entry);
       const adoption =
         found === undefined ? configurationHolder.Adoption.refused : holder.offer(found);
-      const isStale =
-        known !== undefined &&
-        (found === undefined ||
-          found.version < known.version ||
-          (found.version === known.version && found.writeId !== known.writeId));
-      if (isStale) raise(found);
+      if (configurationOrder.isRestored(found, known)) raise(found);
       else if (adoption !== configurationHolder.Adoption.refused) clear();
     } catch (thrown) {
       log('debug', 'configurationNotVerified', { reason: errors.normalize(thrown).message });
@@ -138,6 +139,12 @@
       log('debug', 'configurationNotFetched', { url, reason: errors.normalize(thrown).message });
     }
   };
+  /** Many messages of one process arrive while it is being asked. */
+  const askOnce = async (url: string): Promise<void> => {
+    const running = askedUrls.get(url) ?? ask(url).finally(() => askedUrls.delete(url));
+    askedUrls.set(url, running);
+    await running;
+  };
   const askPeers = async (): Promise<void> => {
     // Whoever comes while the peers are being asked shares that round.
     asking ??= Promise.all(peerUrls().map(ask)).then(() => {
@@ -145,7 +152,8 @@
     });
     await asking;
   };
-  const catchUp = async (version: number): Promise<boolean> => {
+  const catchUp = async (version: number, url?: string): Promise<boolean> => {
+    if (holder.version() < version && url !== undefined) await askOnce(url);
     if (holder.version() < version) await askPeers();
     return holder.version() >= version;
   };
@@ -158,8 +166,8 @@
   const subscription = live.onDidChange(adopt);
   loop();
   return {
-    noteVersion: (version) => {
-      if (version > holder.version()) void catchUp(version);
+    noteVersion: (version, url) => {
+      if (version > holder.version()) void catchUp(version, url);
     },
     catchUp,
     askPeers,
--- a/src/dev/test/consoleBrowser.test.ts
+++ b/src/dev/test/consoleBrowser.test.ts
@@ -107,9 +107,6 @@
     assert.doesNotMatch(await textOf(page), /they pay more/);
     await page.goto(`${operatorsUrl}/console/view/nordur-a`);
     assert.equal(await page.locator('svg rect').count(), 32 + 7);
-    if (process.env.AUBURNLIFT_SCREENSHOT !== undefined) {
-      await page.screenshot({ path: process.env.AUBURNLIFT_SCREENSHOT, fullPage: true });
-    }
   } finally {
     await browser.close();
     await hosted.dispose();
--- a/src/programs/agent.ts
+++ b/src/programs/agent.ts
@@ -91,6 +91,10 @@
       const results = await need().command(request.epoch, request.commands);
       return { from: kit.sender(), bootId, commandCount: need().commandCount(), results };
     },
+    configuration: () => {
+      const record = kit.configuration.current();
+      return Promise.resolve({ from: kit.sender(), ...(record === undefined ? {} : { record }) });
+    },
     drain: async (request) => {
       links.noteVersion(request.from.configVersion);
       drainUpstream(request.isDraining);
--- a/src/programs/configurationLinks.ts
+++ b/src/programs/configurationLinks.ts
@@ -31,19 +31,21 @@
       log: kit.log,
       metrics: kit.metrics,
       settingsPeerUrls: peerUrls,
-      // Entries and schedulers answer this question alike.
+      // Entries, schedulers and agents answer this question alike.
       fetch: async (url) => {
         const { record } = await kit.clients.entry(url).configuration({ from: kit.sender() });
         return record;
       },
     }),
   );
-  kit.owned.add(kit.onDidHearVersion(sync.noteVersion));
+  kit.owned.add(kit.onDidHearVersion(({ version, url }) => sync.noteVersion(version, url)));
   return sync;
 };
 
 interface Message {
   readonly from: envelope.Sender;
+  /** Where the sender answers, in messages that say so. */
+  readonly url?: string;
 }
 
 type Handlers<T> = {
@@ -67,8 +69,8 @@
     async (request: Message): Promise<Message> => {
       const version = request.from.configVersion;
       if (!strict.includes(name)) {
-        sync.noteVersion(version);
-      } else if (!(await sync.catchUp(version))) {
+        sync.noteVersion(version, request.url);
+      } else if (!(await sync.catchUp(version, request.url))) {
         throw errors.fail(
           'staleConfiguration',
           `version ${version} of the configuration is not here yet; nothing ran`,
--- a/src/programs/processKit.ts
+++ b/src/programs/processKit.ts
@@ -46,7 +46,7 @@
   readonly clients: rpcClient.RpcClients;
   readonly configuration: configurationHolder.ConfigurationHolder;
   /** Fires with the configuration version of each answer from another process. */
-  readonly onDidHearVersion: event.Event<number>;
+  readonly onDidHearVersion: event.Event<rpcClient.HeardVersion>;
   readonly sender: () => envelope.Sender;
   readonly peerHeaders: Readonly<Record<string, string>>;
 }
@@ -81,7 +81,7 @@
       maxReplyBytes: MAX_REPLY_BYTES,
     }),
   );
-  const heard = owned.add(event.createEmitter<number>());
+  const heard = owned.add(event.createEmitter<rpcClient.HeardVersion>());
   const configuration = configurationHolder.createConfigurationHolder();
   const { processId, peerSecret, logLevel } = settings;
   const call: http.HttpCall = (request) => client.call(request);
--- a/src/transport/node/rpcClient.ts
+++ b/src/transport/node/rpcClient.ts
@@ -16,14 +16,20 @@
 /** Header that carries the secret shared by the system's processes. */
 export const PEER_SECRET_HEADER = 'auburnlift-peer-secret';
 
+/** A configuration version that another process has in force. */
+export interface HeardVersion {
+  readonly version: number;
+  readonly url: string;
+}
+
 /** How other processes are reached. */
 export interface RpcClientOptions {
   readonly call: http.HttpCall;
   readonly timeoutMs: number;
   /** Shared by the system's processes; never logged. */
   readonly peerSecret: string;
-  /** Hears the configuration version of each answer. */
-  readonly noteVersion?: (version: number) => void;
+  /** Hears the configuration version of each answer, and who gave it. */
+  readonly noteVersion?: (heard: HeardVersion) => void;
 }
 
 /** The part of a fetch request that tRPC uses. */
@@ -70,12 +76,12 @@
 }
 
 const wrapFor =
-  (options: RpcClientOptions) =>
+  (options: RpcClientOptions, url: string) =>
   <TInput, TOutput extends Answer>(target: { mutate: (input: TInput) => Promise<TOutput> }) =>
   async (input: TInput): Promise<TOutput> => {
     try {
       const answer = await target.mutate(input);
-      options.noteVersion?.(answer.from.configVersion);
+      options.noteVersion?.({ version: answer.from.configVersion, url });
       return answer;
     } catch (thrown) {
       throw toKnown(thrown);
@@ -95,13 +101,13 @@
 
 const agentClient = (options: RpcClientOptions, url: string) => {
   const client = create<agentRouter.AgentRouter>(options, url);
-  const wrap = wrapFor(options);
+  const wrap = wrapFor(options, url);
   return { fence: wrap(client.fence), command: wrap(client.command), drain: wrap(client.drain) };
 };
 
 const entryClient = (options: RpcClientOptions, url: string) => {
   const client = create<entryRouter.EntryRouter>(options, url);
-  const wrap = wrapFor(options);
+  const wrap = wrapFor(options, url);
   return {
     register: wrap(client.register),
     configuration: wrap(client.configuration),
@@ -113,7 +119,7 @@
 
 const schedulerClient = (options: RpcClientOptions, url: string) => {
   const client = create<schedulerRouter.SchedulerRouter>(options, url);
-  const wrap = wrapFor(options);
+  const wrap = wrapFor(options, url);
   return {
     report: wrap(client.report),
     submit: wrap(client.submit),
