Measure the time of a configuration change until it is in force

Cause: nothing told how long a change takes to reach every process.

Change: the entry that took a write looks twice a second until every process has the version, and keeps the time for the status, the log and a metric.

--- a/src/programs/configurationGateway.ts
+++ b/src/programs/configurationGateway.ts
@@ -1,6 +1,7 @@
 /**
  * What operators do with the configuration, as an entry does it: preview, write, history, status.
  */
+import type * as disposable from '../base/common/disposable.js';
 import * as errors from '../base/common/errors.js';
 import * as configurationHistory from '../coordination/node/configurationHistory.js';
 import * as configurationStore from '../coordination/node/configurationStore.js';
@@ -35,6 +36,13 @@
 
 const RETRY_MS = 1000;
 
+/**
+ * Load: 250 changes a day. Each look asks every entry for its agents, 670 lines in all at the target
+ * size, so it is made twice a second and only until the change is everywhere or a minute has passed.
+ */
+const FOLLOW_PERIOD_MS = 500;
+const FOLLOW_MS = 60_000;
+
 const summarize = (record: configuration.ConfigurationRecord): operatorGateway.VersionSummary => {
   const { document: _, ...rest } = record;
   return rest;
@@ -59,6 +67,8 @@
 ): ConfigurationGateway => {
   const { kit, store: target, sync, views } = options;
   const reached = new Map<number, number>();
+  let timer: disposable.Disposable | undefined;
+  let isDisposed = false;
   const inForce = (): configuration.ConfigurationRecord => {
     const record = kit.configuration.current();
     if (record !== undefined) return record;
@@ -73,6 +83,43 @@
     const before = kit.configuration.current()?.document;
     return configurationDifference.effectsOf(before, document, jobs, unansweredCells);
   };
+  const stragglersOf = async (version: number) => {
+    const processes = await views.versions();
+    const stragglers = processes
+      .filter((it) => (it.version ?? configuration.NO_VERSION) < version)
+      .map((it) => it.processId);
+    return { processes, stragglers };
+  };
+  const noteInForce = (version: number, durationMs: number): void => {
+    reached.clear();
+    reached.set(version, durationMs);
+    kit.metrics.time('auburnlift_configuration_in_force_ms', durationMs);
+    kit.log('info', 'configurationInForce', { version, durationMs: Math.round(durationMs) });
+  };
+  /** Looks again and again after a write, so that the time until it is in force is known. */
+  const followUntilInForce = (record: configuration.ConfigurationRecord, sinceMs: number): void => {
+    const { version } = record;
+    const look = async (): Promise<void> => {
+      if (isDisposed || reached.has(version) || kit.configuration.version() !== version) return;
+      const { stragglers } = await stragglersOf(version);
+      const durationMs = kit.clock.monotonicMs() - sinceMs;
+      if (stragglers.length === 0 && !reached.has(version)) noteInForce(version, durationMs);
+      else if (durationMs < FOLLOW_MS) schedule();
+    };
+    const schedule = (): void => {
+      timer = kit.clock.after(FOLLOW_PERIOD_MS, () => {
+        void look();
+      });
+    };
+    void timer?.dispose();
+    schedule();
+  };
+  kit.owned.add({
+    dispose: () => {
+      isDisposed = true;
+      void timer?.dispose();
+    },
+  });
   return {
     configuration: () => kit.configuration.current(),
     writeConfiguration: async (change) => {
@@ -85,6 +132,7 @@
       const nowMs = kit.clock.wallMs();
       const record = await configurationStore.writeConfiguration(target, wanted, nowMs, known);
       kit.configuration.offer(record);
+      followUntilInForce(record, kit.clock.monotonicMs());
       kit.log('info', 'configurationWritten', {
         version: record.version,
         author: record.author,
@@ -109,14 +157,7 @@
     },
     status: async () => {
       const { version, writtenAtMs } = inForce();
-      const processes = await views.versions();
-      const stragglers = processes
-        .filter((it) => (it.version ?? configuration.NO_VERSION) < version)
-        .map((it) => it.processId);
-      if (stragglers.length === 0 && !reached.has(version)) {
-        reached.clear();
-        reached.set(version, Math.max(0, kit.clock.wallMs() - writtenAtMs));
-      }
+      const { processes, stragglers } = await stragglersOf(version);
       const inForceAfterMs = reached.get(version);
       const warnings = sync.warnings();
       return { version, writtenAtMs, processes, stragglers, inForceAfterMs, warnings };
--- a/src/transport/node/operatorGateway.ts
+++ b/src/transport/node/operatorGateway.ts
@@ -47,8 +47,8 @@
   /** Ids of processes with an older version, or without an answer. */
   readonly stragglers: readonly string[];
   /**
-   * From the write to the first look that found every process at the version; undefined before
-   * that, and where this entry did not look.
+   * From the write to the first look that found every process at the version, twice a second;
+   * undefined before that, and at entries that did not take the write.
    */
   readonly inForceAfterMs: number | undefined;
   /** What is wrong with the store's copy. */
