Take the whole document in the console, the first one included

Cause: the first configuration could not be written through the API, since asking the cells for their jobs failed while there was no document, and the console had no form for it.

Change: before the first document there are no cells to ask. A page takes the whole document as text; where a race is lost, the button says that sending it again undoes the other change.

--- a/src/programs/entryGateways.ts
+++ b/src/programs/entryGateways.ts
@@ -74,7 +74,8 @@
     kit,
     live,
     directory: options.directory,
-    cells: () => document().cells.map((it) => it.cell),
+    // Before the first configuration there are no cells to ask.
+    cells: () => kit.configuration.current()?.document.cells.map((it) => it.cell) ?? [],
     leader,
   });
   const drainUpstream = async (
--- a/src/transport/node/console/changeForms.ts
+++ b/src/transport/node/console/changeForms.ts
@@ -67,7 +67,7 @@
 /**
  * @param context - the request
  * @param version - version that a form was opened with
- * @returns its document, from the history where another is in force
+ * @returns its document, from the history where another is in force; undefined before the first
  */
 export const documentAt = async (
   context: consoleContext.PageContext,
@@ -103,22 +103,24 @@
 
 const conflictPage = (
   context: consoleContext.PageContext,
-  action: string,
+  change: FormChange,
   error: errors.AuburnliftError,
-  before: Document,
-  document: Document,
 ): layout.Page => {
+  const { action, before, document, isWhole = false } = change;
   const current = error.detail.facts?.current as configuration.ConfigurationRecord | undefined;
   const theirs =
     current === undefined ? [] : configurationDifference.compareDocuments(before, current.document);
   const ours = configurationDifference.compareDocuments(before, document);
   const base = { baseVersion: current?.version ?? 0, writeId: context.options.newId() };
+  const label = isWhole
+    ? 'Write my document and undo their change'
+    : 'Make my change on top of theirs';
   const body = html.html`<p class="alert" role="alert">${error.message}</p>
 <p>Version ${current?.version ?? 0} was written by ${current?.author ?? 'nobody'}:
 ${current?.reason ?? ''}</p>
 <h2>Their change</h2>${differenceView.renderChanges(theirs, 'Since you opened the form')}
 <h2>Your change</h2>${differenceView.renderChanges(ours, 'Not written')}
-${resendForm(context, action, base, html.EMPTY, 'Make my change on top of theirs')}`;
+${resendForm(context, action, base, html.EMPTY, label)}`;
   return { title: 'Conflict', body, status: 409 };
 };
 
@@ -159,8 +161,10 @@
   readonly next: string;
   readonly base: FormBase;
   /** The document that the form was opened with. */
-  readonly before: Document;
+  readonly before: Document | undefined;
   readonly document: Document;
+  /** Whether the form holds the whole document, so that sending it again undoes what others wrote. */
+  readonly isWhole?: boolean;
 }
 
 /**
@@ -174,7 +178,7 @@
   context: consoleContext.PageContext,
   change: FormChange,
 ): Promise<httpServer.ServerReply> => {
-  const { action, base, before, document } = change;
+  const { action, base, document } = change;
   if (context.form.has('preview')) {
     return layout.pageReply(await previewPage(context, action, base, document), context.visitor);
   }
@@ -193,7 +197,7 @@
     if (error.kind !== 'conflict' || facts === undefined) throw error;
     const page = Object.hasOwn(facts, 'effects')
       ? consentPage(context, action, error, base)
-      : conflictPage(context, action, error, before, document);
+      : conflictPage(context, change, error);
     return layout.pageReply(page, context.visitor);
   }
 };
--- a/src/transport/node/console/consoleApp.ts
+++ b/src/transport/node/console/consoleApp.ts
@@ -14,6 +14,7 @@
 import * as layout from './layout.js';
 import * as session from './session.js';
 import * as viewPages from './viewPages.js';
+import * as wholeDocumentPages from './wholeDocumentPages.js';
 
 /** What the console needs. */
 export interface ConsoleAppOptions extends consoleContext.ConsoleOptions {
@@ -30,6 +31,7 @@
 const ROUTES: readonly consoleContext.ConsoleRoute[] = [
   ...viewPages.VIEW_ROUTES,
   ...documentPages.DOCUMENT_ROUTES,
+  ...wholeDocumentPages.WHOLE_DOCUMENT_ROUTES,
   ...historyPages.HISTORY_ROUTES,
 ];
 
@@ -77,7 +79,8 @@
       : html.html`<p>Sending the form again is safe: it carries the same write id.</p>
 ${changeForms.resendForm(context, action, changeForms.readBase(context.form), html.EMPTY, 'Send again')}`;
   const body = html.html`<p class="alert" role="alert">${error.message}</p>${again}
-<p><a href="${CONSOLE_PATH}">Overview</a></p>`;
+<p><a href="${CONSOLE_PATH}">Overview</a>,
+<a href="/console/document">the whole document</a></p>`;
   return layout.pageReply({ title: 'That did not work', body, status }, context?.visitor);
 };
 
--- a/src/transport/node/console/documentPages.ts
+++ b/src/transport/node/console/documentPages.ts
@@ -38,6 +38,13 @@
   throw errors.fail('storeUnavailable', 'no configuration is in force yet');
 };
 
+/** Forms of single items are opened on a document, never before the first. */
+const openedDocument = async (context: Context, version: number) => {
+  const document = await changeForms.documentAt(context, version);
+  if (document !== undefined) return document;
+  throw errors.fail('invalidRequest', 'the form was opened before there was a configuration');
+};
+
 const renderForm = (context: Context, state: FormState): html.Html => {
   const { editor, typed } = state;
   const formFields = [...editor.fields(currentDocument(context)), ...changeForms.CHANGE_FIELDS];
@@ -98,7 +105,11 @@
   return formPage(context, { editor, id, base, typed, errors: new Map() });
 };
 
-const reasonErrors = (typed: fields.Typed): readonly string[] => {
+/**
+ * @param typed - what was typed
+ * @returns what is wrong with the reason
+ */
+export const reasonErrors = (typed: fields.Typed): readonly string[] => {
   const { reason = '' } = typed;
   if (reason === '') return ['a reason is expected'];
   return reason.length > MAX_REASON ? [`at most ${MAX_REASON} characters expected`] : [];
@@ -110,7 +121,7 @@
   id: string,
 ): Promise<httpServer.ServerReply> => {
   const base = changeForms.readBase(context.form);
-  const before = await changeForms.documentAt(context, base.baseVersion);
+  const before = await openedDocument(context, base.baseVersion);
   const itemFields = editor.fields(before);
   const typed = fields.readTyped([...itemFields, ...changeForms.CHANGE_FIELDS], context.form);
   const item = fields.toItem(itemFields, typed);
@@ -138,7 +149,7 @@
   id: string,
 ): Promise<httpServer.ServerReply> => {
   const base = changeForms.readBase(context.form);
-  const before = await changeForms.documentAt(context, base.baseVersion);
+  const before = await openedDocument(context, base.baseVersion);
   const reason = reasonErrors({ reason: (context.form.get('reason') ?? '').trim() });
   const decoded = configurationChecks.decodeDocument(documentEdit.withoutItem(before, editor, id));
   if (!decoded.isValid || reason.length > 0) {
--- a/src/transport/node/console/historyPages.ts
+++ b/src/transport/node/console/historyPages.ts
@@ -84,7 +84,7 @@
     const { document } = await context.options.gateway.historyVersion(version);
     const before = await changeForms.documentAt(context, base.baseVersion);
     const action = `/console/history/${version}/undo`;
-    const change = { action, next: '/console/history', base, before, document };
+    const change = { action, next: '/console/history', base, before, document, isWhole: true };
     return changeForms.submitChange(context, change);
   },
 };
--- a/src/transport/node/console/layout.ts
+++ b/src/transport/node/console/layout.ts
@@ -71,6 +71,7 @@
   ['/console/objectives', 'Objectives'],
   ['/console/placement', 'Placement'],
   ['/console/routing', 'Routing'],
+  ['/console/document', 'Document'],
   ['/console/history', 'History'],
   ['/console/status', 'In force'],
   ['/console/jobs', 'Jobs'],
