--- a/src/bench/capacity/fakeAgents.ts
+++ b/src/bench/capacity/fakeAgents.ts
@@ -64,6 +64,8 @@
     }
   };
   const router = agentRouter.createAgentRouter({
+    configuration: () => Promise.resolve({ from }),
+    drain: () => Promise.resolve({ from }),
     fence: (request) => {
       epoch = Math.max(epoch, request.epoch);
       return Promise.resolve({
@@ -107,6 +109,7 @@
         serviceMs: 40,
       },
       isLeaving: false,
+      clockMs: 1,
     }),
     report: () => ({
       from,
