Balance the ledger over changes of leader, outages, lost answers and clock jumps

Cause: the thin ledger left the time between two leaders out, read only the current hour at a change of leader, met its own record as a conflict for ever after a lost answer, let a deposed leader go on writing, trusted a wall clock that jumps, and kept its hours without bound.

Change: records carry the epoch of their writer, and loading rewrites the last record, which ends a former leader at its next write. The time since the last record is booked from the jobs in the store: a placed job held its accelerators, of the others nobody can say. Capacity is what is configured for the cell, or what is there where that is more, and is summed apart from the entries, so that the check compares two counts. Faults are logged as errors and counted.

The last leader's unwritten seconds are booked as unreachable where the store shows no job, which is what can be shown.

--- a/src/coordination/common/ledgerBook.ts
+++ b/src/coordination/common/ledgerBook.ts
@@ -2,148 +2,183 @@
  * Books accelerator time: who held what, for how long and why. Pure: holdings and a span of time go
  * in, entries come out, and the entries of a span always add up to capacity times time.
  */
-import * as job from '../../state/common/job.js';
 import * as ledgerEntry from '../../state/common/ledgerEntry.js';
-import type * as worker from '../../state/common/worker.js';
 
-/** A worker's capacity, as the ledger sees it. */
-export interface BookWorker {
-  readonly workerId: string;
-  readonly accelerators: number;
-  readonly health: worker.WorkerHealth;
+import * as ledgerHoldings from './ledgerHoldings.js';
+
+/** An hour that is being booked, with its entries by heading so that booking a span is cheap. */
+export interface OpenHour extends Omit<ledgerEntry.LedgerHour, 'entries'> {
+  readonly entries: ReadonlyMap<string, ledgerEntry.LedgerEntry>;
 }
 
 /** Hours that are being booked, by hour. */
-export type Book = ReadonlyMap<number, ledgerEntry.LedgerHour>;
-
-type Heading = Omit<ledgerEntry.LedgerEntry, 'acceleratorMs'>;
-
-const HOLD_HEADINGS = {
-  ready: job.HoldReason.idle,
-  leaving: job.HoldReason.idle,
-  quarantined: job.HoldReason.quarantined,
-  unreachable: job.HoldReason.unreachable,
-} as const satisfies Record<worker.WorkerHealth, job.HoldReason>;
-
-const reasonOf = (record: job.JobRecord): job.HoldReason => {
-  if (record.state === job.JobState.stopping) {
-    const { stopCause } = record;
-    const isGrace = stopCause === job.StopCause.reclaimed || stopCause === job.StopCause.compacted;
-    if (isGrace) return job.HoldReason.reclaimGrace;
-    if (stopCause !== job.StopCause.cancelled) return job.HoldReason.lostToFailure;
-  }
-  return record.spec.claim === job.Claim.guaranteed
-    ? job.HoldReason.guarantee
-    : job.HoldReason.spare;
-};
+export type Book = ReadonlyMap<number, OpenHour>;
 
-const headingKey = (it: Heading): string =>
-  [it.reason, it.customerId, it.jobId, it.attempt, it.ruleId, it.configVersion].join(' ');
+/**
+ * @param hour - an hour that is being booked
+ * @returns it as it is kept in the store
+ */
+export const toRecord = (hour: OpenHour): ledgerEntry.LedgerHour => ({
+  ...hour,
+  entries: [...hour.entries.values()],
+});
 
-const headingOfJob = (record: job.JobRecord, configVersion: number): Heading => ({
-  customerId: record.spec.customerId,
-  jobId: record.spec.jobId,
-  attempt: record.attempt,
-  reason: reasonOf(record),
-  ruleId: record.ruleId ?? '',
-  configVersion,
+/**
+ * @param record - an hour as it is kept in the store
+ * @returns it for further booking
+ */
+export const fromRecord = (record: ledgerEntry.LedgerHour): OpenHour => ({
+  ...record,
+  entries: new Map(record.entries.map((it) => [ledgerHoldings.headingKey(it), it])),
 });
 
-const headingOfNobody = (reason: job.HoldReason, configVersion: number): Heading => ({
-  customerId: '',
-  jobId: '',
+/**
+ * Headings kept apart in one hour. With the longest ids an entry takes about 420 bytes, so that an
+ * hour stays below the store's megabyte whatever a burst of short jobs does; at the target size a
+ * cell runs some hundred jobs in an hour.
+ */
+export const MAX_ENTRIES = 2000;
+
+/** What is booked over one span of time in which nothing changed. */
+export interface Span extends ledgerHoldings.Holdings {
+  readonly cell: string;
+  readonly epoch: number;
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+/**
+ * @param atMs - milliseconds since the Unix epoch
+ * @returns the hour it lies in
+ */
+export const hourOf = (atMs: number): number => Math.floor(atMs / ledgerEntry.HOUR_MS);
+
+const fold = (heading: ledgerHoldings.Heading): ledgerHoldings.Heading => ({
+  ...heading,
+  jobId: heading.jobId === '' ? '' : ledgerEntry.FOLDED_JOB,
   attempt: 0,
-  reason,
-  ruleId: '',
-  configVersion,
 });
 
-/** Accelerators under each heading now; together they are the capacity. */
-const countHoldings = (
-  workers: readonly BookWorker[],
-  jobs: readonly job.JobRecord[],
-  configVersion: number,
-): ReadonlyMap<string, { heading: Heading; accelerators: number }> => {
-  const counts = new Map<string, { heading: Heading; accelerators: number }>();
-  const add = (heading: Heading, accelerators: number): void => {
-    const key = headingKey(heading);
-    const before = counts.get(key)?.accelerators ?? 0;
-    counts.set(key, { heading, accelerators: before + accelerators });
-  };
-  const freeByWorker = new Map(workers.map((it) => [it.workerId, it.accelerators]));
-  for (const record of jobs) {
-    for (const held of record.placement) {
-      const free = freeByWorker.get(held.workerId);
-      if (free === undefined) continue;
-      freeByWorker.set(held.workerId, free - held.accelerators.length);
-      add(headingOfJob(record, configVersion), held.accelerators.length);
-    }
-  }
-  for (const it of workers) {
-    const free = freeByWorker.get(it.workerId) ?? 0;
-    if (free > 0) add(headingOfNobody(HOLD_HEADINGS[it.health], configVersion), free);
+/**
+ * @param entries - entries so far, by heading
+ * @param heading - where to add
+ * @param acceleratorMs - what to add
+ */
+const addEntry = (
+  entries: Map<string, ledgerEntry.LedgerEntry>,
+  heading: ledgerHoldings.Heading,
+  acceleratorMs: number,
+): void => {
+  const isFull = entries.size >= MAX_ENTRIES && !entries.has(ledgerHoldings.headingKey(heading));
+  const target = isFull ? fold(heading) : heading;
+  const key = ledgerHoldings.headingKey(target);
+  const before = entries.get(key)?.acceleratorMs ?? 0;
+  entries.set(key, { ...target, acceleratorMs: before + acceleratorMs });
+};
+
+/**
+ * @param lists - entries of several hours
+ * @returns one list with the times of like headings added up
+ */
+export const mergeEntries = (
+  lists: readonly (readonly ledgerEntry.LedgerEntry[])[],
+): readonly ledgerEntry.LedgerEntry[] => {
+  const merged = new Map<string, ledgerEntry.LedgerEntry>();
+  for (const { acceleratorMs, ...heading } of lists.flat()) {
+    addEntry(merged, heading, acceleratorMs);
   }
-  return counts;
+  return [...merged.values()];
 };
 
-const hourOf = (atMs: number): number => Math.floor(atMs / ledgerEntry.HOUR_MS);
-
-const addSpan = (
-  hour: ledgerEntry.LedgerHour,
-  holdings: ReturnType<typeof countHoldings>,
-  capacity: number,
-  spanMs: number,
-): ledgerEntry.LedgerHour => {
-  const entries = new Map(hour.entries.map((it) => [headingKey(it), it]));
-  for (const [key, { heading, accelerators }] of holdings) {
-    const before = entries.get(key)?.acceleratorMs ?? 0;
-    entries.set(key, { ...heading, acceleratorMs: before + accelerators * spanMs });
+const addCapacity = (
+  capacities: readonly ledgerEntry.CapacityTime[],
+  accelerators: number,
+  durationMs: number,
+): readonly ledgerEntry.CapacityTime[] => {
+  const known = capacities.find((it) => it.accelerators === accelerators)?.durationMs ?? 0;
+  const others = capacities.filter((it) => it.accelerators !== accelerators);
+  return [...others, { accelerators, durationMs: known + durationMs }];
+};
+
+const addSpan = (hour: OpenHour, count: ledgerHoldings.Count, spanMs: number): OpenHour => {
+  const entries = new Map(hour.entries);
+  for (const { heading, accelerators } of count.held.values()) {
+    addEntry(entries, heading, accelerators * spanMs);
   }
   return {
     ...hour,
     bookedUntilMs: hour.bookedUntilMs + spanMs,
-    capacityAcceleratorMs: hour.capacityAcceleratorMs + capacity * spanMs,
-    entries: [...entries.values()],
+    capacities: addCapacity(hour.capacities, count.capacity, spanMs),
+    capacityAcceleratorMs: hour.capacityAcceleratorMs + count.capacity * spanMs,
+    conflictingAcceleratorMs: hour.conflictingAcceleratorMs + count.conflicts * spanMs,
+    entries,
   };
 };
 
-/** What is booked over one span of time in which nothing changed. */
-export interface Span {
-  readonly cell: string;
-  readonly fromMs: number;
-  readonly toMs: number;
-  readonly workers: readonly BookWorker[];
-  readonly jobs: readonly job.JobRecord[];
-  readonly configVersion: number;
-}
+/**
+ * @param owner - the cell and the epoch of its leader
+ * @param atMs - where booking begins
+ * @returns an hour in which nothing is booked yet
+ */
+export const openHour = (
+  owner: { readonly cell: string; readonly epoch: number },
+  atMs: number,
+): OpenHour => ({
+  cell: owner.cell,
+  hour: hourOf(atMs),
+  epoch: owner.epoch,
+  bookedFromMs: atMs,
+  bookedUntilMs: atMs,
+  capacities: [],
+  capacityAcceleratorMs: 0,
+  conflictingAcceleratorMs: 0,
+  entries: new Map(),
+});
 
 /**
+ * Books from where the hour's record ends: what is booked already is never booked again, so that
+ * a span that reaches back adds only what is new.
+ *
  * @param book - the hours so far
  * @param span - wall time and what was held throughout
  * @returns the book with the span in it, split at full hours
  */
 export const bookSpan = (book: Book, span: Span): Book => {
   const next = new Map(book);
-  const holdings = countHoldings(span.workers, span.jobs, span.configVersion);
-  const capacity = span.workers.reduce((sum, it) => sum + it.accelerators, 0);
+  const count = ledgerHoldings.countHoldings(span);
   let fromMs = Math.round(span.fromMs);
   const toMs = Math.round(span.toMs);
   while (fromMs < toMs) {
     const hour = hourOf(fromMs);
     const untilMs = Math.min(toMs, (hour + 1) * ledgerEntry.HOUR_MS);
-    const known = next.get(hour) ?? {
-      cell: span.cell,
-      hour,
-      bookedUntilMs: fromMs,
-      capacityAcceleratorMs: 0,
-      entries: [],
-    };
-    next.set(hour, addSpan(known, holdings, capacity, untilMs - fromMs));
+    const known = next.get(hour) ?? openHour(span, fromMs);
+    const newMs = untilMs - Math.max(fromMs, known.bookedUntilMs);
+    if (newMs > 0) next.set(hour, { ...addSpan(known, count, newMs), epoch: span.epoch });
     fromMs = untilMs;
   }
   return next;
 };
 
+/**
+ * Books a time in which nobody led the cell, split where the store shows that a job started.
+ *
+ * @param book - the hours so far
+ * @param span - the time, with what the store shows at its end
+ * @returns the book with the time in it
+ */
+export const bookUnwitnessed = (book: Book, span: Span): Book => {
+  const starts = span.jobs
+    .map((it) => it.startedAtMs ?? 0)
+    .filter((it) => it > span.fromMs && it < span.toMs);
+  const edges = [...new Set([span.fromMs, ...starts, span.toMs])].sort((a, b) => a - b);
+  let next = book;
+  edges.slice(1).forEach((toMs, index) => {
+    const fromMs = edges[index] ?? span.fromMs;
+    next = bookSpan(next, { ...span, ...ledgerHoldings.unwitnessed(span, fromMs), fromMs, toMs });
+  });
+  return next;
+};
+
 /**
  * @param hour - a booked hour
  * @returns entries minus capacity in accelerator-milliseconds; 0 where the books balance
--- /dev/null
+++ b/src/coordination/common/ledgerCheck.ts
@@ -0,0 +1,71 @@
+/**
+ * Checks that a cell's books balance: every hour adds up, and the hours follow each other without
+ * a hole or an overlap.
+ */
+import * as ledgerEntry from '../../state/common/ledgerEntry.js';
+
+import * as ledgerBook from './ledgerBook.js';
+
+/** What can be wrong with an hour. */
+export const LedgerFaultKind = {
+  /** The entries do not add up to the capacity. */
+  imbalance: 'imbalance',
+  /** The capacity does not add up to the time. */
+  capacityMismatch: 'capacityMismatch',
+  /** Two jobs claimed one accelerator. */
+  doubleHeld: 'doubleHeld',
+  /** Time between two hours is not booked. */
+  hole: 'hole',
+  /** The hour claims time that is not its own. */
+  outside: 'outside',
+} as const;
+
+/** One of the values of {@link LedgerFaultKind}. */
+export type LedgerFaultKind = (typeof LedgerFaultKind)[keyof typeof LedgerFaultKind];
+
+/** One thing that is wrong. */
+export interface LedgerFault {
+  readonly kind: LedgerFaultKind;
+  readonly cell: string;
+  readonly hour: number;
+  /** How far off: accelerator-milliseconds, or milliseconds for a hole or time outside. */
+  readonly offMs: number;
+}
+
+/**
+ * @param hour - a booked hour
+ * @returns what is wrong with it by itself
+ */
+export const checkHour = (hour: ledgerEntry.LedgerHour): readonly LedgerFault[] => {
+  const faults: LedgerFault[] = [];
+  const add = (kind: LedgerFaultKind, offMs: number): void => {
+    if (offMs !== 0) faults.push({ kind, cell: hour.cell, hour: hour.hour, offMs });
+  };
+  const bookedMs = hour.bookedUntilMs - hour.bookedFromMs;
+  const countedMs = hour.capacities.reduce((sum, it) => sum + it.durationMs, 0);
+  const countedAcceleratorMs = hour.capacities.reduce(
+    (sum, it) => sum + it.accelerators * it.durationMs,
+    0,
+  );
+  const startMs = hour.hour * ledgerEntry.HOUR_MS;
+  add(LedgerFaultKind.imbalance, ledgerBook.imbalanceOf(hour));
+  add(LedgerFaultKind.capacityMismatch, hour.capacityAcceleratorMs - countedAcceleratorMs);
+  add(LedgerFaultKind.outside, countedMs - bookedMs);
+  add(LedgerFaultKind.outside, Math.max(0, startMs - hour.bookedFromMs));
+  add(LedgerFaultKind.outside, Math.max(0, hour.bookedUntilMs - startMs - ledgerEntry.HOUR_MS));
+  add(LedgerFaultKind.doubleHeld, hour.conflictingAcceleratorMs);
+  return faults;
+};
+
+/**
+ * @param hours - hours of one cell in their order
+ * @returns everything that is wrong with them; empty where the books balance
+ */
+export const checkHours = (hours: readonly ledgerEntry.LedgerHour[]): readonly LedgerFault[] => {
+  const holes = hours.slice(1).flatMap((hour, index): LedgerFault[] => {
+    const offMs = hour.bookedFromMs - (hours[index]?.bookedUntilMs ?? 0);
+    const { cell } = hour;
+    return offMs === 0 ? [] : [{ kind: LedgerFaultKind.hole, cell, hour: hour.hour, offMs }];
+  });
+  return [...hours.flatMap(checkHour), ...holes];
+};
--- a/src/coordination/node/cellLeader.ts
+++ b/src/coordination/node/cellLeader.ts
@@ -166,13 +166,23 @@
       health: roster.healthOf(it, nowMs()),
       healthReason: it.healthReason,
     }));
+  const configuredCapacity = (): { readonly configuredAccelerators?: number } => {
+    const cells = options.configuration.current()?.document.cells ?? [];
+    const found = cells.find((it) => it.cell === options.cell);
+    if (found === undefined) return {};
+    return { configuredAccelerators: found.workers * found.acceleratorsPerWorker };
+  };
   const ledger = owned.add(
     ledgerKeeper.createLedgerKeeper({
       cell: options.cell,
+      epoch: options.epoch,
       store: options.store,
       clock: timeSource,
       log,
+      metrics: options.metrics,
+      onDeposed: options.onDeposed,
       holdings: () => ({
+        ...configuredCapacity(),
         workers: workerViews().map((it) => ({
           workerId: it.worker.workerId,
           accelerators: it.worker.accelerators,
--- a/src/coordination/node/ledgerKeeper.ts
+++ b/src/coordination/node/ledgerKeeper.ts
@@ -1,36 +1,48 @@
 /**
  * Keeps a cell's ledger while it is led: books each span between two changes and writes the hours.
+ *
+ * Guards against these failures:
+ * - A leader dies: what it had not written is seen as a gap by the next one, which books it from the
+ *   jobs in the store (`ledgerBook.bookUnwitnessed`), starting where the last record ends.
+ * - A deposed leader still writes: each record carries its writer's epoch. Loading rewrites the last
+ *   record, so that the older leader's next write conflicts, reads a higher epoch and ends it.
+ * - An answer is lost: the record is read back. A later conflict with a record of the own epoch can
+ *   only be such a write, as an epoch has one writer; it is overwritten with all that is booked.
+ * - The store is down for hours: hours stay in memory until they are written, oldest first.
  */
 import type * as clock from '../../base/common/clock.js';
 import type * as disposable from '../../base/common/disposable.js';
 import * as errors from '../../base/common/errors.js';
 import type * as logging from '../../base/common/logging.js';
+import type * as metrics from '../../base/common/metrics.js';
 import * as schemaIssues from '../../base/common/schemaIssues.js';
-import type * as job from '../../state/common/job.js';
 import * as ledgerEntry from '../../state/common/ledgerEntry.js';
-import type * as store from '../../state/common/store.js';
+import * as store from '../../state/common/store.js';
 import * as storeKeys from '../../state/common/storeKeys.js';
 import * as ledgerBook from '../common/ledgerBook.js';
+import * as ledgerCheck from '../common/ledgerCheck.js';
+import * as ledgerHoldings from '../common/ledgerHoldings.js';
+import * as ledgerTime from '../common/ledgerTime.js';
 
-/** What is held now. */
-export interface Holdings {
-  readonly workers: readonly ledgerBook.BookWorker[];
-  readonly jobs: readonly job.JobRecord[];
-  readonly configVersion: number;
-}
+import * as ledgerRollup from './ledgerRollup.js';
 
 /** What the keeper needs. */
 export interface LedgerKeeperOptions {
   readonly cell: string;
+  /** Epoch of the leader that keeps the books. */
+  readonly epoch: number;
   readonly store: store.Store;
   readonly clock: clock.Clock;
   readonly log: logging.Log;
-  readonly holdings: () => Holdings;
+  readonly metrics: metrics.Metrics;
+  readonly holdings: () => ledgerHoldings.Holdings;
+  /** A later leader keeps the books. */
+  readonly onDeposed: () => void;
 }
 
 /** The ledger of a cell that is led. */
 export interface LedgerKeeper extends disposable.Disposable {
-  /** Reads the current hour, so that booking goes on where the former leader left it. */
+  /** Fences former keepers and books the time since their last record. */
   readonly load: () => Promise<void>;
   /** Books what has been held until now; call it before anything changes. */
   readonly settle: () => void;
@@ -41,6 +53,12 @@
 /** How often the hours are written. */
 const WRITE_MS = 5000;
 
+/** How often old hours are looked for. */
+const ROLL_UP_MS = ledgerEntry.HOUR_MS;
+
+/** A longer time without any leader stays a hole, which the check reports. */
+export const MAX_GAP_MS = 604_800_000;
+
 const decode = (value: string): ledgerEntry.LedgerHour =>
   schemaIssues.decodeOrFail(ledgerEntry.LedgerHour, JSON.parse(value), 'ledger hour');
 
@@ -49,62 +67,171 @@
  * @returns a keeper that has booked nothing
  */
 export const createLedgerKeeper = (options: LedgerKeeperOptions): LedgerKeeper => {
+  const { cell, epoch, clock: timeSource, log } = options;
   let book: ledgerBook.Book = new Map();
   const written = new Map<number, { revision: number; bookedUntilMs: number }>();
-  let settledAtMs: number | undefined;
+  const reported = new Set<string>();
+  let time: ledgerTime.LedgerTime | undefined;
   let timer: disposable.Disposable | undefined;
+  let writing: Promise<void> = Promise.resolve();
+  let rolledAtMs = Number.NEGATIVE_INFINITY;
+  let isDisposed = false;
+  let isDeposed = false;
+  let anomaly: ledgerTime.LedgerStep['anomaly'] = 'none';
 
+  const spanOf = (fromMs: number, toMs: number): ledgerBook.Span => ({
+    cell,
+    epoch,
+    fromMs,
+    toMs,
+    ...options.holdings(),
+  });
+  const reportAnomaly = (next: ledgerTime.LedgerStep['anomaly']): void => {
+    if (next !== 'none' && next !== anomaly) {
+      log('error', 'ledgerClockJumped', { cell, direction: next });
+      options.metrics.count('auburnlift_ledger_clock_jumps_total', { cell, direction: next });
+    }
+    anomaly = next;
+  };
   const settle = (): void => {
-    const atMs = Math.floor(options.clock.wallMs());
-    if (settledAtMs !== undefined && atMs > settledAtMs) {
-      const span = { cell: options.cell, fromMs: settledAtMs, toMs: atMs, ...options.holdings() };
-      book = ledgerBook.bookSpan(book, span);
+    if (time === undefined) return;
+    const fromMs = time.bookedUntilMs;
+    const step = ledgerTime.step(time, timeSource.wallMs(), timeSource.monotonicMs());
+    reportAnomaly(step.anomaly);
+    time = step.next;
+    if (time.bookedUntilMs === fromMs) return;
+    const { unwitnessedUntilMs } = step;
+    if (unwitnessedUntilMs > fromMs) {
+      book = ledgerBook.bookUnwitnessed(book, spanOf(fromMs, unwitnessedUntilMs));
+    }
+    book = ledgerBook.bookSpan(book, spanOf(unwitnessedUntilMs, time.bookedUntilMs));
+  };
+  const depose = (): never => {
+    if (!isDeposed) options.onDeposed();
+    isDeposed = true;
+    throw errors.fail('notLeader', `the ledger of cell ${cell} has a later keeper`);
+  };
+  const swap = async (
+    hour: ledgerEntry.LedgerHour,
+    expectedRevision: number,
+  ): Promise<store.SwapResult> => {
+    const key = storeKeys.ledgerHourKey(cell, hour.hour);
+    const value = JSON.stringify(hour);
+    try {
+      return await options.store.compareAndSwap({ key, expectedRevision, value });
+    } catch (thrown) {
+      if (!(thrown instanceof store.StoreOutcomeUnknown)) throw thrown;
+      const current = await options.store.get(key);
+      return current?.value === value
+        ? { isSwapped: true, revision: current.revision }
+        : { isSwapped: false, current };
     }
-    settledAtMs = Math.max(atMs, settledAtMs ?? 0);
   };
   const write = async (hour: ledgerEntry.LedgerHour): Promise<void> => {
-    const key = storeKeys.ledgerHourKey(options.cell, hour.hour);
-    const expectedRevision = written.get(hour.hour)?.revision ?? 0;
-    const result = await options.store.compareAndSwap({
-      key,
-      expectedRevision,
-      value: JSON.stringify(hour),
-    });
+    let result = await swap(hour, written.get(hour.hour)?.revision ?? store.ABSENT_REVISION);
+    if (!result.isSwapped) {
+      const { current } = result;
+      if (current !== undefined && decode(current.value).epoch > epoch) depose();
+      result = await swap(hour, current?.revision ?? store.ABSENT_REVISION);
+    }
     if (!result.isSwapped) throw errors.fail('conflict', `ledger hour ${hour.hour} was written`);
     const { revision } = result;
     written.set(hour.hour, { revision, bookedUntilMs: hour.bookedUntilMs });
   };
-  const flush = async (): Promise<void> => {
+  const check = (hour: ledgerEntry.LedgerHour): void => {
+    for (const { kind, offMs } of ledgerCheck.checkHour(hour)) {
+      const key = `${hour.hour} ${kind}`;
+      if (reported.has(key)) continue;
+      reported.add(key);
+      log('error', 'ledgerOutOfBalance', { cell, hour: hour.hour, kind, offMs });
+      options.metrics.count('auburnlift_ledger_faults_total', { cell, kind });
+    }
+  };
+  /** Forgets hours that are over and written. */
+  const prune = (): void => {
+    const last = Math.max(...book.keys());
+    book = new Map(
+      [...book].filter(
+        ([hour, it]) => hour === last || written.get(hour)?.bookedUntilMs !== it.bookedUntilMs,
+      ),
+    );
+    for (const hour of written.keys()) if (!book.has(hour)) written.delete(hour);
+  };
+  const writeAll = async (): Promise<void> => {
+    if (isDeposed) depose();
     settle();
-    for (const hour of book.values()) {
-      if (written.get(hour.hour)?.bookedUntilMs !== hour.bookedUntilMs) await write(hour);
+    for (const [, hour] of [...book].sort(([a], [b]) => a - b)) {
+      const isDirty = written.get(hour.hour)?.bookedUntilMs !== hour.bookedUntilMs;
+      if (!isDirty) continue;
+      const record = ledgerBook.toRecord(hour);
+      check(record);
+      await write(record);
     }
+    prune();
+  };
+  /** One write at a time: two at once would conflict with each other. */
+  const flush = (): Promise<void> => {
+    writing = writing.then(writeAll, writeAll);
+    return writing;
+  };
+  const rollUp = async (): Promise<void> => {
+    const nowMs = timeSource.monotonicMs();
+    if (nowMs - rolledAtMs < ROLL_UP_MS) return;
+    rolledAtMs = nowMs;
+    const { store: target } = options;
+    await ledgerRollup.rollUp({ store: target, cell, epoch, nowMs: timeSource.wallMs() });
+  };
+  const onTimer = async (): Promise<void> => {
+    try {
+      await flush();
+      await rollUp();
+    } catch (thrown) {
+      log('warn', 'ledgerNotWritten', { cell, reason: errors.normalize(thrown).message });
+    }
+    schedule();
   };
   const schedule = (): void => {
-    timer = options.clock.after(WRITE_MS, () => {
-      flush()
-        .catch((thrown: unknown) => {
-          options.log('warn', 'ledgerNotWritten', { reason: errors.normalize(thrown).message });
-        })
-        .finally(schedule);
+    if (isDisposed || isDeposed) return;
+    timer = timeSource.after(WRITE_MS, () => {
+      void onTimer();
     });
   };
+  const startOf = (last: ledgerEntry.LedgerHour | undefined, nowMs: number): number => {
+    if (last === undefined) return nowMs;
+    if (nowMs - last.bookedUntilMs <= MAX_GAP_MS) return last.bookedUntilMs;
+    log('error', 'ledgerHole', { cell, holeMs: nowMs - last.bookedUntilMs });
+    options.metrics.count('auburnlift_ledger_faults_total', { cell, kind: 'hole' });
+    return nowMs;
+  };
   return {
     load: async () => {
-      const hour = Math.floor(options.clock.wallMs() / ledgerEntry.HOUR_MS);
-      const entry = await options.store.get(storeKeys.ledgerHourKey(options.cell, hour));
+      const { entries } = await options.store.list(storeKeys.ledgerPrefix(cell));
+      const entry = entries.at(-1);
+      const last = entry === undefined ? undefined : decode(entry.value);
+      if (last !== undefined && last.epoch > epoch) depose();
+      const nowMs = Math.floor(timeSource.wallMs());
+      const fromMs = startOf(last, nowMs);
+      // Taken or created even where there is nothing to book, so that a former keeper conflicts.
+      const first =
+        last === undefined
+          ? ledgerBook.openHour({ cell, epoch }, nowMs)
+          : ledgerBook.fromRecord(last);
+      book = new Map([[first.hour, { ...first, epoch }]]);
       if (entry !== undefined) {
-        const held = decode(entry.value);
-        book = new Map([[hour, held]]);
-        written.set(hour, { revision: entry.revision, bookedUntilMs: held.bookedUntilMs });
-        settledAtMs = held.bookedUntilMs;
+        written.set(first.hour, { revision: entry.revision, bookedUntilMs: Number.NaN });
       }
-      settledAtMs ??= Math.floor(options.clock.wallMs());
+      if (fromMs < nowMs) book = ledgerBook.bookUnwitnessed(book, spanOf(fromMs, nowMs));
+      time = {
+        bookedUntilMs: Math.max(fromMs, nowMs),
+        monotonicMs: timeSource.monotonicMs(),
+      };
+      await flush();
       schedule();
     },
     settle,
     flush,
     dispose: () => {
+      isDisposed = true;
       void timer?.dispose();
     },
   };
--- /dev/null
+++ b/src/coordination/node/ledgerRollup.ts
@@ -0,0 +1,125 @@
+/**
+ * Bounds the ledger in the store: hours that are three days old become one record a day, and days
+ * are kept for {@link KEPT_DAYS}. Both rules are stated on the operators' page.
+ *
+ * Guards against a process that dies between writing the day and deleting its hours: the day names
+ * the hours that went into it, so that doing it again adds only hours that are missing, and a
+ * reader leaves out hours that the day has.
+ */
+import * as schemaIssues from '../../base/common/schemaIssues.js';
+import * as ledgerEntry from '../../state/common/ledgerEntry.js';
+import * as store from '../../state/common/store.js';
+import * as storeKeys from '../../state/common/storeKeys.js';
+import * as ledgerBook from '../common/ledgerBook.js';
+
+/** Whole days for which hours stay apart. */
+export const HOURLY_DAYS = 3;
+
+/** Days that are kept: a year and a month, for the yearly audit. */
+export const KEPT_DAYS = 400;
+
+/** What rolling up needs. */
+export interface RollupOptions {
+  readonly store: store.Store;
+  readonly cell: string;
+  readonly epoch: number;
+  /** Wall time. */
+  readonly nowMs: number;
+}
+
+interface KeptHour {
+  readonly entry: store.StoreEntry;
+  readonly hour: ledgerEntry.LedgerHour;
+}
+
+const dayOf = (hour: number): number => Math.floor(hour / ledgerEntry.HOURS_PER_DAY);
+
+/**
+ * @param day - the day so far, if any
+ * @param hours - hours of the day, some of which may be in it already
+ * @param owner - the cell and the epoch of its leader
+ * @returns the day with each hour in it once
+ */
+export const mergeDay = (
+  day: ledgerEntry.LedgerDay | undefined,
+  hours: readonly ledgerEntry.LedgerHour[],
+  owner: { readonly cell: string; readonly epoch: number; readonly day: number },
+): ledgerEntry.LedgerDay => {
+  const known = new Set(day?.hours.map((it) => it.hour));
+  const missing = hours.filter((it) => !known.has(it.hour));
+  const summaries = missing.map(
+    ({ hour, bookedFromMs, bookedUntilMs, capacityAcceleratorMs, conflictingAcceleratorMs }) => ({
+      hour,
+      bookedFromMs,
+      bookedUntilMs,
+      capacityAcceleratorMs,
+      conflictingAcceleratorMs,
+    }),
+  );
+  return {
+    ...owner,
+    hours: [...(day?.hours ?? []), ...summaries].sort((a, b) => a.hour - b.hour),
+    entries: ledgerBook.mergeEntries([day?.entries ?? [], ...missing.map((it) => it.entries)]),
+  };
+};
+
+const decodeDay = (value: string): ledgerEntry.LedgerDay =>
+  schemaIssues.decodeOrFail(ledgerEntry.LedgerDay, JSON.parse(value), 'ledger day');
+
+const rollDay = async (
+  options: RollupOptions,
+  day: number,
+  kept: readonly KeptHour[],
+): Promise<void> => {
+  const { store: target, cell, epoch } = options;
+  const key = storeKeys.ledgerDayKey(cell, day);
+  const current = await target.get(key);
+  const known = current === undefined ? undefined : decodeDay(current.value);
+  const hours = kept.map((it) => it.hour);
+  const merged = mergeDay(known, hours, { cell, epoch, day });
+  const result = await target.compareAndSwap({
+    key,
+    expectedRevision: current?.revision ?? store.ABSENT_REVISION,
+    value: JSON.stringify(merged),
+  });
+  // Another process rolls the same day up; it also deletes the hours.
+  if (!result.isSwapped) return;
+  for (const { entry } of kept) {
+    const { key: hourKey, revision } = entry;
+    await target.compareAndSwap({ key: hourKey, expectedRevision: revision, value: null });
+  }
+};
+
+const dropOldDays = async (options: RollupOptions, today: number): Promise<void> => {
+  const { entries } = await options.store.list(storeKeys.ledgerDaysPrefix(options.cell));
+  const oldest = storeKeys.ledgerDayKey(options.cell, Math.max(0, today - KEPT_DAYS));
+  for (const { key, revision } of entries.filter((it) => it.key < oldest)) {
+    await options.store.compareAndSwap({ key, expectedRevision: revision, value: null });
+  }
+};
+
+/**
+ * @param options - what rolling up needs
+ * @returns the days that were rolled up
+ * @throws AuburnliftError `storeUnavailable`; calling again is safe at any point
+ */
+export const rollUp = async (options: RollupOptions): Promise<readonly number[]> => {
+  const { entries } = await options.store.list(storeKeys.ledgerPrefix(options.cell));
+  const kept = entries.map((entry) => ({
+    entry,
+    hour: schemaIssues.decodeOrFail(ledgerEntry.LedgerHour, JSON.parse(entry.value), 'ledger hour'),
+  }));
+  const today = dayOf(ledgerBook.hourOf(options.nowMs));
+  // The newest record is what the next leader goes on from; it stays whatever its age.
+  const newestDay = dayOf(kept.at(-1)?.hour.hour ?? 0);
+  const byDay = new Map<number, KeptHour[]>();
+  for (const it of kept) {
+    const day = dayOf(it.hour.hour);
+    if (day < today - HOURLY_DAYS && day !== newestDay) {
+      byDay.set(day, [...(byDay.get(day) ?? []), it]);
+    }
+  }
+  for (const [day, hours] of byDay) await rollDay(options, day, hours);
+  if (byDay.size > 0) await dropOldDays(options, today);
+  return [...byDay.keys()];
+};
--- a/src/state/common/storeKeys.ts
+++ b/src/state/common/storeKeys.ts
@@ -85,3 +85,17 @@
  */
 export const ledgerHourKey = (cell: string, hour: number): string =>
   ledgerPrefix(cell) + String(hour).padStart(VERSION_DIGITS, '0');
+
+/**
+ * @param cell - availability zone
+ * @returns the prefix of the cell's ledger days, to which old hours are rolled up
+ */
+export const ledgerDaysPrefix = (cell: string): string => `cells/${cell}/ledger-days/`;
+
+/**
+ * @param cell - availability zone
+ * @param day - days since the Unix epoch
+ * @returns the key of the day's entries; keys sort as days do
+ */
+export const ledgerDayKey = (cell: string, day: number): string =>
+  ledgerDaysPrefix(cell) + String(day).padStart(VERSION_DIGITS, '0');
