--- /dev/null
+++ b/src/cli/commandShell.ts
@@ -0,0 +1,161 @@
+/**
+ * Makes an oclif command of a definition: help, flags, output, repetition and exit codes.
+ */
+import * as crypto from 'node:crypto';
+import * as fs from 'node:fs';
+
+import * as oclif from '@oclif/core';
+
+import * as errorKinds from '../base/common/errorKinds.js';
+import * as errors from '../base/common/errors.js';
+import * as systemClock from '../base/node/systemClock.js';
+import * as httpClient from '../transport/node/httpClient.js';
+
+import type * as commandDefinition from './commandDefinition.js';
+import * as operatorClient from './operatorClient.js';
+
+const TIMEOUT_MS = 15_000;
+const MAX_REPLY_BYTES = 268_435_456;
+const STDIN = 0;
+
+const CONNECTION_FLAGS = {
+  url: oclif.Flags.string({
+    summary: "Operators' address of an entry, http://host:port.",
+    env: 'AUBURNLIFT_URL',
+    helpGroup: 'CONNECTION',
+  }),
+  token: oclif.Flags.string({
+    summary: "Operator's token; the environment keeps it out of the list of processes.",
+    env: 'AUBURNLIFT_TOKEN',
+    // A default shown in the help would print the secret.
+    noCacheDefault: true,
+    helpGroup: 'CONNECTION',
+  }),
+  json: oclif.Flags.boolean({ summary: 'Print JSON for programs.' }),
+};
+
+const WATCH_FLAG = {
+  watch: oclif.Flags.integer({
+    summary: 'Repeat every so many seconds until interrupted.',
+    min: 1,
+    max: 3600,
+  }),
+};
+
+const required = (value: string | undefined, name: string, variable: string): string => {
+  if (value !== undefined && value !== '') return value;
+  throw errors.fail('invalidRequest', `give --${name} or set ${variable}`, { field: name });
+};
+
+const readText = (file: string): string => {
+  try {
+    return fs.readFileSync(file === '-' ? STDIN : file, 'utf8');
+  } catch (thrown) {
+    throw errors.fail('notFound', `${file}: ${errors.normalize(thrown).message}`);
+  }
+};
+
+const argsOf = (
+  definition: commandDefinition.CommandDefinition,
+): Record<string, oclif.Interfaces.Arg<string | undefined>> =>
+  Object.fromEntries(
+    definition.words.map((word) => {
+      const isOptional = word.endsWith('?');
+      const name = isOptional ? word.slice(0, -1) : word;
+      return [name, oclif.Args.string({ required: !isOptional })];
+    }),
+  );
+
+const sleep = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+/**
+ * @param thrown - anything caught
+ * @param isJson - whether programs read it
+ * @returns the line for standard error
+ */
+export const formatError = (thrown: unknown, isJson: boolean): string => {
+  const error = errors.normalize(thrown);
+  if (isJson) return JSON.stringify({ error: errors.toBody(error) });
+  return `error: ${error.kind}: ${error.message}`;
+};
+
+/**
+ * @param definition - one command
+ * @returns the class that oclif runs
+ */
+export const toCommand = (
+  definition: commandDefinition.CommandDefinition,
+): typeof oclif.Command & (new (...args: never[]) => oclif.Command) => {
+  class DefinedCommand extends oclif.Command {
+    static override readonly summary = definition.summary;
+
+    static override readonly description = definition.description ?? '';
+
+    static override readonly examples = definition.examples.map((it) => `<%= config.bin %> ${it}`);
+
+    static override readonly strict = definition.hasMoreWords !== true;
+
+    static override readonly args = argsOf(definition);
+
+    static override readonly flags = {
+      ...CONNECTION_FLAGS,
+      ...(definition.canWatch === true ? WATCH_FLAG : {}),
+      ...definition.flags,
+    };
+
+    async run(): Promise<void> {
+      const parsed = await this.parse(DefinedCommand);
+      const flags = parsed.flags as Readonly<Record<string, unknown>>;
+      const isJson = flags.json === true;
+      const http = httpClient.createHttpClient({
+        clock: systemClock.systemClock,
+        maxConnections: 4,
+        maxIdleMs: 20_000,
+        maxReplyBytes: MAX_REPLY_BYTES,
+      });
+      let exitCode = 0;
+      try {
+        const client = operatorClient.createOperatorClient({
+          call: http.call,
+          url: required(flags.url as string | undefined, 'url', 'AUBURNLIFT_URL'),
+          token: required(flags.token as string | undefined, 'token', 'AUBURNLIFT_TOKEN'),
+          timeoutMs: TIMEOUT_MS,
+        });
+        exitCode = await this.repeat(client, parsed.argv as readonly string[], flags);
+      } catch (thrown) {
+        this.logToStderr(formatError(thrown, isJson));
+        exitCode = errorKinds.ERROR_TABLE[errors.normalize(thrown).kind].exitCode;
+      } finally {
+        await http.dispose();
+      }
+      this.exit(exitCode);
+    }
+
+    private async repeat(
+      client: operatorClient.OperatorClient,
+      args: readonly string[],
+      flags: Readonly<Record<string, unknown>>,
+    ): Promise<number> {
+      for (;;) {
+        const result = await definition.run({
+          client,
+          args,
+          flags,
+          readText,
+          writeText: (file, text) => fs.writeFileSync(file, text),
+          newId: () => crypto.randomUUID(),
+          nowMs: Date.now(),
+        });
+        if (flags.json === true) this.log(JSON.stringify(result.value));
+        else result.lines.forEach((it) => this.log(it));
+        if (typeof flags.watch !== 'number') return result.exitCode ?? 0;
+        await sleep(flags.watch * 1000);
+        if (flags.json !== true) this.log('');
+      }
+    }
+  }
+  return DefinedCommand;
+};
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,9 +1,28 @@
 /**
  * The commands of `auburnlift`, by name.
  */
+import * as burnCommand from './burnCommand.js';
+import * as cellCommands from './cellCommands.js';
+import type * as commandDefinition from './commandDefinition.js';
+import * as commandShell from './commandShell.js';
+import * as configCommands from './configCommands.js';
 import * as devCommand from './devCommand.js';
+import * as jobCommands from './jobCommands.js';
+import * as ledgerCommand from './ledgerCommand.js';
+
+/** What each command that talks to an entry is; `:` stands for the blank that is typed. */
+export const DEFINITIONS: Readonly<Record<string, commandDefinition.CommandDefinition>> = {
+  ...configCommands.CONFIG_COMMANDS,
+  ...jobCommands.JOB_COMMANDS,
+  ...cellCommands.CELL_COMMANDS,
+  ledger: ledgerCommand.LEDGER,
+  burn: burnCommand.BURN,
+};
 
 /** Read by oclif; the key is what is typed. */
 export const COMMANDS = {
   dev: devCommand.DevCommand,
+  ...Object.fromEntries(
+    Object.entries(DEFINITIONS).map(([name, it]) => [name, commandShell.toCommand(it)]),
+  ),
 };
--- /dev/null
+++ b/src/cli/ledgerCommand.ts
@@ -0,0 +1,154 @@
+/**
+ * `ledger`: who held which accelerators and why, and whether the books balance.
+ */
+import * as oclif from '@oclif/core';
+
+import * as errorKinds from '../base/common/errorKinds.js';
+import * as errors from '../base/common/errors.js';
+import * as ledgerCheck from '../coordination/common/ledgerCheck.js';
+import * as ledgerReport from '../coordination/common/ledgerReport.js';
+import * as ledgerEntry from '../state/common/ledgerEntry.js';
+
+import * as cellQueries from './cellQueries.js';
+import * as commandDefinition from './commandDefinition.js';
+import * as textTable from './textTable.js';
+
+type Input = commandDefinition.CommandInput;
+type Result = commandDefinition.CommandResult;
+
+const HOURS_DIGITS = 4;
+const DEFAULT_SPAN_MS = 86_400_000;
+
+const parseTime = (input: Input, name: string, otherwise: number): number => {
+  const text = commandDefinition.textFlag(input, name);
+  if (text === undefined) return otherwise;
+  const atMs = Date.parse(text);
+  if (!Number.isNaN(atMs)) return atMs;
+  throw errors.fail('invalidRequest', `--${name}: 2026-12-03 or 2026-12-03T10:00Z is expected`, {
+    field: name,
+  });
+};
+
+const readBooks = async (input: Input, cell: string): Promise<ledgerReport.CellBooks> => {
+  const path = encodeURIComponent(cell);
+  const { hours } = (await input.client.get(`/api/ledger/${path}`)) as {
+    readonly hours: readonly ledgerEntry.LedgerHour[];
+  };
+  const { days } = (await input.client.get(`/api/ledger-days/${path}`)) as {
+    readonly days: readonly ledgerEntry.LedgerDay[];
+  };
+  return ledgerReport.distinct({ cell, hours, days });
+};
+
+const checkBooks = (books: readonly ledgerReport.CellBooks[]): Result => {
+  const faults = books.flatMap((it) => ledgerCheck.checkHours(it.hours, it.days));
+  const hours = books.flatMap((it) => it.hours).length;
+  const days = books.flatMap((it) => it.days).length;
+  const rows = faults.map((it) => [
+    it.kind,
+    it.cell,
+    new Date(it.hour * ledgerEntry.HOUR_MS).toISOString(),
+    it.offMs,
+  ]);
+  const value = { isBalanced: faults.length === 0, hours, days, faults };
+  const scope = `${books.length} cells, ${days} days, ${hours} hours`;
+  if (faults.length === 0) return { value, lines: [`the books balance: ${scope}`] };
+  const columns = ['fault', 'cell', 'hour', 'off by ms'];
+  const lines = [...textTable.formatTable({ columns, rows }), `out of balance: ${scope}`];
+  return { value, lines, exitCode: errorKinds.ERROR_TABLE.internal.exitCode };
+};
+
+const toCsv = (rows: readonly ledgerReport.LedgerRow[]): readonly string[] =>
+  textTable.formatCsv({
+    columns: [
+      'from',
+      'period_ms',
+      'cell',
+      'customer',
+      'job',
+      'attempt',
+      'reason',
+      'rule',
+      'config_version',
+      'accelerator_ms',
+    ],
+    rows: rows.map((it) => [
+      new Date(it.fromMs).toISOString(),
+      it.periodMs,
+      it.cell,
+      it.customerId,
+      it.jobId,
+      it.attempt,
+      it.reason,
+      it.ruleId,
+      it.configVersion,
+      it.acceleratorMs,
+    ]),
+  });
+
+const toTable = (
+  rows: readonly ledgerReport.LedgerRow[],
+  grouping: ledgerReport.LedgerGrouping,
+): readonly string[] => {
+  const hoursOf = (acceleratorMs: number): string =>
+    (acceleratorMs / ledgerEntry.HOUR_MS).toFixed(HOURS_DIGITS);
+  const sums = ledgerReport.sumBy(rows, grouping);
+  const total = sums.reduce((sum, it) => sum + it.acceleratorMs, 0);
+  const table = textTable.formatTable({
+    columns: ['cell', 'customer', 'job', 'reason', 'rule', 'accelerator-hours'],
+    rows: sums.map((it) => [
+      it.cell,
+      it.customerId || '-',
+      it.jobId || '-',
+      it.reason,
+      it.ruleId || '-',
+      hoursOf(it.acceleratorMs),
+    ]),
+  });
+  return [...table, `total ${hoursOf(total)} accelerator-hours`];
+};
+
+/** The command. */
+export const LEDGER: commandDefinition.CommandDefinition = {
+  summary: 'Show who held which accelerators, for how long and why.',
+  description:
+    'Hours of the last three days stand apart; older ones are added up by day and kept for 400 ' +
+    'days. --from and --to choose hours and days by their beginning; without them the last 24 ' +
+    'hours are shown. --check looks at everything that is kept and ends with exit code 70 where ' +
+    'the books do not balance.',
+  examples: [
+    'ledger --customer festivals --from 2026-12-01 --to 2026-12-02',
+    'ledger --by job --cell nordur-a',
+    'ledger --csv --from 2026-11-01 --to 2026-12-01 > november.csv',
+    'ledger --check',
+  ],
+  words: [],
+  canWatch: true,
+  flags: {
+    cell: oclif.Flags.string({ summary: 'One cell; all unless given.' }),
+    customer: oclif.Flags.string({ summary: 'One customer.' }),
+    from: oclif.Flags.string({ summary: 'First hour, as a date or time.' }),
+    to: oclif.Flags.string({ summary: 'End, as a date or time.' }),
+    by: oclif.Flags.string({
+      summary: 'What the table adds up by.',
+      options: Object.values(ledgerReport.LedgerGrouping),
+      default: ledgerReport.LedgerGrouping.customer,
+    }),
+    csv: oclif.Flags.boolean({ summary: 'Print every row as CSV.', exclusive: ['json'] }),
+    check: oclif.Flags.boolean({ summary: 'Check that the books balance.' }),
+  },
+  run: async (input) => {
+    const cells = await cellQueries.cellNames(input);
+    const books: ledgerReport.CellBooks[] = [];
+    for (const cell of cells) books.push(await readBooks(input, cell));
+    if (commandDefinition.hasFlag(input, 'check')) return checkBooks(books);
+    const toMs = parseTime(input, 'to', input.nowMs);
+    const fromMs = parseTime(input, 'from', toMs - DEFAULT_SPAN_MS);
+    const customerId = commandDefinition.textFlag(input, 'customer');
+    const rows = books.flatMap((it) => ledgerReport.rowsOf(it, { customerId, fromMs, toMs }));
+    if (commandDefinition.hasFlag(input, 'csv')) return { value: rows, lines: toCsv(rows) };
+    const by = (commandDefinition.textFlag(input, 'by') ??
+      ledgerReport.LedgerGrouping.customer) as ledgerReport.LedgerGrouping;
+    return { value: rows, lines: toTable(rows, by) };
+  },
+};
--- /dev/null
+++ b/src/cli/test/commands.test.ts
@@ -0,0 +1,355 @@
+/**
+ * The commands against a fake entry: what they ask, print and end with.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as errors from '../../base/common/errors.js';
+import * as http from '../../base/common/http.js';
+import type * as commandDefinition from '../commandDefinition.js';
+import * as commands from '../commands.js';
+import * as operatorClient from '../operatorClient.js';
+
+import * as cliFixtures from './cliFixtures.js';
+
+const { TOKEN } = cliFixtures;
+
+interface Trial {
+  readonly name: string;
+  readonly command: string;
+  readonly args?: readonly string[];
+  readonly flags?: Readonly<Record<string, unknown>>;
+  readonly files?: Readonly<Record<string, string>>;
+  readonly answers: cliFixtures.Answers;
+  /** Requests that must have been sent, in this order. */
+  readonly sent: readonly string[];
+  /** Texts that the lines must hold. */
+  readonly shows: readonly string[];
+  readonly exitCode?: number;
+}
+
+const TRIALS: readonly Trial[] = [
+  {
+    name: 'config get prints the document alone',
+    command: 'config:get',
+    answers: { 'GET /api/config': { record: cliFixtures.RECORD } },
+    sent: ['GET /api/config'],
+    shows: ['"customers": ['],
+  },
+  {
+    name: 'config get --version reads the history',
+    command: 'config:get',
+    flags: { version: 3 },
+    answers: { 'GET /api/config/history/3': { record: cliFixtures.RECORD } },
+    sent: ['GET /api/config/history/3'],
+    shows: ['"customers": ['],
+  },
+  {
+    name: 'config check writes nothing and shows the effects',
+    command: 'config:check',
+    args: ['new.jsonc'],
+    files: { 'new.jsonc': cliFixtures.documentText({ crossRegionPriceMs: 77 }) },
+    answers: {
+      'GET /api/config': { record: cliFixtures.RECORD },
+      'PUT /api/config?dryRun=true': { effects: [{ level: 'strands', text: 'job a loses b' }] },
+    },
+    sent: ['GET /api/config', 'PUT /api/config?dryRun=true'],
+    shows: ['routing.crossRegionPriceMs', '77', 'strands: job a loses b', 'nothing was written'],
+  },
+  {
+    name: 'config diff names each path',
+    command: 'config:diff',
+    args: ['new.jsonc'],
+    files: { 'new.jsonc': cliFixtures.documentText({ crossRegionPriceMs: 77 }) },
+    answers: { 'GET /api/config': { record: cliFixtures.RECORD } },
+    sent: ['GET /api/config'],
+    shows: ['routing.crossRegionPriceMs  50      77'],
+  },
+  {
+    name: 'config apply sends the version that was changed',
+    command: 'config:apply',
+    args: ['new.jsonc'],
+    flags: { reason: 'r', 'base-version': 5 },
+    files: { 'new.jsonc': cliFixtures.documentText({}) },
+    answers: {
+      'GET /api/config': { record: cliFixtures.RECORD },
+      'PUT /api/config': (body: unknown) => {
+        assert.equal((body as { baseVersion: number }).baseVersion, 5);
+        return { record: { ...cliFixtures.RECORD, version: 8 } };
+      },
+    },
+    sent: ['GET /api/config', 'PUT /api/config'],
+    shows: ['version 8 is written'],
+  },
+  {
+    name: 'config history',
+    command: 'config:history',
+    answers: { 'GET /api/config/history': { versions: [cliFixtures.RECORD] } },
+    sent: ['GET /api/config/history'],
+    shows: ['ada', 'first'],
+  },
+  {
+    name: 'config status names stragglers',
+    command: 'config:status',
+    answers: {
+      'GET /api/config/status': {
+        version: 7,
+        stragglers: ['agent-2'],
+        processes: [{ processId: 'agent-2', role: 'agent', zone: 'z', version: 6 }],
+      },
+    },
+    sent: ['GET /api/config/status'],
+    shows: ['agent-2  agent  z           6', 'stragglers: agent-2'],
+  },
+  {
+    name: 'customer add edits the one document',
+    command: 'customer:add',
+    args: ['new', 'name="New one"', 'requestWeight=1', 'guaranteedSlots=0', 'quotaAccelerators=8'],
+    flags: { reason: 'contract' },
+    answers: {
+      'GET /api/config': { record: cliFixtures.RECORD },
+      'PUT /api/config': (body: unknown) => {
+        const { document } = body as typeof cliFixtures.RECORD;
+        assert.deepEqual(
+          document.customers.map((it) => it.customerId),
+          ['acme', 'new'],
+        );
+        return { record: { ...cliFixtures.RECORD, version: 8 } };
+      },
+    },
+    sent: ['GET /api/config', 'PUT /api/config'],
+    shows: ['customers[new].name', 'version 8 is written'],
+  },
+  {
+    name: 'job list says which cells are missing',
+    command: 'job:list',
+    flags: { customer: 'acme' },
+    answers: {
+      'GET /api/jobs': { jobs: [cliFixtures.JOB], unansweredCells: ['zone-b'] },
+    },
+    sent: ['GET /api/jobs'],
+    shows: ['plan-1', 'cell zone-b does not answer'],
+  },
+  {
+    name: 'job cancel finds the cell of the job',
+    command: 'job:cancel',
+    args: ['plan-1'],
+    answers: {
+      'GET /api/cells': cliFixtures.CELLS,
+      'GET /api/jobs/zone-a/plan-1': { job: cliFixtures.JOB, source: 'leader' },
+      'POST /api/jobs/cancel': { jobs: [cliFixtures.JOB] },
+    },
+    sent: ['GET /api/cells', 'GET /api/jobs/zone-a/plan-1', 'POST /api/jobs/cancel'],
+    shows: ['plan-1'],
+  },
+  {
+    name: 'explain tells each decision with its version and where it comes from',
+    command: 'explain',
+    args: ['plan-1'],
+    flags: { cell: 'zone-a' },
+    answers: { 'GET /api/jobs/zone-a/plan-1': { job: cliFixtures.JOB, source: 'archive' } },
+    sent: ['GET /api/jobs/zone-a/plan-1'],
+    shows: ['spare rule    night', 'placed          7  rule night', 'told by       archive'],
+  },
+  {
+    name: 'explain shows control characters of a payload as question marks',
+    command: 'explain',
+    args: ['plan-1'],
+    flags: { cell: 'zone-a' },
+    answers: {
+      'GET /api/jobs/zone-a/plan-1': {
+        source: 'leader',
+        job: {
+          ...cliFixtures.JOB,
+          decisions: [{ atMs: 0, what: 'failed', why: '\u001b[2Jgone', configVersion: 1 }],
+        },
+      },
+    },
+    sent: ['GET /api/jobs/zone-a/plan-1'],
+    shows: ['?[2Jgone'],
+  },
+  {
+    name: 'worker quarantine finds the cell of the worker',
+    command: 'worker:quarantine',
+    args: ['w1'],
+    flags: { reason: 'fan' },
+    answers: {
+      'GET /api/cells': cliFixtures.CELLS,
+      'GET /api/cells/zone-a': cliFixtures.CELL_VIEW,
+      'POST /api/cells/zone-a/quarantine': cliFixtures.CELL_VIEW,
+    },
+    sent: ['GET /api/cells', 'GET /api/cells/zone-a', 'POST /api/cells/zone-a/quarantine'],
+    shows: ['w1'],
+  },
+  {
+    name: 'upstream drain',
+    command: 'upstream:drain',
+    args: ['u1'],
+    answers: {
+      'POST /api/upstreams/u1/drain': (body: unknown) => {
+        assert.deepEqual(body, { isDraining: true });
+        return { upstream: { upstreamId: 'u1', isLeaving: true } };
+      },
+    },
+    sent: ['POST /api/upstreams/u1/drain'],
+    shows: ['u1'],
+  },
+  {
+    name: 'ledger adds up by customer',
+    command: 'ledger',
+    flags: { cell: 'zone-a', customer: 'acme' },
+    answers: cliFixtures.ledgerAnswers(cliFixtures.HOUR),
+    sent: ['GET /api/ledger/zone-a', 'GET /api/ledger-days/zone-a'],
+    shows: ['acme', '1.0000', 'total 1.0000 accelerator-hours'],
+  },
+  {
+    name: 'ledger --csv quotes and takes formulas apart',
+    command: 'ledger',
+    flags: { cell: 'zone-a', csv: true },
+    answers: cliFixtures.ledgerAnswers({
+      ...cliFixtures.HOUR,
+      entries: [{ ...cliFixtures.ENTRY, jobId: '=1,"2"' }],
+    }),
+    sent: ['GET /api/ledger/zone-a', 'GET /api/ledger-days/zone-a'],
+    shows: [`acme,"'=1,""2""",1,guarantee,,7,3600000`],
+  },
+  {
+    name: 'ledger --check is quiet about books that balance',
+    command: 'ledger',
+    flags: { cell: 'zone-a', check: true },
+    answers: cliFixtures.ledgerAnswers(cliFixtures.HOUR),
+    sent: ['GET /api/ledger/zone-a', 'GET /api/ledger-days/zone-a'],
+    shows: ['the books balance: 1 cells, 0 days, 1 hours'],
+  },
+  {
+    name: 'ledger --check fails where they do not',
+    command: 'ledger',
+    flags: { cell: 'zone-a', check: true },
+    answers: cliFixtures.ledgerAnswers({
+      ...cliFixtures.HOUR,
+      entries: [{ ...cliFixtures.ENTRY, acceleratorMs: 3_599_999 }],
+    }),
+    sent: ['GET /api/ledger/zone-a', 'GET /api/ledger-days/zone-a'],
+    shows: ['imbalance', '-1', 'out of balance'],
+    exitCode: 70,
+  },
+  {
+    name: 'burn shows what burns',
+    command: 'burn',
+    answers: { 'GET /api/burn': cliFixtures.BURN },
+    sent: ['GET /api/burn'],
+    shows: ['5/60 MIN (14.4)', 'BURNING'],
+  },
+];
+
+const inputOf = (
+  trial: Pick<Trial, 'args' | 'flags' | 'files'>,
+  call: http.HttpCall,
+): commandDefinition.CommandInput => ({
+  client: operatorClient.createOperatorClient({
+    call,
+    url: 'http://127.0.0.1:1',
+    token: TOKEN,
+    timeoutMs: 1000,
+  }),
+  args: trial.args ?? [],
+  flags: trial.flags ?? {},
+  readText: (file) => trial.files?.[file] ?? '',
+  writeText: () => undefined,
+  newId: () => 'write-1',
+  nowMs: cliFixtures.NOW_MS,
+});
+
+for (const trial of TRIALS) {
+  test.test(trial.name, async () => {
+    const entry = cliFixtures.createFakeEntry(trial.answers);
+    const definition = commands.DEFINITIONS[trial.command];
+    assert.ok(definition);
+    const result = await definition.run(inputOf(trial, entry.call));
+    assert.deepEqual(entry.sent, trial.sent);
+    const text = result.lines.join('\n');
+    for (const it of trial.shows) assert.ok(text.includes(it), `${it} is missing in:\n${text}`);
+    assert.ok(!(text + JSON.stringify(result.value)).includes(TOKEN));
+    assert.equal(result.exitCode ?? 0, trial.exitCode ?? 0);
+  });
+}
+
+interface Refusal {
+  readonly name: string;
+  readonly command: string;
+  readonly args: readonly string[];
+  readonly kind: string;
+}
+
+const REFUSALS: readonly Refusal[] = [
+  {
+    name: 'a bad field',
+    command: 'customer:set',
+    args: ['acme', 'requestWeight=-1'],
+    kind: 'invalidRequest',
+  },
+  {
+    name: 'a word without =',
+    command: 'customer:set',
+    args: ['acme', 'weight'],
+    kind: 'invalidRequest',
+  },
+  {
+    name: 'an unknown field',
+    command: 'customer:set',
+    args: ['acme', 'wieght=1'],
+    kind: 'invalidRequest',
+  },
+  { name: 'an id that exists', command: 'customer:add', args: ['acme'], kind: 'conflict' },
+  { name: 'an unknown item', command: 'rule:remove', args: ['none'], kind: 'notFound' },
+];
+
+for (const { name, command, args, kind } of REFUSALS) {
+  test.test(`${command} refuses ${name} before anything is written`, async () => {
+    const entry = cliFixtures.createFakeEntry({
+      'GET /api/config': { record: cliFixtures.RECORD },
+    });
+    const run = commands.DEFINITIONS[command]?.run(inputOf({ args }, entry.call));
+    await assert.rejects(run ?? Promise.resolve(), (thrown) => {
+      assert.equal(errors.normalize(thrown).kind, kind);
+      return true;
+    });
+    assert.deepEqual(entry.sent, ['GET /api/config']);
+  });
+}
+
+test.test('a lost answer to a change is settled with the same write id', async () => {
+  // The entry wrote the new version and its answer is lost on the way. Another write id would be
+  // refused as a conflict with the operator's own change.
+  const ids: unknown[] = [];
+  const entry = cliFixtures.createFakeEntry({
+    'GET /api/config': { record: cliFixtures.RECORD },
+    'PUT /api/config': (body: unknown) => {
+      ids.push((body as { writeId: string }).writeId);
+      if (ids.length === 1) throw new http.HttpCallError('lost', 'reset');
+      return { record: { ...cliFixtures.RECORD, version: 8 } };
+    },
+  });
+  const trial = { args: ['acme', 'requestWeight=2'], flags: { reason: 'r' } };
+  const result = await commands.DEFINITIONS['customer:set']?.run(inputOf(trial, entry.call));
+  assert.deepEqual(ids, ['write-1', 'write-1']);
+  assert.ok(result?.lines.includes('version 8 is written'));
+});
+
+test.test('a lost answer to a cancellation says that the outcome is unknown', async () => {
+  const call: http.HttpCall = () => Promise.reject(new http.HttpCallError('timeout', 'silent'));
+  const trial = { args: ['plan-1'], flags: { cell: 'zone-a' } };
+  const run = commands.DEFINITIONS['job:cancel']?.run(inputOf(trial, call));
+  await assert.rejects(run ?? Promise.resolve(), (thrown) => {
+    assert.equal(errors.normalize(thrown).kind, 'outcomeUnknown');
+    return true;
+  });
+});
+
+test.test('every command has examples that begin with its own name', () => {
+  for (const [name, { summary, examples }] of Object.entries(commands.DEFINITIONS)) {
+    assert.ok(summary.endsWith('.'), name);
+    assert.ok(examples.length > 0, name);
+    for (const it of examples) assert.ok(it.startsWith(name.replace(':', ' ')), `${name}: ${it}`);
+  }
+});
--- a/src/coordination/common/ledgerBook.ts
+++ b/src/coordination/common/ledgerBook.ts
@@ -160,7 +160,7 @@
 };
 
 /**
- * Books a time in which nobody led the cell, split where the store shows that a job started.
+ * Books a time in which nobody led the cell, split where the store shows that a job was placed.
  *
  * @param book - the hours so far
  * @param span - the time, with what the store shows at its end
@@ -168,7 +168,7 @@
  */
 export const bookUnwitnessed = (book: Book, span: Span): Book => {
   const starts = span.jobs
-    .map((it) => it.startedAtMs ?? 0)
+    .map(ledgerHoldings.heldSinceMs)
     .filter((it) => it > span.fromMs && it < span.toMs);
   const edges = [...new Set([span.fromMs, ...starts, span.toMs])].sort((a, b) => a - b);
   let next = book;
--- a/src/coordination/common/ledgerCheck.ts
+++ b/src/coordination/common/ledgerCheck.ts
@@ -57,15 +57,38 @@
   return faults;
 };
 
+/** Where an hour begins and ends, whether it stands alone or went into a day. */
+type HourSpan = Pick<ledgerEntry.LedgerHour, 'hour' | 'bookedFromMs' | 'bookedUntilMs'>;
+
+const checkOrder = (cell: string, spans: readonly HourSpan[]): readonly LedgerFault[] =>
+  spans.slice(1).flatMap(({ hour, bookedFromMs }, index): LedgerFault[] => {
+    const offMs = bookedFromMs - (spans[index]?.bookedUntilMs ?? 0);
+    return offMs === 0 ? [] : [{ kind: LedgerFaultKind.hole, cell, hour, offMs }];
+  });
+
+const checkDay = (day: ledgerEntry.LedgerDay): readonly LedgerFault[] => {
+  const capacity = day.hours.reduce((sum, it) => sum + it.capacityAcceleratorMs, 0);
+  const conflicting = day.hours.reduce((sum, it) => sum + it.conflictingAcceleratorMs, 0);
+  const booked = day.entries.reduce((sum, it) => sum + it.acceleratorMs, 0);
+  const { cell } = day;
+  const hour = day.day * ledgerEntry.HOURS_PER_DAY;
+  const faults: readonly LedgerFault[] = [
+    { kind: LedgerFaultKind.imbalance, cell, hour, offMs: booked - capacity },
+    { kind: LedgerFaultKind.doubleHeld, cell, hour, offMs: conflicting },
+  ];
+  return faults.filter((it) => it.offMs !== 0);
+};
+
 /**
  * @param hours - hours of one cell in their order
+ * @param days - days of the cell, to which older hours were rolled up
  * @returns everything that is wrong with them; empty where the books balance
  */
-export const checkHours = (hours: readonly ledgerEntry.LedgerHour[]): readonly LedgerFault[] => {
-  const holes = hours.slice(1).flatMap((hour, index): LedgerFault[] => {
-    const offMs = hour.bookedFromMs - (hours[index]?.bookedUntilMs ?? 0);
-    const { cell } = hour;
-    return offMs === 0 ? [] : [{ kind: LedgerFaultKind.hole, cell, hour: hour.hour, offMs }];
-  });
-  return [...hours.flatMap(checkHour), ...holes];
+export const checkHours = (
+  hours: readonly ledgerEntry.LedgerHour[],
+  days: readonly ledgerEntry.LedgerDay[] = [],
+): readonly LedgerFault[] => {
+  const cell = hours[0]?.cell ?? days[0]?.cell ?? '';
+  const spans = [...days.flatMap((it) => it.hours), ...hours];
+  return [...days.flatMap(checkDay), ...hours.flatMap(checkHour), ...checkOrder(cell, spans)];
 };
--- a/src/coordination/common/ledgerHoldings.ts
+++ b/src/coordination/common/ledgerHoldings.ts
@@ -142,6 +142,18 @@
   return { held, capacity, conflicts };
 };
 
+/** Name of the decision after which a placement is committed. */
+const PLACED = 'placed';
+
+/**
+ * @param record - a job that holds accelerators
+ * @returns since when it may have held them, as far as its record tells
+ */
+export const heldSinceMs = (record: job.JobRecord): number => {
+  const placed = record.decisions.filter((it) => it.what === PLACED).at(-1);
+  return placed?.atMs ?? record.startedAtMs ?? 0;
+};
+
 /**
  * What can be said of a time in which nobody led the cell: jobs are committed before they start, so
  * a job that the store shows as placed held its accelerators; of all others nobody can say.
@@ -153,5 +165,5 @@
 export const unwitnessed = (holdings: Holdings, atMs: number): Holdings => ({
   ...holdings,
   workers: holdings.workers.map((it) => ({ ...it, health: 'unreachable' })),
-  jobs: holdings.jobs.filter((it) => (it.startedAtMs ?? 0) <= atMs),
+  jobs: holdings.jobs.filter((it) => heldSinceMs(it) <= atMs),
 });
--- /dev/null
+++ b/src/coordination/common/serviceLevelCounters.ts
@@ -0,0 +1,127 @@
+/**
+ * Judges requests and job starts by the customers' objectives and counts them. Pure.
+ */
+import * as errorKinds from '../../base/common/errorKinds.js';
+import * as configuration from '../../state/common/configuration.js';
+import * as job from '../../state/common/job.js';
+import * as serviceLevel from '../../state/common/serviceLevel.js';
+
+/** One event judged by one objective. */
+export interface Verdict {
+  readonly objectiveId: string;
+  readonly isGood: boolean;
+}
+
+/** A request that has ended. */
+export interface RequestEnd {
+  readonly customerId: string;
+  readonly tookMs: number;
+  /** Undefined where it was answered. */
+  readonly error: errorKinds.ErrorKind | undefined;
+}
+
+/** Counts of hours, by hour and objective. */
+export type Counts = ReadonlyMap<number, ReadonlyMap<string, serviceLevel.ObjectiveHour>>;
+
+/** Refusals that the caller itself caused say nothing about the service. */
+const CALLERS_OWN: ReadonlySet<errorKinds.ErrorKind> = new Set([
+  'invalidRequest',
+  'unauthenticated',
+  'forbidden',
+  'notFound',
+  'conflict',
+  'tooLarge',
+  'unrunnable',
+  'cancelled',
+  'tombstoned',
+]);
+
+/**
+ * A refusal counts against `notRefused` alone, so that one event is not held against a customer's
+ * service twice; a request that ran without a whole answer counts against `answeredWithin`.
+ *
+ * @param objectives - all objectives in force
+ * @param end - a request that has ended
+ * @returns the verdict of each objective that the request concerns
+ */
+export const judgeRequest = (
+  objectives: readonly configuration.Objective[],
+  end: RequestEnd,
+): readonly Verdict[] => {
+  const { error } = end;
+  if (error !== undefined && CALLERS_OWN.has(error)) return [];
+  const isRefused = error !== undefined && errorKinds.ERROR_TABLE[error].ran === errorKinds.Ran.no;
+  return objectives
+    .filter((it) => it.customerId === end.customerId)
+    .flatMap(({ objectiveId, kind, thresholdMs }): readonly Verdict[] => {
+      if (kind === configuration.ObjectiveKind.notRefused) {
+        return [{ objectiveId, isGood: !isRefused }];
+      }
+      if (kind !== configuration.ObjectiveKind.answeredWithin || isRefused) return [];
+      return [{ objectiveId, isGood: error === undefined && end.tookMs <= thresholdMs }];
+    });
+};
+
+/**
+ * Counts a guaranteed job once: when it first runs, or when it ends without having run. The wait of
+ * a job that was cancelled counts only where it was too long already.
+ *
+ * @param objectives - all objectives in force
+ * @param before - a job before a change
+ * @param after - and after it
+ * @param nowMs - wall time of the change
+ * @returns the verdict of each objective that the change concerns
+ */
+export const judgeStart = (
+  objectives: readonly configuration.Objective[],
+  before: job.JobRecord,
+  after: job.JobRecord,
+  nowMs: number,
+): readonly Verdict[] => {
+  const { spec, submittedAtMs } = after;
+  if (spec.claim !== job.Claim.guaranteed || before.state === after.state) return [];
+  const hasRunBefore = after.decisions.filter((it) => it.what === 'started').length > 1;
+  const isFirstRun = after.state === job.JobState.running && !hasRunBefore;
+  const hasNeverRun = !after.decisions.some((it) => it.what === 'started');
+  const isEndWithoutRun = job.isTerminal(after.state) && hasNeverRun;
+  if (!isFirstRun && !isEndWithoutRun) return [];
+  const waitedMs = nowMs - submittedAtMs;
+  return objectives
+    .filter((it) => it.customerId === spec.customerId)
+    .filter((it) => it.kind === configuration.ObjectiveKind.startWithin)
+    .filter((it) => isFirstRun || waitedMs > it.thresholdMs)
+    .map(({ objectiveId, thresholdMs }) => ({
+      objectiveId,
+      isGood: isFirstRun && waitedMs <= thresholdMs,
+    }));
+};
+
+const HOUR_MS = serviceLevel.BUCKET_MS * serviceLevel.BUCKETS_PER_HOUR;
+const EMPTY: readonly number[] = Array.from({ length: serviceLevel.BUCKETS_PER_HOUR }, () => 0);
+
+/**
+ * @param atMs - wall time
+ * @returns the hour, since the Unix epoch
+ */
+export const hourOf = (atMs: number): number => Math.floor(atMs / HOUR_MS);
+
+const increment = (buckets: readonly number[], at: number): readonly number[] =>
+  buckets.map((count, index) => (index === at ? count + 1 : count));
+
+/**
+ * @param counts - counts so far
+ * @param verdicts - verdicts of one event
+ * @param atMs - wall time of the event
+ * @returns the counts with the event in them; hours that are no longer kept are left out
+ */
+export const add = (counts: Counts, verdicts: readonly Verdict[], atMs: number): Counts => {
+  const hour = hourOf(atMs);
+  const bucket = Math.floor((atMs % HOUR_MS) / serviceLevel.BUCKET_MS);
+  const ofHour = new Map(counts.get(hour));
+  for (const { objectiveId, isGood } of verdicts) {
+    const known = ofHour.get(objectiveId) ?? { objectiveId, good: EMPTY, bad: EMPTY };
+    const side = isGood ? 'good' : 'bad';
+    ofHour.set(objectiveId, { ...known, [side]: increment(known[side], bucket) });
+  }
+  return new Map([...counts, [hour, ofHour]]);
+};
--- /dev/null
+++ b/src/coordination/node/serviceLevelKeeper.ts
@@ -0,0 +1,174 @@
+/**
+ * Keeps what a process counted against service-level objectives where it survives the process, and
+ * reads what all processes counted.
+ *
+ * A process writes at most one record a minute, and lists and deletes once an hour. Guards against
+ * a process that is started again under its old id: each run has a record of its own, so that it
+ * has one writer and writing all of it again after a lost answer is safe. What a killed process
+ * counted in its last minute is lost, which is stated on the operators' page.
+ */
+import type * as clock from '../../base/common/clock.js';
+import type * as disposable from '../../base/common/disposable.js';
+import * as errors from '../../base/common/errors.js';
+import type * as logging from '../../base/common/logging.js';
+import * as schemaIssues from '../../base/common/schemaIssues.js';
+import * as serviceLevel from '../../state/common/serviceLevel.js';
+import * as store from '../../state/common/store.js';
+import * as storeKeys from '../../state/common/storeKeys.js';
+import * as serviceLevelCounters from '../common/serviceLevelCounters.js';
+
+/** What the keeper needs. */
+export interface ServiceLevelKeeperOptions {
+  /** Id of this run of this process. */
+  readonly writerId: string;
+  readonly store: store.Store;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+}
+
+/** Counts of one process. */
+export interface ServiceLevelKeeper extends disposable.Disposable {
+  readonly note: (verdicts: readonly serviceLevelCounters.Verdict[]) => void;
+  readonly flush: () => Promise<void>;
+}
+
+const WRITE_MS = 60_000;
+
+/** An hour that ended this long ago is written by nobody any more. */
+const SETTLED_HOURS = 2;
+
+/** Hours beyond the kept ones that are looked at for records of processes that went away. */
+const DELETE_SPAN_HOURS = 3;
+
+/**
+ * @param options - what the keeper needs
+ * @returns a keeper that has counted nothing
+ */
+export const createServiceLevelKeeper = (
+  options: ServiceLevelKeeperOptions,
+): ServiceLevelKeeper => {
+  const { store: target, clock: timeSource, writerId } = options;
+  let counts: serviceLevelCounters.Counts = new Map();
+  const revisions = new Map<number, number>();
+  const dirty = new Set<number>();
+  let timer: disposable.Disposable | undefined;
+  let isDisposed = false;
+  let writing: Promise<void> = Promise.resolve();
+  let cleanedHour = 0;
+
+  const write = async (hour: number): Promise<void> => {
+    const key = storeKeys.serviceLevelKey(hour, writerId);
+    const objectives = [...(counts.get(hour)?.values() ?? [])];
+    const value = JSON.stringify({ hour, objectives });
+    const swap = (expectedRevision: number): Promise<store.SwapResult> =>
+      target.compareAndSwap({ key, expectedRevision, value });
+    const first = await swap(revisions.get(hour) ?? store.ABSENT_REVISION);
+    // Only an earlier write of this very run whose answer was lost can stand there.
+    const result = first.isSwapped
+      ? first
+      : await swap(first.current?.revision ?? store.ABSENT_REVISION);
+    if (!result.isSwapped) throw errors.fail('conflict', `${key} was written by another process`);
+    revisions.set(hour, result.revision);
+  };
+  const deleteOld = async (): Promise<void> => {
+    const hour = serviceLevelCounters.hourOf(timeSource.wallMs());
+    if (hour === cleanedHour) return;
+    const first = hour - serviceLevel.KEPT_HOURS;
+    for (let old = first; old > first - DELETE_SPAN_HOURS; old -= 1) {
+      const { entries } = await target.list(storeKeys.serviceLevelPrefix(old));
+      for (const { key, revision } of entries) {
+        await target.compareAndSwap({ key, expectedRevision: revision, value: null });
+      }
+    }
+    cleanedHour = hour;
+  };
+  const forgetOld = (): void => {
+    const oldest = serviceLevelCounters.hourOf(timeSource.wallMs()) - SETTLED_HOURS;
+    counts = new Map([...counts].filter(([hour]) => hour >= oldest || dirty.has(hour)));
+    for (const hour of revisions.keys()) if (!counts.has(hour)) revisions.delete(hour);
+  };
+  const writeAll = async (): Promise<void> => {
+    for (const hour of [...dirty].sort((a, b) => a - b)) {
+      // Taken off before: an event that comes while it is written marks it again.
+      dirty.delete(hour);
+      try {
+        await write(hour);
+      } catch (thrown) {
+        dirty.add(hour);
+        throw thrown;
+      }
+    }
+    forgetOld();
+    await deleteOld();
+  };
+  const flush = (): Promise<void> => {
+    writing = writing.then(writeAll, writeAll);
+    return writing;
+  };
+  const schedule = (): void => {
+    if (timer !== undefined || isDisposed) return;
+    timer = timeSource.after(WRITE_MS, () => {
+      flush()
+        .catch((thrown: unknown) => {
+          const reason = errors.normalize(thrown).message;
+          options.log('warn', 'serviceLevelsNotWritten', { reason });
+        })
+        .finally(() => {
+          timer = undefined;
+          if (dirty.size > 0) schedule();
+        });
+    });
+  };
+  return {
+    note: (verdicts) => {
+      if (verdicts.length === 0) return;
+      const atMs = timeSource.wallMs();
+      counts = serviceLevelCounters.add(counts, verdicts, atMs);
+      dirty.add(serviceLevelCounters.hourOf(atMs));
+      schedule();
+    },
+    flush,
+    dispose: () => {
+      isDisposed = true;
+      void timer?.dispose();
+    },
+  };
+};
+
+/** Reads the counts of all processes. */
+export type ServiceLevelReader = (
+  nowMs: number,
+) => Promise<readonly serviceLevel.ServiceLevelHour[]>;
+
+/**
+ * Hours that nobody writes any more are read once, so that a report costs three listings after the
+ * first, which costs one for each hour that is kept.
+ *
+ * @param target - the store
+ * @returns the reader
+ */
+export const createServiceLevelReader = (target: store.Store): ServiceLevelReader => {
+  const settled = new Map<number, readonly serviceLevel.ServiceLevelHour[]>();
+  const readHour = async (hour: number): Promise<readonly serviceLevel.ServiceLevelHour[]> => {
+    const { entries } = await target.list(storeKeys.serviceLevelPrefix(hour));
+    return entries.map((it) =>
+      schemaIssues.decodeOrFail(
+        serviceLevel.ServiceLevelHour,
+        JSON.parse(it.value),
+        'service levels',
+      ),
+    );
+  };
+  return async (nowMs) => {
+    const current = serviceLevelCounters.hourOf(nowMs);
+    const first = current - serviceLevel.KEPT_HOURS + 1;
+    for (const hour of settled.keys()) if (hour < first) settled.delete(hour);
+    const found: serviceLevel.ServiceLevelHour[] = [];
+    for (let hour = first; hour <= current; hour += 1) {
+      const records = settled.get(hour) ?? (await readHour(hour));
+      if (hour < current - SETTLED_HOURS) settled.set(hour, records);
+      found.push(...records);
+    }
+    return found;
+  };
+};
--- /dev/null
+++ b/src/programs/operatorExtras.ts
@@ -0,0 +1,87 @@
+/**
+ * The operators' routes to jobs, older parts of the ledger and service levels, beside the API of the
+ * configuration and the cells.
+ */
+import * as errors from '../base/common/errors.js';
+import * as schemaIssues from '../base/common/schemaIssues.js';
+import * as serviceLevelReport from '../coordination/common/serviceLevelReport.js';
+import * as jobArchive from '../coordination/node/jobArchive.js';
+import * as serviceLevelKeeper from '../coordination/node/serviceLevelKeeper.js';
+import * as ledgerEntry from '../state/common/ledgerEntry.js';
+import type * as settings from '../state/common/settings.js';
+import type * as store from '../state/common/store.js';
+import * as storeKeys from '../state/common/storeKeys.js';
+import type * as callerApi from '../transport/node/callerApi.js';
+import type * as httpServer from '../transport/node/httpServer.js';
+import * as operatorJobsApi from '../transport/node/operatorJobsApi.js';
+import * as operatorLedgerApi from '../transport/node/operatorLedgerApi.js';
+
+import type * as processKit from './processKit.js';
+
+/** Answers a request, or gives undefined where the path is another's. */
+export type ExtraHandler = (
+  request: httpServer.ServerRequest,
+) => Promise<httpServer.ServerReply | undefined>;
+
+/** Gives the operator of a bearer header; throws where there is none. */
+type Authenticate = (header: string | undefined) => {
+  readonly role: settings.OperatorToken['role'];
+};
+
+const EXTRA_PATH = /^\/api\/(jobs|ledger-days|burn)(\/|$)/;
+
+const readDays = async (
+  target: store.Store,
+  cell: string,
+): Promise<readonly ledgerEntry.LedgerDay[]> => {
+  const { entries } = await target.list(storeKeys.ledgerDaysPrefix(cell));
+  return entries.map((it) =>
+    schemaIssues.decodeOrFail(ledgerEntry.LedgerDay, JSON.parse(it.value), 'ledger day'),
+  );
+};
+
+/**
+ * @param kit - parts of the process
+ * @param target - the store
+ * @param jobs - jobs as the entry reaches them
+ * @param authenticate - gives the operator of a bearer header
+ * @returns the handler
+ */
+export const createOperatorExtras = (
+  kit: processKit.ProcessKit,
+  target: store.Store,
+  jobs: callerApi.JobGateway,
+  authenticate: Authenticate,
+): ExtraHandler => {
+  const readLevels = serviceLevelKeeper.createServiceLevelReader(target);
+  const jobsApi = operatorJobsApi.createOperatorJobsApi({
+    jobs,
+    archived: (cell, jobId) => jobArchive.findArchived(target, cell, jobId, kit.clock.wallMs()),
+  });
+  const ledgerApi = operatorLedgerApi.createOperatorLedgerApi({
+    ledgerDays: (cell) => readDays(target, cell),
+    serviceLevels: async () => {
+      const record = kit.configuration.current();
+      if (record === undefined) {
+        throw errors.fail('storeUnavailable', 'no configuration is in force yet');
+      }
+      const nowMs = kit.clock.wallMs();
+      return serviceLevelReport.createReport(record, await readLevels(nowMs), nowMs);
+    },
+  });
+  return async (request) => {
+    if (!EXTRA_PATH.test(request.path)) return undefined;
+    const { role } = authenticate(request.headers.authorization);
+    return (await jobsApi(request, role)) ?? ledgerApi(request);
+  };
+};
+
+/**
+ * @param extra - tried first
+ * @param handler - answers everything else
+ * @returns both as one handler
+ */
+export const withExtras =
+  (extra: ExtraHandler, handler: httpServer.Handler): httpServer.Handler =>
+  async (request) =>
+    (await extra(request)) ?? handler(request);
--- /dev/null
+++ b/src/standins/test/keptRecords.test.ts
@@ -0,0 +1,168 @@
+/**
+ * The archive of ended jobs and the counts of service levels, on the stand-in of the store.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as clock from '../../base/common/clock.js';
+import * as logging from '../../base/common/logging.js';
+import * as metrics from '../../base/common/metrics.js';
+import * as ledgerFixtures from '../../coordination/common/test/ledgerFixtures.js';
+import * as jobArchive from '../../coordination/node/jobArchive.js';
+import * as serviceLevelKeeper from '../../coordination/node/serviceLevelKeeper.js';
+import type * as job from '../../state/common/job.js';
+import * as storeKeys from '../../state/common/storeKeys.js';
+import * as memoryStore from '../memoryStore.js';
+
+const DAY_MS = 86_400_000;
+const HOUR_MS = 3_600_000;
+const START_MS = 20_000 * DAY_MS;
+
+const createBench = () => {
+  const time = clock.createFakeClock(START_MS);
+  const store = memoryStore.createMemoryStore(time);
+  const counted = metrics.createMetrics();
+  return {
+    time,
+    store,
+    counted,
+    archive: () =>
+      jobArchive.createJobArchive({
+        cell: 'zone-a',
+        store,
+        clock: time,
+        log: logging.silentLog,
+        metrics: counted,
+      }),
+    levels: (writerId: string) =>
+      serviceLevelKeeper.createServiceLevelKeeper({
+        writerId,
+        store,
+        clock: time,
+        log: logging.silentLog,
+      }),
+  };
+};
+
+const endedJob = (jobId: string, endedAtMs: number): job.JobRecord => ({
+  ...ledgerFixtures.jobOf(jobId, [], { state: 'done' }),
+  endedAtMs,
+});
+
+test.test('an ended job is found after its segment has dropped it, for 30 days', async () => {
+  const bench = createBench();
+  const archive = bench.archive();
+  archive.add(endedJob('a', START_MS));
+  await bench.time.advance(60_000);
+  const found = (atMs: number) => jobArchive.findArchived(bench.store, 'zone-a', 'a', atMs);
+  assert.equal((await found(START_MS))?.state, 'done');
+  assert.equal((await found(START_MS + 30 * DAY_MS))?.state, 'done');
+  assert.equal(await found(START_MS + 31 * DAY_MS), undefined);
+  // The record itself goes with a later write.
+  await bench.time.advance(32 * DAY_MS);
+  archive.add(endedJob('b', bench.time.wallMs()));
+  await bench.time.advance(60_000);
+  const { entries } = await bench.store.list('cells/zone-a/job-archive/');
+  assert.equal(entries.length, 1);
+});
+
+test.test('a job that two leaders archive stands there once', async () => {
+  // A leader archives a job and dies. The next one cannot know and archives what ended lately
+  // again; explain must not tell two stories.
+  const bench = createBench();
+  const first = bench.archive();
+  first.add(endedJob('a', START_MS));
+  await first.flush();
+  const second = bench.archive();
+  second.add(endedJob('a', START_MS));
+  second.add(endedJob('b', START_MS));
+  await second.flush();
+  const { entries } = await bench.store.list('cells/zone-a/job-archive/');
+  const jobs = entries.flatMap((it) => (JSON.parse(it.value) as { jobs: job.JobRecord[] }).jobs);
+  assert.deepEqual(
+    jobs.map((it) => it.spec.jobId),
+    ['a', 'b'],
+  );
+});
+
+test.test('a lost answer or an outage costs the archive no job', async () => {
+  const bench = createBench();
+  const archive = bench.archive();
+  bench.store.faults.loseWriteAnswers = 1;
+  archive.add(endedJob('a', START_MS));
+  await bench.time.advance(60_000);
+  bench.store.faults.isDown = true;
+  archive.add(endedJob('b', START_MS));
+  await bench.time.advance(180_000);
+  bench.store.faults.isDown = false;
+  await bench.time.advance(60_000);
+  const { entries } = await bench.store.list('cells/zone-a/job-archive/');
+  const jobs = entries.flatMap((it) => (JSON.parse(it.value) as { jobs: job.JobRecord[] }).jobs);
+  assert.deepEqual(jobs.map((it) => it.spec.jobId).sort(), ['a', 'b']);
+});
+
+test.test('a day of too many jobs stays within its parts and says what it dropped', async () => {
+  const bench = createBench();
+  const archive = bench.archive();
+  const long = { atMs: 0, what: 'placed', why: 'x'.repeat(400), configVersion: 1 };
+  for (let index = 0; index < 500; index += 1) {
+    const record = endedJob(`job-${index}`, START_MS);
+    archive.add({ ...record, decisions: Array.from({ length: 24 }, () => long) });
+  }
+  await archive.flush();
+  const { entries } = await bench.store.list('cells/zone-a/job-archive/');
+  assert.equal(entries.length, jobArchive.MAX_PARTS);
+  assert.ok(entries.every((it) => it.value.length <= 524_288));
+  const kept = entries.flatMap((it) => (JSON.parse(it.value) as { jobs: unknown[] }).jobs).length;
+  const dropped = bench.counted.read('auburnlift_job_archive_dropped_total', { cell: 'zone-a' });
+  assert.equal(kept + dropped, 500);
+  assert.ok(dropped > 0);
+});
+
+const GOOD = [{ objectiveId: 'fast', isGood: true }];
+
+const goodOf = async (store: memoryStore.MemoryStore, nowMs: number): Promise<number> => {
+  const hours = await serviceLevelKeeper.createServiceLevelReader(store)(nowMs);
+  return hours
+    .flatMap((it) => it.objectives)
+    .flatMap((it) => it.good)
+    .reduce((sum, it) => sum + it, 0);
+};
+
+test.test('counts survive the process, a lost answer and an outage', async () => {
+  // An entry counts, the answer of its write is lost, the store goes down for ten minutes, and the
+  // entry is started again under its old id: the report must show each event once.
+  const bench = createBench();
+  const first = bench.levels('entry-1.boot-1');
+  first.note(GOOD);
+  bench.store.faults.loseWriteAnswers = 1;
+  await bench.time.advance(60_000);
+  first.note(GOOD);
+  bench.store.faults.isDown = true;
+  await bench.time.advance(600_000);
+  bench.store.faults.isDown = false;
+  await bench.time.advance(60_000);
+  await first.dispose();
+  const second = bench.levels('entry-1.boot-2');
+  second.note(GOOD);
+  await second.flush();
+  assert.equal(await goodOf(bench.store, bench.time.wallMs()), 3);
+});
+
+test.test('an hour of events costs few calls, and old hours go', async () => {
+  const bench = createBench();
+  const keeper = bench.levels('entry-1.boot-1');
+  for (let minute = 0; minute < 60; minute += 1) {
+    for (let index = 0; index < 100; index += 1) keeper.note(GOOD);
+    await bench.time.advance(60_000);
+  }
+  const { cas = 0, list = 0 } = bench.store.calls();
+  assert.ok(cas <= 61, `${cas} writes`);
+  assert.ok(list <= 6, `${list} listings`);
+  assert.equal(await goodOf(bench.store, bench.time.wallMs()), 6000);
+  await bench.time.advance(74 * HOUR_MS);
+  keeper.note(GOOD);
+  await keeper.flush();
+  const { entries } = await bench.store.list(storeKeys.serviceLevelPrefix(START_MS / HOUR_MS));
+  assert.deepEqual(entries, []);
+});
--- a/src/state/common/storeKeys.ts
+++ b/src/state/common/storeKeys.ts
@@ -99,3 +99,29 @@
  */
 export const ledgerDayKey = (cell: string, day: number): string =>
   ledgerDaysPrefix(cell) + String(day).padStart(VERSION_DIGITS, '0');
+
+const DAY_DIGITS = 6;
+
+/**
+ * @param cell - availability zone
+ * @param day - days since the Unix epoch
+ * @param part - number of the part, from 0
+ * @returns the key of one part of the day's archive of ended jobs
+ */
+export const jobArchiveKey = (cell: string, day: number, part: number): string =>
+  `cells/${cell}/job-archive/${String(day).padStart(DAY_DIGITS, '0')}/${part}`;
+
+/**
+ * @param hour - hours since the Unix epoch
+ * @returns the prefix of the hour's service-level counts of all processes
+ */
+export const serviceLevelPrefix = (hour: number): string =>
+  `service-levels/${String(hour).padStart(VERSION_DIGITS, '0')}/`;
+
+/**
+ * @param hour - hours since the Unix epoch
+ * @param writerId - id of one run of one process
+ * @returns the key of what that process counted in the hour
+ */
+export const serviceLevelKey = (hour: number, writerId: string): string =>
+  serviceLevelPrefix(hour) + writerId;
