--- a/src/coordination/node/cellLeader.ts
+++ b/src/coordination/node/cellLeader.ts
@@ -23,6 +23,7 @@
 
 import * as commandOutbox from './commandOutbox.js';
 import * as commitQueue from './commitQueue.js';
+import * as jobArchive from './jobArchive.js';
 import type * as jobStore from './jobStore.js';
 import * as ledgerKeeper from './ledgerKeeper.js';
 import * as workerInventory from './workerInventory.js';
@@ -69,6 +70,8 @@
   readonly discoverAgents: () => Promise<readonly string[]>;
   /** Another leader took the cell. */
   readonly onDeposed: () => void;
+  /** Called after a job has changed its state. */
+  readonly onDidChangeJob?: (before: job.JobRecord, after: job.JobRecord) => void;
 }
 
 /** A worker as operators see it. */
@@ -111,6 +114,12 @@
 /** Wait before writing again what could not be written. */
 const COMMIT_RETRY_MS = 500;
 
+/** Jobs that ended within this time are archived again by a new leader. */
+const ARCHIVE_AGAIN_MS = 86_400_000;
+
+const isEndedLately = (record: job.JobRecord, nowMs: number): boolean =>
+  job.isTerminal(record.state) && nowMs - (record.endedAtMs ?? 0) < ARCHIVE_AGAIN_MS;
+
 const PHASE_EVENTS = {
   running: 'started',
   done: 'memberDone',
@@ -194,6 +203,16 @@
     }),
   );
 
+  const archive = owned.add(
+    jobArchive.createJobArchive({
+      cell: options.cell,
+      store: options.store,
+      clock: timeSource,
+      log,
+      metrics: options.metrics,
+    }),
+  );
+
   const dispatch = (jobId: string, event: jobMachine.JobEvent): void => {
     const before = runtimes.get(jobId);
     if (before === undefined) return;
@@ -211,6 +230,8 @@
     const { spec, attempt } = after;
     log('info', 'jobChanged', { jobId: spec.jobId, from: before.state, to: after.state, attempt });
     options.metrics.count('auburnlift_job_transitions_total', { to: after.state });
+    if (job.isTerminal(after.state)) archive.add(after);
+    options.onDidChangeJob?.(before, after);
   };
   const perform = (record: job.JobRecord, effect: jobMachine.JobEffect): void => {
     switch (effect.type) {
@@ -496,6 +517,8 @@
     takeOver: async () => {
       const kept = await options.jobStore.takeOver();
       kept.forEach((it) => runtimes.set(it.spec.jobId, jobMachine.takeOver(it)));
+      // A former leader may have died before it archived what ended last.
+      kept.filter((it) => isEndedLately(it, timeSource.wallMs())).forEach(archive.add);
       await knownInventory();
       await ledger.load();
       const known = [...entries.values()].map((it) => it.info.agentUrl);
@@ -583,6 +606,7 @@
     flush: async () => {
       await commits.flush();
       await ledger.flush();
+      await archive.flush();
     },
     dispose: async () => {
       void planTimer?.dispose();
--- a/src/programs/cellClaims.ts
+++ b/src/programs/cellClaims.ts
@@ -10,6 +10,7 @@
 import * as leadership from '../coordination/node/leadership.js';
 import type * as liveWatch from '../coordination/node/liveWatch.js';
 import type * as settingsSchema from '../state/common/settings.js';
+import type * as job from '../state/common/job.js';
 import type * as store from '../state/common/store.js';
 
 import type * as processKit from './processKit.js';
@@ -20,6 +21,8 @@
   readonly settings: settingsSchema.SchedulerSettings;
   readonly store: store.Store;
   readonly live: liveWatch.LiveWatch;
+  /** Called after a job of a led cell has changed its state. */
+  readonly onDidChangeJob?: (before: job.JobRecord, after: job.JobRecord) => void;
 }
 
 /** The cells of one scheduler. */
@@ -101,6 +104,7 @@
         return kit.clients.agent(agentUrl).command(request);
       },
       discoverAgents: () => discoverAgents(cell),
+      ...(options.onDidChangeJob === undefined ? {} : { onDidChangeJob: options.onDidChangeJob }),
       onDeposed: () => {
         void drop(cell, 'another leader took it');
       },
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -18,7 +18,9 @@
 import * as rpcServer from '../transport/node/rpcServer.js';
 
 import * as entryGateways from './entryGateways.js';
+import * as operatorExtras from './operatorExtras.js';
 import * as processKit from './processKit.js';
+import * as serviceLevels from './serviceLevels.js';
 
 /** A running entry. */
 export interface EntryProgram extends processKit.Program {
@@ -125,6 +127,8 @@
     },
   };
   const gateways = entryGateways.createGateways(kit, store, live);
+  const levels = serviceLevels.keepServiceLevels(kit, store);
+  const authenticate = operatorApi.createAuthenticator(settings.operatorTokens);
   const callers = await httpServer.listen(
     {
       ...settings.callers,
@@ -132,20 +136,22 @@
       maxConnections: MAX_CONNECTIONS,
     },
     httpServer.toListener(
-      callerApi.createCallerApi({
-        health,
-        router,
-        jobs: gateways.jobs,
-        defaultDeadlineMs: () =>
-          kit.configuration.current()?.document.routing.defaultDeadlineMs ?? DEFAULT_DEADLINE_MS,
-        isKnownCustomer: (customerId) =>
-          kit.configuration
-            .current()
-            ?.document.customers.some((it) => it.customerId === customerId) ?? false,
-        newId: kit.newId,
-        maxOpenRequests: settings.maxOpenRequests,
-        isDraining: () => isLeaving,
-      }),
+      levels.observeCalls(
+        callerApi.createCallerApi({
+          health,
+          router,
+          jobs: gateways.jobs,
+          defaultDeadlineMs: () =>
+            kit.configuration.current()?.document.routing.defaultDeadlineMs ?? DEFAULT_DEADLINE_MS,
+          isKnownCustomer: (customerId) =>
+            kit.configuration
+              .current()
+              ?.document.customers.some((it) => it.customerId === customerId) ?? false,
+          newId: kit.newId,
+          maxOpenRequests: settings.maxOpenRequests,
+          isDraining: () => isLeaving,
+        }),
+      ),
       settings.maxBodyBytes,
     ),
   );
@@ -156,9 +162,9 @@
       maxConnections: MAX_CONNECTIONS,
     },
     httpServer.toListener(
-      operatorApi.createOperatorApi(
-        gateways.operators,
-        operatorApi.createAuthenticator(settings.operatorTokens),
+      operatorExtras.withExtras(
+        operatorExtras.createOperatorExtras(kit, store, gateways.jobs, authenticate),
+        operatorApi.createOperatorApi(gateways.operators, authenticate),
       ),
       settings.maxBodyBytes,
     ),
@@ -205,6 +211,7 @@
         operators.drain(settings.drainMs),
         peers.drain(settings.drainMs),
       ]);
+      await levels.flush();
       await kit.owned.dispose();
     },
     dispose: kit.owned.dispose,
--- a/src/programs/scheduler.ts
+++ b/src/programs/scheduler.ts
@@ -16,6 +16,7 @@
 import * as rpcServer from '../transport/node/rpcServer.js';
 
 import * as cellClaims from './cellClaims.js';
+import * as serviceLevels from './serviceLevels.js';
 import * as processKit from './processKit.js';
 
 const MAX_CONNECTIONS = 4096;
@@ -114,7 +115,14 @@
     if (record !== undefined) kit.configuration.offer(record);
   };
   kit.owned.add(live.onDidChange(adopt));
-  const claims = cellClaims.createCellClaims({ kit, settings, store, live });
+  const levels = serviceLevels.keepServiceLevels(kit, store);
+  const claims = cellClaims.createCellClaims({
+    kit,
+    settings,
+    store,
+    live,
+    onDidChangeJob: levels.noteJob,
+  });
   const health: healthApi.HealthOptions = {
     metrics: kit.metrics,
     notReadyReason: () => {
@@ -162,6 +170,7 @@
     shutdown: async () => {
       isLeaving = true;
       await claims.release();
+      await levels.flush();
       await server.drain(settings.drainMs);
       await kit.owned.dispose();
     },
