Let the demo submit until a job is taken

Cause: a cell counts as led as soon as its lease stands, while its leader is still taking over and refuses submissions as not run. The demo submitted once and did not look at the answer, so that a refused job was waited for until the time was up.

Change: the demo submits again until the answer says that the job is taken, which is what the refusal asks for.

Conclusion: the stuck borrowers were never accepted; the system did what its refusal said.

--- a/src/dev/demo.ts
+++ b/src/dev/demo.ts
@@ -130,12 +130,24 @@
   return { hours, imbalanceMs };
 };
 
+/**
+ * Submits until the job is taken. A cell counts as led as soon as its lease stands, a moment before
+ * its leader has taken over; until then it refuses and nothing ran, so that a submitter tries again.
+ */
+const submitUntilTaken = async (options: DemoOptions, spec: job.JobSpec): Promise<void> => {
+  const { callersUrl } = options.host.entries[0]?.program ?? { callersUrl: '' };
+  await waitFor(options, `job ${spec.jobId} to be taken`, async () => {
+    const { status } = await options.client.submit(callersUrl, spec);
+    return status === 201;
+  });
+};
+
 const runJobs = async (options: DemoOptions, jobs: demoJobs.DemoJobs): Promise<boolean> => {
   const { client, print } = options;
   const { callersUrl } = options.host.entries[0]?.program ?? { callersUrl: '' };
-  for (const spec of jobs.borrowers) await client.submit(callersUrl, spec);
-  await client.submit(callersUrl, jobs.gang);
-  await client.submit(callersUrl, jobs.cancelled);
+  for (const spec of [...jobs.borrowers, jobs.gang, jobs.cancelled]) {
+    await submitUntilTaken(options, spec);
+  }
   print(`jobs: ${jobs.borrowers.length} borrowers, a gang of ${jobs.gang.members} submitted`);
   await waitFor(options, 'borrowers to run', async () =>
     isInState(options, jobs.borrowers[0] as job.JobSpec, 'running'),
@@ -146,7 +158,7 @@
   await client.cancel(callersUrl, jobs.cancelled.cell, [jobs.cancelled.jobId]);
   print('jobs: one running job cancelled');
   const claimedAtMs = options.nowMs();
-  await client.submit(callersUrl, jobs.claim);
+  await submitUntilTaken(options, jobs.claim);
   await waitFor(options, 'the claim to start', () =>
     isInState(options, jobs.claim, 'running', 'done'),
   );
