--- a/src/coordination/common/ledgerHoldings.ts
+++ b/src/coordination/common/ledgerHoldings.ts
@@ -6,6 +6,7 @@
  * worker therefore stays on the books as unreachable until another replaces it, which is what is
  * paid for; a replaced one leaves the books, so that VMs that come and go add nothing.
  */
+import type * as configuration from '../../state/common/configuration.js';
 import * as job from '../../state/common/job.js';
 import type * as ledgerEntry from '../../state/common/ledgerEntry.js';
 import type * as worker from '../../state/common/worker.js';
@@ -142,6 +143,20 @@
   return { held, capacity, conflicts };
 };
 
+/**
+ * @param record - the configuration in force, if any
+ * @param cell - availability zone
+ * @returns the cell's capacity by the configuration, as a part of {@link Holdings}
+ */
+export const configuredCapacity = (
+  record: configuration.ConfigurationRecord | undefined,
+  cell: string,
+): Pick<Holdings, 'configuredAccelerators'> => {
+  const found = record?.document.cells.find((it) => it.cell === cell);
+  if (found === undefined) return {};
+  return { configuredAccelerators: found.workers * found.acceleratorsPerWorker };
+};
+
 /** Name of the decision after which a placement is committed. */
 const PLACED = 'placed';
 
--- a/src/coordination/node/cellLeader.ts
+++ b/src/coordination/node/cellLeader.ts
@@ -18,6 +18,7 @@
 import type * as configurationHolder from '../common/configurationHolder.js';
 import * as jobMachine from '../common/jobMachine.js';
 import * as jobSegments from '../common/jobSegments.js';
+import * as ledgerHoldings from '../common/ledgerHoldings.js';
 import * as placement from '../common/placement.js';
 import * as roster from '../common/workerRoster.js';
 
@@ -114,12 +115,6 @@
 /** Wait before writing again what could not be written. */
 const COMMIT_RETRY_MS = 500;
 
-/** Jobs that ended within this time are archived again by a new leader. */
-const ARCHIVE_AGAIN_MS = 86_400_000;
-
-const isEndedLately = (record: job.JobRecord, nowMs: number): boolean =>
-  job.isTerminal(record.state) && nowMs - (record.endedAtMs ?? 0) < ARCHIVE_AGAIN_MS;
-
 const PHASE_EVENTS = {
   running: 'started',
   done: 'memberDone',
@@ -175,12 +170,6 @@
       health: roster.healthOf(it, nowMs()),
       healthReason: it.healthReason,
     }));
-  const configuredCapacity = (): { readonly configuredAccelerators?: number } => {
-    const cells = options.configuration.current()?.document.cells ?? [];
-    const found = cells.find((it) => it.cell === options.cell);
-    if (found === undefined) return {};
-    return { configuredAccelerators: found.workers * found.acceleratorsPerWorker };
-  };
   const ledger = owned.add(
     ledgerKeeper.createLedgerKeeper({
       cell: options.cell,
@@ -191,7 +180,7 @@
       metrics: options.metrics,
       onDeposed: options.onDeposed,
       holdings: () => ({
-        ...configuredCapacity(),
+        ...ledgerHoldings.configuredCapacity(options.configuration.current(), options.cell),
         workers: workerViews().map((it) => ({
           workerId: it.worker.workerId,
           accelerators: it.worker.accelerators,
@@ -518,7 +507,7 @@
       const kept = await options.jobStore.takeOver();
       kept.forEach((it) => runtimes.set(it.spec.jobId, jobMachine.takeOver(it)));
       // A former leader may have died before it archived what ended last.
-      kept.filter((it) => isEndedLately(it, timeSource.wallMs())).forEach(archive.add);
+      archive.addLately(kept);
       await knownInventory();
       await ledger.load();
       const known = [...entries.values()].map((it) => it.info.agentUrl);
--- a/src/coordination/node/jobArchive.ts
+++ b/src/coordination/node/jobArchive.ts
@@ -48,6 +48,8 @@
 export interface JobArchive extends disposable.Disposable {
   /** Takes a job that has ended; it is written within a minute. */
   readonly add: (record: job.JobRecord) => void;
+  /** Takes again what ended within a day, as a former leader may not have written it. */
+  readonly addLately: (records: readonly job.JobRecord[]) => void;
   readonly flush: () => Promise<void>;
 }
 
@@ -212,10 +214,17 @@
         });
     });
   };
+  const add = (record: job.JobRecord): void => {
+    waiting = [...waiting.filter((it) => it.spec.jobId !== record.spec.jobId), record];
+    schedule();
+  };
   return {
-    add: (record) => {
-      waiting = [...waiting.filter((it) => it.spec.jobId !== record.spec.jobId), record];
-      schedule();
+    add,
+    addLately: (records) => {
+      const sinceMs = options.clock.wallMs() - DAY_MS;
+      records
+        .filter((it) => job.isTerminal(it.state) && (it.endedAtMs ?? 0) > sinceMs)
+        .forEach(add);
     },
     flush,
     dispose: () => {
--- a/src/standins/test/keptRecords.test.ts
+++ b/src/standins/test/keptRecords.test.ts
@@ -74,8 +74,8 @@
   first.add(endedJob('a', START_MS));
   await first.flush();
   const second = bench.archive();
-  second.add(endedJob('a', START_MS));
-  second.add(endedJob('b', START_MS));
+  const long = endedJob('long-ago', START_MS - 2 * DAY_MS);
+  second.addLately([endedJob('a', START_MS), endedJob('b', START_MS), long]);
   await second.flush();
   const { entries } = await bench.store.list('cells/zone-a/job-archive/');
   const jobs = entries.flatMap((it) => (JSON.parse(it.value) as { jobs: job.JobRecord[] }).jobs);
