Write large ledger hours less often

Cause: an hour of a cell at the target size takes 57 kB when 33 jobs hold 233 accelerators over 11 configuration versions. Written every 5 s that is 11 kB/s, half of what control may spend on a node.

Change: the wait before the next write grows with the record, to 2 kB/s, from 5 s to at most 2 min. An hour keeps 1600 headings apart in place of 2000, since the folded headings of 52 customers come on top.

--- a/src/coordination/common/ledgerBook.ts
+++ b/src/coordination/common/ledgerBook.ts
@@ -33,11 +33,11 @@
 });
 
 /**
- * Headings kept apart in one hour. With the longest ids an entry takes about 420 bytes, so that an
+ * Headings kept apart in one hour. With the longest ids an entry takes about 430 bytes, so that an
  * hour stays below the store's megabyte whatever a burst of short jobs does; at the target size a
  * cell runs some hundred jobs in an hour.
  */
-export const MAX_ENTRIES = 2000;
+export const MAX_ENTRIES = 1600;
 
 /** What is booked over one span of time in which nothing changed. */
 export interface Span extends ledgerHoldings.Holdings {
--- a/src/coordination/node/ledgerKeeper.ts
+++ b/src/coordination/node/ledgerKeeper.ts
@@ -50,9 +50,25 @@
   readonly flush: () => Promise<void>;
 }
 
-/** How often the hours are written. */
+/** How often the hours are written while they are small. */
 const WRITE_MS = 5000;
 
+/**
+ * Bytes a second that writing may cost. Made for a cell at the target size, whose hour grows to some
+ * 50 kB: written every 5 s it would take half of the 23 kB/s that control may spend on a node.
+ */
+const WRITE_BYTES_PER_S = 2000;
+
+/** Longest wait; a leader that dies leaves at most this much time unwitnessed. */
+const MAX_WRITE_MS = 120_000;
+
+/**
+ * @param bytes - size of the record that was written last
+ * @returns wait before the next write
+ */
+export const writeDelayMs = (bytes: number): number =>
+  Math.min(MAX_WRITE_MS, Math.max(WRITE_MS, Math.ceil((bytes / WRITE_BYTES_PER_S) * 1000)));
+
 /** How often old hours are looked for. */
 const ROLL_UP_MS = ledgerEntry.HOUR_MS;
 
@@ -75,6 +91,7 @@
   let timer: disposable.Disposable | undefined;
   let writing: Promise<void> = Promise.resolve();
   let rolledAtMs = Number.NEGATIVE_INFINITY;
+  let writtenBytes = 0;
   let isDisposed = false;
   let isDeposed = false;
   let anomaly: ledgerTime.LedgerStep['anomaly'] = 'none';
@@ -117,6 +134,7 @@
   ): Promise<store.SwapResult> => {
     const key = storeKeys.ledgerHourKey(cell, hour.hour);
     const value = JSON.stringify(hour);
+    writtenBytes = value.length;
     try {
       return await options.store.compareAndSwap({ key, expectedRevision, value });
     } catch (thrown) {
@@ -192,7 +210,7 @@
   };
   const schedule = (): void => {
     if (isDisposed || isDeposed) return;
-    timer = timeSource.after(WRITE_MS, () => {
+    timer = timeSource.after(writeDelayMs(writtenBytes), () => {
       void onTimer();
     });
   };
--- a/src/standins/test/ledgerKeeper.test.ts
+++ b/src/standins/test/ledgerKeeper.test.ts
@@ -190,6 +190,17 @@
   assert.equal(timeOf(await bench.hours(), 'unreachable'), ACCELERATORS * 600_000);
 });
 
+for (const [bytes, delayMs] of [
+  [0, 5000],
+  [10_000, 5000],
+  [50_000, 25_000],
+  [800_000, 120_000],
+] as const) {
+  test.test(`a record of ${bytes} bytes is written every ${delayMs} ms`, () => {
+    assert.equal(ledgerKeeper.writeDelayMs(bytes), delayMs);
+  });
+}
+
 test.test('two jobs on one accelerator are reported loudly', async () => {
   const bench = createBench();
   const keeper = bench.lead();
