--- a/src/coordination/node/cellLeader.ts
+++ b/src/coordination/node/cellLeader.ts
@@ -18,12 +18,14 @@
 import type * as configurationHolder from '../common/configurationHolder.js';
 import * as jobMachine from '../common/jobMachine.js';
 import * as jobSegments from '../common/jobSegments.js';
+import * as ledgerHoldings from '../common/ledgerHoldings.js';
 import * as placement from '../common/placement.js';
 import * as reportIntake from '../common/reportIntake.js';
 
 import type * as agentStatements from './agentStatements.js';
 import * as commandOutbox from './commandOutbox.js';
 import * as commitQueue from './commitQueue.js';
+import * as jobArchive from './jobArchive.js';
 import * as jobIntake from './jobIntake.js';
 import type * as jobStore from './jobStore.js';
 import * as leaderRoster from './leaderRoster.js';
@@ -55,6 +57,8 @@
   readonly discoverAgents: () => Promise<readonly string[]>;
   /** Another leader took the cell. */
   readonly onDeposed: () => void;
+  /** Called after a job has changed its state. */
+  readonly onDidChangeJob?: (before: job.JobRecord, after: job.JobRecord) => void;
 }
 
 /** The leader of one cell. */
@@ -143,10 +147,14 @@
   const ledger = owned.add(
     ledgerKeeper.createLedgerKeeper({
       cell: options.cell,
+      epoch: options.epoch,
       store: options.store,
       clock: timeSource,
       log,
+      metrics: options.metrics,
+      onDeposed: options.onDeposed,
       holdings: () => ({
+        ...ledgerHoldings.configuredCapacity(options.configuration.current(), options.cell),
         workers: workers.views().map((it) => ({
           workerId: it.worker.workerId,
           accelerators: it.worker.accelerators,
@@ -167,7 +175,23 @@
     }),
   );
 
+  const archive = owned.add(
+    jobArchive.createJobArchive({
+      cell: options.cell,
+      store: options.store,
+      clock: timeSource,
+      log,
+      metrics: options.metrics,
+    }),
+  );
+
   const logTransition = transitionLog.createTransitionLog(log, options.metrics);
+  const noteTransition = (before: job.JobRecord, after: job.JobRecord): void => {
+    if (before.state === after.state) return;
+    logTransition(before, after);
+    if (job.isTerminal(after.state)) archive.add(after);
+    options.onDidChangeJob?.(before, after);
+  };
   const dispatch = (jobId: string, event: jobMachine.JobEvent): void => {
     const before = runtimes.get(jobId);
     if (before === undefined) return;
@@ -177,7 +201,7 @@
     ledger.settle();
     runtimes.set(jobId, next);
     if (before.record.state !== next.record.state) inputs.learn(next.record);
-    logTransition(before.record, next.record);
+    noteTransition(before.record, next.record);
     // Effects speak of the placement that the event found.
     const placed = next.record.placement.length > 0 ? next.record : before.record;
     effects.forEach((effect) => perform(placed, effect));
@@ -367,6 +391,8 @@
         runtimes.set(it.spec.jobId, jobMachine.takeOver(it));
         inputs.learn(it);
       });
+      // A former leader may have died before it archived what ended last.
+      archive.addLately(kept);
       await workers.load();
       await ledger.load();
       const discovered = await options.discoverAgents();
@@ -391,6 +417,7 @@
     flush: async () => {
       await commits.flush();
       await ledger.flush();
+      await archive.flush();
     },
     dispose: async () => {
       void planTimer?.dispose();
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -23,7 +23,9 @@
 import * as configurationLinks from './configurationLinks.js';
 import * as entryGateways from './entryGateways.js';
 import * as operatorViews from './operatorViews.js';
+import * as operatorExtras from './operatorExtras.js';
 import * as processKit from './processKit.js';
+import * as serviceLevels from './serviceLevels.js';
 
 /** A running entry. */
 export interface EntryProgram extends processKit.Program {
@@ -131,6 +133,7 @@
     warnings: sync.warnings,
   };
   const gateways = entryGateways.createGateways({ kit, store, live, sync, directory });
+  const levels = serviceLevels.keepServiceLevels(kit, store);
   const callers = await httpServer.listen(
     {
       ...settings.callers,
@@ -138,20 +141,22 @@
       maxConnections: MAX_CONNECTIONS,
     },
     httpServer.toListener(
-      callerApi.createCallerApi({
-        health,
-        router,
-        jobs: gateways.jobs,
-        defaultDeadlineMs: () =>
-          kit.configuration.current()?.document.routing.defaultDeadlineMs ?? DEFAULT_DEADLINE_MS,
-        isKnownCustomer: (customerId) =>
-          kit.configuration
-            .current()
-            ?.document.customers.some((it) => it.customerId === customerId) ?? false,
-        newId: kit.newId,
-        maxOpenRequests: settings.maxOpenRequests,
-        isDraining: () => isLeaving,
-      }),
+      levels.observeCalls(
+        callerApi.createCallerApi({
+          health,
+          router,
+          jobs: gateways.jobs,
+          defaultDeadlineMs: () =>
+            kit.configuration.current()?.document.routing.defaultDeadlineMs ?? DEFAULT_DEADLINE_MS,
+          isKnownCustomer: (customerId) =>
+            kit.configuration
+              .current()
+              ?.document.customers.some((it) => it.customerId === customerId) ?? false,
+          newId: kit.newId,
+          maxOpenRequests: settings.maxOpenRequests,
+          isDraining: () => isLeaving,
+        }),
+      ),
       settings.maxBodyBytes,
     ),
   );
@@ -177,7 +182,10 @@
       maxConnections: MAX_CONNECTIONS,
     },
     httpServer.toListener(
-      (request) => (consoleApp.isConsolePath(request.path) ? pages(request) : api(request)),
+      operatorExtras.withExtras(
+        operatorExtras.createOperatorExtras(kit, store, gateways.jobs, authenticate),
+        (request) => (consoleApp.isConsolePath(request.path) ? pages(request) : api(request)),
+      ),
       settings.maxBodyBytes,
     ),
   );
@@ -229,6 +237,7 @@
         operators.drain(settings.drainMs),
         peers.drain(settings.drainMs),
       ]);
+      await levels.flush();
       await kit.owned.dispose();
     },
     dispose: kit.owned.dispose,
--- a/src/programs/scheduler.ts
+++ b/src/programs/scheduler.ts
@@ -16,6 +16,7 @@
 
 import * as cellClaims from './cellClaims.js';
 import * as configurationLinks from './configurationLinks.js';
+import * as serviceLevels from './serviceLevels.js';
 import * as processKit from './processKit.js';
 
 const MAX_CONNECTIONS = 4096;
@@ -113,7 +114,14 @@
     }),
   );
   const sync = configurationLinks.startSync(kit, store, live, settings.peerUrls);
-  const claims = cellClaims.createCellClaims({ kit, settings, store, live });
+  const levels = serviceLevels.keepServiceLevels(kit, store);
+  const claims = cellClaims.createCellClaims({
+    kit,
+    settings,
+    store,
+    live,
+    onDidChangeJob: levels.noteJob,
+  });
   const health: healthApi.HealthOptions = {
     metrics: kit.metrics,
     notReadyReason: () => {
@@ -164,6 +172,7 @@
     shutdown: async () => {
       isLeaving = true;
       await claims.release();
+      await levels.flush();
       await server.drain(settings.drainMs);
       await kit.owned.dispose();
     },
