--- a/src/coordination/common/agentTasks.ts
+++ b/src/coordination/common/agentTasks.ts
@@ -52,6 +52,8 @@
   readonly effects: readonly AgentEffect[];
   readonly isAccepted: boolean;
   readonly reason: string;
+  /** Nothing of the token runs, and nothing of it ever will. */
+  readonly isGone: boolean;
 }
 
 /**
@@ -82,6 +84,7 @@
   effects: [],
   isAccepted: false,
   reason,
+  isGone: false,
 });
 
 const accept = (next: AgentTasks, effects: readonly AgentEffect[] = []): AgentStep => ({
@@ -89,8 +92,11 @@
   effects,
   isAccepted: true,
   reason: '',
+  isGone: false,
 });
 
+const gone = (next: AgentTasks): AgentStep => ({ ...accept(next), isGone: true });
+
 const withHeld = (state: AgentTasks, held: HeldTask): AgentTasks => {
   const all = new Map(state.held);
   all.set(task.tokenKey(held.token), held);
@@ -106,19 +112,20 @@
 /**
  * @param state - the agent
  * @param nowMs - monotonic time
- * @returns the agent without lapsed reservations and without tokens that need no memory any more
+ * @returns the agent without lapsed reservations and without tokens that need no memory any more; a
+ *   token whose reservation lapsed is remembered as stopped, since the leader may count it as gone
+ *   while copies of its reservation and start are still under way
  */
 export const expire = (state: AgentTasks, nowMs: number): AgentTasks => {
-  const lapsed = [...state.held.values()].some(
-    (it) => it.phase === task.TaskPhase.reserved && it.reservedUntilMs <= nowMs,
-  );
-  const forgotten = [...state.stopped.values()].some((untilMs) => untilMs <= nowMs);
-  if (!lapsed && !forgotten) return state;
-  const held = [...state.held].filter(
-    ([, it]) => it.phase !== task.TaskPhase.reserved || it.reservedUntilMs > nowMs,
-  );
-  const stopped = [...state.stopped].filter(([, untilMs]) => untilMs > nowMs);
-  return { ...state, held: new Map(held), stopped: new Map(stopped) };
+  const isLapsed = (it: HeldTask): boolean =>
+    it.phase === task.TaskPhase.reserved && it.reservedUntilMs <= nowMs;
+  const lapsed = [...state.held].filter(([, it]) => isLapsed(it));
+  const isForgetting = [...state.stopped.values()].some((untilMs) => untilMs <= nowMs);
+  if (lapsed.length === 0 && !isForgetting) return state;
+  const held = new Map([...state.held].filter(([, it]) => !isLapsed(it)));
+  const stopped = new Map([...state.stopped].filter(([, untilMs]) => untilMs > nowMs));
+  for (const [key] of lapsed) stopped.set(key, nowMs + STOPPED_MEMORY_MS);
+  return { ...state, held, stopped };
 };
 
 /**
@@ -164,18 +171,40 @@
   return accept(withHeld(state, held));
 };
 
-const onRelease = (state: AgentTasks, command: CommandOf<'release'>): AgentStep => {
+/** The attempt is given up; a late copy of its reservation must not hold the accelerators again. */
+const onRelease = (state: AgentTasks, command: CommandOf<'release'>, nowMs: number): AgentStep => {
   const key = task.tokenKey(command.token);
-  const isReserved = state.held.get(key)?.phase === task.TaskPhase.reserved;
-  return accept(isReserved ? withoutHeld(state, key) : state);
+  const known = state.held.get(key);
+  if (known !== undefined && known.phase !== task.TaskPhase.reserved) return accept(state);
+  const stopped = new Map(state.stopped).set(key, nowMs + STOPPED_MEMORY_MS);
+  return accept({ ...withoutHeld(state, key), stopped });
 };
 
-const onStart = (state: AgentTasks, command: CommandOf<'start'>): AgentStep => {
+/** The leader counts a member whose start was refused as gone, so no later copy may be taken. */
+const refuseForGood = (
+  state: AgentTasks,
+  key: string,
+  nowMs: number,
+  reason: string,
+): AgentStep => {
+  const stopped = new Map(state.stopped).set(key, nowMs + STOPPED_MEMORY_MS);
+  return refuse({ ...withoutHeld(state, key), stopped }, reason);
+};
+
+const onStart = (
+  state: AgentTasks,
+  command: CommandOf<'start'>,
+  nowMs: number,
+  hasLease: boolean,
+): AgentStep => {
   const key = task.tokenKey(command.token);
   if (state.stopped.has(key)) return refuse(state, 'the token was stopped');
   const known = state.held.get(key);
-  if (known === undefined) return refuse(state, 'the reservation has lapsed');
+  if (known === undefined) return refuseForGood(state, key, nowMs, 'the reservation has lapsed');
   if (known.phase !== task.TaskPhase.reserved) return accept(state);
+  // Without a lease the worker would stop the task at once, and the gang would run in part. A start
+  // that is repeated is no such case: refusing it would say that the running task does not run.
+  if (!hasLease) return refuseForGood(state, key, nowMs, 'the agent holds no lease');
   const running: HeldTask = {
     ...known,
     phase: task.TaskPhase.running,
@@ -197,10 +226,10 @@
   const stopped = new Map(state.stopped).set(key, nowMs + STOPPED_MEMORY_MS);
   const remembered = { ...state, stopped };
   const known = state.held.get(key);
-  if (known === undefined) return accept(remembered);
-  if (isEnded(known.phase)) return accept(remembered);
+  if (known === undefined) return gone(remembered);
+  if (isEnded(known.phase)) return gone(remembered);
   if (known.phase === task.TaskPhase.reserved) {
-    return accept(withHeld(remembered, { ...known, phase: task.TaskPhase.stopped }));
+    return gone(withHeld(remembered, { ...known, phase: task.TaskPhase.stopped }));
   }
   return accept(withHeld(remembered, { ...known, phase: task.TaskPhase.stopping }), [
     { type: 'stop', key, graceMs: command.graceMs },
@@ -219,14 +248,19 @@
     : refuse(state, 'the task does not run');
 };
 
-const onCommand = (state: AgentTasks, command: task.TaskCommand, nowMs: number): AgentStep => {
+const onCommand = (
+  state: AgentTasks,
+  command: task.TaskCommand,
+  nowMs: number,
+  leaseUntilMs: number,
+): AgentStep => {
   switch (command.type) {
     case 'reserve':
       return onReserve(state, command, nowMs);
     case 'release':
-      return onRelease(state, command);
+      return onRelease(state, command, nowMs);
     case 'start':
-      return onStart(state, command);
+      return onStart(state, command, nowMs, leaseUntilMs > nowMs);
     case 'stop':
       return onStop(state, command, nowMs);
     case 'throttle':
@@ -245,6 +279,7 @@
  * @param epoch - epoch of the leader that sent the command
  * @param command - what it asks for
  * @param nowMs - monotonic time
+ * @param leaseUntilMs - monotonic moment until which the agent may renew its worker's tasks
  * @returns the agent after the command, with what to do at the worker
  */
 export const command = (
@@ -252,12 +287,13 @@
   epoch: number,
   asked: task.TaskCommand,
   nowMs: number,
+  leaseUntilMs: number,
 ): AgentStep => {
   // A command never makes an epoch known: after a restart any epoch would look new.
   if (epoch !== state.acceptedEpoch || epoch === 0) {
     return refuse(state, `epoch ${epoch} is not ${state.acceptedEpoch}, the accepted one`);
   }
-  return onCommand(expire(state, nowMs), asked, nowMs);
+  return onCommand(expire(state, nowMs), asked, nowMs, leaseUntilMs);
 };
 
 /** What the worker's lagged report says about one task. */
--- a/src/coordination/common/jobMachine.ts
+++ b/src/coordination/common/jobMachine.ts
@@ -380,7 +380,12 @@
       return state === job.JobState.starting
         ? onStarted(runtime, context, event.member)
         : { next: runtime, effects: NOTHING };
+    // Once the member is being stopped, a refused start says nothing: an earlier copy of it may have
+    // been taken, and the task may still be within its grace.
     case 'startRefused':
+      return state === job.JobState.starting
+        ? onMemberGone(runtime, context, event.member, job.StopCause.memberLost, event.reason)
+        : { next: runtime, effects: NOTHING };
     case 'memberLost':
       return onMemberGone(runtime, context, event.member, job.StopCause.memberLost, event.reason);
     case 'memberDone':
--- a/src/coordination/common/memberOutcome.ts
+++ b/src/coordination/common/memberOutcome.ts
@@ -9,7 +9,14 @@
 export type MemberEffect = Exclude<jobMachine.JobEffect, { type: 'persist' | 'commit' }>;
 
 /** What became of a command; undefined where no answer came. */
-export type CommandOutcome = { readonly isAccepted: boolean; readonly reason: string } | undefined;
+export type CommandOutcome =
+  | {
+      readonly isAccepted: boolean;
+      /** Nothing of the token runs, and nothing of it ever will. */
+      readonly isGone: boolean;
+      readonly reason: string;
+    }
+  | undefined;
 
 /** What follows from an outcome. */
 export type OutcomeReading =
@@ -19,6 +26,14 @@
 
 const NOTHING: OutcomeReading = { type: 'nothing' };
 
+/** A member that never ran is over with the answer; one that runs is over when its agent says so. */
+const afterStop = (member: number, outcome: Exclude<CommandOutcome, undefined>): OutcomeReading => {
+  if (!outcome.isAccepted) return { type: 'resend' };
+  return outcome.isGone
+    ? { type: 'event', event: { type: 'memberStopped', member, checkpointMs: 0 } }
+    : NOTHING;
+};
+
 /**
  * @param effect - the command that was sent
  * @param outcome - what became of it
@@ -34,7 +49,7 @@
       : { type: 'event', event: { type: 'reserveRefused', member, reason } };
   }
   if (outcome === undefined) return { type: 'resend' };
-  if (effect.type === 'stop') return outcome.isAccepted ? NOTHING : { type: 'resend' };
+  if (effect.type === 'stop') return afterStop(member, outcome);
   return outcome.isAccepted
     ? { type: 'event', event: { type: 'started', member } }
     : { type: 'event', event: { type: 'startRefused', member, reason } };
--- a/src/coordination/node/agentRuntime.ts
+++ b/src/coordination/node/agentRuntime.ts
@@ -37,6 +37,14 @@
   readonly acknowledged: readonly task.TaskToken[];
 }
 
+/** What became of one command. */
+export interface CommandResult {
+  readonly isAccepted: boolean;
+  /** Nothing of the token runs, and nothing of it ever will. */
+  readonly isGone: boolean;
+  readonly reason?: string;
+}
+
 /** What the agent's task part needs. */
 export interface AgentRuntimeOptions {
   readonly accelerators: number;
@@ -63,7 +71,7 @@
   readonly command: (
     epoch: number,
     commands: readonly task.TaskCommand[],
-  ) => Promise<readonly { readonly isAccepted: boolean; readonly reason?: string }[]>;
+  ) => Promise<readonly CommandResult[]>;
   /** Tasks that hold accelerators. */
   readonly activeTasks: () => readonly task.TaskReport[];
 }
@@ -143,15 +151,8 @@
     log('warn', 'workerCallFailed', { type: effect.type, key: effect.key, reason });
     // The next look at the worker tells what became of it; a stop is repeated from there.
   };
-  const runOne = async (
-    epoch: number,
-    command: task.TaskCommand,
-  ): Promise<{ isAccepted: boolean; reason?: string }> => {
-    // Without a lease the worker would stop the task at once, and the gang would run in part.
-    if (command.type === 'start' && leaseUntilMs <= nowMs()) {
-      return { isAccepted: false, reason: 'the agent holds no lease from its leader' };
-    }
-    const step = agentTasks.command(state, epoch, command, nowMs());
+  const runOne = async (epoch: number, command: task.TaskCommand): Promise<CommandResult> => {
+    const step = agentTasks.command(state, epoch, command, nowMs(), leaseUntilMs);
     state = step.next;
     for (const effect of step.effects) {
       try {
@@ -160,7 +161,8 @@
         onEffectFailed(effect, thrown);
       }
     }
-    return step.isAccepted ? { isAccepted: true } : { isAccepted: false, reason: step.reason };
+    const { isAccepted, isGone, reason } = step;
+    return isAccepted ? { isAccepted, isGone } : { isAccepted, isGone, reason };
   };
 
   /** What the worker runs that this process did not start: it was started by an earlier boot. */
--- a/src/coordination/node/commandOutbox.ts
+++ b/src/coordination/node/commandOutbox.ts
@@ -8,9 +8,14 @@
 
 /** What an agent answers to a batch. */
 export interface CommandResults {
+  readonly bootId: string;
   /** Command messages that the agent has handled since its boot, this one included. */
   readonly commandCount: number;
-  readonly results: readonly { readonly isAccepted: boolean; readonly reason?: string }[];
+  readonly results: readonly {
+    readonly isAccepted: boolean;
+    readonly isGone: boolean;
+    readonly reason?: string;
+  }[];
 }
 
 /** Sends a batch to one agent and gives the results in the same order. */
@@ -46,7 +51,7 @@
 export const createCommandOutbox = (
   send: SendCommands,
   log: logging.Log,
-  onAnswered: (agentUrl: string, commandCount: number) => void,
+  onAnswered: (agentUrl: string, bootId: string, commandCount: number) => void,
   onSilent: (agentUrl: string) => void,
 ): CommandOutbox => {
   const queues = new Map<string, Pending[]>();
@@ -54,14 +59,14 @@
 
   const deliver = async (agentUrl: string, batch: readonly Pending[]): Promise<void> => {
     try {
-      const { results, commandCount } = await send(
+      const { results, bootId, commandCount } = await send(
         agentUrl,
         batch.map((it) => it.command),
       );
-      onAnswered(agentUrl, commandCount);
+      onAnswered(agentUrl, bootId, commandCount);
       batch.forEach((it, index) => {
         const result = results[index];
-        it.onOutcome(result && { isAccepted: result.isAccepted, reason: result.reason ?? '' });
+        it.onOutcome(result && { ...result, reason: result.reason ?? '' });
       });
     } catch (thrown) {
       const { kind, message } = errors.normalize(thrown);
--- a/src/coordination/node/leaderRoster.ts
+++ b/src/coordination/node/leaderRoster.ts
@@ -62,7 +62,7 @@
   readonly reportMs: () => number;
   /** Saves what could not be saved before. */
   readonly retrySave: () => void;
-  readonly noteAnswered: (agentUrl: string, commandCount: number) => void;
+  readonly noteAnswered: (agentUrl: string, bootId: string, commandCount: number) => void;
   readonly noteQuarantine: (workerId: string, isQuarantined: boolean, reason: string) => boolean;
   /** @returns the lease to answer a report with; 0 where the leader may not grant now */
   readonly grantMs: (workerId: string) => number;
@@ -176,7 +176,13 @@
     retrySave: () => {
       if (inventory.isSaveOwed()) save();
     },
-    noteAnswered: (agentUrl, commandCount) => update(agentUrl, { commandCount }),
+    noteAnswered: (agentUrl, bootId, commandCount) => {
+      // An answer of an earlier boot says nothing of what this boot has handled.
+      for (const it of entries.values()) {
+        const isCurrent = it.info.agentUrl === agentUrl && it.bootId === bootId;
+        if (isCurrent && commandCount > it.commandCount) update(agentUrl, { commandCount });
+      }
+    },
     noteQuarantine: (workerId, isQuarantined, reason) => {
       const entry = entries.get(workerId);
       if (entry === undefined) return false;
--- a/src/protocol/common/agentSchedulerMessages.ts
+++ b/src/protocol/common/agentSchedulerMessages.ts
@@ -52,6 +52,8 @@
 /** What became of one command. */
 export const CommandResult = Schema.Struct({
   isAccepted: Schema.Boolean,
+  /** Nothing of the token runs, and nothing of it ever will. */
+  isGone: Schema.Boolean,
   /** Why it was refused. */
   reason: Schema.optionalKey(units.ShortText),
 });
