--- a/src/state/node/httpStore.ts
+++ b/src/state/node/httpStore.ts
@@ -26,6 +26,21 @@
     retryAfterMs: 2000,
   });
 
+const TOO_LARGE = 413;
+const SERVER_ERROR = 500;
+const UNAVAILABLE = 503;
+
+/**
+ * The service refuses with 4xx and says with 503 that it did nothing. Any other failure may come
+ * from something in between, after the write took effect.
+ */
+const failureOf = (status: number): Error => {
+  if (status === TOO_LARGE) return errors.fail('tooLarge', 'the value is above a megabyte');
+  const isUnseen = status < SERVER_ERROR || status === UNAVAILABLE;
+  const failure = isUnseen ? http.HttpFailure.notSent : http.HttpFailure.lost;
+  return new http.HttpCallError(failure, `status ${status}`);
+};
+
 /**
  * @param options - how the service is reached
  * @returns the service
@@ -48,9 +63,7 @@
       timeoutMs,
       ...(signal === undefined ? {} : { signal }),
     });
-    if (reply.status !== 200) {
-      throw new http.HttpCallError(http.HttpFailure.notSent, `status ${reply.status}`);
-    }
+    if (reply.status !== 200) throw failureOf(reply.status);
     return JSON.parse(Buffer.from(reply.body).toString('utf8')) as unknown;
   };
   const read = async <T>(
@@ -71,7 +84,8 @@
       return (await send(operation, body)) as T;
     } catch (thrown) {
       options.metrics.count('auburnlift_store_failures_total', { operation });
-      const { message } = errors.normalize(thrown);
+      const { kind, message } = errors.normalize(thrown);
+      if (kind === 'tooLarge') throw thrown;
       const isUnseen =
         thrown instanceof http.HttpCallError && thrown.failure === http.HttpFailure.notSent;
       if (isUnseen) throw unavailable(message);
