--- a/src/coordination/common/reportIntake.ts
+++ b/src/coordination/common/reportIntake.ts
@@ -108,6 +108,10 @@
 };
 
 /**
+ * Which members have ended is not written to the store. So an agent keeps the end of its task until
+ * the attempt is over and the store says so; otherwise a new leader would miss the task and run the
+ * whole gang again although one member had finished.
+ *
  * @param runtime - the job that the report names
  * @param report - what the agent says of one task
  * @param isDurable - whether what is known of the job is in the store
@@ -120,6 +124,5 @@
 ): boolean => {
   if (!agentTasks.isEnded(report.phase)) return false;
   if (runtime === undefined || runtime.record.attempt !== report.token.attempt) return true;
-  const phase = runtime.members[report.token.member];
-  return (phase === undefined || phase === 'done' || phase === 'gone') && isDurable;
+  return runtime.members.length === 0 && isDurable;
 };
--- a/src/standins/memoryWorker.ts
+++ b/src/standins/memoryWorker.ts
@@ -37,6 +37,8 @@
 export interface MemoryWorker extends workerContract.Worker, disposable.Disposable {
   readonly faults: WorkerFaults;
   readonly runs: () => readonly RunRecord[];
+  /** A task finishes now, whatever its script says. */
+  readonly finish: (key: string) => void;
   /** The machine fails: tasks end at once and nothing is remembered but the record. */
   readonly crash: () => void;
 }
@@ -212,6 +214,10 @@
           reason: it.reason,
         })),
       })),
+    finish: (key) => {
+      const it = tasks.get(key);
+      if (it !== undefined) end(it, 'done', '');
+    },
     crash: () => {
       tasks.forEach((it) => end(it, 'stopped', 'the machine failed'));
       tasks.clear();
