Keep claims, large jobs and bad jobs from being put off for ever

A property over random cells found that a claim could wait for ever: the places of the other shapes moved as soon as its victims had left, so the round gave the freed worker away and stopped another borrower, again and again. A claim now takes the least loss over the whole cell and looks for a new assignment of the other shapes where that breaks the present one.

Large jobs also wait less: one place is kept free of jobs that can't be moved, and a customer's small jobs make way where they use up its rule.

--- a/src/bench/jobsBaselines.ts
+++ b/src/bench/jobsBaselines.ts
@@ -77,7 +77,7 @@
       workers,
       estimates: runEstimates.NO_ESTIMATES,
     });
-    const borrowing = spareShares.borrowingOf(view.jobs);
+    const borrowing = spareShares.borrowingOf(round.placed);
     let isHeadReserved = false;
     for (const record of view.jobs) {
       if (record.state !== job.JobState.queued) continue;
--- a/src/bench/jobsFigures.ts
+++ b/src/bench/jobsFigures.ts
@@ -128,6 +128,7 @@
     free += it.accelerators - used;
     freeByRack.set(it.rack, [...(freeByRack.get(it.rack) ?? []), it.accelerators - used]);
   }
+  if (largest === 0) return { capacity, held, free: 0, broken: 0 };
   return { capacity, held, free, broken: free - servable(freeByRack, largest, perWorker) };
 };
 
@@ -155,7 +156,7 @@
 };
 
 /**
- * @param document - configuration of the deployment; its largest shape measures fragmentation
+ * @param document - configuration of the deployment; the largest shape of each cell measures its fragmentation
  * @returns empty figures
  */
 export const createFigures = (document: configuration.ConfigurationDocument): Figures => {
@@ -170,7 +171,9 @@
   let cell = '';
   const perWorker = (): number =>
     document.cells.find((it) => it.cell === cell)?.acceleratorsPerWorker ?? 8;
-  const largest = Math.max(1, ...document.shapes.map((it) => it.accelerators));
+  /** A cell without shapes counts for nothing here. */
+  const largestShape = (): number =>
+    Math.max(0, ...document.shapes.filter((it) => it.cell === cell).map((it) => it.accelerators));
   const noteEligible = (view: planTypes.PlanView): void => {
     const claims = guaranteeCheck.countClaims(view.jobs);
     for (const record of view.jobs) {
@@ -235,7 +238,7 @@
       if (isAnnounced) eligibleAtMs.forEach((_at, jobId) => excused.add(jobId));
     },
     afterPlan: (_nowMs, workers, jobs) => {
-      use = useOf(workers, jobs, largest, perWorker());
+      use = useOf(workers, jobs, largestShape(), perWorker());
     },
     advance: (fromMs, toMs) => {
       const spanMs = toMs - fromMs;
--- a/src/coordination/common/cellSpace.ts
+++ b/src/coordination/common/cellSpace.ts
@@ -6,6 +6,7 @@
 import * as job from '../../state/common/job.js';
 
 import type * as planTypes from './planTypes.js';
+import * as workLoss from './workLoss.js';
 
 /** How many members of a gang go to one worker. */
 export interface WorkerShare {
@@ -21,6 +22,8 @@
 export interface Borrower {
   readonly record: job.JobRecord;
   readonly held: ReadonlyMap<number, number>;
+  /** Accelerator-milliseconds of work that stopping it loses. */
+  readonly lossMs: number;
   /** It is giving its accelerators back, from before or by a decision of this round. */
   isLeaving: boolean;
 }
@@ -41,11 +44,15 @@
   readonly kept: number[];
   /** Free or lent accelerators: what guarantees may count on. */
   readonly claimable: number[];
+  /** Borrowers on each worker, the smallest loss first. */
   readonly borrowers: readonly (readonly Borrower[])[];
   readonly isUsed: readonly (readonly boolean[])[];
   readonly use: (worker: number, accelerators: readonly number[]) => void;
 }
 
+const bySmallestLoss = (a: Borrower, b: Borrower): number =>
+  a.lossMs - b.lossMs || (a.record.spec.jobId < b.record.spec.jobId ? -1 : 1);
+
 const isBorrowing = (record: job.JobRecord): boolean => record.spec.claim === job.Claim.spare;
 
 const heldByWorker = (
@@ -73,9 +80,13 @@
 
 /**
  * @param view - the cell now
+ * @param placed - its jobs that hold accelerators
  * @returns its accelerators, ready for a round
  */
-export const createCellSpace = (view: planTypes.PlanView): CellSpace => {
+export const createCellSpace = (
+  view: planTypes.PlanView,
+  placed: readonly job.JobRecord[],
+): CellSpace => {
   const { workers } = view;
   const indexOf = new Map(workers.map((it, index) => [it.workerId, index]));
   const byRack = groupByRack(workers);
@@ -83,8 +94,7 @@
   const isUsed = workers.map((it) => Array.from({ length: it.accelerators }, () => false));
   const claimable = workers.map((it) => (it.health === 'ready' ? it.accelerators : 0));
   const borrowers: Borrower[][] = workers.map(() => []);
-  for (const record of view.jobs) {
-    if (record.placement.length === 0) continue;
+  for (const record of placed) {
     for (const { workerId, accelerators } of record.placement) {
       const used = isUsed[indexOf.get(workerId) ?? -1];
       if (used === undefined) continue;
@@ -93,7 +103,8 @@
     const held = heldByWorker(record, indexOf);
     if (isBorrowing(record)) {
       const isLeaving = record.state === job.JobState.stopping;
-      const borrower = { record, held, isLeaving };
+      const lossMs = isLeaving ? 0 : workLoss.lossOf(record, view.nowMs);
+      const borrower = { record, held, isLeaving, lossMs };
       for (const worker of held.keys()) borrowers[worker]?.push(borrower);
     } else {
       for (const [worker, count] of held) {
@@ -101,6 +112,7 @@
       }
     }
   }
+  for (const it of borrowers) it.sort(bySmallestLoss);
   const free = workers.map((it, index) =>
     it.health === 'ready' ? (isUsed[index] ?? []).filter((used) => !used).length : 0,
   );
--- a/src/coordination/common/guaranteeCheck.ts
+++ b/src/coordination/common/guaranteeCheck.ts
@@ -122,41 +122,130 @@
 const isRackBound = (it: UnclaimedShape): boolean =>
   it.shape.adjacency === 'rack' && it.wholes + Number(it.remainder > 0) > 1;
 
-type Prefer = (leftA: number, leftB: number) => number;
+/** 1 for best fit, -1 for worst fit. */
+type FitSign = 1 | -1;
 
-const bestFit: Prefer = (a, b) => a - b;
-const worstFit: Prefer = (a, b) => b - a;
+interface Packing {
+  readonly space: cellSpace.CellSpace;
+  readonly perWorker: number;
+  readonly sign: FitSign;
+  /** Accelerators left on each worker. */
+  readonly left: number[];
+  /** Whole workers left in each rack. */
+  readonly wholes: number[];
+  /**
+   * Workers by accelerators left, those with the most free ones last. Entries go stale when a worker
+   * is used; so the whole cell is not searched again for each of some hundred shapes.
+   */
+  readonly byRoom: number[][];
+}
+
+const wholesOf = (rack: readonly number[], left: readonly number[], perWorker: number): number =>
+  rack.filter((worker) => (left[worker] ?? 0) >= perWorker).length;
+
+/** Whole workers of a group, those with the most free accelerators first. */
+const pickWholes = (packing: Packing, group: readonly number[], count: number): number[] => {
+  if (count === 0) return [];
+  const { space, left, perWorker } = packing;
+  return group
+    .filter((worker) => (left[worker] ?? 0) >= perWorker)
+    .sort((a, b) => (space.free[b] ?? 0) - (space.free[a] ?? 0) || a - b)
+    .slice(0, count);
+};
+
+/** The tightest (or widest) worker for a part, the one with more free accelerators where equal. */
+const pickPart = (
+  packing: Packing,
+  group: readonly number[],
+  need: number,
+  taken: readonly number[],
+): number | undefined => {
+  const { space, left, sign } = packing;
+  let best: number | undefined;
+  let bestRoom = 0;
+  for (const worker of group) {
+    const room = left[worker] ?? 0;
+    if (room < need || taken.includes(worker)) continue;
+    const order = best === undefined ? -1 : sign * (room - bestRoom);
+    const isFreer =
+      best !== undefined && order === 0 && (space.free[worker] ?? 0) > (space.free[best] ?? 0);
+    if (order < 0 || isFreer) {
+      best = worker;
+      bestRoom = room;
+    }
+  }
+  return best;
+};
+
+const groupByRoom = (space: cellSpace.CellSpace, left: readonly number[]): number[][] => {
+  const byRoom: number[][] = Array.from({ length: 1 + Math.max(0, ...left) }, () => []);
+  for (const worker of space.all) byRoom[left[worker] ?? 0]?.push(worker);
+  for (const bucket of byRoom) bucket.sort((a, b) => (space.free[a] ?? 0) - (space.free[b] ?? 0));
+  return byRoom;
+};
+
+/** As {@link pickPart}, over the whole cell. */
+const pickPartAnywhere = (
+  packing: Packing,
+  need: number,
+  taken: readonly number[],
+): number | undefined => {
+  const { byRoom, left, sign } = packing;
+  const last = byRoom.length - 1;
+  for (let step = 0; step <= last - need; step += 1) {
+    const room = sign === 1 ? need + step : last - step;
+    const bucket = byRoom[room] ?? [];
+    const isStale = (): boolean => left[bucket[bucket.length - 1] ?? -1] !== room;
+    while (bucket.length > 0 && isStale()) bucket.pop();
+    const worker = bucket.findLast((it) => left[it] === room && !taken.includes(it));
+    if (worker !== undefined) return worker;
+  }
+  return undefined;
+};
 
 /** Picks workers of a group for one form, or gives up without a change. */
 const slotIn = (
-  left: readonly number[],
+  packing: Packing,
   group: readonly number[],
   form: UnclaimedShape,
-  perWorker: number,
-  prefer: Prefer,
-  free: readonly number[],
 ): ShapeSlot | undefined => {
-  const isWhole = (worker: number): boolean => (left[worker] ?? 0) >= perWorker;
-  const mostFree = (a: number, b: number): number => (free[b] ?? 0) - (free[a] ?? 0) || a - b;
-  const wholes =
-    form.wholes === 0 ? [] : group.filter(isWhole).sort(mostFree).slice(0, form.wholes);
+  const wholes = pickWholes(packing, group, form.wholes);
   if (wholes.length < form.wholes) return undefined;
   const { shapeId } = form.shape;
-  const accelerators = wholes.map(() => perWorker);
+  const accelerators = wholes.map(() => packing.perWorker);
   if (form.remainder === 0) return { shapeId, workers: wholes, accelerators };
-  let part: number | undefined;
-  for (const worker of group) {
-    const room = left[worker] ?? 0;
-    if (room < form.remainder || wholes.includes(worker)) continue;
-    const order = part === undefined ? -1 : prefer(room, left[part] ?? 0) || mostFree(worker, part);
-    if (order < 0) part = worker;
-  }
+  const part =
+    group === packing.space.all
+      ? pickPartAnywhere(packing, form.remainder, wholes)
+      : pickPart(packing, group, form.remainder, wholes);
   if (part === undefined) return undefined;
-  return {
-    shapeId,
-    workers: [...wholes, part],
-    accelerators: [...accelerators, form.remainder],
-  };
+  const parts = [...accelerators, form.remainder];
+  return { shapeId, workers: [...wholes, part], accelerators: parts };
+};
+
+/** The rack with the fewest (or most) whole workers that holds the form. */
+const slotInRack = (packing: Packing, form: UnclaimedShape): ShapeSlot | undefined => {
+  const { space, wholes, sign } = packing;
+  const racks = space.racks
+    .map((rack, index) => ({ rack, count: wholes[index] ?? 0 }))
+    .filter((it) => it.count >= form.wholes)
+    .sort((a, b) => sign * (a.count - b.count));
+  for (const { rack } of racks) {
+    const slot = slotIn(packing, rack, form);
+    if (slot !== undefined) return slot;
+  }
+  return undefined;
+};
+
+const takeSlot = (packing: Packing, slot: ShapeSlot): void => {
+  const { space, left, wholes, perWorker } = packing;
+  slot.workers.forEach((worker, at) => {
+    const room = (left[worker] ?? 0) - (slot.accelerators[at] ?? 0);
+    left[worker] = room;
+    packing.byRoom[room]?.push(worker);
+    const rack = space.rackOf[worker] ?? 0;
+    wholes[rack] = wholesOf(space.racks[rack] ?? [], left, perWorker);
+  });
 };
 
 const packWith = (
@@ -164,29 +253,22 @@
   claimable: readonly number[],
   forms: readonly UnclaimedShape[],
   perWorker: number,
-  prefer: Prefer,
+  sign: FitSign,
 ): ShapePacking => {
   const left = [...claimable];
+  const wholes = space.racks.map((rack) => wholesOf(rack, left, perWorker));
+  const byRoom = groupByRoom(space, left);
+  const packing: Packing = { space, perWorker, sign, left, wholes, byRoom };
   const slots: ShapeSlot[] = [];
   const unplaced: UnclaimedShape[] = [];
-  const roomOf = (rack: readonly number[]): number =>
-    rack.reduce((sum, worker) => sum + (left[worker] ?? 0), 0);
   for (const form of forms) {
-    const groups = isRackBound(form)
-      ? [...space.racks].sort((a, b) => prefer(roomOf(a), roomOf(b)))
-      : [space.all];
-    let slot: ShapeSlot | undefined;
-    for (const group of groups) {
-      slot = slotIn(left, group, form, perWorker, prefer, space.free);
-      if (slot !== undefined) break;
-    }
-    if (slot === undefined || (form.shape.adjacency === 'worker' && slot.workers.length > 1)) {
+    const isTooLarge = form.shape.adjacency === 'worker' && form.shape.accelerators > perWorker;
+    const slot = isRackBound(form) ? slotInRack(packing, form) : slotIn(packing, space.all, form);
+    if (slot === undefined || isTooLarge) {
       unplaced.push(form);
       continue;
     }
-    slot.workers.forEach((worker, at) => {
-      left[worker] = (left[worker] ?? 0) - (slot.accelerators[at] ?? 0);
-    });
+    takeSlot(packing, slot);
     slots.push(slot);
   }
   const setAside = claimable.map((size, worker) => size - (left[worker] ?? 0));
@@ -206,8 +288,8 @@
   forms: readonly UnclaimedShape[],
   perWorker: number,
 ): ShapePacking => {
-  const first = packWith(space, claimable, forms, perWorker, bestFit);
+  const first = packWith(space, claimable, forms, perWorker, 1);
   if (first.unplaced.length === 0) return first;
-  const second = packWith(space, claimable, forms, perWorker, worstFit);
+  const second = packWith(space, claimable, forms, perWorker, -1);
   return second.unplaced.length < first.unplaced.length ? second : first;
 };
--- a/src/coordination/common/placement.ts
+++ b/src/coordination/common/placement.ts
@@ -33,11 +33,10 @@
 export const planRound = (view: planTypes.PlanView): planTypes.Plan => {
   const verdict = blame.judge(view);
   const round = planningRound.beginRound(withoutQuarantined(view, verdict.quarantines));
-  const queued = view.jobs.filter((it) => it.state === job.JobState.queued);
-  for (const record of queued) {
+  for (const record of round.queued) {
     if (record.spec.claim === job.Claim.guaranteed) claimPlanning.planClaim(round, record);
   }
-  const borrowing = queued.filter((it) => it.spec.claim === job.Claim.spare);
+  const borrowing = round.queued.filter((it) => it.spec.claim === job.Claim.spare);
   sparePlanning.planSpare(round, borrowing, verdict.probeWorkerIds);
   return {
     placements: round.placements,
--- a/src/coordination/common/planningRound.ts
+++ b/src/coordination/common/planningRound.ts
@@ -11,6 +11,10 @@
 /** One round. The steps fill `placements`, `stops` and `waits`. */
 export interface PlanningRound {
   readonly view: planTypes.PlanView;
+  /** Jobs that wait, in the order of their submission. */
+  readonly queued: readonly job.JobRecord[];
+  /** Jobs that hold accelerators. */
+  readonly placed: readonly job.JobRecord[];
   readonly space: cellSpace.CellSpace;
   readonly estimates: runEstimates.RunEstimates;
   /** Instances of each shape that are claimed, with what this round added. */
@@ -18,7 +22,9 @@
   /** Accelerators on each worker that unclaimed shapes are shown to fit on. */
   readonly setAside: number[];
   readonly slots: guaranteeCheck.ShapeSlot[];
-  readonly unplaced: readonly guaranteeCheck.UnclaimedShape[];
+  readonly unplaced: guaranteeCheck.UnclaimedShape[];
+  /** Accelerators on each worker of the place that can always be cleared for a large job. */
+  readonly clearable: number[];
   /** Beneath a reservation, the moment by which a job that can't yield must end, by worker. */
   readonly backfillUntilMs: number[];
   /** When the reservations of this round are expected to start. */
@@ -34,7 +40,6 @@
 const heldByCustomer = (jobs: readonly job.JobRecord[]): Map<string, number> => {
   const held = new Map<string, number>();
   for (const record of jobs) {
-    if (record.placement.length === 0) continue;
     const { customerId } = record.spec;
     held.set(customerId, (held.get(customerId) ?? 0) + job.acceleratorsOf(record));
   }
@@ -56,30 +61,70 @@
  * @returns a round in which nothing is decided
  */
 export const beginRound = (view: planTypes.PlanView): PlanningRound => {
-  const space = cellSpace.createCellSpace(view);
-  const claims = guaranteeCheck.countClaims(view.jobs);
+  const queued = view.jobs.filter((it) => it.state === job.JobState.queued);
+  const placed = view.jobs.filter((it) => it.placement.length > 0);
+  const space = cellSpace.createCellSpace(view, placed);
+  const claims = guaranteeCheck.countClaims(placed);
   const forms = guaranteeCheck.unclaimedShapes(view.document, view.cell, claims);
   const cell = view.document.cells.find((it) => it.cell === view.cell);
   const perWorker = cell?.acceleratorsPerWorker ?? 1;
   const packing = guaranteeCheck.packShapes(space, space.claimable, forms, perWorker);
   return {
     view,
+    queued,
+    placed,
     space,
     estimates: view.estimates ?? runEstimates.NO_ESTIMATES,
     claims,
     setAside: [...packing.setAside],
     slots: [...packing.slots],
-    unplaced: packing.unplaced,
+    unplaced: [...packing.unplaced],
+    clearable: space.all.map(() => 0),
     backfillUntilMs: space.all.map(() => Number.POSITIVE_INFINITY),
     reservedAtMs: [],
     placements: [],
     stops: [],
     waits: [],
     warnings: infeasible(packing.unplaced),
-    heldBy: heldByCustomer(view.jobs),
+    heldBy: heldByCustomer(placed),
   };
 };
 
+/**
+ * Looks for a new assignment of the unclaimed shapes beside a claim that would break the present one,
+ * and takes it where it leaves no more shapes unplaced.
+ *
+ * @param round - the round; changed where the answer is yes
+ * @param record - the claim
+ * @param plan - where its members would go
+ * @param mostUnplaced - instances that may stay unplaced
+ * @returns whether the other shapes still fit
+ */
+export const repack = (
+  round: PlanningRound,
+  record: job.JobRecord,
+  plan: cellSpace.GangPlan,
+  mostUnplaced: number,
+): boolean => {
+  const { document, cell } = round.view;
+  const shapeId = record.spec.shapeId ?? '';
+  const claims = new Map(round.claims).set(shapeId, (round.claims.get(shapeId) ?? 0) + 1);
+  const claimable = [...round.space.claimable];
+  for (const { worker, members } of plan) {
+    const left = (claimable[worker] ?? 0) - members * record.spec.acceleratorsPerMember;
+    if (left < 0) return false;
+    claimable[worker] = left;
+  }
+  const forms = guaranteeCheck.unclaimedShapes(document, cell, claims);
+  const perWorker = document.cells.find((it) => it.cell === cell)?.acceleratorsPerWorker ?? 1;
+  const packing = guaranteeCheck.packShapes(round.space, claimable, forms, perWorker);
+  if (packing.unplaced.length > mostUnplaced) return false;
+  round.setAside.splice(0, round.setAside.length, ...packing.setAside);
+  round.slots.splice(0, round.slots.length, ...packing.slots);
+  round.unplaced.splice(0, round.unplaced.length, ...packing.unplaced);
+  return true;
+};
+
 /**
  * @param round - the round; changed
  * @param record - a job that gets accelerators
--- a/src/coordination/common/reclaim.ts
+++ b/src/coordination/common/reclaim.ts
@@ -22,25 +22,8 @@
   readonly limit: (worker: number) => number;
   /** Which borrowers may be stopped; those that leave already are always counted as free. */
   readonly canStop: (borrower: cellSpace.Borrower) => boolean;
-  /** Accelerator-milliseconds of work that stopping the job loses. */
-  readonly lossMs: (record: job.JobRecord) => number;
 }
 
-/** Work that a checkpointable job loses: it writes a checkpoint in the grace, then starts again. */
-export const CHECKPOINT_LOSS_MS = 30_000;
-
-/**
- * @param record - a borrowed job
- * @param nowMs - the time now
- * @returns accelerator-milliseconds lost by stopping it: all since its start, unless it can
- *   checkpoint
- */
-export const lossOf = (record: job.JobRecord, nowMs: number): number => {
-  const ranMs = Math.max(0, nowMs - (record.startedAtMs ?? nowMs));
-  const lostMs = record.spec.isCheckpointable ? Math.min(ranMs, CHECKPOINT_LOSS_MS) : ranMs;
-  return lostMs * record.spec.members * record.spec.acceleratorsPerMember;
-};
-
 interface Trial {
   readonly chosen: Set<cellSpace.Borrower>;
   lossMs: number;
@@ -61,6 +44,13 @@
   return Math.max(0, open - overdrawn);
 };
 
+interface VictimStep {
+  readonly victims: readonly cellSpace.Borrower[];
+  readonly lossMs: number;
+}
+
+const NO_VICTIMS: VictimStep = { victims: [], lossMs: 0 };
+
 /** The cheapest further victims that free so many accelerators on a worker. */
 const victimsOn = (
   space: cellSpace.CellSpace,
@@ -68,28 +58,37 @@
   worker: number,
   need: number,
   chosen: ReadonlySet<cellSpace.Borrower>,
-): { readonly victims: cellSpace.Borrower[]; readonly lossMs: number } | undefined => {
+): VictimStep | undefined => {
   if (space.workers[worker]?.health !== 'ready') return undefined;
   let open = openWith(space, worker, chosen);
+  if (open >= need) return NO_VICTIMS;
   const victims: cellSpace.Borrower[] = [];
   let lossMs = 0;
-  if (open >= need) return { victims, lossMs };
-  const most = (space.borrowers[worker] ?? []).filter(
-    (it) => !it.isLeaving && !chosen.has(it) && rules.canStop(it),
-  );
-  if (open + most.reduce((sum, it) => sum + (it.held.get(worker) ?? 0), 0) < need) return undefined;
-  const candidates = most
-    .map((it) => ({ it, loss: rules.lossMs(it.record) }))
-    .sort(
-      (a, b) => a.loss - b.loss || a.it.record.spec.jobId.localeCompare(b.it.record.spec.jobId),
-    );
-  for (const { it, loss } of candidates) {
-    if (open >= need) break;
+  for (const it of space.borrowers[worker] ?? []) {
+    if (it.isLeaving || chosen.has(it) || !rules.canStop(it)) continue;
     victims.push(it);
-    lossMs += loss;
+    lossMs += it.lossMs;
     open += it.held.get(worker) ?? 0;
+    if (open >= need) return { victims, lossMs };
   }
-  return open >= need ? { victims, lossMs } : undefined;
+  return undefined;
+};
+
+const chooseOnWorker = (
+  space: cellSpace.CellSpace,
+  worker: number,
+  spec: job.JobSpec,
+  rules: ReclaimRules,
+  worseThanMs: number,
+): ReclaimChoice | undefined => {
+  const need = spec.members * spec.acceleratorsPerMember;
+  if (need > rules.limit(worker)) return undefined;
+  const step = victimsOn(space, rules, worker, need, new Set());
+  // A set that is pruned loses at least nothing, and few are: the rest is not worth a look.
+  if (step === undefined || step.lossMs >= worseThanMs) return undefined;
+  const plan = [{ worker, members: spec.members }];
+  const chosen = new Set(step.victims);
+  return { plan, ...pruned(space, plan, spec.acceleratorsPerMember, chosen) };
 };
 
 const chooseInGroup = (
@@ -131,7 +130,7 @@
     else costs.delete(best);
   }
   const plan = [...members].map(([worker, count]) => ({ worker, members: count }));
-  return { plan, ...pruned(space, plan, per, trial.chosen, rules) };
+  return { plan, ...pruned(space, plan, per, trial.chosen) };
 };
 
 /** Lets off every victim without which the gang still fits, the dearest first. */
@@ -140,17 +139,16 @@
   plan: cellSpace.GangPlan,
   per: number,
   chosen: ReadonlySet<cellSpace.Borrower>,
-  rules: ReclaimRules,
 ): { readonly victims: cellSpace.Borrower[]; readonly lossMs: number } => {
   const kept = new Set(chosen);
-  const dearest = [...chosen].sort((a, b) => rules.lossMs(b.record) - rules.lossMs(a.record));
+  const dearest = [...chosen].sort((a, b) => b.lossMs - a.lossMs);
   for (const victim of dearest) {
     kept.delete(victim);
     const fits = plan.every((it) => openWith(space, it.worker, kept) >= it.members * per);
     if (!fits) kept.add(victim);
   }
   const victims = [...kept];
-  return { victims, lossMs: victims.reduce((sum, it) => sum + rules.lossMs(it.record), 0) };
+  return { victims, lossMs: victims.reduce((sum, it) => sum + it.lossMs, 0) };
 };
 
 /**
@@ -167,7 +165,11 @@
   let best: ReclaimChoice | undefined;
   for (const group of cellSpace.groupsFor(space, spec)) {
     const worseThanMs = best?.lossMs ?? Number.POSITIVE_INFINITY;
-    const choice = chooseInGroup(space, group, spec, rules, worseThanMs);
+    const [only] = group;
+    const choice =
+      group.length === 1 && only !== undefined
+        ? chooseOnWorker(space, only, spec, rules, worseThanMs)
+        : chooseInGroup(space, group, spec, rules, worseThanMs);
     if (choice !== undefined && choice.lossMs < worseThanMs) best = choice;
     if (best?.lossMs === 0) break;
   }
--- a/src/coordination/common/reservations.ts
+++ b/src/coordination/common/reservations.ts
@@ -12,9 +12,11 @@
 
 import * as cellSpace from './cellSpace.js';
 import * as gangFit from './gangFit.js';
+import * as guaranteeCheck from './guaranteeCheck.js';
 import * as planningRound from './planningRound.js';
 import * as reclaim from './reclaim.js';
 import * as runEstimates from './runEstimates.js';
+import * as workLoss from './workLoss.js';
 
 /** More reservations at a time would idle most of a small cell for jobs far back in the queue. */
 export const MAX_RESERVATIONS = 2;
@@ -25,6 +27,12 @@
 /** Compaction must save this many times the accelerator-time that it loses, or jobs only move. */
 export const COMPACTION_GAIN = 3;
 
+/**
+ * Jobs that can't be moved count as short up to this many waits of a large job: a large job may wait
+ * three times as long as alone, of which one is its wait for the reservation.
+ */
+const PINNING_WAITS = 2;
+
 const isLarge = (round: planningRound.PlanningRound, record: job.JobRecord): boolean =>
   job.acceleratorsOf(record) >= round.view.document.placement.largeJobAccelerators;
 
@@ -44,6 +52,53 @@
 export const canYield = (record: job.JobRecord): boolean =>
   record.spec.isCheckpointable && record.attempt < SQUEEZE_LIMIT;
 
+/**
+ * @param round - the round
+ * @param record - a job that borrows or wants to
+ * @returns whether it can't be moved for much longer than a large job is to wait
+ */
+export const isPinning = (round: planningRound.PlanningRound, record: job.JobRecord): boolean => {
+  if (record.spec.isCheckpointable || isLarge(round, record)) return false;
+  const { estimates, view } = round;
+  const quantile = runEstimates.ORDER_QUANTILE;
+  const leftMs = runEstimates.remainingMs(estimates, record, view.nowMs, quantile);
+  return leftMs > PINNING_WAITS * view.document.placement.largeJobWaitMs;
+};
+
+/**
+ * Keeps one place for a large job free of jobs that can't be moved: such a job on each rack of a
+ * small cell would make every large job wait for its end, whatever else yields.
+ *
+ * @param round - the round; changed
+ */
+export const keepClearable = (round: planningRound.PlanningRound): void => {
+  const { space, view } = round;
+  const left = [...space.claimable];
+  for (const record of round.placed) {
+    if (record.spec.claim !== job.Claim.spare || !isPinning(round, record)) continue;
+    for (const { workerId, accelerators } of record.placement) {
+      const worker = space.indexOf.get(workerId) ?? -1;
+      left[worker] = Math.max(0, (left[worker] ?? 0) - accelerators.length);
+    }
+  }
+  const cell = view.document.cells.find((it) => it.cell === view.cell);
+  const perWorker = cell?.acceleratorsPerWorker ?? 1;
+  const accelerators = view.document.placement.largeJobAccelerators;
+  const place = {
+    shapeId: '',
+    customerId: '',
+    cell: view.cell,
+    accelerators,
+    adjacency: 'rack' as const,
+    count: 1,
+  };
+  const form = { shape: place, ...guaranteeCheck.canonicalForm(accelerators, perWorker) };
+  const packing = guaranteeCheck.packShapes(space, left, [form], perWorker);
+  packing.setAside.forEach((size, worker) => {
+    round.clearable[worker] = size;
+  });
+};
+
 const hasOutlived = (round: planningRound.PlanningRound, record: job.JobRecord): boolean => {
   const startedAtMs = record.startedAtMs ?? round.view.nowMs;
   const safeMs = runEstimates.runMsOf(round.estimates, record.spec, runEstimates.SAFE_QUANTILE);
@@ -57,8 +112,11 @@
   borrower: job.JobRecord,
 ): boolean => {
   const startedAtMs = borrower.startedAtMs ?? round.view.nowMs;
-  if (startedAtMs < waiting.submittedAtMs || isLarge(round, borrower)) return false;
-  return canYield(borrower) || hasOutlived(round, borrower);
+  if (isLarge(round, borrower)) return false;
+  // Without the limit a job that always outlives its estimate would be stopped for ever.
+  if (borrower.attempt >= SQUEEZE_LIMIT) return false;
+  if (borrower.spec.isCheckpointable) return true;
+  return startedAtMs >= waiting.submittedAtMs && hasOutlived(round, borrower);
 };
 
 interface Ending {
@@ -67,9 +125,8 @@
 }
 
 const endingsOf = (round: planningRound.PlanningRound): Ending[] => {
-  const { nowMs, jobs } = round.view;
-  return jobs
-    .filter((it) => it.placement.length > 0)
+  const { nowMs } = round.view;
+  return round.placed
     .map((record) => {
       const leftMs = runEstimates.remainingMs(
         round.estimates,
@@ -161,7 +218,6 @@
   const choice = reclaim.chooseVictims(round.space, record.spec, {
     limit: (worker) => (failed.has(worker) ? 0 : Number.POSITIVE_INFINITY),
     canStop: (it) => yieldsTo(round, record, it.record),
-    lossMs: (it) => reclaim.lossOf(it, round.view.nowMs),
   });
   if (choice === undefined) return false;
   planningRound.makeRoom(round, choice.plan, per, choice.victims, {
@@ -182,11 +238,10 @@
   const choice = reclaim.chooseVictims(round.space, record.spec, {
     limit: (worker) => (failed.has(worker) ? 0 : Number.POSITIVE_INFINITY),
     canStop: (it) => canYield(it.record) && !isLarge(round, it.record),
-    lossMs: () => reclaim.CHECKPOINT_LOSS_MS,
   });
   if (choice === undefined) return false;
   const lossMs = choice.victims.reduce(
-    (sum, it) => sum + reclaim.CHECKPOINT_LOSS_MS * job.acceleratorsOf(it.record),
+    (sum, it) => sum + workLoss.CHECKPOINT_LOSS_MS * job.acceleratorsOf(it.record),
     0,
   );
   const gainMs = savedMs * job.acceleratorsOf(record);
@@ -199,6 +254,38 @@
   return true;
 };
 
+/**
+ * Stops the customer's own smaller jobs where they use up what its rules allow: otherwise a customer
+ * that always has small jobs could never run a large one.
+ *
+ * @param round - the round; changed
+ * @param record - a large job that no rule has room for
+ */
+export const yieldAllowance = (round: planningRound.PlanningRound, record: job.JobRecord): void => {
+  const own = new Set<cellSpace.Borrower>();
+  for (const borrowers of round.space.borrowers) {
+    for (const it of borrowers) {
+      if (it.record.spec.customerId === record.spec.customerId) own.add(it);
+    }
+  }
+  const need = job.acceleratorsOf(record);
+  let given = 0;
+  const sorted = [...own].sort((a, b) => a.lossMs - b.lossMs);
+  for (const it of sorted) {
+    if (it.isLeaving) given += job.acceleratorsOf(it.record);
+  }
+  for (const it of sorted) {
+    if (given >= need) break;
+    if (it.isLeaving || !yieldsTo(round, record, it.record)) continue;
+    given += job.acceleratorsOf(it.record);
+    planningRound.makeRoom(round, [], 0, [it], {
+      cause: 'reclaimed',
+      why: `uses up the allowance that large job ${record.spec.jobId} of its customer waits for`,
+    });
+  }
+  planningRound.wait(round, record, 'waits until its spare rule allows it enough accelerators');
+};
+
 /**
  * Reserves for a large job that could not be placed now.
  *
--- a/src/coordination/common/sparePlanning.ts
+++ b/src/coordination/common/sparePlanning.ts
@@ -26,11 +26,24 @@
   readonly round: planningRound.PlanningRound;
   readonly borrowing: spareShares.Borrowing;
   /** Sizes for which a search found nothing; what is free only shrinks within the step. */
-  readonly wanting: Set<string>;
+  readonly wanting: Set<number>;
   readonly quotas: ReadonlyMap<string, number>;
   misses: number;
+  /** Customers whose large job waits for their rules' allowance, which smaller jobs may not use up. */
+  readonly savingCustomers: Set<string>;
 }
 
+/**
+ * A job that would pin workers stays off the place that is kept clearable for large jobs, but for no
+ * longer than it expects to run: else the place of a job that may never come would starve it.
+ */
+const keepsOff = (round: planningRound.PlanningRound, record: job.JobRecord): boolean => {
+  if (!reservations.isPinning(round, record)) return false;
+  const { nowMs } = round.view;
+  const runMs = runEstimates.runMsOf(round.estimates, record.spec, runEstimates.ORDER_QUANTILE);
+  return nowMs - record.submittedAtMs < runMs;
+};
+
 /**
  * Where weight lies on fragmentation, a small job would rather wait for a share of its own run time
  * than break open a place that is whole for a guaranteed shape. The bound keeps its loss in
@@ -59,8 +72,10 @@
   const patient = isPatient(round, record);
   const yields = reservations.canYield(record);
   const endMs = endOf(round, record);
+  const isKeptOff = keepsOff(round, record);
   return (worker) => {
     if (failed.has(worker)) return 0;
+    if (isKeptOff && (round.clearable[worker] ?? 0) > 0) return 0;
     if (!yields && endMs > (round.backfillUntilMs[worker] ?? 0)) return 0;
     const open = cellSpace.openOn(space, worker);
     return patient ? Math.max(0, open - (round.setAside[worker] ?? 0)) : open;
@@ -74,10 +89,17 @@
   return round.reservedAtMs.filter((it) => endMs > it).length;
 };
 
-const sizeKey = (round: planningRound.PlanningRound, record: job.JobRecord): string => {
+const ADJACENCY_INDEX = { worker: 0, rack: 1, zone: 2 } as const;
+/** Exceeds the largest value of each part of a size key. */
+const KEY_BASE = 65;
+
+/** One number for all jobs that need the same room; a number, since a full queue asks for each job. */
+const sizeKey = (round: planningRound.PlanningRound, record: job.JobRecord): number => {
   const { members, acceleratorsPerMember, adjacency } = record.spec;
-  const kind = `${beneath(round, record)} ${isPatient(round, record)}`;
-  return `${members}x${acceleratorsPerMember} ${adjacency} ${kind}`;
+  const place = members * KEY_BASE + acceleratorsPerMember;
+  const restriction = Number(isPatient(round, record)) + 2 * Number(keepsOff(round, record));
+  const kind = beneath(round, record) * 4 + restriction;
+  return (place * KEY_BASE + ADJACENCY_INDEX[adjacency]) * KEY_BASE + kind;
 };
 
 const refusalOf = (step: SpareStep, record: job.JobRecord): string | undefined => {
@@ -93,6 +115,7 @@
   return undefined;
 };
 
+const NO_ALLOWANCE = 'no spare rule allows it more accelerators now';
 const NO_ROOM = 'no free accelerators lie close enough together';
 
 const tryLend = (
@@ -104,7 +127,8 @@
   const refusal = refusalOf(step, record);
   if (refusal !== undefined) return refusal;
   const rule = spareShares.ruleFor(lane, step.borrowing, job.acceleratorsOf(record));
-  if (rule === undefined) return 'no spare rule allows it more accelerators now';
+  if (rule === undefined) return NO_ALLOWANCE;
+  if (step.savingCustomers.has(lane.customerId)) return 'a large job of the customer goes first';
   const key = sizeKey(round, record);
   if (step.wanting.has(key)) return NO_ROOM;
   if (step.misses >= BACKFILL_DEPTH) return 'others go first';
@@ -133,10 +157,17 @@
   }
 };
 
+/** Whether some rule of the customer is wide enough for the job once others have given back. */
+const couldBorrow = (lane: spareShares.Lane, record: job.JobRecord): boolean =>
+  lane.rules.some((it) => it.maxAccelerators >= job.acceleratorsOf(record));
+
 const lendOrReserve = (step: SpareStep, lane: spareShares.Lane, record: job.JobRecord): void => {
   const why = tryLend(step, lane, record);
   if (why === NO_ROOM) reservations.reserve(step.round, record);
-  else if (why !== undefined) planningRound.wait(step.round, record, why);
+  else if (why === NO_ALLOWANCE && couldBorrow(lane, record)) {
+    step.savingCustomers.add(lane.customerId);
+    reservations.yieldAllowance(step.round, record);
+  } else if (why !== undefined) planningRound.wait(step.round, record, why);
 };
 
 /** Tries one small job on each worker that is due for a probe. */
@@ -183,14 +214,16 @@
   queued: readonly job.JobRecord[],
   probeWorkerIds: ReadonlySet<string>,
 ): void => {
-  const { view } = round;
+  const { view, placed } = round;
   const step: SpareStep = {
     round,
-    borrowing: spareShares.borrowingOf(view.jobs),
+    borrowing: spareShares.borrowingOf(placed),
     wanting: new Set(),
     quotas: new Map(view.document.customers.map((it) => [it.customerId, it.quotaAccelerators])),
     misses: 0,
+    savingCustomers: new Set(),
   };
+  reservations.keepClearable(round);
   const probing = probe(step, queued, probeWorkerIds);
   const due = queued
     .filter((it) => !probing.has(it.spec.jobId) && reservations.isDue(round, it))
--- a/src/coordination/common/spareShares.ts
+++ b/src/coordination/common/spareShares.ts
@@ -55,6 +55,12 @@
   add(borrowing.byCustomer, customerId, accelerators);
 };
 
+/**
+ * Even with all weight on fragmentation short work goes somewhat ahead: with 0 the order would be
+ * first come, first served, and the mean completion time doubles behind one long job.
+ */
+const FAIR_EXPONENT = 0.5;
+
 /**
  * The order of one customer's jobs. With weight on completion time the least expected work goes
  * first; with weight on fragmentation the order leans to first come, first served, so that large
@@ -71,7 +77,8 @@
   const leftMs = runEstimates.remainingMs(round.estimates, record, nowMs, quantile);
   const work = leftMs * job.acceleratorsOf(record);
   const waitedMs = Math.max(0, nowMs - record.submittedAtMs);
-  return work ** completionWeight / (1 + waitedMs / Math.max(1, largeJobWaitMs));
+  const exponent = FAIR_EXPONENT + (1 - FAIR_EXPONENT) * completionWeight;
+  return work ** exponent / (1 + waitedMs / Math.max(1, largeJobWaitMs));
 };
 
 /**
