Read the jobs of a cell once in a planning round

A round walked over all jobs some eight times, and at some thousand jobs each walk showed. Queued claims, queued borrowers and placed jobs are now split in one pass, and a quarantine verdict looks only at jobs that failed.

--- a/src/coordination/common/blame.ts
+++ b/src/coordination/common/blame.ts
@@ -96,9 +96,9 @@
 export const judge = (view: planTypes.PlanView): BlameVerdict => {
   const { nowMs, workers } = view;
   const { quarantineFailures, quarantineCapShare } = view.document.placement;
-  const records = [...view.jobs, ...(view.endedFailedJobs ?? [])].filter(
-    (it) => it.failures.length > 0,
-  );
+  const records = view.jobs
+    .filter((it) => it.failures.length > 0)
+    .concat(view.endedFailedJobs ?? []);
   const held = workers.filter((it) => it.autoQuarantinedSinceMs !== undefined);
   if (records.length === 0 && held.length === 0) return NO_BLAME;
   const blamed = failuresByWorker(records, workers, nowMs);
--- a/src/coordination/common/placement.ts
+++ b/src/coordination/common/placement.ts
@@ -3,8 +3,6 @@
  * give theirs back, and which workers are quarantined or released. Pure: a view of the cell goes in,
  * a plan comes out.
  */
-import * as job from '../../state/common/job.js';
-
 import * as blame from './blame.js';
 import * as claimPlanning from './claimPlanning.js';
 import * as planningRound from './planningRound.js';
@@ -33,11 +31,8 @@
 export const planRound = (view: planTypes.PlanView): planTypes.Plan => {
   const verdict = blame.judge(view);
   const round = planningRound.beginRound(withoutQuarantined(view, verdict.quarantines));
-  for (const record of round.queued) {
-    if (record.spec.claim === job.Claim.guaranteed) claimPlanning.planClaim(round, record);
-  }
-  const borrowing = round.queued.filter((it) => it.spec.claim === job.Claim.spare);
-  sparePlanning.planSpare(round, borrowing, verdict.probeWorkerIds);
+  for (const record of round.queuedClaims) claimPlanning.planClaim(round, record);
+  sparePlanning.planSpare(round, verdict.probeWorkerIds);
   return {
     placements: round.placements,
     stops: round.stops,
--- a/src/coordination/common/planningRound.ts
+++ b/src/coordination/common/planningRound.ts
@@ -11,8 +11,10 @@
 /** One round. The steps fill `placements`, `stops` and `waits`. */
 export interface PlanningRound {
   readonly view: planTypes.PlanView;
-  /** Jobs that wait, in the order of their submission. */
-  readonly queued: readonly job.JobRecord[];
+  /** Queued jobs that claim a shape, in the order of their submission. */
+  readonly queuedClaims: readonly job.JobRecord[];
+  /** Queued jobs that borrow, in the order of their submission. */
+  readonly queuedSpare: readonly job.JobRecord[];
   /** Jobs that hold accelerators. */
   readonly placed: readonly job.JobRecord[];
   readonly space: cellSpace.CellSpace;
@@ -46,6 +48,22 @@
   return held;
 };
 
+/** One pass over the jobs of the cell: at some thousand jobs each further pass shows in the round. */
+const splitJobs = (
+  jobs: readonly job.JobRecord[],
+): Pick<PlanningRound, 'queuedClaims' | 'queuedSpare' | 'placed'> => {
+  const queuedClaims: job.JobRecord[] = [];
+  const queuedSpare: job.JobRecord[] = [];
+  const placed: job.JobRecord[] = [];
+  for (const record of jobs) {
+    if (record.placement.length > 0) placed.push(record);
+    if (record.state !== job.JobState.queued) continue;
+    if (record.spec.claim === job.Claim.guaranteed) queuedClaims.push(record);
+    else queuedSpare.push(record);
+  }
+  return { queuedClaims, queuedSpare, placed };
+};
+
 const infeasible = (unplaced: readonly guaranteeCheck.UnclaimedShape[]): string[] => {
   const counts = new Map<string, number>();
   for (const { shape } of unplaced) counts.set(shape.shapeId, (counts.get(shape.shapeId) ?? 0) + 1);
@@ -61,8 +79,7 @@
  * @returns a round in which nothing is decided
  */
 export const beginRound = (view: planTypes.PlanView): PlanningRound => {
-  const queued = view.jobs.filter((it) => it.state === job.JobState.queued);
-  const placed = view.jobs.filter((it) => it.placement.length > 0);
+  const { queuedClaims, queuedSpare, placed } = splitJobs(view.jobs);
   const space = cellSpace.createCellSpace(view, placed);
   const claims = guaranteeCheck.countClaims(placed);
   const forms = guaranteeCheck.unclaimedShapes(view.document, view.cell, claims);
@@ -71,7 +88,8 @@
   const packing = guaranteeCheck.packShapes(space, space.claimable, forms, perWorker);
   return {
     view,
-    queued,
+    queuedClaims,
+    queuedSpare,
     placed,
     space,
     estimates: view.estimates ?? runEstimates.NO_ESTIMATES,
--- a/src/coordination/common/sparePlanning.ts
+++ b/src/coordination/common/sparePlanning.ts
@@ -206,15 +206,13 @@
 
 /**
  * @param round - the round; changed
- * @param queued - queued jobs that borrow, in the order of their submission
  * @param probeWorkerIds - quarantined workers on which one job may be tried
  */
 export const planSpare = (
   round: planningRound.PlanningRound,
-  queued: readonly job.JobRecord[],
   probeWorkerIds: ReadonlySet<string>,
 ): void => {
-  const { view, placed } = round;
+  const { view, placed, queuedSpare: queued } = round;
   const step: SpareStep = {
     round,
     borrowing: spareShares.borrowingOf(placed),
@@ -229,10 +227,10 @@
     .filter((it) => !probing.has(it.spec.jobId) && reservations.isDue(round, it))
     .slice(0, reservations.MAX_RESERVATIONS);
   const dueIds = new Set(due.map((it) => it.spec.jobId));
-  const lanes = spareShares.lanesOf(
-    round,
-    queued.filter((it) => !dueIds.has(it.spec.jobId) && !probing.has(it.spec.jobId)),
-  );
+  const isLeft = (it: job.JobRecord): boolean =>
+    !dueIds.has(it.spec.jobId) && !probing.has(it.spec.jobId);
+  const rest = dueIds.size + probing.size === 0 ? queued : queued.filter(isLeft);
+  const lanes = spareShares.lanesOf(round, rest);
   for (const record of due) {
     const [lane] = spareShares.lanesOf(round, [record]);
     if (lane !== undefined) lendOrReserve(step, lane, record);
