Stop small jobs for a rule's allowance only where it is enough

They are now stopped only when all together free enough, and until then those that yield may go on borrowing.

--- a/src/coordination/common/reservations.ts
+++ b/src/coordination/common/reservations.ts
@@ -256,34 +256,40 @@
 
 /**
  * Stops the customer's own smaller jobs where they use up what its rules allow: otherwise a customer
- * that always has small jobs could never run a large one.
+ * that always has small jobs could never run a large one. None is stopped before all together free
+ * enough, since the large job could not start then and the stops would be for nothing.
  *
  * @param round - the round; changed
  * @param record - a large job that no rule has room for
+ * @param missing - accelerators that must be given back before a rule has room
+ * @returns whether enough of them yield
  */
-export const yieldAllowance = (round: planningRound.PlanningRound, record: job.JobRecord): void => {
+export const yieldAllowance = (
+  round: planningRound.PlanningRound,
+  record: job.JobRecord,
+  missing: number,
+): boolean => {
   const own = new Set<cellSpace.Borrower>();
   for (const borrowers of round.space.borrowers) {
     for (const it of borrowers) {
       if (it.record.spec.customerId === record.spec.customerId) own.add(it);
     }
   }
-  const need = job.acceleratorsOf(record);
+  const victims: cellSpace.Borrower[] = [];
   let given = 0;
-  const sorted = [...own].sort((a, b) => a.lossMs - b.lossMs);
-  for (const it of sorted) {
-    if (it.isLeaving) given += job.acceleratorsOf(it.record);
-  }
-  for (const it of sorted) {
-    if (given >= need) break;
-    if (it.isLeaving || !yieldsTo(round, record, it.record)) continue;
+  for (const it of [...own].sort((a, b) => a.lossMs - b.lossMs)) {
+    if (given >= missing) break;
+    if (!it.isLeaving && !yieldsTo(round, record, it.record)) continue;
     given += job.acceleratorsOf(it.record);
-    planningRound.makeRoom(round, [], 0, [it], {
-      cause: 'reclaimed',
-      why: `uses up the allowance that large job ${record.spec.jobId} of its customer waits for`,
-    });
+    if (!it.isLeaving) victims.push(it);
   }
   planningRound.wait(round, record, 'waits until its spare rule allows it enough accelerators');
+  if (given < missing) return false;
+  planningRound.makeRoom(round, [], 0, victims, {
+    cause: 'reclaimed',
+    why: `uses up the allowance that large job ${record.spec.jobId} of its customer waits for`,
+  });
+  return true;
 };
 
 /**
--- a/src/coordination/common/sparePlanning.ts
+++ b/src/coordination/common/sparePlanning.ts
@@ -29,8 +29,11 @@
   readonly wanting: Set<number>;
   readonly quotas: ReadonlyMap<string, number>;
   misses: number;
-  /** Customers whose large job waits for their rules' allowance, which smaller jobs may not use up. */
-  readonly savingCustomers: Set<string>;
+  /**
+   * Customers whose large job waits for their rules' allowance. Where enough is given back (true)
+   * none of their smaller jobs may use it up again; before that, those that yield still may.
+   */
+  readonly savingCustomers: Map<string, boolean>;
 }
 
 /**
@@ -128,7 +131,10 @@
   if (refusal !== undefined) return refusal;
   const rule = spareShares.ruleFor(lane, step.borrowing, job.acceleratorsOf(record));
   if (rule === undefined) return NO_ALLOWANCE;
-  if (step.savingCustomers.has(lane.customerId)) return 'a large job of the customer goes first';
+  const isSaving = step.savingCustomers.get(lane.customerId);
+  if (isSaving === true || (isSaving === false && !reservations.canYield(record))) {
+    return 'a large job of the customer goes first';
+  }
   const key = sizeKey(round, record);
   if (step.wanting.has(key)) return NO_ROOM;
   if (step.misses >= BACKFILL_DEPTH) return 'others go first';
@@ -161,12 +167,29 @@
 const couldBorrow = (lane: spareShares.Lane, record: job.JobRecord): boolean =>
   lane.rules.some((it) => it.maxAccelerators >= job.acceleratorsOf(record));
 
+/** Accelerators that the customer must give back before its roomiest rule allows the job. */
+const missingAllowance = (
+  step: SpareStep,
+  lane: spareShares.Lane,
+  record: job.JobRecord,
+): number => {
+  const need = job.acceleratorsOf(record);
+  const missing = lane.rules
+    .filter((it) => it.maxAccelerators >= need)
+    .map((it) => {
+      const key = spareShares.ruleKey(it.ruleId, lane.customerId);
+      return (step.borrowing.byRule.get(key) ?? 0) + need - it.maxAccelerators;
+    });
+  return Math.max(0, Math.min(...missing));
+};
+
 const lendOrReserve = (step: SpareStep, lane: spareShares.Lane, record: job.JobRecord): void => {
   const why = tryLend(step, lane, record);
   if (why === NO_ROOM) reservations.reserve(step.round, record);
   else if (why === NO_ALLOWANCE && couldBorrow(lane, record)) {
-    step.savingCustomers.add(lane.customerId);
-    reservations.yieldAllowance(step.round, record);
+    const missing = missingAllowance(step, lane, record);
+    const isYielded = reservations.yieldAllowance(step.round, record, missing);
+    step.savingCustomers.set(lane.customerId, isYielded);
   } else if (why !== undefined) planningRound.wait(step.round, record, why);
 };
 
@@ -219,7 +242,7 @@
     wanting: new Set(),
     quotas: new Map(view.document.customers.map((it) => [it.customerId, it.quotaAccelerators])),
     misses: 0,
-    savingCustomers: new Set(),
+    savingCustomers: new Map(),
   };
   reservations.keepClearable(round);
   const probing = probe(step, queued, probeWorkerIds);
--- a/src/coordination/common/spareShares.ts
+++ b/src/coordination/common/spareShares.ts
@@ -24,7 +24,12 @@
   readonly byCustomer: Map<string, number>;
 }
 
-const ruleKey = (ruleId: string, customerId: string): string => `${ruleId}\n${customerId}`;
+/**
+ * @param ruleId - a rule
+ * @param customerId - a customer
+ * @returns the key of what the customer borrows by the rule
+ */
+export const ruleKey = (ruleId: string, customerId: string): string => `${ruleId}\n${customerId}`;
 
 const add = (counts: Map<string, number>, key: string, by: number): void => {
   counts.set(key, (counts.get(key) ?? 0) + by);
--- a/src/coordination/common/test/placement.test.ts
+++ b/src/coordination/common/test/placement.test.ts
@@ -213,3 +213,27 @@
   assert.deepEqual(stopsAt(1), ['stubborn']);
   assert.deepEqual(stopsAt(3), []);
 });
+
+test.test('small jobs give up their rule to a large one only where that is enough', () => {
+  // Users see: a customer's large job never starts, though the cell has room, since its own small
+  // jobs always use up the rule; or they are stopped for it although one that can't move blocks it.
+  const document = documentOf(4);
+  const rules = document.rules.map((it) => ({ ...it, maxAccelerators: 16 }));
+  const small = (jobId: string, worker: number, isCheckpointable: boolean): job.JobRecord =>
+    jobOf(
+      jobId,
+      { acceleratorsPerMember: 4, isCheckpointable },
+      running([[worker, 0, 4]], 20 * MINUTE_MS),
+    );
+  const large = jobOf(
+    'large',
+    { members: 2, acceleratorsPerMember: 8, adjacency: 'rack' },
+    { submittedAtMs: planFixtures.NOW_MS - 11 * MINUTE_MS },
+  );
+  const stopsWith = (isSecondMovable: boolean): string[] => {
+    const jobs = [small('first', 0, true), small('second', 3, isSecondMovable), large];
+    return ids(placement.planRound(viewOf({ ...document, rules }, workersOf(4), jobs)).stops);
+  };
+  assert.deepEqual(stopsWith(true), ['first', 'second']);
+  assert.deepEqual(stopsWith(false), []);
+});
