Weigh admission and routing under load; find agents without frequent registrations

Change: shares and displacement count the customer that asks; small penalties are forgotten, so that an idle agent is tried again. Pools are renewed after 50 s. An entry that leaves is not ready for a quarter of its drain time before it refuses.

--- a/src/bench/rpcBench.ts
+++ b/src/bench/rpcBench.ts
@@ -60,6 +60,7 @@
     register: () => Promise.resolve({ from, entryUrls: [], nextAfterMs: 1000 }),
     configuration: () => Promise.resolve({ from }),
     agents: () => Promise.resolve({ from, agentUrls: [] }),
+    directory: () => Promise.resolve({ from, agents: [] }),
   });
   const plain = httpServer.toListener(
     (request) => Promise.resolve({ status: 200, body: request.body }),
--- a/src/coordination/common/admission.ts
+++ b/src/coordination/common/admission.ts
@@ -199,11 +199,13 @@
   limits: AdmissionLimits,
   ticket: Ticket,
 ): Ticket | undefined => {
-  if (queueExcess(state, limits, ticket.customerId) > -1) return undefined;
+  // Shares are taken with the newcomer among the active, or a lone customer would seem entitled.
+  const withTicket = { ...state, queue: [...state.queue, ticket] };
+  if (queueExcess(withTicket, limits, ticket.customerId) > 0) return undefined;
   const [most] = [...customersOf(state.queue)].sort(
-    (a, b) => queueExcess(state, limits, b) - queueExcess(state, limits, a),
+    (a, b) => queueExcess(withTicket, limits, b) - queueExcess(withTicket, limits, a),
   );
-  if (most === undefined || queueExcess(state, limits, most) <= 0) return undefined;
+  if (most === undefined || queueExcess(withTicket, limits, most) <= 0) return undefined;
   return state.queue.findLast((it) => it.customerId === most);
 };
 
--- a/src/coordination/common/agentDirectory.ts
+++ b/src/coordination/common/agentDirectory.ts
@@ -13,6 +13,7 @@
 export interface DirectoryUpstream {
   readonly upstreamId: string;
   readonly slots: number;
+  readonly connections: number;
   readonly isLeaving: boolean;
   readonly running: number;
   readonly queued: number;
--- a/src/coordination/common/agentHealth.ts
+++ b/src/coordination/common/agentHealth.ts
@@ -52,8 +52,13 @@
   knownSinceMs: nowMs,
 });
 
-const errorShareAt = (health: AgentHealth, nowMs: number): number =>
-  health.errorShare * 0.5 ** ((nowMs - health.notedAtMs) / HALF_LIFE_MS);
+/** A smaller share counts as none: any penalty at all would keep an idle agent from being tried. */
+const FORGOTTEN_SHARE = 0.01;
+
+const errorShareAt = (health: AgentHealth, nowMs: number): number => {
+  const share = health.errorShare * 0.5 ** ((nowMs - health.notedAtMs) / HALF_LIFE_MS);
+  return share < FORGOTTEN_SHARE ? 0 : share;
+};
 
 /**
  * @param health - health so far
--- a/src/programs/agentLinks.ts
+++ b/src/programs/agentLinks.ts
@@ -4,12 +4,14 @@
  */
 import type * as disposable from '../base/common/disposable.js';
 import * as errors from '../base/common/errors.js';
+import * as random from '../base/common/random.js';
 import type * as agentRuntime from '../coordination/node/agentRuntime.js';
 import type * as agentEntryMessages from '../protocol/common/agentEntryMessages.js';
 import type * as requestHost from '../protocol/node/requestHost.js';
 import type * as settingsSchema from '../state/common/settings.js';
 import type * as worker from '../state/common/worker.js';
 
+import * as entryPresence from './entryPresence.js';
 import type * as processKit from './processKit.js';
 
 /** Where the leader of the cell answers. */
@@ -41,6 +43,15 @@
   readonly start: (url: string, firstAfterMs: number) => disposable.Disposable;
 }
 
+/** Until an entry says otherwise. */
+const FIRST_PERIOD_MS = 2000;
+
+/** Share by which registrations are spread about their period. */
+const PERIOD_SPREAD = 0.2;
+
+/** Registrations out of turn, at the most one in this time. */
+const SOONEST_MS = 2000;
+
 /** Entries remembered for one region. */
 const MAX_ENTRIES = 16;
 
@@ -56,6 +67,8 @@
   let timer: disposable.Disposable | undefined;
   let isStopped = false;
   let isFetching = false;
+  let registeredAtMs = 0;
+  let periodMs = FIRST_PERIOD_MS;
 
   const upstreamState = (): agentEntryMessages.UpstreamState | undefined => {
     const announced = host.upstream();
@@ -105,6 +118,7 @@
       const reply = await kit.clients.entry(url).register(registration());
       noteVersion(reply.from.configVersion);
       if (reply.leader !== undefined) noteLeader(reply.leader);
+      periodMs = Math.max(SOONEST_MS, reply.nextAfterMs);
       return reply.entryUrls;
     } catch (thrown) {
       kit.log('debug', 'registerFailed', { url, reason: errors.normalize(thrown).message });
@@ -112,18 +126,35 @@
     }
   };
   const registerNow = async (): Promise<void> => {
+    registeredAtMs = kit.clock.monotonicMs();
     const known = await Promise.all(entryUrls.map(registerWith));
     const found = [...new Set(known.flat())].slice(0, MAX_ENTRIES);
+    if (found.length > 0) presence.watch(found);
+    else periodMs = FIRST_PERIOD_MS;
     // Without any answer the settings' addresses are asked again.
     entryUrls = found.length > 0 ? found : settings.entryUrls;
   };
   const loop = (): void => {
-    void registerNow().finally(() => schedule(settings.reportMs));
+    void registerNow().finally(() =>
+      schedule(random.jitterMs(kit.random, periodMs, PERIOD_SPREAD)),
+    );
   };
   const schedule = (delayMs: number): void => {
     void timer?.dispose();
     if (!isStopped) timer = kit.clock.after(delayMs, loop);
   };
+  const presence = entryPresence.createPresenceWatch({
+    clock: kit.clock,
+    random: kit.random,
+    call: kit.http.call,
+    onDidReturn: (url) => {
+      void registerWith(url);
+    },
+  });
+  /** The entries may know a newer leader; asked at once, yet not with each failed report. */
+  const seekLeader = (): void => {
+    if (kit.clock.monotonicMs() - registeredAtMs >= SOONEST_MS) schedule(0);
+  };
   return {
     noteLeader,
     noteVersion,
@@ -132,9 +163,10 @@
     report: async (report) => {
       const info = options.worker();
       if (leader === undefined || info === undefined) {
+        seekLeader();
         throw errors.fail('notLeader', 'no leader of the cell is known');
       }
-      const reply = await kit.clients.scheduler(leader.url).report({
+      const sent = kit.clients.scheduler(leader.url).report({
         from: kit.sender(),
         cell: settings.zone,
         bootId: options.bootId,
@@ -143,6 +175,10 @@
         ...report,
         tasks: [...report.tasks],
       });
+      const reply = await sent.catch((thrown: unknown) => {
+        seekLeader();
+        throw thrown;
+      });
       noteVersion(reply.from.configVersion);
       return reply;
     },
@@ -153,6 +189,7 @@
         dispose: () => {
           isStopped = true;
           void timer?.dispose();
+          void presence.dispose();
         },
       };
     },
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -17,7 +17,9 @@
 import * as operatorApi from '../transport/node/operatorApi.js';
 import * as rpcServer from '../transport/node/rpcServer.js';
 
+import * as entryDirectory from './entryDirectory.js';
 import * as entryGateways from './entryGateways.js';
+import * as entryPresence from './entryPresence.js';
 import * as processKit from './processKit.js';
 
 /** A running entry. */
@@ -31,8 +33,8 @@
 const LIST_MS = 5000;
 const RETRY_MS = 500;
 
-/** Period in which agents are asked to register again. */
-const REGISTER_MS = 2000;
+/** Part of the time for draining in which the entry is not ready and yet takes requests. */
+const NOT_READY_SHARE = 0.25;
 
 const DEFAULT_DEADLINE_MS = 30_000;
 
@@ -63,13 +65,18 @@
       from: kit.sender(),
       entryUrls: entries.filter((it) => it.region === region).map((it) => it.url),
       ...(leader === undefined ? {} : { leader: { url: leader.url, epoch: leader.epoch } }),
-      nextAfterMs: REGISTER_MS,
+      nextAfterMs: agentDirectory.REGISTER_MS,
     });
   },
   configuration: () => {
     const record = kit.configuration.current();
     return Promise.resolve({ from: kit.sender(), ...(record === undefined ? {} : { record }) });
   },
+  directory: ({ maxAgents }) => {
+    const nowMs = kit.clock.monotonicMs();
+    const agents = entryDirectory.describeAgents(directory, region, maxAgents, nowMs);
+    return Promise.resolve({ from: kit.sender(), agents });
+  },
   agents: ({ zone }) => {
     const entries = directory.entries().filter((it) => it.zone === zone);
     return Promise.resolve({ from: kit.sender(), agentUrls: entries.map((it) => it.url) });
@@ -89,6 +96,7 @@
     metrics: kit.metrics,
   });
   let isLeaving = false;
+  let isRefusing = false;
   const live = kit.owned.add(
     liveWatch.startLiveWatch({
       store,
@@ -106,6 +114,21 @@
     }),
   );
   const directory = agentDirectory.createAgentDirectory();
+  const learner = entryDirectory.createEntryDirectory({
+    kit,
+    region: settings.region,
+    directory,
+    entries: () => liveView.processesOf(live.entries(), 'entry'),
+  });
+  let hasTakenOver = false;
+  kit.owned.add(
+    live.onDidChange(() => {
+      if (hasTakenOver) return;
+      hasTakenOver = true;
+      void learner.takeOver();
+    }),
+  );
+  const presence = kit.owned.add(entryPresence.createPresenceHolder(kit.clock));
   const router = requestRouter.createRequestRouter({
     zone: settings.zone,
     region: settings.region,
@@ -118,6 +141,7 @@
     sender: kit.sender,
     policy: () => kit.configuration.current()?.document.routing,
     peerSecretHeaders: kit.peerHeaders,
+    onHomeSaturated: learner.learnRemote,
   });
   const health: healthApi.HealthOptions = {
     metrics: kit.metrics,
@@ -146,7 +170,7 @@
             ?.document.customers.some((it) => it.customerId === customerId) ?? false,
         newId: kit.newId,
         maxOpenRequests: settings.maxOpenRequests,
-        isDraining: () => isLeaving,
+        isDraining: () => isRefusing,
       }),
       settings.maxBodyBytes,
     ),
@@ -166,6 +190,7 @@
     ),
   );
   const notFound: httpServer.Handler = (request) => {
+    if (request.path === entryPresence.PRESENCE_PATH) return presence.hold();
     throw errors.fail('notFound', `no page ${request.path}`, { field: 'path' });
   };
   const peers = await httpServer.listen(
@@ -202,11 +227,17 @@
     shutdown: async () => {
       isLeaving = true;
       kit.log('info', 'draining', { open: callers.openRequests() });
-      await Promise.all([
-        callers.drain(settings.drainMs),
-        operators.drain(settings.drainMs),
-        peers.drain(settings.drainMs),
-      ]);
+      // The balancer needs a moment to see that the entry is not ready; until then what it sends is
+      // taken as before, and each answer asks the caller to use another connection.
+      callers.discourage();
+      const notReadyMs = settings.drainMs * NOT_READY_SHARE;
+      await new Promise<void>((resolve) => {
+        kit.clock.after(notReadyMs, resolve);
+      });
+      isRefusing = true;
+      await presence.dispose();
+      const leftMs = settings.drainMs - notReadyMs;
+      await Promise.all([callers.drain(leftMs), operators.drain(leftMs), peers.drain(leftMs)]);
       await kit.owned.dispose();
     },
     dispose: kit.owned.dispose,
--- a/src/protocol/common/agentEntryMessages.ts
+++ b/src/protocol/common/agentEntryMessages.ts
@@ -71,6 +71,39 @@
 /** See {@link ConfigurationReply}. */
 export type ConfigurationReply = typeof ConfigurationReply.Type;
 
+/** Asks an entry for the agents that it knows, as they registered. */
+export const DirectoryRequest = Schema.Struct({
+  from: envelope.Sender,
+  /** The emptiest ones only, so that an answer to another region stays small. */
+  maxAgents: units.integerBetween(1, 4096),
+});
+
+/** See {@link DirectoryRequest}. */
+export type DirectoryRequest = typeof DirectoryRequest.Type;
+
+/** An agent of the answering entry's region that is alive. */
+export const AgentState = Schema.Struct({
+  agentId: units.Id,
+  bootId: units.CallerKey,
+  clockMs: units.Count,
+  url: units.Url,
+  zone: units.Id,
+  region: units.Id,
+  upstream: UpstreamState,
+});
+
+/** See {@link AgentState}. */
+export type AgentState = typeof AgentState.Type;
+
+/** What the entry knows, without agents that are leaving or avoided. */
+export const DirectoryReply = Schema.Struct({
+  from: envelope.Sender,
+  agents: Schema.Array(AgentState),
+});
+
+/** See {@link DirectoryReply}. */
+export type DirectoryReply = typeof DirectoryReply.Type;
+
 /** Agents that an entry knows in one zone, for a new leader of the cell. */
 export const AgentsRequest = Schema.Struct({ from: envelope.Sender, zone: units.Id });
 
--- a/src/protocol/node/entryRouter.ts
+++ b/src/protocol/node/entryRouter.ts
@@ -13,6 +13,8 @@
   readonly configuration: (
     request: messages.ConfigurationRequest,
   ) => Promise<messages.ConfigurationReply>;
+  /** Gives the agents of the region to an entry that has just started, or of another region. */
+  readonly directory: (request: messages.DirectoryRequest) => Promise<messages.DirectoryReply>;
   /** Gives the agents of a zone to a new leader. */
   readonly agents: (request: messages.AgentsRequest) => Promise<messages.AgentsReply>;
 }
@@ -25,6 +27,7 @@
   rpc.router({
     register: rpc.procedure(schemas.RegisterRequest, service.register),
     configuration: rpc.procedure(schemas.ConfigurationRequest, service.configuration),
+    directory: rpc.procedure(schemas.DirectoryRequest, service.directory),
     agents: rpc.procedure(schemas.AgentsRequest, service.agents),
   });
 
--- a/src/transport/node/httpClient.ts
+++ b/src/transport/node/httpClient.ts
@@ -18,11 +18,21 @@
   readonly maxConnections: number;
   /** An idle connection is closed after this time. */
   readonly maxIdleMs: number;
+  /** A connection is given no new exchange after this time; by default 50 s. */
+  readonly maxAgeMs?: number;
   /** A larger answer is an error. */
   readonly maxReplyBytes: number;
   readonly clock: clock.Clock;
 }
 
+/** Below a minute, where the usual state time-outs of balancers and firewalls start. */
+const DEFAULT_MAX_AGE_MS = 50_000;
+
+interface Pool {
+  readonly agent: nodeHttp.Agent;
+  readonly madeAtMs: number;
+}
+
 /** A pool of connections. Disposing it closes them all. */
 export interface HttpClient extends disposable.Disposable {
   readonly call: http.HttpCall;
@@ -128,19 +138,27 @@
  * @returns a pool without connections
  */
 export const createHttpClient = (options: HttpClientOptions): HttpClient => {
-  const agents = new Map<string, nodeHttp.Agent>();
+  const pools = new Map<string, Pool>();
+  const maxAgeMs = options.maxAgeMs ?? DEFAULT_MAX_AGE_MS;
+  /** No connection is older than its pool, so that the pool's age bounds theirs. */
   const agentFor = (address: http.Address): nodeHttp.Agent => {
     const key = http.formatAddress(address);
-    const agent = agents.get(key) ?? createAgent(options);
-    agents.set(key, agent);
-    return agent;
+    const nowMs = options.clock.monotonicMs();
+    const known = pools.get(key);
+    if (known !== undefined && nowMs - known.madeAtMs < maxAgeMs) return known.agent;
+    dropIdle(address);
+    const pool = { agent: createAgent(options), madeAtMs: nowMs };
+    pools.set(key, pool);
+    return pool.agent;
   };
   /** Open exchanges keep their connections; the next exchange gets a new pool. */
   const dropIdle = (address: http.Address): void => {
     const key = http.formatAddress(address);
-    const agent = agents.get(key);
+    const agent = pools.get(key)?.agent;
     if (agent === undefined) return;
-    agents.delete(key);
+    pools.delete(key);
+    // Connections in use are closed when their exchange ends; nothing would use them again.
+    agent.maxFreeSockets = 0;
     for (const sockets of Object.values(agent.freeSockets)) {
       sockets?.forEach((socket) => socket.destroy());
     }
@@ -159,8 +177,8 @@
       }
     },
     dispose: () => {
-      for (const agent of agents.values()) agent.destroy();
-      agents.clear();
+      for (const { agent } of pools.values()) agent.destroy();
+      pools.clear();
     },
   };
 };
--- a/src/transport/node/httpServer.ts
+++ b/src/transport/node/httpServer.ts
@@ -45,6 +45,8 @@
   readonly address: http.Address;
   /** Requests whose answers are not yet sent. */
   readonly openRequests: () => number;
+  /** Asks callers to close their connections with their next answer; goes on accepting. */
+  readonly discourage: () => void;
   /**
    * Answers what is open, asks callers to close their connections and stops accepting.
    *
@@ -213,6 +215,9 @@
   return {
     address: { host: options.host, port },
     openRequests: () => open,
+    discourage: () => {
+      isDraining = true;
+    },
     drain: async (timeoutMs) => {
       isDraining = true;
       server.close();
--- a/src/transport/node/rpcClient.ts
+++ b/src/transport/node/rpcClient.ts
@@ -95,6 +95,7 @@
     register: wrap(client.register),
     configuration: wrap(client.configuration),
     agents: wrap(client.agents),
+    directory: wrap(client.directory),
   };
 };
 
