--- a/src/programs/agent.ts
+++ b/src/programs/agent.ts
@@ -28,6 +28,10 @@
 const MAX_CONNECTIONS = 4096;
 const WORKER_TIMEOUT_MS = 2000;
 const REPORT_JITTER = 0.2;
+const DRAIN_POLL_MS = 20;
+
+/** Time for answers that are being sent when the limit is reached. */
+const LAST_ANSWERS_MS = 100;
 
 const workerInfoOf = (
   settings: settingsSchema.AgentSettings,
@@ -189,7 +193,14 @@
       isLeaving = true;
       host.leave();
       await links.registerNow();
-      await server.drain(settings.drainMs);
+      // An entry whose connection broke asks again over another one: the run must end first.
+      const untilMs = kit.clock.monotonicMs() + settings.drainMs;
+      while (host.openRequests() > 0 && kit.clock.monotonicMs() < untilMs) {
+        await new Promise<void>((resolve) => {
+          kit.clock.after(DRAIN_POLL_MS, resolve);
+        });
+      }
+      await server.drain(Math.max(LAST_ANSWERS_MS, untilMs - kit.clock.monotonicMs()));
       await kit.owned.dispose();
     },
     dispose: kit.owned.dispose,
--- a/src/transport/node/httpServer.ts
+++ b/src/transport/node/httpServer.ts
@@ -190,13 +190,11 @@
   options: HttpServerOptions,
   listener: Listener,
 ): Promise<HttpServer> => {
-  let open = 0;
+  const open = new Set<nodeHttp.ServerResponse>();
   let isDraining = false;
   const server = nodeHttp.createServer((message, response) => {
-    open += 1;
-    response.on('close', () => {
-      open -= 1;
-    });
+    open.add(response);
+    response.on('close', () => open.delete(response));
     if (isDraining) response.setHeader('connection', 'close');
     void listener(message, response);
   });
@@ -207,6 +205,13 @@
     server.listen(options.port, options.host, resolve);
   });
   const { port } = server.address() as net.AddressInfo;
+  /** Answers under way are told too: their callers' next requests would come to a closed server. */
+  const discourage = (): void => {
+    isDraining = true;
+    open.forEach((it) => {
+      if (!it.headersSent) it.setHeader('connection', 'close');
+    });
+  };
   const close = async (): Promise<void> => {
     server.close();
     server.closeAllConnections();
@@ -214,15 +219,13 @@
   };
   return {
     address: { host: options.host, port },
-    openRequests: () => open,
-    discourage: () => {
-      isDraining = true;
-    },
+    openRequests: () => open.size,
+    discourage,
     drain: async (timeoutMs) => {
-      isDraining = true;
+      discourage();
       server.close();
       server.closeIdleConnections();
-      await waitUntil(() => open === 0, timeoutMs);
+      await waitUntil(() => open.size === 0, timeoutMs);
       await close();
     },
     dispose: close,
