Bound the bytes an entry holds, and set the period of registrations

Cause: the limit on requests alone let a burst of large bodies take an entry's memory, and the period of registrations was a constant. Change: bodies are held within maxOpenBytes (64 MB by default) from arrival to the end of the answer; registerMs sets the period. Tests: bytes over real sockets, half of an upstream's connections, a region link down for four minutes (at most 13 lost tries), and the store down while an agent and an entry leave, where each request ran once or was refused as not run.

--- a/src/coordination/common/agentDirectory.ts
+++ b/src/coordination/common/agentDirectory.ts
@@ -84,7 +84,7 @@
 export const REGISTER_MS = 60_000;
 
 /** An agent that has missed two registrations is forgotten. */
-export const REGISTRATION_TTL_MS = 2.5 * REGISTER_MS;
+const TTL_PERIODS = 2.5;
 
 /** Time in which half of an old report of slowness is forgiven, so that recovery is noticed. */
 const FORGIVENESS_MS = 5000;
@@ -148,9 +148,10 @@
 };
 
 /**
+ * @param registerMs - period in which agents are asked to register
  * @returns a directory without agents
  */
-export const createAgentDirectory = (): AgentDirectory => {
+export const createAgentDirectory = (registerMs = REGISTER_MS): AgentDirectory => {
   const entries = new Map<string, DirectoryEntry>();
   let typicalMs: number | undefined;
   const update = (url: string, change: (entry: DirectoryEntry) => DirectoryEntry): void => {
@@ -174,7 +175,7 @@
     },
     expire: (nowMs) => {
       for (const [url, entry] of entries) {
-        if (nowMs - entry.seenAtMs > REGISTRATION_TTL_MS) entries.delete(url);
+        if (nowMs - entry.seenAtMs > registerMs * TTL_PERIODS) entries.delete(url);
       }
     },
     entries: () => [...entries.values()],
--- a/src/coordination/common/test/routing.test.ts
+++ b/src/coordination/common/test/routing.test.ts
@@ -94,6 +94,24 @@
   assert.equal(chooseMany(directory, 60_000, false).get('u0'), 1000);
 });
 
+test.test('a region link that is down for minutes keeps requests at home', () => {
+  // Home is full and the link to the other region is down. Each agent there stays silent once; from
+  // then on requests wait at home, and the link is tried again only now and then.
+  const directory = agentDirectory.createAgentDirectory();
+  directory.register(registrationOf('u0', flooded), 0);
+  directory.register(registrationOf('u1', far), 0);
+  let lost = 0;
+  for (let nowMs = 60_000; nowMs < 300_000; nowMs += 100) {
+    directory.register(registrationOf('u0', flooded), nowMs);
+    directory.register(registrationOf('u1', far), nowMs);
+    if ((chooseMany(directory, nowMs).get('u1') ?? 0) > 0) {
+      directory.noteSilence('http://u1:1', nowMs);
+      lost += 1;
+    }
+  }
+  assert.ok(lost > 0 && lost <= 13, String(lost));
+});
+
 test.test('an upstream that fails everything is ejected, but not all of them at once', () => {
   // A bad release reaches every upstream: with all ejected, callers would get nothing at all.
   const directory = agentDirectory.createAgentDirectory();
@@ -151,9 +169,9 @@
 test.test('an agent that is not renewed is forgotten', () => {
   const directory = agentDirectory.createAgentDirectory();
   directory.register(registrationOf('u0'), 0);
-  directory.expire(agentDirectory.REGISTRATION_TTL_MS);
+  directory.expire(2.5 * agentDirectory.REGISTER_MS);
   assert.equal(directory.entries().length, 1);
-  directory.expire(agentDirectory.REGISTRATION_TTL_MS + 1);
+  directory.expire(2.5 * agentDirectory.REGISTER_MS + 1);
   assert.equal(directory.entries().length, 0);
 });
 
--- /dev/null
+++ b/src/dev/test/requestsWhole.test.ts
@@ -0,0 +1,122 @@
+/**
+ * Requests through real entries, agents and upstreams while the store is down and processes leave.
+ */
+import * as assert from 'node:assert/strict';
+import * as path from 'node:path';
+import * as test from 'node:test';
+import * as url from 'node:url';
+
+import * as settingsFile from '../../base/node/settingsFile.js';
+import * as systemClock from '../../base/node/systemClock.js';
+import * as configuration from '../../state/common/configuration.js';
+import * as httpClient from '../../transport/node/httpClient.js';
+import * as demoClient from '../demoClient.js';
+import * as devHost from '../devHost.js';
+
+const EXAMPLE = path.join(
+  path.dirname(url.fileURLToPath(import.meta.url)),
+  '../../../examples/kamarvaki/configuration.jsonc',
+);
+const POLL_MS = 50;
+const TRIES = 300;
+const BATCH = 40;
+
+const DEPLOYMENT = {
+  name: 'requests',
+  zones: [{ region: 'sudvestur', zone: 'sudvestur-a', entries: 2, vms: 3 }],
+  workersPerRack: 3,
+  worker: { accelerators: 1, cores: 1, memoryBytes: 1 },
+  upstream: { slots: 8, connections: 64, serviceMs: 60 },
+};
+
+const until = async (isDone: () => Promise<boolean>): Promise<void> => {
+  for (let attempt = 0; attempt < TRIES; attempt += 1) {
+    if (await isDone().catch(() => false)) return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+  assert.fail('it never happened');
+};
+
+const ranOf = (result: demoClient.CallResult): string => {
+  if (result.status === 200) return 'yes';
+  return (result.body as { error?: { ran?: string } }).error?.ran ?? 'none';
+};
+
+const assertOnce = (host: devHost.DevHost, results: readonly demoClient.CallResult[]): void => {
+  for (const result of results) {
+    const runs = host.vms.map((it) => it.upstream.executions().get(result.requestId) ?? 0);
+    const total = runs.reduce((sum, it) => sum + it, 0);
+    assert.equal(total, result.status === 200 ? 1 : 0, JSON.stringify(result));
+    if (result.status === 200) {
+      assert.equal((result.body as { requestId?: string }).requestId, result.requestId);
+    }
+  }
+};
+
+test.test(
+  'the store is down while an agent and an entry leave: nothing is cut, lost or doubled',
+  async () => {
+    // The platform's store has an outage, and in the middle of it a VM and an entry are replaced.
+    // Drivers are calling all the while. Each must get its own whole plan or hear that nothing ran.
+    const document = settingsFile.readSettings(configuration.ConfigurationDocument, EXAMPLE);
+    const host = await devHost.startDevHost({
+      deployment: DEPLOYMENT,
+      document,
+      logLevel: 'error',
+    });
+    const http = httpClient.createHttpClient({
+      clock: systemClock.systemClock,
+      maxConnections: 64,
+      maxIdleMs: 20_000,
+      maxReplyBytes: 1_048_576,
+    });
+    try {
+      const client = demoClient.createDemoClient(http.call, host.operatorToken);
+      const [first, second] = host.entries.map((it) => it.program);
+      assert.ok(first !== undefined && second !== undefined);
+      let probes = 0;
+      const knowsAll = async (): Promise<boolean> => {
+        probes += 1;
+        const ids = Array.from({ length: 12 }, (_, index) => `probe-${probes}-${index}`);
+        const all = [first, second].flatMap((it) =>
+          ids.map((id) => client.request(it.callersUrl, `${id}-${it.callersUrl}`, 'festivals')),
+        );
+        const isAnswered = (await Promise.all(all)).every((it) => it.status === 200);
+        return isAnswered && host.vms.every((it) => it.upstream.executions().size > 0);
+      };
+      await until(() => client.isReady(first.callersUrl));
+      await until(() => client.isReady(second.callersUrl));
+      await until(knowsAll);
+      host.store.faults.isDown = true;
+      const sendBatch = (entryUrl: string, name: string): Promise<demoClient.CallResult>[] =>
+        Array.from({ length: BATCH }, (_, index) =>
+          client.request(entryUrl, `${name}-${index}`, 'festivals'),
+        );
+
+      const isReached = (prefix: string): boolean =>
+        host.vms
+          .flatMap((it) => [...it.upstream.executions().keys()])
+          .some((it) => it.startsWith(prefix));
+
+      const duringAgent = sendBatch(first.callersUrl, 'agent');
+      await until(() => Promise.resolve(isReached('agent-')));
+      await host.vms[0]?.agent.shutdown();
+      const duringEntry = sendBatch(second.callersUrl, 'entry');
+      await until(() => Promise.resolve(isReached('entry-')));
+      const leaving = second.shutdown();
+      assert.equal(await client.isReady(second.callersUrl), false, 'not ready before it refuses');
+      const late = await client.request(second.callersUrl, 'late', 'festivals');
+      const results = [...(await Promise.all([...duringAgent, ...duringEntry])), late];
+      await leaving;
+
+      assert.ok(results.every((it) => ['yes', 'no'].includes(ranOf(it))));
+      assert.equal(late.status, 200, 'an entry that is not ready yet takes what still comes');
+      assertOnce(host, results);
+    } finally {
+      await http.dispose();
+      await host.dispose();
+    }
+  },
+);
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -36,6 +36,9 @@
 /** Part of the time for draining in which the entry is not ready and yet takes requests. */
 const NOT_READY_SHARE = 0.25;
 
+/** A quarter of what control may take of a node's memory. */
+const MAX_OPEN_BYTES = 67_108_864;
+
 const DEFAULT_DEADLINE_MS = 30_000;
 
 const createService = (
@@ -43,6 +46,7 @@
   directory: agentDirectory.AgentDirectory,
   live: liveWatch.LiveWatch,
   region: string,
+  registerMs: number,
 ): entryRouter.EntryService => ({
   register: (request) => {
     directory.register(
@@ -65,7 +69,7 @@
       from: kit.sender(),
       entryUrls: entries.filter((it) => it.region === region).map((it) => it.url),
       ...(leader === undefined ? {} : { leader: { url: leader.url, epoch: leader.epoch } }),
-      nextAfterMs: agentDirectory.REGISTER_MS,
+      nextAfterMs: registerMs,
     });
   },
   configuration: () => {
@@ -113,7 +117,8 @@
       if (record !== undefined) kit.configuration.offer(record);
     }),
   );
-  const directory = agentDirectory.createAgentDirectory();
+  const registerMs = settings.registerMs ?? agentDirectory.REGISTER_MS;
+  const directory = agentDirectory.createAgentDirectory(registerMs);
   const learner = entryDirectory.createEntryDirectory({
     kit,
     region: settings.region,
@@ -173,6 +178,7 @@
         isDraining: () => isRefusing,
       }),
       settings.maxBodyBytes,
+      settings.maxOpenBytes ?? MAX_OPEN_BYTES,
     ),
   );
   const operators = await httpServer.listen(
@@ -196,7 +202,9 @@
   const peers = await httpServer.listen(
     { ...settings.peers, maxBodyBytes: rpcServer.MAX_RPC_BYTES, maxConnections: MAX_CONNECTIONS },
     rpcServer.createRpcListener(
-      entryRouter.createEntryRouter(createService(kit, directory, live, settings.region)),
+      entryRouter.createEntryRouter(
+        createService(kit, directory, live, settings.region, registerMs),
+      ),
       settings.peerSecret,
       httpServer.toListener(notFound, rpcServer.MAX_RPC_BYTES),
     ),
--- a/src/protocol/node/test/requestFaults.test.ts
+++ b/src/protocol/node/test/requestFaults.test.ts
@@ -283,6 +283,20 @@
   assert.equal(new Set(world.runs).size, world.runs.length);
 });
 
+test.test('an upstream has at most half of its connections in use', async () => {
+  const world = createWorld([]);
+  const upstream = { upstreamId: 'u', url: 'http://u:1', slots: 8, connections: 4 };
+  world.hosts.forEach((it) => it.announce({ ...upstream, isLeaving: false }));
+  const sent = Array.from({ length: 9 }, (_, index) =>
+    world.router.route(requestOf(`r${index}`)).catch(errors.normalize),
+  );
+  await world.time.advance(SERVICE_MS / 2);
+  const running = [...world.hosts.values()].map((it) => it.load().running);
+  assert.deepEqual(running, [2, 2]);
+  await world.time.advance(DEADLINE_MS);
+  await Promise.all(sent);
+});
+
 test.test('an upstream that leaves finishes what it has and gets nothing new', async () => {
   const world = createWorld([]);
   const first = world.router.route(requestOf('r1'));
--- a/src/state/common/settings.ts
+++ b/src/state/common/settings.ts
@@ -64,6 +64,10 @@
   maxBodyBytes: units.integerBetween(1, 1_073_741_824),
   /** Requests that the entry holds at once. */
   maxOpenRequests: units.integerBetween(1, 1_000_000),
+  /** Bytes of callers' bodies that the entry holds at once; 64 MB where absent. */
+  maxOpenBytes: Schema.optionalKey(units.integerBetween(1, 1_073_741_824)),
+  /** Period in which agents register with the entry; a minute where absent. */
+  registerMs: Schema.optionalKey(units.integerBetween(2000, 600_000)),
 });
 
 /** See {@link EntrySettings}. */
--- a/src/transport/node/httpServer.ts
+++ b/src/transport/node/httpServer.ts
@@ -61,14 +61,25 @@
 /** How often a draining server looks whether it is empty. */
 const DRAIN_POLL_MS = 10;
 
+/** Bytes of bodies that a server holds at once, from their arrival to the end of their answers. */
+interface HeldBytes {
+  now: number;
+  readonly max: number;
+}
+
+/** Time after which a caller may find room again. */
+const HELD_RETRY_MS = 1000;
+
 const readBody = async (
   message: nodeHttp.IncomingMessage,
   maxBytes: number,
+  hold: (bytes: number) => void,
 ): Promise<Uint8Array> => {
   const chunks: Buffer[] = [];
   let size = 0;
   for await (const chunk of message) {
     size += (chunk as Buffer).length;
+    hold((chunk as Buffer).length);
     if (size > maxBytes) {
       throw errors.fail('tooLarge', `the body is larger than ${maxBytes} bytes; nothing ran`, {
         field: 'body',
@@ -139,18 +150,36 @@
 /**
  * @param handler - answers the requests
  * @param maxBodyBytes - limit of a body
+ * @param maxHeldBytes - limit of all bodies that are held; a burst of large ones would otherwise
+ *   take the process's memory long before the limit on requests is reached
  * @returns a listener for a plain Node server
  */
-export const toListener =
-  (handler: Handler, maxBodyBytes: number) =>
-  async (message: nodeHttp.IncomingMessage, response: nodeHttp.ServerResponse): Promise<void> => {
+export const toListener = (
+  handler: Handler,
+  maxBodyBytes: number,
+  maxHeldBytes = Infinity,
+): ((message: nodeHttp.IncomingMessage, response: nodeHttp.ServerResponse) => Promise<void>) => {
+  const held: HeldBytes = { now: 0, max: maxHeldBytes };
+  return async (message, response) => {
     const gone = new AbortController();
+    let own = 0;
+    const hold = (bytes: number): void => {
+      own += bytes;
+      held.now += bytes;
+      if (held.now > held.max) {
+        throw errors.fail('overloaded', 'too many bytes are held; nothing ran', {
+          retryAfterMs: HELD_RETRY_MS,
+        });
+      }
+    };
     response.on('close', () => {
+      held.now -= own;
+      own = 0;
       if (!response.writableFinished) gone.abort();
     });
     let reply: ServerReply;
     try {
-      const body = await readBody(message, maxBodyBytes);
+      const body = await readBody(message, maxBodyBytes, hold);
       reply = await handler(toServerRequest(message, body, gone.signal));
     } catch (thrown) {
       reply = errorReply(thrown);
@@ -165,6 +194,7 @@
     });
     response.end(body);
   };
+};
 
 /** Answers a request by Node's own objects; used where a library brings the handler. */
 export type Listener = (
--- a/src/transport/node/test/connections.test.ts
+++ b/src/transport/node/test/connections.test.ts
@@ -154,6 +154,39 @@
   await client.dispose();
 });
 
+test.test('bodies are held within a bound, and room comes back', async () => {
+  // A burst of large plans arrives at an entry with little memory. What does not fit is refused and
+  // did not run; when the first is answered there is room again.
+  let answer = (): void => {};
+  let runs = 0;
+  const handler: httpServer.Handler = async () => {
+    runs += 1;
+    if (runs === 1) {
+      await new Promise<void>((resolve) => {
+        answer = resolve;
+      });
+    }
+    return { status: 200 };
+  };
+  const server = await httpServer.listen(LISTEN, httpServer.toListener(handler, 1000, 1500));
+  const client = httpClient.createHttpClient({ ...LIMITS, clock: systemClock.systemClock });
+  const send = () =>
+    client.call({ ...requestTo(server.address), method: 'POST', body: new Uint8Array(900) });
+  const first = send();
+  while (runs === 0) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+  const refused = await send();
+  assert.deepEqual([refused.status, runs], [503, 1]);
+  answer();
+  assert.equal((await first).status, 200);
+  assert.equal((await send()).status, 200);
+  await client.dispose();
+  await server.dispose();
+});
+
 test.test('a drain is bounded: what hangs is cut when its time is over', async () => {
   const server = await serve(() => new Promise(() => {}));
   const client = httpClient.createHttpClient({ ...LIMITS, clock: systemClock.systemClock });
