--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -21,9 +21,11 @@
 import * as rpcServer from '../transport/node/rpcServer.js';
 
 import * as configurationLinks from './configurationLinks.js';
+import * as entryDirectory from './entryDirectory.js';
 import * as entryGateways from './entryGateways.js';
-import * as operatorViews from './operatorViews.js';
+import * as entryPresence from './entryPresence.js';
 import * as operatorExtras from './operatorExtras.js';
+import * as operatorViews from './operatorViews.js';
 import * as processKit from './processKit.js';
 import * as serviceLevels from './serviceLevels.js';
 
@@ -38,8 +40,11 @@
 const LIST_MS = 5000;
 const RETRY_MS = 500;
 
-/** Period in which agents are asked to register again. */
-const REGISTER_MS = 2000;
+/** Part of the time for draining in which the entry is not ready and yet takes requests. */
+const NOT_READY_SHARE = 0.25;
+
+/** A quarter of what control may take of a node's memory. */
+const MAX_OPEN_BYTES = 67_108_864;
 
 const DEFAULT_DEADLINE_MS = 30_000;
 
@@ -48,6 +53,7 @@
   directory: agentDirectory.AgentDirectory,
   live: liveWatch.LiveWatch,
   region: string,
+  registerMs: number,
 ): entryRouter.EntryService => ({
   register: (request) => {
     directory.register(
@@ -70,13 +76,18 @@
       from: kit.sender(),
       entryUrls: entries.filter((it) => it.region === region).map((it) => it.url),
       ...(leader === undefined ? {} : { leader: { url: leader.url, epoch: leader.epoch } }),
-      nextAfterMs: REGISTER_MS,
+      nextAfterMs: registerMs,
     });
   },
   configuration: () => {
     const record = kit.configuration.current();
     return Promise.resolve({ from: kit.sender(), ...(record === undefined ? {} : { record }) });
   },
+  directory: ({ maxAgents }) => {
+    const nowMs = kit.clock.monotonicMs();
+    const agents = entryDirectory.describeAgents(directory, region, maxAgents, nowMs);
+    return Promise.resolve({ from: kit.sender(), agents });
+  },
   agents: ({ zone }) => {
     const entries = directory.entries().filter((it) => it.zone === zone);
     return Promise.resolve({ from: kit.sender(), agentUrls: entries.map((it) => it.url) });
@@ -99,6 +110,7 @@
     metrics: kit.metrics,
   });
   let isLeaving = false;
+  let isRefusing = false;
   const live = kit.owned.add(
     liveWatch.startLiveWatch({
       store,
@@ -110,7 +122,23 @@
     }),
   );
   const sync = configurationLinks.startSync(kit, store, live, settings.peerUrls);
-  const directory = agentDirectory.createAgentDirectory();
+  const registerMs = settings.registerMs ?? agentDirectory.REGISTER_MS;
+  const directory = agentDirectory.createAgentDirectory(registerMs);
+  const learner = entryDirectory.createEntryDirectory({
+    kit,
+    region: settings.region,
+    directory,
+    entries: () => liveView.processesOf(live.entries(), 'entry'),
+  });
+  let hasTakenOver = false;
+  kit.owned.add(
+    live.onDidChange(() => {
+      if (hasTakenOver) return;
+      hasTakenOver = true;
+      void learner.takeOver();
+    }),
+  );
+  const presence = kit.owned.add(entryPresence.createPresenceHolder(kit.clock));
   const router = requestRouter.createRequestRouter({
     zone: settings.zone,
     region: settings.region,
@@ -123,6 +151,7 @@
     sender: kit.sender,
     policy: () => kit.configuration.current()?.document.routing,
     peerSecretHeaders: kit.peerHeaders,
+    onHomeSaturated: learner.learnRemote,
   });
   const health: healthApi.HealthOptions = {
     metrics: kit.metrics,
@@ -154,10 +183,11 @@
               ?.document.customers.some((it) => it.customerId === customerId) ?? false,
           newId: kit.newId,
           maxOpenRequests: settings.maxOpenRequests,
-          isDraining: () => isLeaving,
+          isDraining: () => isRefusing,
         }),
       ),
       settings.maxBodyBytes,
+      settings.maxOpenBytes ?? MAX_OPEN_BYTES,
     ),
   );
   const authenticate = operatorAuth.createAuthenticator(settings.operatorTokens);
@@ -190,6 +220,7 @@
     ),
   );
   const notFound: httpServer.Handler = (request) => {
+    if (request.path === entryPresence.PRESENCE_PATH) return presence.hold();
     throw errors.fail('notFound', `no page ${request.path}`, { field: 'path' });
   };
   const peers = await httpServer.listen(
@@ -197,7 +228,7 @@
     rpcServer.createRpcListener(
       entryRouter.createEntryRouter(
         configurationLinks.withVersions(
-          createService(kit, directory, live, settings.region),
+          createService(kit, directory, live, settings.region, registerMs),
           sync,
           [],
         ),
@@ -232,11 +263,17 @@
     shutdown: async () => {
       isLeaving = true;
       kit.log('info', 'draining', { open: callers.openRequests() });
-      await Promise.all([
-        callers.drain(settings.drainMs),
-        operators.drain(settings.drainMs),
-        peers.drain(settings.drainMs),
-      ]);
+      // The balancer needs a moment to see that the entry is not ready; until then what it sends is
+      // taken as before, and each answer asks the caller to use another connection.
+      callers.discourage();
+      const notReadyMs = settings.drainMs * NOT_READY_SHARE;
+      await new Promise<void>((resolve) => {
+        kit.clock.after(notReadyMs, resolve);
+      });
+      isRefusing = true;
+      await presence.dispose();
+      const leftMs = settings.drainMs - notReadyMs;
+      await Promise.all([callers.drain(leftMs), operators.drain(leftMs), peers.drain(leftMs)]);
       await levels.flush();
       await kit.owned.dispose();
     },
--- a/src/protocol/node/entryRouter.ts
+++ b/src/protocol/node/entryRouter.ts
@@ -14,6 +14,8 @@
   readonly configuration: (
     request: messages.ConfigurationRequest,
   ) => Promise<messages.ConfigurationReply>;
+  /** Gives the agents of the region to an entry that has just started, or of another region. */
+  readonly directory: (request: messages.DirectoryRequest) => Promise<messages.DirectoryReply>;
   /** Gives the agents of a zone to a new leader. */
   readonly agents: (request: messages.AgentsRequest) => Promise<messages.AgentsReply>;
   /** Gives all agents that the entry knows, to another entry, for operators. */
@@ -34,6 +36,7 @@
   rpc.router({
     register: rpc.procedure(schemas.RegisterRequest, service.register),
     configuration: rpc.procedure(schemas.ConfigurationRequest, service.configuration),
+    directory: rpc.procedure(schemas.DirectoryRequest, service.directory),
     agents: rpc.procedure(schemas.AgentsRequest, service.agents),
     overview: rpc.procedure(operatorMessages.OverviewRequest, service.overview),
     version: rpc.procedure(operatorMessages.VersionRequest, service.version),
--- a/src/transport/node/httpServer.ts
+++ b/src/transport/node/httpServer.ts
@@ -45,6 +45,8 @@
   readonly address: http.Address;
   /** Requests whose answers are not yet sent. */
   readonly openRequests: () => number;
+  /** Asks callers to close their connections with their next answer; goes on accepting. */
+  readonly discourage: () => void;
   /**
    * Answers what is open, asks callers to close their connections and stops accepting.
    *
@@ -59,14 +61,25 @@
 /** How often a draining server looks whether it is empty. */
 const DRAIN_POLL_MS = 10;
 
+/** Bytes of bodies that a server holds at once, from their arrival to the end of their answers. */
+interface HeldBytes {
+  now: number;
+  readonly max: number;
+}
+
+/** Time after which a caller may find room again. */
+const HELD_RETRY_MS = 1000;
+
 const readBody = async (
   message: nodeHttp.IncomingMessage,
   maxBytes: number,
+  hold: (bytes: number) => void,
 ): Promise<Uint8Array> => {
   const chunks: Buffer[] = [];
   let size = 0;
   for await (const chunk of message) {
     size += (chunk as Buffer).length;
+    hold((chunk as Buffer).length);
     if (size > maxBytes) {
       throw errors.fail('tooLarge', `the body is larger than ${maxBytes} bytes; nothing ran`, {
         field: 'body',
@@ -137,18 +150,36 @@
 /**
  * @param handler - answers the requests
  * @param maxBodyBytes - limit of a body
+ * @param maxHeldBytes - limit of all bodies that are held; a burst of large ones would otherwise
+ *   take the process's memory long before the limit on requests is reached
  * @returns a listener for a plain Node server
  */
-export const toListener =
-  (handler: Handler, maxBodyBytes: number) =>
-  async (message: nodeHttp.IncomingMessage, response: nodeHttp.ServerResponse): Promise<void> => {
+export const toListener = (
+  handler: Handler,
+  maxBodyBytes: number,
+  maxHeldBytes = Infinity,
+): ((message: nodeHttp.IncomingMessage, response: nodeHttp.ServerResponse) => Promise<void>) => {
+  const held: HeldBytes = { now: 0, max: maxHeldBytes };
+  return async (message, response) => {
     const gone = new AbortController();
+    let own = 0;
+    const hold = (bytes: number): void => {
+      own += bytes;
+      held.now += bytes;
+      if (held.now > held.max) {
+        throw errors.fail('overloaded', 'too many bytes are held; nothing ran', {
+          retryAfterMs: HELD_RETRY_MS,
+        });
+      }
+    };
     response.on('close', () => {
+      held.now -= own;
+      own = 0;
       if (!response.writableFinished) gone.abort();
     });
     let reply: ServerReply;
     try {
-      const body = await readBody(message, maxBodyBytes);
+      const body = await readBody(message, maxBodyBytes, hold);
       reply = await handler(toServerRequest(message, body, gone.signal));
     } catch (thrown) {
       reply = errorReply(thrown);
@@ -163,6 +194,7 @@
     });
     response.end(body);
   };
+};
 
 /** Answers a request by Node's own objects; used where a library brings the handler. */
 export type Listener = (
@@ -188,13 +220,11 @@
   options: HttpServerOptions,
   listener: Listener,
 ): Promise<HttpServer> => {
-  let open = 0;
+  const open = new Set<nodeHttp.ServerResponse>();
   let isDraining = false;
   const server = nodeHttp.createServer((message, response) => {
-    open += 1;
-    response.on('close', () => {
-      open -= 1;
-    });
+    open.add(response);
+    response.on('close', () => open.delete(response));
     if (isDraining) response.setHeader('connection', 'close');
     void listener(message, response);
   });
@@ -205,6 +235,13 @@
     server.listen(options.port, options.host, resolve);
   });
   const { port } = server.address() as net.AddressInfo;
+  /** Answers under way are told too: their callers' next requests would come to a closed server. */
+  const discourage = (): void => {
+    isDraining = true;
+    open.forEach((it) => {
+      if (!it.headersSent) it.setHeader('connection', 'close');
+    });
+  };
   const close = async (): Promise<void> => {
     server.close();
     server.closeAllConnections();
@@ -212,12 +249,13 @@
   };
   return {
     address: { host: options.host, port },
-    openRequests: () => open,
+    openRequests: () => open.size,
+    discourage,
     drain: async (timeoutMs) => {
-      isDraining = true;
+      discourage();
       server.close();
       server.closeIdleConnections();
-      await waitUntil(() => open === 0, timeoutMs);
+      await waitUntil(() => open.size === 0, timeoutMs);
       await close();
     },
     dispose: close,
--- a/src/transport/node/rpcClient.ts
+++ b/src/transport/node/rpcClient.ts
@@ -114,6 +114,7 @@
     agents: wrap(client.agents),
     overview: wrap(client.overview),
     version: wrap(client.version),
+    directory: wrap(client.directory),
   };
 };
 
