--- a/src/transport/node/console/cellPicture.ts
+++ b/src/transport/node/console/cellPicture.ts
@@ -26,6 +26,9 @@
 const FREE_COLOUR = '#ffffff';
 const UNUSABLE_COLOUR = '#d0d4d9';
 
+/** Name of the decision that gives a job its accelerators. */
+const PLACED = 'placed';
+
 const SIZE = 22;
 const GAP = 3;
 const LABEL_WIDTH = 190;
@@ -34,7 +37,7 @@
 
 /**
  * @param record - a job that holds accelerators
- * @returns by which right, and the last decision on it
+ * @returns by which right, and why it was placed or waits
  */
 export const reasonOf = (record: job.JobRecord): string => {
   const { spec, ruleId, state } = record;
@@ -42,7 +45,9 @@
     spec.claim === job.Claim.guaranteed
       ? `guaranteed shape ${spec.shapeId ?? ''}`
       : `spare rule ${ruleId ?? ''}`;
-  const why = record.decisions.at(-1)?.why ?? '';
+  // The decision that gave the accelerators, rather than what has happened since.
+  const placed = record.decisions.findLast((it) => it.what === PLACED);
+  const why = (placed ?? record.decisions.at(-1))?.why ?? '';
   return `${right}; ${state}${why === '' ? '' : `; ${why}`}`;
 };
 
