--- a/src/bench/benches.ts
+++ b/src/bench/benches.ts
@@ -1,6 +1,8 @@
 /**
  * The project's measurements by name.
  */
+import * as runCapacity from './capacity/runCapacity.js';
+import * as jobsBench from './jobsBench.js';
 import * as configurationBench from './configurationBench.js';
 import * as rpcBench from './rpcBench.js';
 
@@ -9,6 +11,8 @@
 
 /** All measurements. */
 export const BENCHES: Readonly<Record<string, Bench>> = {
+  capacity: runCapacity.runCapacity,
+  jobs: jobsBench.runJobsBench,
   configuration: configurationBench.runConfigurationBench,
   rpc: rpcBench.runRpcBench,
 };
--- /dev/null
+++ b/src/coordination/node/transitionLog.ts
@@ -0,0 +1,20 @@
+/**
+ * Logs and counts the changes of a job's state.
+ */
+import type * as logging from '../../base/common/logging.js';
+import type * as metrics from '../../base/common/metrics.js';
+import type * as job from '../../state/common/job.js';
+
+/**
+ * @param log - the process log
+ * @param measured - the process's metrics
+ * @returns a function that tells of a job before and after an event
+ */
+export const createTransitionLog =
+  (log: logging.Log, measured: metrics.Metrics) =>
+  (before: job.JobRecord, after: job.JobRecord): void => {
+    if (before.state === after.state) return;
+    const { spec, attempt } = after;
+    log('info', 'jobChanged', { jobId: spec.jobId, from: before.state, to: after.state, attempt });
+    measured.count('auburnlift_job_transitions_total', { to: after.state });
+  };
--- a/src/programs/cellClaims.ts
+++ b/src/programs/cellClaims.ts
@@ -10,6 +10,7 @@
 import * as leadership from '../coordination/node/leadership.js';
 import type * as liveWatch from '../coordination/node/liveWatch.js';
 import type * as settingsSchema from '../state/common/settings.js';
+import type * as job from '../state/common/job.js';
 import type * as store from '../state/common/store.js';
 
 import type * as processKit from './processKit.js';
@@ -20,6 +21,8 @@
   readonly settings: settingsSchema.SchedulerSettings;
   readonly store: store.Store;
   readonly live: liveWatch.LiveWatch;
+  /** Called after a job of a led cell has changed its state. */
+  readonly onDidChangeJob?: (before: job.JobRecord, after: job.JobRecord) => void;
 }
 
 /** The cells of one scheduler. */
@@ -81,10 +84,12 @@
     );
     return [...new Set(found.flat())];
   };
-  const createLeader = (cell: string, epoch: number): cellLeader.CellLeader =>
-    cellLeader.createCellLeader({
+  const createLeader = (cell: string, won: leadership.Leadership): cellLeader.CellLeader => {
+    const { epoch } = won;
+    return cellLeader.createCellLeader({
       cell,
       epoch,
+      isLeaseHeld: won.lease.isHeld,
       store: options.store,
       jobStore: jobStore.createJobStore({ store: options.store, cell, epoch, newId: kit.newId }),
       clock: kit.clock,
@@ -96,15 +101,17 @@
         const reply = await kit.clients.agent(agentUrl).fence(request);
         return { ...reply, worker: reply.worker };
       },
-      sendCommands: async (agentUrl, commands) => {
-        const request = { from: kit.sender(), cell, epoch, commands: [...commands] };
+      sendCommands: async (agentUrl, bootId, commands) => {
+        const request = { from: kit.sender(), cell, epoch, bootId, commands: [...commands] };
         return kit.clients.agent(agentUrl).command(request);
       },
       discoverAgents: () => discoverAgents(cell),
+      ...(options.onDidChangeJob === undefined ? {} : { onDidChangeJob: options.onDidChangeJob }),
       onDeposed: () => {
         void drop(cell, 'another leader took it');
       },
     });
+  };
   const claim = async (cell: string): Promise<void> => {
     const won = await leadership.tryLead({
       store: options.store,
@@ -118,7 +125,7 @@
     if (won === undefined) return;
     const held: Claim = {
       leadership: won,
-      leader: createLeader(cell, won.epoch),
+      leader: createLeader(cell, won),
       isReady: false,
     };
     claims.set(cell, held);
--- /dev/null
+++ b/src/programs/operatorExtras.ts
@@ -0,0 +1,83 @@
+/**
+ * The operators' routes to jobs, older parts of the ledger and service levels, beside the API of the
+ * configuration and the cells.
+ */
+import * as errors from '../base/common/errors.js';
+import * as schemaIssues from '../base/common/schemaIssues.js';
+import * as serviceLevelReport from '../coordination/common/serviceLevelReport.js';
+import * as jobArchive from '../coordination/node/jobArchive.js';
+import * as serviceLevelKeeper from '../coordination/node/serviceLevelKeeper.js';
+import * as ledgerEntry from '../state/common/ledgerEntry.js';
+import type * as store from '../state/common/store.js';
+import * as storeKeys from '../state/common/storeKeys.js';
+import type * as callerApi from '../transport/node/callerApi.js';
+import type * as httpServer from '../transport/node/httpServer.js';
+import * as operatorAuth from '../transport/node/operatorAuth.js';
+import * as operatorJobsApi from '../transport/node/operatorJobsApi.js';
+import * as operatorLedgerApi from '../transport/node/operatorLedgerApi.js';
+
+import type * as processKit from './processKit.js';
+
+/** Answers a request, or gives undefined where the path is another's. */
+export type ExtraHandler = (
+  request: httpServer.ServerRequest,
+) => Promise<httpServer.ServerReply | undefined>;
+
+const EXTRA_PATH = /^\/api\/(jobs|ledger-days|burn)(\/|$)/;
+
+const readDays = async (
+  target: store.Store,
+  cell: string,
+): Promise<readonly ledgerEntry.LedgerDay[]> => {
+  const { entries } = await target.list(storeKeys.ledgerDaysPrefix(cell));
+  return entries.map((it) =>
+    schemaIssues.decodeOrFail(ledgerEntry.LedgerDay, JSON.parse(it.value), 'ledger day'),
+  );
+};
+
+/**
+ * @param kit - parts of the process
+ * @param target - the store
+ * @param jobs - jobs as the entry reaches them
+ * @param authenticate - gives the operator of a token
+ * @returns the handler
+ */
+export const createOperatorExtras = (
+  kit: processKit.ProcessKit,
+  target: store.Store,
+  jobs: callerApi.JobGateway,
+  authenticate: operatorAuth.Authenticator,
+): ExtraHandler => {
+  const readLevels = serviceLevelKeeper.createServiceLevelReader(target);
+  const jobsApi = operatorJobsApi.createOperatorJobsApi({
+    jobs,
+    archived: (cell, jobId) => jobArchive.findArchived(target, cell, jobId, kit.clock.wallMs()),
+  });
+  const ledgerApi = operatorLedgerApi.createOperatorLedgerApi({
+    ledgerDays: (cell) => readDays(target, cell),
+    serviceLevels: async () => {
+      const record = kit.configuration.current();
+      if (record === undefined) {
+        throw errors.fail('storeUnavailable', 'no configuration is in force yet');
+      }
+      const nowMs = kit.clock.wallMs();
+      return serviceLevelReport.createReport(record, await readLevels(nowMs), nowMs);
+    },
+  });
+  return async (request) => {
+    if (!EXTRA_PATH.test(request.path)) return undefined;
+    const token = operatorAuth.bearerToken(request.headers.authorization);
+    const { role } = await authenticate(token);
+    return (await jobsApi(request, role)) ?? ledgerApi(request);
+  };
+};
+
+/**
+ * @param extra - tried first
+ * @param handler - answers everything else
+ * @returns both as one handler
+ */
+export const withExtras =
+  (extra: ExtraHandler, handler: httpServer.Handler): httpServer.Handler =>
+  async (request) =>
+    (await extra(request)) ?? handler(request);
--- a/src/programs/scheduler.ts
+++ b/src/programs/scheduler.ts
@@ -16,6 +16,7 @@
 
 import * as cellClaims from './cellClaims.js';
 import * as configurationLinks from './configurationLinks.js';
+import * as serviceLevels from './serviceLevels.js';
 import * as processKit from './processKit.js';
 
 const MAX_CONNECTIONS = 4096;
@@ -50,6 +51,8 @@
       const answer = led(request.cell).report({
         bootId: request.bootId,
         acceptedEpoch: request.epoch,
+        uptimeMs: request.uptimeMs,
+        stampMs: request.stampMs,
         worker: request.worker,
         commandCount: request.commandCount,
         tasks: request.tasks,
@@ -111,7 +114,14 @@
     }),
   );
   const sync = configurationLinks.startSync(kit, store, live, settings.peerUrls);
-  const claims = cellClaims.createCellClaims({ kit, settings, store, live });
+  const levels = serviceLevels.keepServiceLevels(kit, store);
+  const claims = cellClaims.createCellClaims({
+    kit,
+    settings,
+    store,
+    live,
+    onDidChangeJob: levels.noteJob,
+  });
   const health: healthApi.HealthOptions = {
     metrics: kit.metrics,
     notReadyReason: () => {
@@ -162,6 +172,7 @@
     shutdown: async () => {
       isLeaving = true;
       await claims.release();
+      await levels.flush();
       await server.drain(settings.drainMs);
       await kit.owned.dispose();
     },
