--- a/src/dev/demo.ts
+++ b/src/dev/demo.ts
@@ -130,24 +130,21 @@
   return { hours, imbalanceMs };
 };
 
-/**
- * Submits until the job is taken. A cell counts as led as soon as its lease stands, a moment before
- * its leader has taken over; until then it refuses and nothing ran, so that a submitter tries again.
- */
-const submitUntilTaken = async (options: DemoOptions, spec: job.JobSpec): Promise<void> => {
+/** A leader that is still taking its cell over refuses and says that nothing ran: ask again. */
+const submit = async (options: DemoOptions, spec: job.JobSpec): Promise<void> => {
   const { callersUrl } = options.host.entries[0]?.program ?? { callersUrl: '' };
-  await waitFor(options, `job ${spec.jobId} to be taken`, async () => {
-    const { status } = await options.client.submit(callersUrl, spec);
-    return status === 201;
+  await waitFor(options, `${spec.jobId} to be accepted`, async () => {
+    const result = await options.client.submit(callersUrl, spec);
+    return result.status === 201;
   });
 };
 
 const runJobs = async (options: DemoOptions, jobs: demoJobs.DemoJobs): Promise<boolean> => {
   const { client, print } = options;
   const { callersUrl } = options.host.entries[0]?.program ?? { callersUrl: '' };
-  for (const spec of [...jobs.borrowers, jobs.gang, jobs.cancelled]) {
-    await submitUntilTaken(options, spec);
-  }
+  for (const spec of jobs.borrowers) await submit(options, spec);
+  await submit(options, jobs.gang);
+  await submit(options, jobs.cancelled);
   print(`jobs: ${jobs.borrowers.length} borrowers, a gang of ${jobs.gang.members} submitted`);
   await waitFor(options, 'borrowers to run', async () =>
     isInState(options, jobs.borrowers[0] as job.JobSpec, 'running'),
@@ -158,7 +155,7 @@
   await client.cancel(callersUrl, jobs.cancelled.cell, [jobs.cancelled.jobId]);
   print('jobs: one running job cancelled');
   const claimedAtMs = options.nowMs();
-  await submitUntilTaken(options, jobs.claim);
+  await submit(options, jobs.claim);
   await waitFor(options, 'the claim to start', () =>
     isInState(options, jobs.claim, 'running', 'done'),
   );
