--- a/src/bench/benches.ts
+++ b/src/bench/benches.ts
@@ -3,6 +3,7 @@
  */
 import * as runCapacity from './capacity/runCapacity.js';
 import * as jobsBench from './jobsBench.js';
+import * as configurationBench from './configurationBench.js';
 import * as rpcBench from './rpcBench.js';
 
 /** Runs a measurement with its arguments and prints its lines. */
@@ -12,5 +13,6 @@
 export const BENCHES: Readonly<Record<string, Bench>> = {
   capacity: runCapacity.runCapacity,
   jobs: jobsBench.runJobsBench,
+  configuration: configurationBench.runConfigurationBench,
   rpc: rpcBench.runRpcBench,
 };
--- a/src/programs/scheduler.ts
+++ b/src/programs/scheduler.ts
@@ -3,7 +3,6 @@
  */
 import * as errors from '../base/common/errors.js';
 import * as http from '../base/common/http.js';
-import * as liveView from '../coordination/common/liveView.js';
 import type * as cellLeader from '../coordination/node/cellLeader.js';
 import * as liveWatch from '../coordination/node/liveWatch.js';
 import * as processPresence from '../coordination/node/processPresence.js';
@@ -16,8 +15,9 @@
 import * as rpcServer from '../transport/node/rpcServer.js';
 
 import * as cellClaims from './cellClaims.js';
-import * as serviceLevels from './serviceLevels.js';
+import * as configurationLinks from './configurationLinks.js';
 import * as processKit from './processKit.js';
+import * as serviceLevels from './serviceLevels.js';
 
 const MAX_CONNECTIONS = 4096;
 const WATCH_MS = 10_000;
@@ -77,6 +77,7 @@
       leader.quarantine(workerId, isQuarantined, reason);
       return Promise.resolve(cellReply(leader));
     },
+    version: () => Promise.resolve({ from: kit.sender() }),
     configuration: () => {
       const record = kit.configuration.current();
       return Promise.resolve({
@@ -112,11 +113,7 @@
       retryMs: RETRY_MS,
     }),
   );
-  const adopt = (): void => {
-    const record = liveView.configurationOf(live.entries());
-    if (record !== undefined) kit.configuration.offer(record);
-  };
-  kit.owned.add(live.onDidChange(adopt));
+  const sync = configurationLinks.startSync(kit, store, live, settings.peerUrls);
   const levels = serviceLevels.keepServiceLevels(kit, store);
   const claims = cellClaims.createCellClaims({
     kit,
@@ -131,6 +128,7 @@
       if (isLeaving) return 'leaving';
       return kit.configuration.current() === undefined ? 'no configuration yet' : undefined;
     },
+    warnings: sync.warnings,
   };
   const local: httpServer.Handler = (request) => {
     const answer = healthApi.answerHealth(health, request);
@@ -144,7 +142,9 @@
       maxConnections: MAX_CONNECTIONS,
     },
     rpcServer.createRpcListener(
-      schedulerRouter.createSchedulerRouter(createService(kit, claims)),
+      schedulerRouter.createSchedulerRouter(
+        configurationLinks.withVersions(createService(kit, claims), sync, ['submit']),
+      ),
       settings.peerSecret,
       httpServer.toListener(local, rpcServer.MAX_RPC_BYTES),
     ),
