Show both changes in the client's conflicts, and write no empty version

Cause: a conflict named the version in force and not what had changed; applying a document that differs in nothing wrote a version.

The test that applied an unchanged document now applies a changed one, and a case of its own holds that the unchanged one is not sent.

Measured: the client's 29 tests against a fake entry pass.

Conclusion: an operator who loses a race sees both sides before trying again.

--- a/src/cli/configCommands.ts
+++ b/src/cli/configCommands.ts
@@ -61,6 +61,37 @@
   readonly effects?: readonly { readonly level: string; readonly text: string }[];
 }
 
+/** A conflict with what the other operator changed and what this one wants, one after the other. */
+const withBothSides = (
+  error: errors.AuburnliftError,
+  base: configuration.ConfigurationRecord,
+  changes: readonly documentEdits.Difference[],
+): errors.AuburnliftError => {
+  const theirRecord = error.detail.facts?.current as configuration.ConfigurationRecord | undefined;
+  if (error.kind !== 'conflict' || theirRecord?.document === undefined) return error;
+  const theirs = documentEdits.differences(base.document, theirRecord.document);
+  const lines = [
+    error.message,
+    `changed by ${theirRecord.author} since version ${base.version}:`,
+    ...differenceLines(theirs),
+    'your change:',
+    ...differenceLines(changes),
+  ];
+  return errors.fail('conflict', lines.join('\n'), error.detail);
+};
+
+/** The version that a change was made from; its document is in the history. */
+const baseOf = async (input: Input): Promise<configuration.ConfigurationRecord> => {
+  const version = input.flags['base-version'];
+  const record = await current(input);
+  if (typeof version !== 'number' || version === record.version) return record;
+  const path = `/api/config/history/${version}`;
+  const earlier = (await input.client.get(path)) as {
+    readonly record: configuration.ConfigurationRecord;
+  };
+  return earlier.record;
+};
+
 /** Sends a change; the write id lets the same change be sent again where the answer was lost. */
 const write = async (
   input: Input,
@@ -82,11 +113,18 @@
     const lines = [...differenceLines(changes), ...effects, 'nothing was written (--dry-run)'];
     return { value: preview, lines };
   }
+  if (changes.length === 0) {
+    return { value: { version: base.version, changes }, lines: ['nothing differs or was written'] };
+  }
   const send = (): Promise<unknown> => input.client.send('PUT', '/api/config', body);
-  const answer = await send().catch((thrown: unknown) => {
-    if (errors.normalize(thrown).kind !== 'outcomeUnknown') throw thrown;
-    return send();
-  });
+  const answer = await send()
+    .catch((thrown: unknown) => {
+      if (errors.normalize(thrown).kind !== 'outcomeUnknown') throw thrown;
+      return send();
+    })
+    .catch((thrown: unknown) => {
+      throw withBothSides(errors.normalize(thrown), base, changes);
+    });
   const { record } = answer as { readonly record: configuration.ConfigurationRecord };
   const lines = [...differenceLines(changes), `version ${record.version} is written`];
   return { value: { version: record.version, writeId: record.writeId, changes }, lines };
@@ -144,9 +182,7 @@
   },
   run: async (input) => {
     const document = parseDocument(input, input.args[0] ?? '-');
-    const base = await current(input);
-    const version = input.flags['base-version'];
-    return write(input, typeof version === 'number' ? { ...base, version } : base, document);
+    return write(input, await baseOf(input), document);
   },
 };
 
@@ -195,7 +231,9 @@
     const lines = [
       ...textTable.formatTable({ columns: ['process', 'role', 'zone', 'version'], rows }),
       `version ${version}, stragglers: ${stragglers.join(', ') || 'none'}`,
-      ...(inForceAfterMs === undefined ? [] : [`in force everywhere after ${inForceAfterMs} ms`]),
+      ...(inForceAfterMs === undefined
+        ? []
+        : [`in force everywhere after ${Math.round(inForceAfterMs)} ms`]),
       ...warnings.map((it) => `warning: ${it}`),
     ];
     return { value, lines };
