--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -192,7 +192,10 @@
   );
   const authenticate = operatorAuth.createAuthenticator(settings.operatorTokens);
   const api = operatorApi.createOperatorApi(
-    operatorApi.createApiRoutes(gateways.operators),
+    [
+      ...operatorApi.createApiRoutes(gateways.operators),
+      ...operatorExtras.createExtraRoutes(kit, store, gateways.jobs),
+    ],
     authenticate,
   );
   const pages = consoleApp.createConsole({
@@ -212,10 +215,7 @@
       maxConnections: MAX_CONNECTIONS,
     },
     httpServer.toListener(
-      operatorExtras.withExtras(
-        operatorExtras.createOperatorExtras(kit, store, gateways.jobs, authenticate),
-        (request) => (consoleApp.isConsolePath(request.path) ? pages(request) : api(request)),
-      ),
+      (request) => (consoleApp.isConsolePath(request.path) ? pages(request) : api(request)),
       settings.maxBodyBytes,
     ),
   );
--- a/src/programs/operatorExtras.ts
+++ b/src/programs/operatorExtras.ts
@@ -11,20 +11,12 @@
 import type * as store from '../state/common/store.js';
 import * as storeKeys from '../state/common/storeKeys.js';
 import type * as callerApi from '../transport/node/callerApi.js';
-import type * as httpServer from '../transport/node/httpServer.js';
-import * as operatorAuth from '../transport/node/operatorAuth.js';
 import * as operatorJobsApi from '../transport/node/operatorJobsApi.js';
 import * as operatorLedgerApi from '../transport/node/operatorLedgerApi.js';
+import type * as operatorRoutes from '../transport/node/operatorRoutes.js';
 
 import type * as processKit from './processKit.js';
 
-/** Answers a request, or gives undefined where the path is another's. */
-export type ExtraHandler = (
-  request: httpServer.ServerRequest,
-) => Promise<httpServer.ServerReply | undefined>;
-
-const EXTRA_PATH = /^\/api\/(jobs|ledger-days|burn)(\/|$)/;
-
 const readDays = async (
   target: store.Store,
   cell: string,
@@ -39,45 +31,30 @@
  * @param kit - parts of the process
  * @param target - the store
  * @param jobs - jobs as the entry reaches them
- * @param authenticate - gives the operator of a token
- * @returns the handler
+ * @returns the routes
  */
-export const createOperatorExtras = (
+export const createExtraRoutes = (
   kit: processKit.ProcessKit,
   target: store.Store,
   jobs: callerApi.JobGateway,
-  authenticate: operatorAuth.Authenticator,
-): ExtraHandler => {
+): readonly operatorRoutes.Route[] => {
   const readLevels = serviceLevelKeeper.createServiceLevelReader(target);
-  const jobsApi = operatorJobsApi.createOperatorJobsApi({
-    jobs,
-    archived: (cell, jobId) => jobArchive.findArchived(target, cell, jobId, kit.clock.wallMs()),
-  });
-  const ledgerApi = operatorLedgerApi.createOperatorLedgerApi({
-    ledgerDays: (cell) => readDays(target, cell),
-    serviceLevels: async () => {
-      const record = kit.configuration.current();
-      if (record === undefined) {
-        throw errors.fail('storeUnavailable', 'no configuration is in force yet');
-      }
-      const nowMs = kit.clock.wallMs();
-      return serviceLevelReport.createReport(record, await readLevels(nowMs), nowMs);
-    },
-  });
-  return async (request) => {
-    if (!EXTRA_PATH.test(request.path)) return undefined;
-    const token = operatorAuth.bearerToken(request.headers.authorization);
-    const { role } = await authenticate(token);
-    return (await jobsApi(request, role)) ?? ledgerApi(request);
+  const serviceLevels = async (): Promise<serviceLevelReport.ServiceLevelReport> => {
+    const record = kit.configuration.current();
+    if (record === undefined) {
+      throw errors.fail('storeUnavailable', 'no configuration is in force yet');
+    }
+    const nowMs = kit.clock.wallMs();
+    return serviceLevelReport.createReport(record, await readLevels(nowMs), nowMs);
   };
+  return [
+    ...operatorJobsApi.createJobRoutes({
+      jobs,
+      archived: (cell, jobId) => jobArchive.findArchived(target, cell, jobId, kit.clock.wallMs()),
+    }),
+    ...operatorLedgerApi.createLedgerRoutes({
+      ledgerDays: (cell) => readDays(target, cell),
+      serviceLevels,
+    }),
+  ];
 };
-
-/**
- * @param extra - tried first
- * @param handler - answers everything else
- * @returns both as one handler
- */
-export const withExtras =
-  (extra: ExtraHandler, handler: httpServer.Handler): httpServer.Handler =>
-  async (request) =>
-    (await extra(request)) ?? handler(request);
--- a/src/programs/scheduler.ts
+++ b/src/programs/scheduler.ts
@@ -16,8 +16,8 @@
 
 import * as cellClaims from './cellClaims.js';
 import * as configurationLinks from './configurationLinks.js';
-import * as serviceLevels from './serviceLevels.js';
 import * as processKit from './processKit.js';
+import * as serviceLevels from './serviceLevels.js';
 
 const MAX_CONNECTIONS = 4096;
 const WATCH_MS = 10_000;
--- a/src/transport/node/operatorJobsApi.ts
+++ b/src/transport/node/operatorJobsApi.ts
@@ -4,13 +4,12 @@
  */
 import * as Schema from 'effect/Schema';
 
-import * as errors from '../../base/common/errors.js';
 import * as schemaIssues from '../../base/common/schemaIssues.js';
 import * as job from '../../state/common/job.js';
-import type * as settings from '../../state/common/settings.js';
 import * as units from '../../state/common/units.js';
 import type * as callerApi from './callerApi.js';
 import * as httpServer from './httpServer.js';
+import type * as operatorRoutes from './operatorRoutes.js';
 
 /** What the routes stand on. */
 export interface JobsGateway {
@@ -24,10 +23,6 @@
   jobIds: Schema.Array(units.CallerKey).check(Schema.isMinLength(1), Schema.isMaxLength(1000)),
 });
 
-const assertWriter = (role: settings.OperatorToken['role']): void => {
-  if (role !== 'write') throw errors.fail('forbidden', 'your token may only read; nothing ran');
-};
-
 const submit = async (
   gateway: JobsGateway,
   request: httpServer.ServerRequest,
@@ -63,26 +58,25 @@
 
 /**
  * @param gateway - what the routes stand on
- * @returns the handler of the routes; it gives undefined for other paths
+ * @returns the routes
  */
-export const createOperatorJobsApi =
-  (gateway: JobsGateway) =>
-  async (
-    request: httpServer.ServerRequest,
-    role: settings.OperatorToken['role'],
-  ): Promise<httpServer.ServerReply | undefined> => {
-    const [, , topic, cell, jobId] = request.path.split('/');
-    if (topic !== 'jobs') return undefined;
-    if (request.method === 'POST' && cell === undefined) {
-      assertWriter(role);
-      return submit(gateway, request);
-    }
-    if (request.method === 'POST' && cell === 'cancel' && jobId === undefined) {
-      assertWriter(role);
-      return cancel(gateway, request);
-    }
-    if (request.method === 'GET' && cell !== undefined && jobId !== undefined) {
-      return show(gateway, decodeURIComponent(cell), decodeURIComponent(jobId));
-    }
-    return undefined;
-  };
+export const createJobRoutes = (gateway: JobsGateway): readonly operatorRoutes.Route[] => [
+  {
+    method: 'POST',
+    pattern: '/api/jobs',
+    role: 'write',
+    handle: ({ request }) => submit(gateway, request),
+  },
+  {
+    method: 'POST',
+    pattern: '/api/jobs/cancel',
+    role: 'write',
+    handle: ({ request }) => cancel(gateway, request),
+  },
+  {
+    method: 'GET',
+    pattern: '/api/jobs/:cell/:job',
+    role: 'read',
+    handle: ({ param }) => show(gateway, param('cell'), param('job')),
+  },
+];
--- a/src/transport/node/operatorLedgerApi.ts
+++ b/src/transport/node/operatorLedgerApi.ts
@@ -5,6 +5,7 @@
 import type * as serviceLevelReport from '../../coordination/common/serviceLevelReport.js';
 import type * as ledgerEntry from '../../state/common/ledgerEntry.js';
 import * as httpServer from './httpServer.js';
+import type * as operatorRoutes from './operatorRoutes.js';
 
 /** What the routes stand on. */
 export interface LedgerGateway {
@@ -14,19 +15,20 @@
 
 /**
  * @param gateway - what the routes stand on
- * @returns the handler of the routes; it gives undefined for other paths
+ * @returns the routes
  */
-export const createOperatorLedgerApi =
-  (gateway: LedgerGateway) =>
-  async (request: httpServer.ServerRequest): Promise<httpServer.ServerReply | undefined> => {
-    const [, , topic, name] = request.path.split('/');
-    switch (`${request.method} ${topic ?? ''}`) {
-      case 'GET ledger-days':
-        if (name === undefined) return undefined;
-        return httpServer.jsonReply({ days: await gateway.ledgerDays(decodeURIComponent(name)) });
-      case 'GET burn':
-        return httpServer.jsonReply(await gateway.serviceLevels());
-      default:
-        return undefined;
-    }
-  };
+export const createLedgerRoutes = (gateway: LedgerGateway): readonly operatorRoutes.Route[] => [
+  {
+    method: 'GET',
+    pattern: '/api/ledger-days/:cell',
+    role: 'read',
+    handle: async ({ param }) =>
+      httpServer.jsonReply({ days: await gateway.ledgerDays(param('cell')) }),
+  },
+  {
+    method: 'GET',
+    pattern: '/api/burn',
+    role: 'read',
+    handle: async () => httpServer.jsonReply(await gateway.serviceLevels()),
+  },
+];
--- a/src/transport/node/test/operatorRoutes.test.ts
+++ b/src/transport/node/test/operatorJobsApi.test.ts
@@ -10,8 +10,10 @@
 import type * as serviceLevelCounters from '../../../coordination/common/serviceLevelCounters.js';
 import * as callObserver from '../callObserver.js';
 import type * as httpServer from '../httpServer.js';
+import type * as operatorAuth from '../operatorAuth.js';
 import * as operatorJobsApi from '../operatorJobsApi.js';
 import * as operatorLedgerApi from '../operatorLedgerApi.js';
+import * as operatorRoutes from '../operatorRoutes.js';
 
 const requestOf = (
   method: string,
@@ -29,8 +31,8 @@
 
 const RECORD = ledgerFixtures.jobOf('a', []);
 
-const jobsApi = (shown: 'found' | 'notFound' | 'notLeader', isArchived: boolean) =>
-  operatorJobsApi.createOperatorJobsApi({
+const jobRoutes = (shown: 'found' | 'notFound' | 'notLeader', isArchived: boolean) =>
+  operatorJobsApi.createJobRoutes({
     jobs: {
       submit: () => Promise.resolve(RECORD),
       show: () =>
@@ -48,11 +50,18 @@
   { shown: 'notLeader', isArchived: false, expected: 'notLeader' },
 ] as const;
 
+const dispatch = (
+  routes: readonly operatorRoutes.Route[],
+  request: httpServer.ServerRequest,
+  role: operatorAuth.Role,
+): Promise<httpServer.ServerReply> =>
+  operatorRoutes.dispatch(routes, request, () => Promise.resolve({ operatorId: 'ada', role }));
+
 for (const { shown, isArchived, expected } of SHOW_CASES) {
   test.test(`a job that is ${shown} and ${isArchived ? '' : 'not '}archived`, async () => {
     const request = requestOf('GET', '/api/jobs/zone-a/a');
-    const answered = await jobsApi(shown, isArchived)(request, 'read').then(
-      (reply) => (JSON.parse(String(reply?.body)) as { readonly source: string }).source,
+    const answered = await dispatch(jobRoutes(shown, isArchived), request, 'read').then(
+      (reply) => (JSON.parse(String(reply.body)) as { readonly source: string }).source,
       (thrown: unknown) => errors.normalize(thrown).kind,
     );
     assert.equal(answered, expected);
@@ -69,35 +78,33 @@
   ['POST', '/api/jobs/cancel', CANCEL, 'write', 200],
   ['POST', '/api/jobs/cancel', CANCEL, 'read', 'forbidden'],
   ['POST', '/api/jobs/cancel', { ...CANCEL, jobIds: [] }, 'write', 'invalidRequest'],
-  ['GET', '/api/jobs', null, 'read', undefined],
-  ['GET', '/api/cells', null, 'read', undefined],
+  ['GET', '/api/jobs', null, 'read', 'notFound'],
+  ['GET', '/api/jobs/zone-a', null, 'read', 'notFound'],
 ] as const;
 
 for (const [method, path, body, role, expected] of ROLE_CASES) {
-  test.test(
-    `${method} ${path} with the role ${role}: ${expected ?? 'left to others'}`,
-    async () => {
-      const answered = await jobsApi('found', false)(requestOf(method, path, body), role).then(
-        (reply) => reply?.status,
-        (thrown: unknown) => errors.normalize(thrown).kind,
-      );
-      assert.equal(answered, expected);
-    },
-  );
+  test.test(`${method} ${path} with the role ${role}: ${expected}`, async () => {
+    const answered = await dispatch(
+      jobRoutes('found', false),
+      requestOf(method, path, body),
+      role,
+    ).then(
+      (reply) => reply.status,
+      (thrown: unknown) => errors.normalize(thrown).kind,
+    );
+    assert.equal(answered, expected);
+  });
 }
 
-test.test('ledger days and burn are answered, other paths are left to others', async () => {
-  const api = operatorLedgerApi.createOperatorLedgerApi({
+test.test('ledger days and burn are answered to readers', async () => {
+  const routes = operatorLedgerApi.createLedgerRoutes({
     ledgerDays: () => Promise.resolve([]),
     serviceLevels: () => Promise.resolve({ atMs: 1, configVersion: 1, objectives: [] }),
   });
-  const bodyOf = async (path: string): Promise<string | undefined> => {
-    const reply = await api(requestOf('GET', path));
-    return reply === undefined ? undefined : String(reply.body);
-  };
+  const bodyOf = async (path: string): Promise<string> =>
+    String((await dispatch(routes, requestOf('GET', path), 'read')).body);
   assert.equal(await bodyOf('/api/ledger-days/zone-a'), '{"days":[]}');
   assert.equal(await bodyOf('/api/burn'), '{"atMs":1,"configVersion":1,"objectives":[]}');
-  assert.equal(await bodyOf('/api/ledger/zone-a'), undefined);
 });
 
 /** Path and what the handler does, then what is told of it. */
