--- a/src/coordination/common/jobMachine.ts
+++ b/src/coordination/common/jobMachine.ts
@@ -7,90 +7,23 @@
  */
 import * as job from '../../state/common/job.js';
 
-/** Where one member of the gang is. */
-export const MemberPhase = {
-  reserving: 'reserving',
-  reserved: 'reserved',
-  starting: 'starting',
-  running: 'running',
-  done: 'done',
-  /** Stopped, failed, or its lease has certainly lapsed: it holds nothing. */
-  gone: 'gone',
-} as const;
-
-/** One of the values of {@link MemberPhase}. */
-export type MemberPhase = (typeof MemberPhase)[keyof typeof MemberPhase];
-
-/** A job with what only its leader's memory holds. */
-export interface JobRuntime {
-  readonly record: job.JobRecord;
-  /** One for each placed member; empty while nothing is placed. */
-  readonly members: readonly MemberPhase[];
-}
-
-/** Moment and rules under which an event is handled. */
-export interface JobContext {
-  readonly nowMs: number;
-  readonly configVersion: number;
-  /** Epoch of the leader that handles the event. */
-  readonly epoch: number;
-  /** Distinct good workers on which a job must fail before it is given up. */
-  readonly unrunnableFailures: number;
-  readonly reclaimGraceMs: number;
-}
-
-/** What can happen to a job. */
-export type JobEvent =
-  | {
-      readonly type: 'planned';
-      readonly placement: readonly job.MemberPlacement[];
-      readonly ruleId: string | undefined;
-      readonly why: string;
-    }
-  | { readonly type: 'reserved'; readonly member: number }
-  | { readonly type: 'reserveRefused'; readonly member: number; readonly reason: string }
-  | { readonly type: 'committed' }
-  | { readonly type: 'commitFailed'; readonly reason: string }
-  | { readonly type: 'started'; readonly member: number }
-  | { readonly type: 'startRefused'; readonly member: number; readonly reason: string }
-  | { readonly type: 'memberDone'; readonly member: number }
-  | { readonly type: 'memberFailed'; readonly member: number; readonly reason: string }
-  | { readonly type: 'memberStopped'; readonly member: number; readonly checkpointMs: number }
-  /** The member's lease has certainly lapsed: nothing of it can run any more. */
-  | { readonly type: 'memberLost'; readonly member: number; readonly reason: string }
-  | { readonly type: 'cancel' }
-  | {
-      readonly type: 'stop';
-      readonly cause: 'reclaimed' | 'compacted';
-      readonly why: string;
-    };
-
-/** What the leader has to do after an event. */
-export type JobEffect =
-  | { readonly type: 'reserve'; readonly member: number }
-  | { readonly type: 'release'; readonly member: number }
-  /** Makes the record durable and answers with `committed` or `commitFailed`. */
-  | { readonly type: 'commit' }
-  | { readonly type: 'start'; readonly member: number }
-  | { readonly type: 'stop'; readonly member: number; readonly graceMs: number }
-  /** Makes the record durable with the next group commit; nothing waits for it. */
-  | { readonly type: 'persist' };
-
-/** The job after an event and what has to be done. */
-export interface JobStep {
-  readonly next: JobRuntime;
-  readonly effects: readonly JobEffect[];
-}
+import * as jobTypes from './jobTypes.js';
+import * as memberPhases from './memberPhases.js';
+
+/** The events and effects of a job, see `jobTypes`. */
+export * from './jobTypes.js';
+
+const { MemberPhase } = jobTypes;
+const { holds, indexesOf, withMember } = memberPhases;
+type JobRuntime = jobTypes.JobRuntime;
+type JobContext = jobTypes.JobContext;
+type JobEvent = jobTypes.JobEvent;
+type JobEffect = jobTypes.JobEffect;
+type JobStep = jobTypes.JobStep;
 
 const NOTHING: readonly JobEffect[] = [];
 const PERSIST: readonly JobEffect[] = [{ type: 'persist' }];
 
-const withMember = (
-  members: readonly MemberPhase[],
-  index: number,
-  phase: MemberPhase,
-): readonly MemberPhase[] => members.map((it, at) => (at === index ? phase : it));
-
 const decide = (
   record: job.JobRecord,
   context: JobContext,
@@ -128,14 +61,6 @@
   effects: PERSIST,
 });
 
-const holds = (phase: MemberPhase): boolean =>
-  phase !== MemberPhase.gone && phase !== MemberPhase.done;
-
-const indexesOf = (
-  members: readonly MemberPhase[],
-  isWanted: (phase: MemberPhase) => boolean,
-): number[] => members.flatMap((phase, index) => (isWanted(phase) ? [index] : []));
-
 /** Gives up a placement that was never committed: no member was started, so all are released. */
 const abandon = (runtime: JobRuntime, context: JobContext, why: string): JobStep => {
   const step = requeue(runtime.record, context, why);
@@ -350,6 +275,38 @@
 const reserving = (runtime: JobRuntime, handle: () => JobStep): JobStep =>
   runtime.record.state === job.JobState.reserving ? handle() : { next: runtime, effects: NOTHING };
 
+/** Whether the commit of the placement is still awaited: no member was started. */
+const isUncommitted = (runtime: JobRuntime): boolean =>
+  runtime.record.state === job.JobState.starting &&
+  runtime.members.every((it) => it === MemberPhase.reserved);
+
+/** Whether the member may have been started; of any other member a statement means nothing. */
+const mayRun = (runtime: JobRuntime, member: number): boolean => {
+  const phase = runtime.members[member];
+  const isBeforeStart = runtime.record.state === job.JobState.reserving;
+  return !isBeforeStart && phase !== undefined && holds(phase);
+};
+
+const onMemberEnded = (
+  runtime: JobRuntime,
+  context: JobContext,
+  event: Extract<
+    JobEvent,
+    { type: 'memberLost' | 'memberDone' | 'memberFailed' | 'memberStopped' }
+  >,
+): JobStep => {
+  switch (event.type) {
+    case 'memberDone':
+      return onMemberDone(runtime, context, event.member);
+    case 'memberFailed':
+      return onMemberFailed(runtime, context, event.member, event.reason);
+    case 'memberStopped':
+      return onMemberStopped(runtime, context, event.member, event.checkpointMs);
+    default:
+      return onMemberGone(runtime, context, event.member, job.StopCause.memberLost, event.reason);
+  }
+};
+
 /**
  * @param runtime - the job before the event
  * @param event - what happened
@@ -373,7 +330,7 @@
         ? onCommitted(runtime)
         : { next: runtime, effects: NOTHING };
     case 'commitFailed':
-      return state === job.JobState.starting
+      return isUncommitted(runtime)
         ? abandon(runtime, context, event.reason)
         : { next: runtime, effects: NOTHING };
     case 'started':
@@ -387,13 +344,12 @@
         ? onMemberGone(runtime, context, event.member, job.StopCause.memberLost, event.reason)
         : { next: runtime, effects: NOTHING };
     case 'memberLost':
-      return onMemberGone(runtime, context, event.member, job.StopCause.memberLost, event.reason);
     case 'memberDone':
-      return onMemberDone(runtime, context, event.member);
     case 'memberFailed':
-      return onMemberFailed(runtime, context, event.member, event.reason);
     case 'memberStopped':
-      return onMemberStopped(runtime, context, event.member, event.checkpointMs);
+      return mayRun(runtime, event.member)
+        ? onMemberEnded(runtime, context, event)
+        : { next: runtime, effects: NOTHING };
     case 'cancel':
       return onCancel(runtime, context);
     case 'stop':
