--- a/src/bench/rpcBench.ts
+++ b/src/bench/rpcBench.ts
@@ -21,6 +21,7 @@
 const registration = {
   from,
   bootId: 'boot-1',
+  clockMs: 1,
   url: 'http://127.0.0.1:1',
   zone: 'zone-a',
   region: 'region-a',
@@ -59,6 +60,8 @@
     register: () => Promise.resolve({ from, entryUrls: [], nextAfterMs: 1000 }),
     configuration: () => Promise.resolve({ from }),
     agents: () => Promise.resolve({ from, agentUrls: [] }),
+    version: () => Promise.resolve({ from }),
+    overview: () => Promise.resolve({ from, agents: [] }),
   });
   const plain = httpServer.toListener(
     (request) => Promise.resolve({ status: 200, body: request.body }),
--- a/src/coordination/node/cellLeader.ts
+++ b/src/coordination/node/cellLeader.ts
@@ -18,17 +18,21 @@
 import type * as configurationHolder from '../common/configurationHolder.js';
 import * as jobMachine from '../common/jobMachine.js';
 import * as jobSegments from '../common/jobSegments.js';
+import * as ledgerHoldings from '../common/ledgerHoldings.js';
 import * as placement from '../common/placement.js';
 import * as reportIntake from '../common/reportIntake.js';
 
 import type * as agentStatements from './agentStatements.js';
 import * as commandOutbox from './commandOutbox.js';
 import * as commitQueue from './commitQueue.js';
+import * as jobArchive from './jobArchive.js';
 import * as jobIntake from './jobIntake.js';
 import type * as jobStore from './jobStore.js';
 import * as leaderRoster from './leaderRoster.js';
 import * as ledgerKeeper from './ledgerKeeper.js';
 import * as memberCommands from './memberCommands.js';
+import * as planInputs from './planInputs.js';
+import * as transitionLog from './transitionLog.js';
 
 /** What the leader needs. */
 export interface CellLeaderOptions {
@@ -53,6 +57,8 @@
   readonly discoverAgents: () => Promise<readonly string[]>;
   /** Another leader took the cell. */
   readonly onDeposed: () => void;
+  /** Called after a job has changed its state. */
+  readonly onDidChangeJob?: (before: job.JobRecord, after: job.JobRecord) => void;
 }
 
 /** The leader of one cell. */
@@ -120,6 +126,7 @@
     isLeaseHeld: options.isLeaseHeld,
     onWillChange: () => ledger.settle(),
   });
+  const inputs = planInputs.createPlanInputs({ clock: timeSource, log, workers });
   const outbox = commandOutbox.createCommandOutbox(
     (agentUrl, commands) => options.sendCommands(agentUrl, workers.bootIdOf(agentUrl), commands),
     log,
@@ -140,10 +147,14 @@
   const ledger = owned.add(
     ledgerKeeper.createLedgerKeeper({
       cell: options.cell,
+      epoch: options.epoch,
       store: options.store,
       clock: timeSource,
       log,
+      metrics: options.metrics,
+      onDeposed: options.onDeposed,
       holdings: () => ({
+        ...ledgerHoldings.configuredCapacity(options.configuration.current(), options.cell),
         workers: workers.views().map((it) => ({
           workerId: it.worker.workerId,
           accelerators: it.worker.accelerators,
@@ -164,24 +175,38 @@
     }),
   );
 
+  const archive = owned.add(
+    jobArchive.createJobArchive({
+      cell: options.cell,
+      store: options.store,
+      clock: timeSource,
+      log,
+      metrics: options.metrics,
+    }),
+  );
+
+  const logTransition = transitionLog.createTransitionLog(log, options.metrics);
+  const noteTransition = (before: job.JobRecord, after: job.JobRecord): void => {
+    if (before.state === after.state) return;
+    logTransition(before, after);
+    if (job.isTerminal(after.state)) archive.add(after);
+    options.onDidChangeJob?.(before, after);
+  };
   const dispatch = (jobId: string, event: jobMachine.JobEvent): void => {
     const before = runtimes.get(jobId);
     if (before === undefined) return;
-    ledger.settle();
     const { next, effects } = jobMachine.step(before, event, context());
+    // Most reports repeat what is known; only a change may cost a look at the whole ledger.
+    if (next === before && effects.length === 0) return;
+    ledger.settle();
     runtimes.set(jobId, next);
-    logTransition(before.record, next.record);
+    if (before.record.state !== next.record.state) inputs.learn(next.record);
+    noteTransition(before.record, next.record);
     // Effects speak of the placement that the event found.
     const placed = next.record.placement.length > 0 ? next.record : before.record;
     effects.forEach((effect) => perform(placed, effect));
     if (next.record.state !== before.record.state) planSoon();
   };
-  const logTransition = (before: job.JobRecord, after: job.JobRecord): void => {
-    if (before.state === after.state) return;
-    const { spec, attempt } = after;
-    log('info', 'jobChanged', { jobId: spec.jobId, from: before.state, to: after.state, attempt });
-    options.metrics.count('auburnlift_job_transitions_total', { to: after.state });
-  };
   const perform = (record: job.JobRecord, effect: jobMachine.JobEffect): void => {
     switch (effect.type) {
       case 'persist':
@@ -222,18 +247,18 @@
       cell: options.cell,
       configVersion: current.version,
       document: current.document,
-      workers: workers.views().map((it) => ({
-        workerId: it.worker.workerId,
-        rack: it.worker.rack,
-        accelerators: it.worker.accelerators,
-        health: it.health,
-      })),
+      workers: inputs.workersOf(workers.views()),
+      endedFailedJobs: records().filter((it) => job.isTerminal(it.state) && it.failures.length > 0),
+      estimates: inputs.estimates(),
       jobs: records()
         .filter((it) => !job.isTerminal(it.state))
         .sort((a, b) => a.submittedAtMs - b.submittedAtMs),
     });
     options.metrics.time('auburnlift_plan_ms', nowMs() - startedMs, { cell: options.cell });
     warnings = round.warnings;
+    round.quarantines.forEach((it) => inputs.setQuarantine(it.workerId, it.why));
+    round.releases.forEach((it) => inputs.setQuarantine(it.workerId, undefined));
+    if (round.quarantines.length + round.releases.length > 0) planSoon();
     round.stops.forEach((it) => dispatch(it.jobId, { type: 'stop', cause: it.cause, why: it.why }));
     round.placements.forEach((it) => dispatch(it.jobId, { type: 'planned', ...it }));
   };
@@ -362,7 +387,12 @@
     epoch: options.epoch,
     takeOver: async () => {
       const kept = await options.jobStore.takeOver();
-      kept.forEach((it) => runtimes.set(it.spec.jobId, jobMachine.takeOver(it)));
+      kept.forEach((it) => {
+        runtimes.set(it.spec.jobId, jobMachine.takeOver(it));
+        inputs.learn(it);
+      });
+      // A former leader may have died before it archived what ended last.
+      archive.addLately(kept);
       await workers.load();
       await ledger.load();
       const discovered = await options.discoverAgents();
@@ -381,11 +411,13 @@
       if (!workers.noteQuarantine(workerId, isQuarantined, reason)) {
         throw errors.fail('notFound', `no worker ${workerId}`, { field: 'workerId' });
       }
+      inputs.noteOperator(workerId, isQuarantined);
       planSoon();
     },
     flush: async () => {
       await commits.flush();
       await ledger.flush();
+      await archive.flush();
     },
     dispose: async () => {
       void planTimer?.dispose();
--- a/src/dev/demo.ts
+++ b/src/dev/demo.ts
@@ -130,12 +130,21 @@
   return { hours, imbalanceMs };
 };
 
+/** A leader that is still taking its cell over refuses and says that nothing ran: ask again. */
+const submit = async (options: DemoOptions, spec: job.JobSpec): Promise<void> => {
+  const { callersUrl } = options.host.entries[0]?.program ?? { callersUrl: '' };
+  await waitFor(options, `${spec.jobId} to be accepted`, async () => {
+    const result = await options.client.submit(callersUrl, spec);
+    return result.status === 201;
+  });
+};
+
 const runJobs = async (options: DemoOptions, jobs: demoJobs.DemoJobs): Promise<boolean> => {
   const { client, print } = options;
   const { callersUrl } = options.host.entries[0]?.program ?? { callersUrl: '' };
-  for (const spec of jobs.borrowers) await client.submit(callersUrl, spec);
-  await client.submit(callersUrl, jobs.gang);
-  await client.submit(callersUrl, jobs.cancelled);
+  for (const spec of jobs.borrowers) await submit(options, spec);
+  await submit(options, jobs.gang);
+  await submit(options, jobs.cancelled);
   print(`jobs: ${jobs.borrowers.length} borrowers, a gang of ${jobs.gang.members} submitted`);
   await waitFor(options, 'borrowers to run', async () =>
     isInState(options, jobs.borrowers[0] as job.JobSpec, 'running'),
@@ -146,7 +155,7 @@
   await client.cancel(callersUrl, jobs.cancelled.cell, [jobs.cancelled.jobId]);
   print('jobs: one running job cancelled');
   const claimedAtMs = options.nowMs();
-  await client.submit(callersUrl, jobs.claim);
+  await submit(options, jobs.claim);
   await waitFor(options, 'the claim to start', () =>
     isInState(options, jobs.claim, 'running', 'done'),
   );
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -12,13 +12,20 @@
 import type * as settingsSchema from '../state/common/settings.js';
 import * as httpStore from '../state/node/httpStore.js';
 import * as callerApi from '../transport/node/callerApi.js';
+import * as consoleApp from '../transport/node/console/consoleApp.js';
+import * as session from '../transport/node/console/session.js';
 import type * as healthApi from '../transport/node/healthApi.js';
 import * as httpServer from '../transport/node/httpServer.js';
 import * as operatorApi from '../transport/node/operatorApi.js';
+import * as operatorAuth from '../transport/node/operatorAuth.js';
 import * as rpcServer from '../transport/node/rpcServer.js';
 
+import * as configurationLinks from './configurationLinks.js';
 import * as entryGateways from './entryGateways.js';
+import * as operatorViews from './operatorViews.js';
+import * as operatorExtras from './operatorExtras.js';
 import * as processKit from './processKit.js';
+import * as serviceLevels from './serviceLevels.js';
 
 /** A running entry. */
 export interface EntryProgram extends processKit.Program {
@@ -47,6 +54,7 @@
       {
         agentId: request.from.processId,
         bootId: request.bootId,
+        clockMs: request.clockMs,
         url: request.url,
         zone: request.zone,
         region: request.region,
@@ -73,6 +81,9 @@
     const entries = directory.entries().filter((it) => it.zone === zone);
     return Promise.resolve({ from: kit.sender(), agentUrls: entries.map((it) => it.url) });
   },
+  version: () => Promise.resolve({ from: kit.sender() }),
+  overview: () =>
+    Promise.resolve({ from: kit.sender(), agents: operatorViews.agentViews(directory) }),
 });
 
 /**
@@ -98,12 +109,7 @@
       retryMs: RETRY_MS,
     }),
   );
-  kit.owned.add(
-    live.onDidChange(() => {
-      const record = liveView.configurationOf(live.entries());
-      if (record !== undefined) kit.configuration.offer(record);
-    }),
-  );
+  const sync = configurationLinks.startSync(kit, store, live, settings.peerUrls);
   const directory = agentDirectory.createAgentDirectory();
   const router = requestRouter.createRequestRouter({
     zone: settings.zone,
@@ -112,6 +118,7 @@
     random: kit.random,
     metrics: kit.metrics,
     directory,
+    newId: kit.newId,
     call: kit.http.call,
     sender: kit.sender,
     policy: () => kit.configuration.current()?.document.routing,
@@ -123,8 +130,10 @@
       if (isLeaving) return 'leaving';
       return kit.configuration.current() === undefined ? 'no configuration yet' : undefined;
     },
+    warnings: sync.warnings,
   };
-  const gateways = entryGateways.createGateways(kit, store, live);
+  const gateways = entryGateways.createGateways({ kit, store, live, sync, directory });
+  const levels = serviceLevels.keepServiceLevels(kit, store);
   const callers = await httpServer.listen(
     {
       ...settings.callers,
@@ -132,23 +141,40 @@
       maxConnections: MAX_CONNECTIONS,
     },
     httpServer.toListener(
-      callerApi.createCallerApi({
-        health,
-        router,
-        jobs: gateways.jobs,
-        defaultDeadlineMs: () =>
-          kit.configuration.current()?.document.routing.defaultDeadlineMs ?? DEFAULT_DEADLINE_MS,
-        isKnownCustomer: (customerId) =>
-          kit.configuration
-            .current()
-            ?.document.customers.some((it) => it.customerId === customerId) ?? false,
-        newId: kit.newId,
-        maxOpenRequests: settings.maxOpenRequests,
-        isDraining: () => isLeaving,
-      }),
+      levels.observeCalls(
+        callerApi.createCallerApi({
+          health,
+          router,
+          jobs: gateways.jobs,
+          defaultDeadlineMs: () =>
+            kit.configuration.current()?.document.routing.defaultDeadlineMs ?? DEFAULT_DEADLINE_MS,
+          isKnownCustomer: (customerId) =>
+            kit.configuration
+              .current()
+              ?.document.customers.some((it) => it.customerId === customerId) ?? false,
+          newId: kit.newId,
+          maxOpenRequests: settings.maxOpenRequests,
+          isDraining: () => isLeaving,
+        }),
+      ),
       settings.maxBodyBytes,
     ),
   );
+  const authenticate = operatorAuth.createAuthenticator(settings.operatorTokens);
+  const api = operatorApi.createOperatorApi(
+    operatorApi.createApiRoutes(gateways.operators),
+    authenticate,
+  );
+  const pages = consoleApp.createConsole({
+    gateway: gateways.operators,
+    newId: kit.newId,
+    authenticate,
+    sessions: session.createSessions({
+      peerSecret: settings.peerSecret,
+      nowMs: kit.clock.wallMs,
+      operators: settings.operatorTokens,
+    }),
+  });
   const operators = await httpServer.listen(
     {
       ...settings.operators,
@@ -156,9 +182,9 @@
       maxConnections: MAX_CONNECTIONS,
     },
     httpServer.toListener(
-      operatorApi.createOperatorApi(
-        gateways.operators,
-        operatorApi.createAuthenticator(settings.operatorTokens),
+      operatorExtras.withExtras(
+        operatorExtras.createOperatorExtras(kit, store, gateways.jobs, authenticate),
+        (request) => (consoleApp.isConsolePath(request.path) ? pages(request) : api(request)),
       ),
       settings.maxBodyBytes,
     ),
@@ -169,7 +195,13 @@
   const peers = await httpServer.listen(
     { ...settings.peers, maxBodyBytes: rpcServer.MAX_RPC_BYTES, maxConnections: MAX_CONNECTIONS },
     rpcServer.createRpcListener(
-      entryRouter.createEntryRouter(createService(kit, directory, live, settings.region)),
+      entryRouter.createEntryRouter(
+        configurationLinks.withVersions(
+          createService(kit, directory, live, settings.region),
+          sync,
+          [],
+        ),
+      ),
       settings.peerSecret,
       httpServer.toListener(notFound, rpcServer.MAX_RPC_BYTES),
     ),
@@ -205,6 +237,7 @@
         operators.drain(settings.drainMs),
         peers.drain(settings.drainMs),
       ]);
+      await levels.flush();
       await kit.owned.dispose();
     },
     dispose: kit.owned.dispose,
