Settle a repeated key through other entries by a claim on demand

Cause: a caller that repeated its key through another entry, or after an entry's death, could reach another agent, which ran the request again. Change: a caller may ask for a claim; each attempt is then written to the store by compare-and-swap, and who meets another's claim settles that attempt with its agent before the claim passes on. Figures: a seeded search over 400 fault histories with two entries finds no second run of a claimed key and does find one of a key without a claim; one store write for each claimed attempt.

--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -7,6 +7,7 @@
 import * as liveView from '../coordination/common/liveView.js';
 import * as liveWatch from '../coordination/node/liveWatch.js';
 import * as processPresence from '../coordination/node/processPresence.js';
+import * as requestClaims from '../coordination/node/requestClaims.js';
 import * as entryRouter from '../protocol/node/entryRouter.js';
 import * as requestRouter from '../protocol/node/requestRouter.js';
 import type * as settingsSchema from '../state/common/settings.js';
@@ -147,6 +148,7 @@
     policy: () => kit.configuration.current()?.document.routing,
     peerSecretHeaders: kit.peerHeaders,
     onHomeSaturated: learner.learnRemote,
+    claims: requestClaims.createRequestClaims(store, kit.clock),
   });
   const health: healthApi.HealthOptions = {
     metrics: kit.metrics,
--- a/src/protocol/node/requestRouter.ts
+++ b/src/protocol/node/requestRouter.ts
@@ -14,6 +14,7 @@
 import type * as agentDirectory from '../../coordination/common/agentDirectory.js';
 import * as requestBudgets from '../../coordination/common/requestBudgets.js';
 import * as routing from '../../coordination/common/routing.js';
+import type * as requestClaims from '../../coordination/node/requestClaims.js';
 import type * as configuration from '../../state/common/configuration.js';
 import * as attemptSteps from '../common/attemptSteps.js';
 import type * as envelope from '../common/envelope.js';
@@ -30,6 +31,8 @@
   readonly path: string;
   readonly contentType: string;
   readonly body: Uint8Array;
+  /** Whether the key must hold through other entries too; costs a write to the store. */
+  readonly isClaimed?: boolean;
 }
 
 /** What the router needs. */
@@ -45,6 +48,7 @@
   readonly sender: () => envelope.Sender;
   readonly policy: () => configuration.RoutingPolicy | undefined;
   readonly peerSecretHeaders: Readonly<Record<string, string>>;
+  readonly claims?: requestClaims.RequestClaims;
   /** Told when home is so full that agents of other regions should be known. */
   readonly onHomeSaturated?: () => void;
 }
@@ -72,7 +76,9 @@
 /** An attempt at a request: to one boot of one agent. */
 interface Attempt {
   readonly request: CallerRequest;
-  readonly agent: routing.RouteCandidate;
+  readonly agent: Pick<routing.RouteCandidate, 'agentUrl' | 'region'>;
+  /** Time after which silence is asked about. */
+  readonly patienceMs: number;
   readonly attemptId: string;
   readonly bootId: string;
   readonly startBeforeMs: number;
@@ -215,9 +221,7 @@
     directory.addOutstanding(agent.agentUrl, 1);
     try {
       const leftMs = deadlineAtMs - nowMs();
-      const expectedMs = routing.expectedWaitMs(agent) + agent.serviceMs;
-      const patienceMs = Math.max(PATIENCE_FLOOR_MS, expectedMs * PATIENCE_FACTOR);
-      const timeoutMs = Math.min(leftMs * (1 - SETTLE_RESERVE_SHARE), patienceMs);
+      const timeoutMs = Math.min(leftMs * (1 - SETTLE_RESERVE_SHARE), attempt.patienceMs);
       const result = await send(attempt, exchange.ExchangeMode.run, leftMs, timeoutMs);
       const first = attemptSteps.afterRun(result, request.isIdempotent);
       const step = first.type === 'settle' ? await settle(attempt) : first;
@@ -257,15 +261,46 @@
   ): Attempt | undefined => {
     const boot = directory.bootOf(agent.agentUrl, nowMs());
     if (boot === undefined) return undefined;
+    const expectedMs = routing.expectedWaitMs(agent) + agent.serviceMs;
     return {
       request,
       agent,
+      patienceMs: Math.max(PATIENCE_FLOOR_MS, expectedMs * PATIENCE_FACTOR),
       attemptId: options.newId(),
       bootId: boot.bootId,
       startBeforeMs: Math.floor(boot.clockMs + Math.max(0, deadlineAtMs - nowMs())),
       deadlineAtMs,
     };
   };
+  /**
+   * Takes the claim on the caller's key for an attempt. Where another attempt holds it, that one is
+   * settled with its agent first; only proof that it never ran lets the claim pass on.
+   *
+   * @returns an end that was found, or the revision of the claim that now names the attempt
+   */
+  const claimFor = async (
+    attempt: Attempt,
+    fromRevision: number,
+  ): Promise<attemptSteps.NextStep | { readonly type: 'claimed'; readonly revision: number }> => {
+    const { request, bootId, attemptId, startBeforeMs, deadlineAtMs } = attempt;
+    if (request.isClaimed !== true || options.claims === undefined) {
+      return { type: 'claimed', revision: 0 };
+    }
+    const own = { agentUrl: attempt.agent.agentUrl, bootId, attemptId, startBeforeMs };
+    const key = `${request.customerId}/${request.requestId}`;
+    let revision = fromRevision;
+    while (nowMs() < deadlineAtMs) {
+      const result = await options.claims.take(key, revision, own);
+      if (result.type === 'taken') return { type: 'claimed', revision: result.revision };
+      const { agentUrl, ...held } = result.claim;
+      const agent = { agentUrl, region: options.region };
+      const step = await settle({ ...attempt, ...held, agent });
+      if (step.type !== 'elsewhere') return step;
+      revision = result.revision;
+    }
+    const error = errors.fail('outcomeUnknown', 'the key is held by another attempt');
+    return { type: 'fail', error };
+  };
   const pause = (durationMs: number): Promise<void> =>
     new Promise((resolve) => {
       timeSource.after(durationMs, resolve);
@@ -278,12 +313,18 @@
   ): Promise<exchange.Answer> => {
     const excludedUrls = new Set<string>();
     let last = errors.fail('noUpstream', 'no upstream is known', { retryAfterMs: 1000 });
+    let claimRevision = 0;
     crossings.earn(policy.crossRegionMaxShare);
     for (let retry = 1; ; retry += 1) {
       const agent = chooseAgent(policy, excludedUrls);
       const attempt = agent && toAttempt(request, agent, deadlineAtMs);
       if (attempt === undefined) throw last;
-      const step = await tryOne(attempt, policy);
+      const before = last;
+      const claim = await claimFor(attempt, claimRevision).catch((thrown: unknown) => {
+        throw attemptSteps.worstOf(before, errors.normalize(thrown));
+      });
+      if (claim.type === 'claimed') claimRevision = claim.revision;
+      const step = claim.type === 'claimed' ? await tryOne(attempt, policy) : claim;
       if (step.type === 'answer') {
         retries.earn(policy.retryBudgetShare);
         return step.answer;
--- a/src/protocol/node/test/requestFaults.test.ts
+++ b/src/protocol/node/test/requestFaults.test.ts
@@ -5,6 +5,8 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
+import * as fastCheck from 'fast-check';
+
 import * as clock from '../../../base/common/clock.js';
 import * as errors from '../../../base/common/errors.js';
 import * as http from '../../../base/common/http.js';
@@ -12,6 +14,7 @@
 import * as random from '../../../base/common/random.js';
 import * as admission from '../../../coordination/common/admission.js';
 import * as agentDirectory from '../../../coordination/common/agentDirectory.js';
+import type * as requestClaims from '../../../coordination/node/requestClaims.js';
 import * as exchange from '../../common/exchange.js';
 import * as requestHost from '../requestHost.js';
 import * as requestRouter from '../requestRouter.js';
@@ -33,12 +36,40 @@
   /** The answer to another exchange arrives. */
   | 'swapped';
 
+interface FakeClaims extends requestClaims.RequestClaims {
+  isDown: boolean;
+}
+
+const createClaims = (): FakeClaims => {
+  const held = new Map<string, { claim: requestClaims.Claim; revision: number }>();
+  let revision = 0;
+  const claims: FakeClaims = {
+    isDown: false,
+    take: (key, expectedRevision, claim) => {
+      const current = held.get(key);
+      if (claims.isDown) return Promise.reject(errors.fail('storeUnavailable', 'down'));
+      if ((current?.revision ?? 0) !== expectedRevision && current !== undefined) {
+        return Promise.resolve({ type: 'held', ...current });
+      }
+      revision += 1;
+      held.set(key, { claim, revision });
+      return Promise.resolve({ type: 'taken', revision });
+    },
+  };
+  return claims;
+};
+
 interface World {
   readonly time: clock.FakeClock;
   readonly router: requestRouter.RequestRouter;
+  /** Another entry in front of the same agents and the same store. */
+  readonly other: requestRouter.RequestRouter;
+  readonly claims: FakeClaims;
   readonly runs: string[];
   readonly hosts: Map<string, requestHost.RequestHost>;
   readonly settles: () => number;
+  /** The agent at the address starts anew. */
+  readonly boot: (url: string) => void;
 }
 
 const URLS = ['http://a:1', 'http://b:1'];
@@ -146,29 +177,42 @@
     return reply;
   };
   let ids = 0;
-  const router = requestRouter.createRequestRouter({
-    zone: 'z',
-    region: 'r',
-    clock: time,
-    random: random.createRandom(5),
-    metrics: counters,
-    directory,
-    call,
-    newId: () => {
-      ids += 1;
-      return `attempt-${ids}`;
-    },
-    sender: () => ({ processId: 'entry', role: 'entry', configVersion: 1 }),
-    policy: () => ({
-      crossRegionPriceMs: 250,
-      crossRegionMaxShare: 0.05,
-      retryBudgetShare: 0.1,
-      ejectionCapShare: 0.5,
-      defaultDeadlineMs: DEADLINE_MS,
-    }),
-    peerSecretHeaders: {},
-  });
-  return { time, router, runs, hosts, settles: () => counters.read('auburnlift_settles_total') };
+  const claims = createClaims();
+  const createRouter = (): requestRouter.RequestRouter =>
+    requestRouter.createRequestRouter({
+      claims,
+      zone: 'z',
+      region: 'r',
+      clock: time,
+      random: random.createRandom(5),
+      metrics: counters,
+      directory,
+      call,
+      newId: () => {
+        ids += 1;
+        return `attempt-${ids}`;
+      },
+      sender: () => ({ processId: 'entry', role: 'entry', configVersion: 1 }),
+      policy: () => ({
+        crossRegionPriceMs: 250,
+        crossRegionMaxShare: 0.05,
+        retryBudgetShare: 0.1,
+        ejectionCapShare: 0.5,
+        defaultDeadlineMs: DEADLINE_MS,
+      }),
+      peerSecretHeaders: {},
+    });
+  const [router, other] = [createRouter(), createRouter()];
+  return {
+    time,
+    router,
+    other,
+    claims,
+    boot,
+    runs,
+    hosts,
+    settles: () => counters.read('auburnlift_settles_total'),
+  };
 };
 
 const requestOf = (requestId: string, isIdempotent = false): requestRouter.CallerRequest => ({
@@ -323,3 +367,73 @@
     assert.deepEqual([world.runs.length, world.hosts.has(url ?? '')], [1, true]);
   },
 );
+
+const FAULTS: readonly Fault[] = [
+  'sound',
+  'silentBefore',
+  'silentAfter',
+  'cutAfter',
+  'refusedConnection',
+  'restart',
+  'swapped',
+];
+
+const runsAtMostOnce = (isClaimed: boolean) =>
+  fastCheck.asyncProperty(
+    fastCheck.array(fastCheck.constantFrom(...FAULTS), { maxLength: 8 }),
+    fastCheck.integer({ min: 0, max: 4000 }),
+    async (faults, delayMs) => {
+      const world = createWorld([...faults]);
+      const request = { ...requestOf('r1'), isClaimed };
+      const first = world.router.route(request).catch(() => undefined);
+      await world.time.advance(delayMs);
+      const second = world.other.route(request).catch(() => undefined);
+      await world.time.advance(DEADLINE_MS * 2);
+      const answers = [await first, await second].filter((it) => it !== undefined);
+      assert.ok(world.runs.length <= 1, `${world.runs.length} runs`);
+      assert.ok(answers.length === 0 || world.runs.length === 1);
+    },
+  );
+
+test.test(
+  'a claimed key runs at most once through two entries, whatever the line does',
+  async () => {
+    // A driver's connection to one entry breaks and the driver sends the same plan through another,
+    // while the first entry still works on it. Two crews must not be sent.
+    await fastCheck.assert(runsAtMostOnce(true), { seed: 11, numRuns: 400 });
+  },
+);
+
+test.test('the same search finds the second run of a key that is not claimed', async () => {
+  const found = await fastCheck.check(runsAtMostOnce(false), { seed: 11, numRuns: 400 });
+  assert.ok(found.failed);
+});
+
+const CLAIM_CASES: readonly [string, (world: World) => void, string, number][] = [
+  ['the first answer through the other entry', () => {}, ANSWER, 1],
+  [
+    'no word when the agents have restarted',
+    (world) => [...world.hosts.keys()].forEach(world.boot),
+    'outcomeUnknown',
+    1,
+  ],
+  [
+    'a refusal while the store is down',
+    (world) => {
+      world.claims.isDown = true;
+    },
+    'storeUnavailable',
+    1,
+  ],
+];
+
+for (const [name, between, word, runs] of CLAIM_CASES) {
+  test.test(`a caller that repeats a claimed key gets ${name}`, async () => {
+    const world = createWorld([]);
+    const request = { ...requestOf('r1'), isClaimed: true };
+    assert.equal((await send(world, request)).word, ANSWER);
+    between(world);
+    const repeated = await send({ ...world, router: world.other }, request);
+    assert.deepEqual([repeated.word, world.runs.length], [word, runs]);
+  });
+}
--- a/src/transport/node/callerApi.ts
+++ b/src/transport/node/callerApi.ts
@@ -70,12 +70,10 @@
   });
 };
 
-const idempotentOf = (headers: nodeHttp.IncomingHttpHeaders): boolean => {
-  const text = headerOf(headers, 'auburnlift-idempotent') ?? 'false';
+const flagOf = (headers: nodeHttp.IncomingHttpHeaders, name: string): boolean => {
+  const text = headerOf(headers, name) ?? 'false';
   if (text === 'true' || text === 'false') return text === 'true';
-  throw errors.fail('invalidRequest', 'auburnlift-idempotent: true or false; nothing ran', {
-    field: 'auburnlift-idempotent',
-  });
+  throw errors.fail('invalidRequest', `${name}: true or false; nothing ran`, { field: name });
 };
 
 const toCallerRequest = (
@@ -88,7 +86,8 @@
   return {
     customerId: customerOf(options, headers),
     requestId: decodeHeader(units.CallerKey, 'idempotency-key', key),
-    isIdempotent: idempotentOf(headers),
+    isIdempotent: flagOf(headers, 'auburnlift-idempotent'),
+    isClaimed: flagOf(headers, 'auburnlift-claim'),
     deadlineMs: deadlineOf(options, headers),
     method: request.method,
     path: (request.path.slice(CALL_PREFIX.length) || '/') + query,
