Show service levels in the console

Cause: the console had no page of the objectives' burn rates.

Change: a page with each objective, its events, what is left of its budget and the pairs of windows, from the same report as the API.

Conclusion: the browser test finds the objectives on the page.

--- a/src/dev/test/consoleBrowser.test.ts
+++ b/src/dev/test/consoleBrowser.test.ts
@@ -105,6 +105,8 @@
     await page.goto(`${operatorsUrl}/console/history`);
     assert.match(await textOf(page), /they grow/);
     assert.doesNotMatch(await textOf(page), /they pay more/);
+    await page.goto(`${operatorsUrl}/console/burn`);
+    assert.match(await textOf(page), /festival-start\s+festivals\s+startWithin, target 0\.99/);
     await page.goto(`${operatorsUrl}/console/view/nordur-a`);
     assert.equal(await page.locator('svg rect').count(), 32 + 7);
   } finally {
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -167,6 +167,7 @@
   );
   const pages = consoleApp.createConsole({
     gateway: gateways.operators,
+    serviceLevels: operatorExtras.createLevelReport(kit, store),
     newId: kit.newId,
     authenticate,
     sessions: session.createSessions({
--- a/src/programs/operatorExtras.ts
+++ b/src/programs/operatorExtras.ts
@@ -35,6 +35,26 @@
   );
 };
 
+/**
+ * @param kit - parts of the process
+ * @param target - the store
+ * @returns a function that reports on the objectives in force
+ */
+export const createLevelReport = (
+  kit: processKit.ProcessKit,
+  target: store.Store,
+): (() => Promise<serviceLevelReport.ServiceLevelReport>) => {
+  const readLevels = serviceLevelKeeper.createServiceLevelReader(target);
+  return async () => {
+    const record = kit.configuration.current();
+    if (record === undefined) {
+      throw errors.fail('storeUnavailable', 'no configuration is in force yet');
+    }
+    const nowMs = kit.clock.wallMs();
+    return serviceLevelReport.createReport(record, await readLevels(nowMs), nowMs);
+  };
+};
+
 /**
  * @param kit - parts of the process
  * @param target - the store
@@ -48,21 +68,13 @@
   jobs: callerApi.JobGateway,
   authenticate: operatorAuth.Authenticator,
 ): ExtraHandler => {
-  const readLevels = serviceLevelKeeper.createServiceLevelReader(target);
   const jobsApi = operatorJobsApi.createOperatorJobsApi({
     jobs,
     archived: (cell, jobId) => jobArchive.findArchived(target, cell, jobId, kit.clock.wallMs()),
   });
   const ledgerApi = operatorLedgerApi.createOperatorLedgerApi({
     ledgerDays: (cell) => readDays(target, cell),
-    serviceLevels: async () => {
-      const record = kit.configuration.current();
-      if (record === undefined) {
-        throw errors.fail('storeUnavailable', 'no configuration is in force yet');
-      }
-      const nowMs = kit.clock.wallMs();
-      return serviceLevelReport.createReport(record, await readLevels(nowMs), nowMs);
-    },
+    serviceLevels: createLevelReport(kit, target),
   });
   return async (request) => {
     if (!EXTRA_PATH.test(request.path)) return undefined;
--- a/src/transport/node/console/consoleApp.ts
+++ b/src/transport/node/console/consoleApp.ts
@@ -6,6 +6,7 @@
 import type * as httpServer from '../httpServer.js';
 import * as operatorAuth from '../operatorAuth.js';
 import * as operatorRoutes from '../operatorRoutes.js';
+import * as burnPage from './burnPage.js';
 import * as changeForms from './changeForms.js';
 import type * as consoleContext from './consoleContext.js';
 import * as documentPages from './documentPages.js';
@@ -30,6 +31,7 @@
 
 const ROUTES: readonly consoleContext.ConsoleRoute[] = [
   ...viewPages.VIEW_ROUTES,
+  ...burnPage.BURN_ROUTES,
   ...documentPages.DOCUMENT_ROUTES,
   ...wholeDocumentPages.WHOLE_DOCUMENT_ROUTES,
   ...historyPages.HISTORY_ROUTES,
--- a/src/transport/node/console/consoleContext.ts
+++ b/src/transport/node/console/consoleContext.ts
@@ -1,6 +1,7 @@
 /**
  * What the console's pages are given.
  */
+import type * as serviceLevelReport from '../../../coordination/common/serviceLevelReport.js';
 import type * as httpServer from '../httpServer.js';
 import type * as operatorGateway from '../operatorGateway.js';
 import type * as layout from './layout.js';
@@ -10,6 +11,7 @@
 export interface ConsoleOptions {
   readonly gateway: operatorGateway.OperatorGateway;
   readonly newId: () => string;
+  readonly serviceLevels: () => Promise<serviceLevelReport.ServiceLevelReport>;
 }
 
 /** One request of somebody who is signed in. */
--- a/src/transport/node/console/layout.ts
+++ b/src/transport/node/console/layout.ts
@@ -76,6 +76,7 @@
   ['/console/status', 'In force'],
   ['/console/jobs', 'Jobs'],
   ['/console/upstreams', 'Upstreams'],
+  ['/console/burn', 'Burn'],
 ];
 
 /** Who is signed in, as the frame shows it. */
--- a/src/transport/node/console/test/consoleGuards.test.ts
+++ b/src/transport/node/console/test/consoleGuards.test.ts
@@ -67,6 +67,7 @@
     gateway,
     authenticate,
     sessions,
+    serviceLevels: () => Promise.resolve({ atMs: 0, configVersion: 1, objectives: [] }),
     newId: () => crypto.randomUUID(),
   });
   const routes = operatorApi.createApiRoutes(gateway);
