--- a/src/bench/capacity/fakeAgents.ts
+++ b/src/bench/capacity/fakeAgents.ts
@@ -81,7 +81,7 @@
     command: (request) => {
       commandCount += 1;
       request.commands.forEach(obey);
-      const results = request.commands.map(() => ({ isAccepted: true }));
+      const results = request.commands.map(() => ({ isAccepted: true, isGone: false }));
       return Promise.resolve({ from, bootId, commandCount, results });
     },
   });
--- a/src/bench/rpcBench.ts
+++ b/src/bench/rpcBench.ts
@@ -62,6 +62,7 @@
     agents: () => Promise.resolve({ from, agentUrls: [] }),
     version: () => Promise.resolve({ from }),
     overview: () => Promise.resolve({ from, agents: [] }),
+    directory: () => Promise.resolve({ from, agents: [] }),
   });
   const plain = httpServer.toListener(
     (request) => Promise.resolve({ status: 200, body: request.body }),
