--- a/src/programs/operatorExtras.ts
+++ b/src/programs/operatorExtras.ts
@@ -30,16 +30,14 @@
 /**
  * @param kit - parts of the process
  * @param target - the store
- * @param jobs - jobs as the entry reaches them
- * @returns the routes
+ * @returns a function that reports on the objectives in force
  */
-export const createExtraRoutes = (
+export const createLevelReport = (
   kit: processKit.ProcessKit,
   target: store.Store,
-  jobs: callerApi.JobGateway,
-): readonly operatorRoutes.Route[] => {
+): (() => Promise<serviceLevelReport.ServiceLevelReport>) => {
   const readLevels = serviceLevelKeeper.createServiceLevelReader(target);
-  const serviceLevels = async (): Promise<serviceLevelReport.ServiceLevelReport> => {
+  return async () => {
     const record = kit.configuration.current();
     if (record === undefined) {
       throw errors.fail('storeUnavailable', 'no configuration is in force yet');
@@ -47,14 +45,25 @@
     const nowMs = kit.clock.wallMs();
     return serviceLevelReport.createReport(record, await readLevels(nowMs), nowMs);
   };
-  return [
+};
+
+/**
+ * @param kit - parts of the process
+ * @param target - the store
+ * @param jobs - jobs as the entry reaches them
+ * @returns the routes
+ */
+export const createExtraRoutes = (
+  kit: processKit.ProcessKit,
+  target: store.Store,
+  jobs: callerApi.JobGateway,
+): readonly operatorRoutes.Route[] => [
     ...operatorJobsApi.createJobRoutes({
       jobs,
       archived: (cell, jobId) => jobArchive.findArchived(target, cell, jobId, kit.clock.wallMs()),
     }),
     ...operatorLedgerApi.createLedgerRoutes({
       ledgerDays: (cell) => readDays(target, cell),
-      serviceLevels,
+      serviceLevels: createLevelReport(kit, target),
     }),
   ];
-};
