--- a/src/coordination/common/spareShares.ts
+++ b/src/coordination/common/spareShares.ts
@@ -24,7 +24,12 @@
   readonly byCustomer: Map<string, number>;
 }
 
-const ruleKey = (ruleId: string, customerId: string): string => `${ruleId}\n${customerId}`;
+/**
+ * @param ruleId - a rule
+ * @param customerId - a customer
+ * @returns the key of what the customer borrows by the rule
+ */
+export const ruleKey = (ruleId: string, customerId: string): string => `${ruleId}\n${customerId}`;
 
 const add = (counts: Map<string, number>, key: string, by: number): void => {
   counts.set(key, (counts.get(key) ?? 0) + by);
@@ -55,6 +60,12 @@
   add(borrowing.byCustomer, customerId, accelerators);
 };
 
+/**
+ * Even with all weight on fragmentation short work goes somewhat ahead: with 0 the order would be
+ * first come, first served, and the mean completion time doubles behind one long job.
+ */
+const FAIR_EXPONENT = 0.5;
+
 /**
  * The order of one customer's jobs. With weight on completion time the least expected work goes
  * first; with weight on fragmentation the order leans to first come, first served, so that large
@@ -71,7 +82,8 @@
   const leftMs = runEstimates.remainingMs(round.estimates, record, nowMs, quantile);
   const work = leftMs * job.acceleratorsOf(record);
   const waitedMs = Math.max(0, nowMs - record.submittedAtMs);
-  return work ** completionWeight / (1 + waitedMs / Math.max(1, largeJobWaitMs));
+  const exponent = FAIR_EXPONENT + (1 - FAIR_EXPONENT) * completionWeight;
+  return work ** exponent / (1 + waitedMs / Math.max(1, largeJobWaitMs));
 };
 
 /**
