--- a/src/bench/benches.ts
+++ b/src/bench/benches.ts
@@ -4,6 +4,7 @@
 import * as runCapacity from './capacity/runCapacity.js';
 import * as jobsBench from './jobsBench.js';
 import * as configurationBench from './configurationBench.js';
+import * as requestsBench from './requestsBench.js';
 import * as rpcBench from './rpcBench.js';
 
 /** Runs a measurement with its arguments and prints its lines. */
@@ -14,5 +15,6 @@
   capacity: runCapacity.runCapacity,
   jobs: jobsBench.runJobsBench,
   configuration: configurationBench.runConfigurationBench,
+  requests: requestsBench.runRequestsBench,
   rpc: rpcBench.runRpcBench,
 };
--- a/src/programs/operatorViews.ts
+++ b/src/programs/operatorViews.ts
@@ -40,9 +40,7 @@
     zone: it.zone,
     region: it.region,
     configVersion: it.configVersion,
-    ...(it.upstream === undefined
-      ? {}
-      : { upstream: { connections: it.upstream.slots, ...it.upstream } }),
+    ...(it.upstream === undefined ? {} : { upstream: it.upstream }),
   }));
 
 /**
