Tell a new configuration at once instead of with the next registration

Change: an agent registers 100 ms after it has adopted a version, by a timer of its own, since the end of a registration that is under way sets the other anew.

An agent hears of a version from its leader's answers to heartbeats; one without a worker hears of it with its next registration only, up to a minute later, which is not mended here.

--- a/src/programs/agentLinks.ts
+++ b/src/programs/agentLinks.ts
@@ -48,6 +48,9 @@
 /** Until an entry says otherwise. */
 const FIRST_PERIOD_MS = 2000;
 
+/** Wait after a new configuration before it is told, so that several in a row are told once. */
+const ADOPTED_MS = 100;
+
 /** Share by which registrations are spread about their period. */
 const PERIOD_SPREAD = 0.2;
 
@@ -187,6 +190,15 @@
     },
     start: (url, firstAfterMs) => {
       ownUrl = url;
+      // Registrations are a minute apart; a new version is told at once, since operators wait for it.
+      kit.owned.add(
+        kit.configuration.onDidChange(() => {
+          // A timer of its own: the end of a registration that is under way sets the other anew.
+          kit.clock.after(ADOPTED_MS, () => {
+            if (!isStopped) void registerNow();
+          });
+        }),
+      );
       void registerNow().finally(() => schedule(firstAfterMs));
       return {
         dispose: () => {
