Carry the configuration's version on the request that agents keep open

Cause: with registrations a minute apart an agent without a worker heard of a new configuration up to a minute late, which misses the 18 s; agents with workers told of theirs by registering again with every entry after each change.

The registration after each change is gone.

--- a/src/coordination/common/agentDirectory.ts
+++ b/src/coordination/common/agentDirectory.ts
@@ -73,6 +73,8 @@
   /** Counts a request that is sent (1) or has ended (-1). */
   readonly addOutstanding: (url: string, change: 1 | -1) => void;
   readonly noteAnswer: (url: string, note: AnswerNote, nowMs: number) => void;
+  /** The agent has this version of the configuration in force. */
+  readonly noteVersion: (url: string, configVersion: number) => void;
   readonly noteSuccess: (url: string, nowMs: number) => void;
   /** The upstream answered with a failure of its own. */
   readonly noteFailure: (url: string, nowMs: number, ejectionCapShare: number) => void;
@@ -195,6 +197,8 @@
       typicalMs += note.serviceMs * TYPICAL_SMOOTHING;
       update(url, (it) => withAnswer(it, note, nowMs));
     },
+    noteVersion: (url, configVersion) =>
+      update(url, (it) => ({ ...it, configVersion: Math.max(it.configVersion, configVersion) })),
     noteSuccess: (url, nowMs) => updateHealth(url, (it) => agentHealth.afterSuccess(it, nowMs)),
     noteFailure: (url, nowMs, capShare) =>
       updateHealth(url, (it) => agentHealth.afterFailure(it, nowMs, mayEject(nowMs, capShare))),
--- a/src/programs/agentLinks.ts
+++ b/src/programs/agentLinks.ts
@@ -48,9 +48,6 @@
 /** Until an entry says otherwise. */
 const FIRST_PERIOD_MS = 2000;
 
-/** Wait after a new configuration before it is told, so that several in a row are told once. */
-const ADOPTED_MS = 100;
-
 /** Share by which registrations are spread about their period. */
 const PERIOD_SPREAD = 0.2;
 
@@ -71,7 +68,7 @@
   let ownUrl = '';
   let timer: disposable.Disposable | undefined;
   let isStopped = false;
-  let isFetching = false;
+  let fetching: Promise<void> | undefined;
   let registeredAtMs = 0;
   let periodMs = FIRST_PERIOD_MS;
 
@@ -97,8 +94,8 @@
   const noteLeader = (next: LeaderHint): void => {
     if (next.epoch >= (leader?.epoch ?? 0)) leader = next;
   };
-  const fetchConfiguration = async (): Promise<void> => {
-    for (const url of entryUrls) {
+  const fetchConfiguration = async (firstUrl: string | undefined): Promise<void> => {
+    for (const url of firstUrl === undefined ? entryUrls : [firstUrl, ...entryUrls]) {
       try {
         const { record } = await kit.clients.entry(url).configuration({ from: kit.sender() });
         if (record !== undefined) kit.configuration.offer(record);
@@ -111,12 +108,16 @@
       }
     }
   };
-  const noteVersion = (version: number): void => {
-    if (version <= kit.configuration.version() || isFetching) return;
-    isFetching = true;
-    void fetchConfiguration().finally(() => {
-      isFetching = false;
+  /** One fetch at a time; whoever hears of the version meanwhile waits for the same one. */
+  const catchUp = (version: number, url: string | undefined): Promise<void> => {
+    if (version <= kit.configuration.version()) return Promise.resolve();
+    fetching ??= fetchConfiguration(url).finally(() => {
+      fetching = undefined;
     });
+    return fetching;
+  };
+  const noteVersion = (version: number): void => {
+    void catchUp(version, undefined);
   };
   const registerWith = async (url: string): Promise<readonly string[]> => {
     try {
@@ -152,6 +153,8 @@
     clock: kit.clock,
     random: kit.random,
     call: kit.http.call,
+    note: () => ({ agentUrl: ownUrl, configVersion: kit.configuration.version() }),
+    onDidHearVersion: (url, version) => catchUp(version, url),
     onDidReturn: (url) => {
       void registerWith(url);
     },
@@ -190,15 +193,6 @@
     },
     start: (url, firstAfterMs) => {
       ownUrl = url;
-      // Registrations are a minute apart; a new version is told at once, since operators wait for it.
-      kit.owned.add(
-        kit.configuration.onDidChange(() => {
-          // A timer of its own: the end of a registration that is under way sets the other anew.
-          kit.clock.after(ADOPTED_MS, () => {
-            if (!isStopped) void registerNow();
-          });
-        }),
-      );
       void registerNow().finally(() => schedule(firstAfterMs));
       return {
         dispose: () => {
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -139,7 +139,14 @@
       void learner.takeOver();
     }),
   );
-  const presence = kit.owned.add(entryPresence.createPresenceHolder(kit.clock));
+  const presence = kit.owned.add(
+    entryPresence.createPresenceHolder({
+      clock: kit.clock,
+      version: kit.configuration.version,
+      onDidHear: ({ agentUrl, configVersion }) => directory.noteVersion(agentUrl, configVersion),
+    }),
+  );
+  kit.owned.add(kit.configuration.onDidChange(presence.release));
   const router = requestRouter.createRequestRouter({
     zone: settings.zone,
     region: settings.region,
@@ -223,7 +230,7 @@
     ),
   );
   const notFound: httpServer.Handler = (request) => {
-    if (request.path === entryPresence.PRESENCE_PATH) return presence.hold();
+    if (request.path === entryPresence.PRESENCE_PATH) return presence.hold(request);
     throw errors.fail('notFound', `no page ${request.path}`, { field: 'path' });
   };
   const peers = await httpServer.listen(
--- a/src/programs/operatorExtras.ts
+++ b/src/programs/operatorExtras.ts
@@ -58,12 +58,12 @@
   target: store.Store,
   jobs: callerApi.JobGateway,
 ): readonly operatorRoutes.Route[] => [
-    ...operatorJobsApi.createJobRoutes({
-      jobs,
-      archived: (cell, jobId) => jobArchive.findArchived(target, cell, jobId, kit.clock.wallMs()),
-    }),
-    ...operatorLedgerApi.createLedgerRoutes({
-      ledgerDays: (cell) => readDays(target, cell),
-      serviceLevels: createLevelReport(kit, target),
-    }),
-  ];
+  ...operatorJobsApi.createJobRoutes({
+    jobs,
+    archived: (cell, jobId) => jobArchive.findArchived(target, cell, jobId, kit.clock.wallMs()),
+  }),
+  ...operatorLedgerApi.createLedgerRoutes({
+    ledgerDays: (cell) => readDays(target, cell),
+    serviceLevels: createLevelReport(kit, target),
+  }),
+];
