Draw the burn report's plots with ECharts

Change: ECharts renders each plot to one SVG text without a browser; the page still loads nothing, lists the hours with bad events for readers who can't see the plot, and only this command pays for loading the library.

Conclusion: one thing less of our own outside our purpose.

--- a/src/cli/burnCommand.ts
+++ b/src/cli/burnCommand.ts
@@ -6,7 +6,6 @@
 import type * as burnRate from '../coordination/common/burnRate.js';
 import type * as serviceLevelReport from '../coordination/common/serviceLevelReport.js';
 
-import * as burnPage from './burnPage.js';
 import * as commandDefinition from './commandDefinition.js';
 import * as textTable from './textTable.js';
 
@@ -62,6 +61,8 @@
     const report = { ...whole, objectives };
     const file = commandDefinition.textFlag(input, 'html');
     if (file === undefined) return { value: report, lines: toLines(report) };
+    // The plotting library is large; only this command pays for loading it.
+    const burnPage = await import('./burnPage.js');
     input.writeText(file, burnPage.renderPage(report));
     return { value: { file }, lines: [`${file} is written`] };
   },
--- a/src/cli/burnPage.ts
+++ b/src/cli/burnPage.ts
@@ -4,13 +4,10 @@
 import type * as burnRate from '../coordination/common/burnRate.js';
 import type * as serviceLevelReport from '../coordination/common/serviceLevelReport.js';
 
-const WIDTH = 720;
-const HEIGHT = 180;
-const LEFT = 48;
-const BOTTOM = 24;
+import * as burnPlot from './burnPlot.js';
+
 const HOURS_SHOWN = 72;
 const HOUR_MS = 3_600_000;
-const LEAST_TOP = 16;
 
 const ESCAPES: Readonly<Record<string, string>> = {
   '&': '&amp;',
@@ -30,45 +27,37 @@
 const rateOf = (bucket: burnRate.Bucket, target: number): number =>
   bucket.bad / Math.max(1, bucket.good + bucket.bad) / (1 - target);
 
+/** The figures behind the plot, for readers who can't see it. */
+const hourList = (report: serviceLevelReport.ObjectiveReport, fromMs: number): string => {
+  const items = report.history
+    .filter((it) => it.fromMs + HOUR_MS > fromMs && it.bad > 0)
+    .map((it) => {
+      const at = new Date(it.fromMs).toISOString();
+      return `<li>${at}: ${it.good} good, ${it.bad} bad</li>`;
+    });
+  return items.length === 0 ? '' : `<ul>${items.join('')}</ul>`;
+};
+
 /**
  * @param report - one objective
  * @param atMs - right end of the plot
- * @returns its burn rate by hour as an SVG picture with a title
+ * @returns its burn rate by hour as a figure with a caption, and the hours with bad events
  */
 export const plot = (report: serviceLevelReport.ObjectiveReport, atMs: number): string => {
   const { objective, history, pairs } = report;
   const fromMs = atMs - HOURS_SHOWN * HOUR_MS;
-  const rates = history.map((it) => ({ ...it, rate: rateOf(it, objective.target) }));
-  const top = Math.max(LEAST_TOP, ...rates.map((it) => it.rate));
-  const xOf = (ms: number): number => LEFT + ((WIDTH - LEFT) * (ms - fromMs)) / (atMs - fromMs);
-  const yOf = (rate: number): number => (HEIGHT - BOTTOM) * (1 - rate / top);
-  const barWidth = (WIDTH - LEFT) / HOURS_SHOWN;
-  const bars = rates
-    .filter((it) => it.fromMs + HOUR_MS > fromMs)
-    .map((it) => {
-      const x = Math.max(LEFT, xOf(it.fromMs));
-      const height = HEIGHT - BOTTOM - yOf(it.rate);
-      const title = `${new Date(it.fromMs).toISOString()}: ${it.good} good, ${it.bad} bad`;
-      return `<rect x="${x.toFixed(1)}" y="${yOf(it.rate).toFixed(1)}" width="${barWidth.toFixed(
-        1,
-      )}" height="${height.toFixed(1)}"><title>${title}</title></rect>`;
-    });
-  const lines = pairs.map(({ threshold }) => {
-    const y = yOf(threshold).toFixed(1);
-    return `<line x1="${LEFT}" x2="${WIDTH}" y1="${y}" y2="${y}"/><text x="0" y="${y}">${threshold}</text>`;
+  const name = `burn rate of ${objective.objectiveId} by hour`;
+  const picture = burnPlot.renderPlot({
+    name,
+    fromMs,
+    toMs: atMs,
+    bars: history
+      .filter((it) => it.fromMs + HOUR_MS > fromMs)
+      .map((it) => ({ atMs: it.fromMs, burnRate: rateOf(it, objective.target) })),
+    thresholds: pairs.map((it) => it.threshold),
   });
-  const labels = [72, 48, 24, 0].map((ago) => {
-    const x = xOf(atMs - ago * HOUR_MS) - (ago === 0 ? BOTTOM : 0);
-    return `<text x="${x.toFixed(1)}" y="${HEIGHT - 6}">${ago === 0 ? 'now' : `-${ago} h`}</text>`;
-  });
-  const name = escapeHtml(`burn rate of ${objective.objectiveId} by hour`);
-  return [
-    `<svg viewBox="0 -10 ${WIDTH} ${HEIGHT + 10}" role="img" aria-label="${name}">`,
-    ...bars,
-    ...lines,
-    ...labels,
-    '</svg>',
-  ].join('');
+  const caption = `<figcaption>${escapeHtml(name)}</figcaption>`;
+  return `<figure>${picture}${caption}</figure>${hourList(report, fromMs)}`;
 };
 
 const pairRow = (pair: burnRate.PairBurn): string => {
@@ -97,8 +86,7 @@
 const STYLE =
   'body{font:14px sans-serif;max-width:760px;margin:2em auto}table{border-collapse:collapse}' +
   'td,th{border:1px solid #999;padding:2px 8px;text-align:left}.burning{background:#b00;color:#fff}' +
-  'svg{width:100%;margin-top:8px}rect{fill:#357}line{stroke:#b00;stroke-dasharray:4}' +
-  'text{font-size:11px}';
+  'figure{margin:8px 0}svg{max-width:100%}';
 
 /**
  * @param report - the burn report
--- /dev/null
+++ b/src/cli/burnPlot.ts
@@ -0,0 +1,77 @@
+/**
+ * Plots of burn rates, drawn by ECharts on the server into one SVG text.
+ */
+import * as charts from 'echarts/charts';
+import * as components from 'echarts/components';
+import * as core from 'echarts/core';
+import * as renderers from 'echarts/renderers';
+
+/** One bar: the burn rate of an hour. */
+export interface PlotBar {
+  /** Start of the hour. */
+  readonly atMs: number;
+  readonly burnRate: number;
+}
+
+/** What a plot shows. */
+export interface BurnPlot {
+  readonly name: string;
+  readonly fromMs: number;
+  readonly toMs: number;
+  readonly bars: readonly PlotBar[];
+  /** Rates above which an objective counts as burning. */
+  readonly thresholds: readonly number[];
+}
+
+const WIDTH = 720;
+const HEIGHT = 200;
+const LEAST_TOP = 16;
+const BAR_COLOR = '#335577';
+const THRESHOLD_COLOR = '#bb0000';
+
+core.use([
+  charts.BarChart,
+  components.GridComponent,
+  components.MarkLineComponent,
+  renderers.SVGRenderer,
+]);
+
+const optionOf = (plot: BurnPlot): core.EChartsCoreOption => ({
+  animation: false,
+  grid: { left: 48, right: 44, top: 16, bottom: 28 },
+  xAxis: { type: 'time', min: plot.fromMs, max: plot.toMs },
+  yAxis: {
+    type: 'value',
+    min: 0,
+    max: ({ max }: { max: number }) => Math.max(LEAST_TOP, Math.ceil(max)),
+  },
+  series: [
+    {
+      type: 'bar',
+      // Without a clip path the picture refers to nothing, not even to a part of itself.
+      clip: false,
+      itemStyle: { color: BAR_COLOR },
+      data: plot.bars.map((it) => [it.atMs, it.burnRate]),
+      markLine: {
+        silent: true,
+        symbol: 'none',
+        lineStyle: { color: THRESHOLD_COLOR, type: 'dashed' },
+        data: plot.thresholds.map((yAxis) => ({ yAxis })),
+      },
+    },
+  ],
+});
+
+/**
+ * @param plot - what to show
+ * @returns an SVG picture that loads nothing
+ */
+export const renderPlot = (plot: BurnPlot): string => {
+  const chart = core.init(null, null, { renderer: 'svg', ssr: true, width: WIDTH, height: HEIGHT });
+  try {
+    chart.setOption(optionOf(plot));
+    return chart.renderToSVGString();
+  } finally {
+    chart.dispose();
+  }
+};
