--- a/src/cli/burnPage.ts
+++ b/src/cli/burnPage.ts
@@ -1,6 +1,7 @@
 /**
  * The burn report as one HTML page with plots, which needs no other file and no script.
  */
+import * as escaping from '../base/common/escapeHtml.js';
 import type * as burnRate from '../coordination/common/burnRate.js';
 import type * as serviceLevelReport from '../coordination/common/serviceLevelReport.js';
 
@@ -9,21 +10,6 @@
 const HOURS_SHOWN = 72;
 const HOUR_MS = 3_600_000;
 
-const ESCAPES: Readonly<Record<string, string>> = {
-  '&': '&amp;',
-  '<': '&lt;',
-  '>': '&gt;',
-  '"': '&quot;',
-  "'": '&#39;',
-};
-
-/**
- * @param text - any text
- * @returns it so that a browser shows it and takes nothing of it for markup
- */
-export const escapeHtml = (text: string): string =>
-  text.replace(/[&<>"']/g, (char) => ESCAPES[char] ?? char);
-
 const rateOf = (bucket: burnRate.Bucket, target: number): number =>
   bucket.bad / Math.max(1, bucket.good + bucket.bad) / (1 - target);
 
@@ -56,7 +42,7 @@
       .map((it) => ({ atMs: it.fromMs, burnRate: rateOf(it, objective.target) })),
     thresholds: pairs.map((it) => it.threshold),
   });
-  const caption = `<figcaption>${escapeHtml(name)}</figcaption>`;
+  const caption = `<figcaption>${escaping.escapeHtml(name)}</figcaption>`;
   return `<figure>${picture}${caption}</figure>${hourList(report, fromMs)}`;
 };
 
@@ -71,7 +57,7 @@
 const section = (report: serviceLevelReport.ObjectiveReport, atMs: number): string => {
   const { objective, budgetLeftShare } = report;
   const { objectiveId, customerId, kind, target, thresholdMs } = objective;
-  const title = escapeHtml(`${objectiveId}: ${customerId}, ${kind}`);
+  const title = escaping.escapeHtml(`${objectiveId}: ${customerId}, ${kind}`);
   const facts = `target ${target}, threshold ${thresholdMs} ms, budget left ${(
     budgetLeftShare * 100
   ).toFixed(1)}%`;
--- a/src/coordination/node/liveWatch.ts
+++ b/src/coordination/node/liveWatch.ts
@@ -111,7 +111,8 @@
         await turn();
         isConnected = true;
       } catch (thrown) {
-        if (isConnected) {
+        // The end of the process withdraws its own watch, which says nothing of the store.
+        if (isConnected && !stop.signal.aborted) {
           options.log('warn', 'storeLost', { reason: errors.normalize(thrown).message });
         }
         isConnected = false;
--- a/src/dev/demo.ts
+++ b/src/dev/demo.ts
@@ -89,6 +89,17 @@
   return started;
 };
 
+/** Jobs all of whose members ended by themselves in one attempt, from the workers' own records. */
+const jobsDone = (options: DemoOptions): number => {
+  const isWhole = new Map<string, boolean>();
+  for (const run of options.host.vms.flatMap((it) => it.worker.runs())) {
+    const attempt = run.key.slice(0, run.key.lastIndexOf('/'));
+    isWhole.set(attempt, run.end === 'done' && (isWhole.get(attempt) ?? true));
+  }
+  const done = [...isWhole].filter(([, whole]) => whole).map(([attempt]) => attempt);
+  return new Set(done.map((it) => it.slice(0, it.lastIndexOf('/')))).size;
+};
+
 /** A token that ran more than once anywhere would be a job that ran twice. */
 const doubleRuns = (options: DemoOptions): number => {
   const counts = new Map<string, number>();
@@ -231,6 +242,7 @@
       ['requests refused (did not run)', String(refused)],
       ['requests with unknown outcome', String(unknown.length)],
       ['requests run twice', String(twice)],
+      ['jobs done', String(jobsDone(options))],
       ['gangs started whole', String(gangMembers.length - halfGangs)],
       ['gangs started in part', String(halfGangs)],
       ['tasks run twice', String(jobsTwice)],
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -5,13 +5,12 @@
 import * as http from '../base/common/http.js';
 import * as agentDirectory from '../coordination/common/agentDirectory.js';
 import * as liveView from '../coordination/common/liveView.js';
-import * as liveWatch from '../coordination/node/liveWatch.js';
+import type * as liveWatch from '../coordination/node/liveWatch.js';
 import * as processPresence from '../coordination/node/processPresence.js';
 import * as requestClaims from '../coordination/node/requestClaims.js';
 import * as entryRouter from '../protocol/node/entryRouter.js';
 import * as requestRouter from '../protocol/node/requestRouter.js';
 import type * as settingsSchema from '../state/common/settings.js';
-import * as httpStore from '../state/node/httpStore.js';
 import * as callerApi from '../transport/node/callerApi.js';
 import * as consoleApp from '../transport/node/console/consoleApp.js';
 import * as session from '../transport/node/console/session.js';
@@ -29,6 +28,7 @@
 import * as operatorViews from './operatorViews.js';
 import * as processKit from './processKit.js';
 import * as serviceLevels from './serviceLevels.js';
+import * as storeLinks from './storeLinks.js';
 
 /** A running entry. */
 export interface EntryProgram extends processKit.Program {
@@ -37,9 +37,6 @@
 }
 
 const MAX_CONNECTIONS = 16_384;
-const WATCH_MS = 10_000;
-const LIST_MS = 5000;
-const RETRY_MS = 500;
 
 /** Part of the time for draining in which the entry is not ready and yet takes requests. */
 const NOT_READY_SHARE = 0.25;
@@ -104,24 +101,9 @@
  */
 export const startEntry = async (settings: settingsSchema.EntrySettings): Promise<EntryProgram> => {
   const kit = processKit.createProcessKit('entry', settings);
-  const store = httpStore.createHttpStore({
-    url: settings.storeUrl,
-    timeoutMs: settings.storeTimeoutMs,
-    call: kit.http.call,
-    metrics: kit.metrics,
-  });
+  const { store, live } = storeLinks.connectStore(kit, settings);
   let isLeaving = false;
   let isRefusing = false;
-  const live = kit.owned.add(
-    liveWatch.startLiveWatch({
-      store,
-      clock: kit.clock,
-      log: kit.log,
-      watchMs: WATCH_MS,
-      listMs: LIST_MS,
-      retryMs: RETRY_MS,
-    }),
-  );
   const sync = configurationLinks.startSync(kit, store, live, settings.peerUrls);
   const registerMs = settings.registerMs ?? agentDirectory.REGISTER_MS;
   const directory = agentDirectory.createAgentDirectory(registerMs);
--- a/src/programs/scheduler.ts
+++ b/src/programs/scheduler.ts
@@ -4,12 +4,10 @@
 import * as errors from '../base/common/errors.js';
 import * as http from '../base/common/http.js';
 import type * as cellLeader from '../coordination/node/cellLeader.js';
-import * as liveWatch from '../coordination/node/liveWatch.js';
 import * as processPresence from '../coordination/node/processPresence.js';
 import type * as entrySchedulerMessages from '../protocol/common/entrySchedulerMessages.js';
 import * as schedulerRouter from '../protocol/node/schedulerRouter.js';
 import type * as settingsSchema from '../state/common/settings.js';
-import * as httpStore from '../state/node/httpStore.js';
 import * as healthApi from '../transport/node/healthApi.js';
 import * as httpServer from '../transport/node/httpServer.js';
 import * as rpcServer from '../transport/node/rpcServer.js';
@@ -18,11 +16,9 @@
 import * as configurationLinks from './configurationLinks.js';
 import * as processKit from './processKit.js';
 import * as serviceLevels from './serviceLevels.js';
+import * as storeLinks from './storeLinks.js';
 
 const MAX_CONNECTIONS = 4096;
-const WATCH_MS = 10_000;
-const LIST_MS = 5000;
-const RETRY_MS = 500;
 
 const createService = (
   kit: processKit.ProcessKit,
@@ -96,23 +92,8 @@
   settings: settingsSchema.SchedulerSettings,
 ): Promise<processKit.Program> => {
   const kit = processKit.createProcessKit('scheduler', settings);
-  const store = httpStore.createHttpStore({
-    url: settings.storeUrl,
-    timeoutMs: settings.storeTimeoutMs,
-    call: kit.http.call,
-    metrics: kit.metrics,
-  });
+  const { store, live } = storeLinks.connectStore(kit, settings);
   let isLeaving = false;
-  const live = kit.owned.add(
-    liveWatch.startLiveWatch({
-      store,
-      clock: kit.clock,
-      log: kit.log,
-      watchMs: WATCH_MS,
-      listMs: LIST_MS,
-      retryMs: RETRY_MS,
-    }),
-  );
   const sync = configurationLinks.startSync(kit, store, live, settings.peerUrls);
   const levels = serviceLevels.keepServiceLevels(kit, store);
   const claims = cellClaims.createCellClaims({
--- /dev/null
+++ b/src/programs/storeLinks.ts
@@ -0,0 +1,53 @@
+/**
+ * How a program reaches the platform's store and follows what is live in it.
+ */
+import * as liveWatch from '../coordination/node/liveWatch.js';
+import type * as store from '../state/common/store.js';
+import * as httpStore from '../state/node/httpStore.js';
+
+import type * as processKit from './processKit.js';
+
+/** Settings by which the store is reached. */
+export interface StoreSettings {
+  readonly storeUrl: string;
+  readonly storeTimeoutMs: number;
+}
+
+/** The store and the watch over its live prefix, owned by the program. */
+export interface StoreLinks {
+  readonly store: store.Store;
+  readonly live: liveWatch.LiveWatch;
+}
+
+/** A waiting watch counts as a call of the store, whatever it waits for. */
+const WATCH_MS = 10_000;
+
+/** A watch that has gone silent hides a change for so long at the most. */
+const LIST_MS = 5000;
+
+const RETRY_MS = 500;
+
+/**
+ * @param kit - parts of the process
+ * @param settings - how the store is reached
+ * @returns the store and the watch, already running
+ */
+export const connectStore = (kit: processKit.ProcessKit, settings: StoreSettings): StoreLinks => {
+  const target = httpStore.createHttpStore({
+    url: settings.storeUrl,
+    timeoutMs: settings.storeTimeoutMs,
+    call: kit.http.call,
+    metrics: kit.metrics,
+  });
+  const live = kit.owned.add(
+    liveWatch.startLiveWatch({
+      store: target,
+      clock: kit.clock,
+      log: kit.log,
+      watchMs: WATCH_MS,
+      listMs: LIST_MS,
+      retryMs: RETRY_MS,
+    }),
+  );
+  return { store: target, live };
+};
--- a/src/transport/node/console/html.ts
+++ b/src/transport/node/console/html.ts
@@ -1,6 +1,7 @@
 /**
  * HTML from templates in which every value is escaped, so that no text from outside becomes markup.
  */
+import * as escaping from '../../../base/common/escapeHtml.js';
 
 /** Text that is safe to send as HTML. Only {@link html} and {@link join} make it. */
 export interface Html {
@@ -10,28 +11,14 @@
 /** What a template may hold. */
 export type HtmlValue = Html | readonly Html[] | string | number | undefined;
 
-const ESCAPES: Readonly<Record<string, string>> = {
-  '&': '&amp;',
-  '<': '&lt;',
-  '>': '&gt;',
-  '"': '&quot;',
-  "'": '&#39;',
-};
-
-/**
- * @param text - any text
- * @returns the text for an element's content or a quoted attribute
- */
-export const escapeHtml = (text: string): string =>
-  text.replace(/[&<>"']/g, (it) => ESCAPES[it] ?? it);
-
 const isHtml = (value: unknown): value is Html =>
   typeof value === 'object' && value !== null && 'safe' in value;
 
 const render = (value: HtmlValue): string => {
   if (value === undefined) return '';
   if (isHtml(value)) return value.safe;
-  if (typeof value === 'string' || typeof value === 'number') return escapeHtml(String(value));
+  if (typeof value === 'string' || typeof value === 'number')
+    {return escaping.escapeHtml(String(value));}
   return value.map((it) => it.safe).join('');
 };
 
