--- a/src/transport/node/console/html.ts
+++ b/src/transport/node/console/html.ts
@@ -17,8 +17,9 @@
 const render = (value: HtmlValue): string => {
   if (value === undefined) return '';
   if (isHtml(value)) return value.safe;
-  if (typeof value === 'string' || typeof value === 'number')
-    {return escaping.escapeHtml(String(value));}
+  if (typeof value === 'string' || typeof value === 'number') {
+    return escaping.escapeHtml(String(value));
+  }
   return value.map((it) => it.safe).join('');
 };
 
