Keep the set of quarantined workers instead of making it for each event

Cause: read over once more: each event of a job built the set of quarantined workers from the whole roster, although it changes only when a quarantine does; and the demo's accelerator-hours came from the ledger alone, with nothing of the workers' records beside them.

Change: the roster keeps the set and renews it with a quarantine; the demo prints the accelerator-hours that the workers really ran beside those that the ledger booked.

Conclusion: no behaviour changes; both figures can be compared by eye, and no check compares them yet.

--- a/src/coordination/node/leaderRoster.ts
+++ b/src/coordination/node/leaderRoster.ts
@@ -96,6 +96,8 @@
       options.log('warn', 'inventoryNotSaved', { reason: errors.normalize(thrown).message });
     });
   };
+  /** Read with every event of a job, and seldom changed. */
+  let quarantined: ReadonlySet<string> = new Set();
   const reportMs = (): number => roster.reportPeriodMs(entries.size, leaseMs());
   const update = (agentUrl: string, change: Partial<roster.RosterEntry>): void => {
     for (const [workerId, entry] of entries) {
@@ -184,14 +186,16 @@
         if (isCurrent && commandCount > it.commandCount) update(agentUrl, { commandCount });
       }
     },
-    quarantinedIds: () =>
-      new Set([...entries].filter(([, it]) => it.isQuarantined).map(([workerId]) => workerId)),
+    quarantinedIds: () => quarantined,
     noteQuarantine: (workerId, isQuarantined, reason) => {
       const entry = entries.get(workerId);
       if (entry === undefined) return false;
       options.onWillChange();
       const healthReason = isQuarantined ? reason : '';
       entries.set(workerId, { ...entry, isQuarantined, healthReason });
+      quarantined = new Set(
+        [...entries].filter(([, it]) => it.isQuarantined).map(([quarantinedId]) => quarantinedId),
+      );
       return true;
     },
     grantMs: (workerId) => {
--- a/src/dev/demo.ts
+++ b/src/dev/demo.ts
@@ -100,6 +100,13 @@
   return new Set(done.map((it) => it.slice(0, it.lastIndexOf('/')))).size;
 };
 
+/** Accelerator time of everything that ran, from the workers' own records. */
+const hoursRun = (options: DemoOptions): number =>
+  options.host.vms
+    .flatMap((it) => it.worker.runs())
+    .map((it) => it.accelerators.length * ((it.endedAtMs ?? options.nowMs()) - it.startedAtMs))
+    .reduce((sum, it) => sum + it / MS_PER_HOUR, 0);
+
 /** A token that ran more than once anywhere would be a job that ran twice. */
 const doubleRuns = (options: DemoOptions): number => {
   const counts = new Map<string, number>();
@@ -246,6 +253,7 @@
       ['gangs started whole', String(gangMembers.length - halfGangs)],
       ['gangs started in part', String(halfGangs)],
       ['tasks run twice', String(jobsTwice)],
+      ['accelerator-hours run, by the workers', hoursRun(options).toFixed(4)],
       ...hourRows,
       ['books balance', books.imbalanceMs === 0 ? 'yes' : 'no'],
     ],
