--- a/src/base/common/errorKinds.ts
+++ b/src/base/common/errorKinds.ts
@@ -36,6 +36,8 @@
   forbidden: answer(403, 12, false, Ran.no),
   /** The named job, customer, worker or page does not exist. */
   notFound: answer(404, 13, false, Ran.no),
+  /** The job was never accepted, or ended so long ago that nothing is kept of it. */
+  gone: answer(410, 18, false, Ran.no),
   /** Somebody else changed the same thing first. */
   conflict: answer(409, 14, false, Ran.no),
   /** The body or document is larger than the stated limit. */
--- a/src/base/common/schemaIssues.ts
+++ b/src/base/common/schemaIssues.ts
@@ -39,17 +39,25 @@
   | { readonly isValid: true; readonly value: T }
   | { readonly isValid: false; readonly issues: readonly FieldIssue[] };
 
+/** What becomes of fields that a schema does not name: an outside system may add some at any time. */
+export const Excess = { refuse: 'error', ignore: 'ignore' } as const;
+
+/** One of the values of {@link Excess}. */
+export type Excess = (typeof Excess)[keyof typeof Excess];
+
 /**
- * @param schema - what is expected; fields that it does not name are refused
+ * @param schema - what is expected
  * @param input - what came from outside
+ * @param excess - what becomes of fields that the schema does not name
  * @returns the typed value, or every complaint
  */
 export const decode = <T>(
   schema: Schema.Codec<T, unknown, never, never>,
   input: unknown,
+  excess: Excess = Excess.refuse,
 ): Decoded<T> => {
   const exit = Schema.decodeUnknownResult(schema)(input, {
-    onExcessProperty: 'error',
+    onExcessProperty: excess,
     errors: 'all',
   });
   if (exit._tag === 'Success') return { isValid: true, value: exit.success };
@@ -65,6 +73,7 @@
  * @param schema - what is expected
  * @param input - what came from outside
  * @param what - the thing's name for the message
+ * @param excess - what becomes of fields that the schema does not name
  * @returns the typed value
  * @throws AuburnliftError `invalidRequest` naming the first offending field, all in its facts
  */
@@ -72,8 +81,9 @@
   schema: Schema.Codec<T, unknown, never, never>,
   input: unknown,
   what: string,
+  excess: Excess = Excess.refuse,
 ): T => {
-  const decoded = decode(schema, input);
+  const decoded = decode(schema, input, excess);
   if (decoded.isValid) return decoded.value;
   const { issues } = decoded;
   const text = issues.map((it) => `${it.field}: ${it.message}`).join('; ');
--- /dev/null
+++ b/src/bin/poolAgent.ts
@@ -0,0 +1,8 @@
+#!/usr/bin/env node
+/**
+ * The agent of pools; reads the settings file that the platform names.
+ */
+import * as program from '../programs/poolAgent.js';
+import * as runPoolMain from '../programs/runPoolMain.js';
+
+await runPoolMain.runPoolMain('agent', program.startPoolAgent);
--- /dev/null
+++ b/src/coordination/common/pool/jobBook.ts
@@ -0,0 +1,328 @@
+/**
+ * The leader's picture of one job: its tasks, what may start next and what an end means. Pure: the
+ * leader writes what changed and sends what follows.
+ */
+import * as poolJob from '../../../state/common/pool/poolJob.js';
+import type * as poolWorker from '../../../state/common/pool/poolWorker.js';
+import * as progressRecord from '../../../state/common/pool/progressRecord.js';
+
+/** One task with what is known of its present run. */
+export interface TaskEntry {
+  readonly occurrence: number;
+  readonly step: number;
+  readonly index: number;
+  run: number;
+  phase: progressRecord.TaskPhase;
+  failures: number;
+  failedRun: number;
+  workerId: string;
+  incarnationMs: number;
+  saved: string;
+  /** Workers on which it failed or stood still; the next run goes elsewhere where it can. */
+  avoid: string[];
+}
+
+/** One job with its tasks; occurrences of a schedule are added as they fall due. */
+export interface JobEntry {
+  readonly job: poolJob.PoolJob;
+  state: poolJob.PoolJobState;
+  isCancelled: boolean;
+  /** Unix milliseconds of its end; 0 before. */
+  endedAtMs: number;
+  /** Tasks by occurrence, step and index. */
+  readonly occurrences: TaskEntry[][][];
+  /** Revision of the progress record in the store; 0 where there is none. */
+  progressRevision: number;
+  /** Leader's clock when it learnt of the job. */
+  readonly learntAtMs: number;
+}
+
+/** Tasks that are started together: a gang, or one task. */
+export interface ReadyUnit {
+  readonly entry: JobEntry;
+  readonly step: poolJob.Step;
+  readonly stepIndex: number;
+  readonly occurrence: number;
+  readonly tasks: readonly TaskEntry[];
+}
+
+const newTask = (occurrence: number, step: number, index: number): TaskEntry => ({
+  occurrence,
+  step,
+  index,
+  run: 0,
+  phase: progressRecord.TaskPhase.waiting,
+  failures: 0,
+  failedRun: 0,
+  workerId: '',
+  incarnationMs: 0,
+  saved: '',
+  avoid: [],
+});
+
+const newOccurrence = (job: poolJob.PoolJob, occurrence: number): TaskEntry[][] =>
+  job.steps.map((step, stepIndex) =>
+    Array.from({ length: step.count }, (_, index) => newTask(occurrence, stepIndex, index)),
+  );
+
+/**
+ * @param job - a job
+ * @returns how often its steps run
+ */
+export const occurrencesOf = (job: poolJob.PoolJob): number => job.schedule?.occurrences ?? 1;
+
+/**
+ * @param job - a job
+ * @param occurrence - counted from 0
+ * @returns Unix milliseconds before which the occurrence may not start; 0 without a schedule
+ */
+export const dueAtMs = (job: poolJob.PoolJob, occurrence: number): number =>
+  job.schedule === undefined ? 0 : job.schedule.firstAtMs + occurrence * job.schedule.intervalMs;
+
+/**
+ * Adds the occurrences that are due.
+ *
+ * @param entry - a job
+ * @param wallMs - Unix milliseconds now
+ */
+export const addDueOccurrences = (entry: JobEntry, wallMs: number): void => {
+  const total = occurrencesOf(entry.job);
+  for (let next = entry.occurrences.length; next < total; next += 1) {
+    if (dueAtMs(entry.job, next) > wallMs) return;
+    entry.occurrences.push(newOccurrence(entry.job, next));
+  }
+};
+
+/**
+ * @param job - an accepted job
+ * @param nowMs - the leader's clock
+ * @returns the job without progress; without a schedule its tasks stand ready
+ */
+export const createEntry = (job: poolJob.PoolJob, nowMs: number): JobEntry => {
+  const entry: JobEntry = {
+    job,
+    state: poolJob.PoolJobState.queued,
+    isCancelled: false,
+    endedAtMs: 0,
+    occurrences: [],
+    progressRevision: 0,
+    learntAtMs: nowMs,
+  };
+  if (job.schedule === undefined) addDueOccurrences(entry, 0);
+  return entry;
+};
+
+/**
+ * @param entry - a job
+ * @returns all its tasks
+ */
+export const tasksOf = (entry: JobEntry): readonly TaskEntry[] => entry.occurrences.flat(2);
+
+/**
+ * @param entry - a job
+ * @param name - a task's name
+ * @returns the task, or undefined where the job has none of that name
+ */
+export const findTask = (entry: JobEntry, name: poolWorker.TaskName): TaskEntry | undefined =>
+  entry.occurrences[name.occurrence]?.[name.step]?.[name.index];
+
+/**
+ * Takes over what a former leader kept.
+ *
+ * @param entry - a job without progress
+ * @param record - its progress
+ * @param revision - revision of the record in the store
+ */
+export const restore = (
+  entry: JobEntry,
+  record: progressRecord.ProgressRecord,
+  revision: number,
+): void => {
+  entry.state = record.state;
+  entry.endedAtMs = record.endedAtMs;
+  entry.progressRevision = revision;
+  const last = record.tasks.reduce((highest, row) => Math.max(highest, row.occurrence), -1);
+  for (let next = entry.occurrences.length; next <= last; next += 1) {
+    entry.occurrences.push(newOccurrence(entry.job, next));
+  }
+  for (const row of record.tasks) {
+    const task = entry.occurrences[row.occurrence]?.[row.step]?.[row.index];
+    if (task !== undefined) Object.assign(task, row);
+  }
+};
+
+/**
+ * @param entry - a job
+ * @returns its progress as it is kept
+ */
+export const toRecord = (entry: JobEntry): progressRecord.ProgressRecord => ({
+  state: entry.state,
+  endedAtMs: entry.endedAtMs,
+  tasks: tasksOf(entry).filter((task) => task.run > 0 || task.phase !== 'waiting'),
+});
+
+/**
+ * @param entry - a job
+ * @returns whether nothing can happen to it any more
+ */
+export const isEnded = (entry: JobEntry): boolean =>
+  entry.state === poolJob.PoolJobState.complete ||
+  entry.state === poolJob.PoolJobState.failed ||
+  entry.state === poolJob.PoolJobState.cancelled;
+
+const isStepDone = (tasks: readonly TaskEntry[]): boolean =>
+  tasks.every((task) => task.phase === progressRecord.TaskPhase.done);
+
+const isWaiting = (task: TaskEntry): boolean => task.phase === progressRecord.TaskPhase.waiting;
+
+const readyOfStep = (
+  entry: JobEntry,
+  occurrence: number,
+  stepIndex: number,
+  step: poolJob.Step,
+): ReadyUnit[] => {
+  const tasks = entry.occurrences[occurrence]?.[stepIndex] ?? [];
+  const base = { entry, step, stepIndex, occurrence };
+  if (step.isGang) return tasks.every(isWaiting) ? [{ ...base, tasks }] : [];
+  return tasks.filter(isWaiting).map((task) => ({ ...base, tasks: [task] }));
+};
+
+/**
+ * @param entry - a job
+ * @returns what of it may start now, were there room
+ */
+export const readyUnits = (entry: JobEntry): ReadyUnit[] => {
+  if (isEnded(entry) || entry.isCancelled) return [];
+  return entry.occurrences.flatMap((steps, occurrence) =>
+    entry.job.steps.flatMap((step, stepIndex) => {
+      const isReady = step.after.every((before) => isStepDone(steps[before] ?? []));
+      return isReady ? readyOfStep(entry, occurrence, stepIndex, step) : [];
+    }),
+  );
+};
+
+/**
+ * @param entry - a job
+ * @param task - one of its tasks
+ * @returns the tasks that run and end with it: its gang, or itself alone
+ */
+export const groupOf = (entry: JobEntry, task: TaskEntry): readonly TaskEntry[] =>
+  entry.job.steps[task.step]?.isGang === true
+    ? (entry.occurrences[task.occurrence]?.[task.step] ?? [task])
+    : [task];
+
+/** Where a task of a unit goes. */
+export interface Assignment {
+  readonly task: TaskEntry;
+  readonly workerId: string;
+  readonly incarnationMs: number;
+}
+
+/**
+ * Gives the tasks of a unit to workers, under one run number that no member had before. A gang goes
+ * on from one common checkpoint.
+ *
+ * @param entry - the job
+ * @param assignments - one for each task of the unit
+ */
+export const assign = (entry: JobEntry, assignments: readonly Assignment[]): void => {
+  const run = 1 + Math.max(...assignments.map(({ task }) => task.run));
+  const saved = assignments.map(({ task }) => task.saved).find((it) => it !== '') ?? '';
+  for (const { task, workerId, incarnationMs } of assignments) {
+    task.run = run;
+    task.phase = progressRecord.TaskPhase.assigned;
+    task.workerId = workerId;
+    task.incarnationMs = incarnationMs;
+    task.saved = saved;
+  }
+  if (entry.state === poolJob.PoolJobState.queued) entry.state = poolJob.PoolJobState.running;
+};
+
+const settleState = (entry: JobEntry, wallMs: number): void => {
+  if (isEnded(entry)) return;
+  const tasks = tasksOf(entry);
+  if (tasks.some((task) => task.phase === progressRecord.TaskPhase.failed)) {
+    entry.state = poolJob.PoolJobState.failed;
+    entry.endedAtMs = wallMs;
+    return;
+  }
+  const isWhole = entry.occurrences.length === occurrencesOf(entry.job);
+  if (isWhole && isStepDone(tasks)) {
+    entry.state = poolJob.PoolJobState.complete;
+    entry.endedAtMs = wallMs;
+  }
+};
+
+const countFailure = (entry: JobEntry, group: readonly TaskEntry[], run: number): void => {
+  const isLasting = entry.job.steps[group[0]?.step ?? 0]?.isLongRunning === true;
+  for (const task of group) {
+    // Several members of a gang may end as failed: that is one failure of the gang.
+    if (task.failedRun === run) continue;
+    task.failedRun = run;
+    task.failures += 1;
+    if (!isLasting && task.failures >= entry.job.policy.attempts) {
+      task.phase = progressRecord.TaskPhase.failed;
+    }
+  }
+};
+
+/** How a run ended, as the leader learnt it. */
+export interface RunOutcome {
+  readonly run: number;
+  /** `lost` where the worker went away with it. */
+  readonly how: poolWorker.EndKind | 'lost';
+  readonly saved: string;
+}
+
+/**
+ * Takes note of the end of a task's run. An end of an earlier run changes nothing: it was given up
+ * only when it had certainly ended or could not start any more.
+ *
+ * @param entry - the job
+ * @param task - the task
+ * @param outcome - how the run ended
+ * @param wallMs - Unix milliseconds now
+ * @returns whether the job changed
+ */
+export const noteEnd = (
+  entry: JobEntry,
+  task: TaskEntry,
+  outcome: RunOutcome,
+  wallMs: number,
+): boolean => {
+  const isPresent = task.phase === progressRecord.TaskPhase.assigned && task.run === outcome.run;
+  if (!isPresent) return false;
+  const group = groupOf(entry, task);
+  if (outcome.saved !== '') for (const member of group) member.saved = outcome.saved;
+  const step = entry.job.steps[task.step];
+  if (outcome.how === 'done' && step?.isLongRunning !== true) {
+    for (const member of group) member.phase = progressRecord.TaskPhase.done;
+  } else {
+    if (outcome.how === 'failed') {
+      countFailure(entry, group, outcome.run);
+      if (task.workerId !== '' && !task.avoid.includes(task.workerId)) {
+        task.avoid.push(task.workerId);
+      }
+    }
+    if (task.phase === progressRecord.TaskPhase.assigned) {
+      task.phase = progressRecord.TaskPhase.waiting;
+    }
+  }
+  settleState(entry, wallMs);
+  return true;
+};
+
+/**
+ * Ends a job that its customer cancelled.
+ *
+ * @param entry - the job
+ * @param wallMs - Unix milliseconds now
+ * @returns whether the job changed
+ */
+export const cancel = (entry: JobEntry, wallMs: number): boolean => {
+  entry.isCancelled = true;
+  if (isEnded(entry)) return false;
+  entry.state = poolJob.PoolJobState.cancelled;
+  entry.endedAtMs = wallMs;
+  return true;
+};
--- /dev/null
+++ b/src/coordination/common/pool/jobRegistry.ts
@@ -0,0 +1,98 @@
+/**
+ * The jobs that the leader knows, kept from the store's records as they come and go.
+ */
+import type * as logging from '../../../base/common/logging.js';
+import type * as poolJob from '../../../state/common/pool/poolJob.js';
+import * as poolKeys from '../../../state/common/pool/poolKeys.js';
+import * as progressRecord from '../../../state/common/pool/progressRecord.js';
+import type * as store from '../../../state/common/store.js';
+import * as jobBook from './jobBook.js';
+
+/** What a record of the store changed. */
+export const RecordEffect = {
+  none: 'none',
+  submitted: 'submitted',
+  cancelled: 'cancelled',
+  removed: 'removed',
+} as const;
+
+/** One of the values of {@link RecordEffect}. */
+export type RecordEffect = (typeof RecordEffect)[keyof typeof RecordEffect];
+
+/** The jobs of the leader. */
+export interface JobRegistry {
+  readonly get: (jobId: string) => jobBook.JobEntry | undefined;
+  readonly all: () => Iterable<jobBook.JobEntry>;
+  /** Jobs whose cancellation came before the job itself or is not yet taken note of. */
+  readonly takeRecord: (record: store.StoreEntry, nowMs: number) => RecordEffect;
+  readonly takeProgress: (record: store.StoreEntry) => void;
+  readonly remove: (jobId: string) => boolean;
+  /** Jobs of a queue of which no task has started. */
+  readonly pendingByQueue: () => Record<string, number>;
+}
+
+/**
+ * @param log - hears of records that can't be read
+ * @returns a registry without jobs
+ */
+export const createJobRegistry = (log: logging.Log): JobRegistry => {
+  const jobs = new Map<string, jobBook.JobEntry>();
+  const cancelled = new Set<string>();
+
+  const parse = <T>(record: store.StoreEntry, decode: (text: string) => T): T | undefined => {
+    try {
+      return decode(record.value);
+    } catch (thrown) {
+      // Only this product writes here, so a record that can't be read is a defect worth a line.
+      log('error', 'recordUnreadable', { key: record.key, reason: String(thrown) });
+      return undefined;
+    }
+  };
+
+  const submit = (record: store.StoreEntry, jobId: string, nowMs: number): RecordEffect => {
+    if (jobs.has(jobId)) return RecordEffect.none;
+    const job = parse(record, (text) => JSON.parse(text) as poolJob.PoolJob);
+    if (job === undefined) return RecordEffect.none;
+    const entry = jobBook.createEntry(job, nowMs);
+    entry.isCancelled = cancelled.has(jobId);
+    jobs.set(jobId, entry);
+    return RecordEffect.submitted;
+  };
+
+  const cancel = (jobId: string): RecordEffect => {
+    if (cancelled.has(jobId)) return RecordEffect.none;
+    cancelled.add(jobId);
+    const entry = jobs.get(jobId);
+    if (entry !== undefined) entry.isCancelled = true;
+    return RecordEffect.cancelled;
+  };
+
+  return {
+    get: (jobId) => jobs.get(jobId),
+    all: () => jobs.values(),
+    takeRecord: (record, nowMs) => {
+      const key = poolKeys.parseJobKey(record.key);
+      if (key === undefined) return RecordEffect.none;
+      if (key.part === poolKeys.JobPart.spec) return submit(record, key.jobId, nowMs);
+      return key.part === poolKeys.JobPart.cancel ? cancel(key.jobId) : RecordEffect.none;
+    },
+    takeProgress: (record) => {
+      const entry = jobs.get(record.key.slice(poolKeys.PROGRESS.length));
+      const progress = parse(record, progressRecord.decodeProgress);
+      if (entry === undefined || progress === undefined) return;
+      jobBook.restore(entry, progress, record.revision);
+    },
+    remove: (jobId) => {
+      cancelled.delete(jobId);
+      return jobs.delete(jobId);
+    },
+    pendingByQueue: () => {
+      const counts: Record<string, number> = {};
+      for (const { job, state } of jobs.values()) {
+        const { queue } = job.policy;
+        if (state === 'queued') counts[queue] = (counts[queue] ?? 0) + 1;
+      }
+      return counts;
+    },
+  };
+};
--- /dev/null
+++ b/src/coordination/common/pool/planRound.ts
@@ -0,0 +1,146 @@
+/**
+ * One planning round: who starts where, and what has to leave for a guarantee.
+ *
+ * Load it answers: more work than room, with tasks of one accelerator next to gangs that need whole
+ * workers. Claims of guarantees go first and may stop others; the rest goes by priority and by the
+ * time until which a start still serves its caller; a wide unit that has waited keeps room free on
+ * the workers that will have it soonest, since small tasks would otherwise take each gap for ever.
+ */
+import * as poolJob from '../../../state/common/pool/poolJob.js';
+import * as gangPlacement from './gangPlacement.js';
+import type * as planTypes from './planTypes.js';
+import * as roomToCome from './roomToCome.js';
+
+/** Units that keep room free at once; each takes workers from everybody behind it. */
+const MAX_RESERVATIONS = 2;
+
+/** A unit keeps room free after this wait; shorter gaps close by themselves with the next end. */
+const RESERVE_AFTER_MS = 1500;
+
+/** An accelerator weighs as much as so many cores in what is lost by stopping work. */
+const CORES_PER_ACCELERATOR = 8;
+
+/** What a round works on. */
+export interface RoundInput {
+  /** The leader's clock. */
+  readonly nowMs: number;
+  readonly workers: readonly planTypes.PlanWorker[];
+  readonly units: readonly planTypes.PlanUnit[];
+  readonly guarantees: planTypes.Guarantees;
+}
+
+/**
+ * @param room - what a run takes
+ * @returns its weight in cores
+ */
+export const weightInCores = (room: poolJob.Resources): number =>
+  room.cpuMillicores / 1000 + CORES_PER_ACCELERATOR * room.accelerators;
+
+const lossOf =
+  (unit: planTypes.PlanUnit): roomToCome.CostOf =>
+  (holding) =>
+    holding.priority > unit.priority && !holding.isProtected
+      ? (1 + holding.unsavedMs) * weightInCores(holding.room)
+      : undefined;
+
+const waitFor: roomToCome.CostOf = (holding) => 1 + holding.remainingMs;
+
+const acceleratorsOf = (unit: planTypes.PlanUnit): number =>
+  unit.room.accelerators * unit.unit.tasks.length;
+
+/** Accelerators that each customer's runs of priority 0 hold. */
+const claimedNow = (workers: readonly planTypes.PlanWorker[]): Map<string, number> => {
+  const claimed = new Map<string, number>();
+  for (const { priority, customerId, room } of workers.flatMap((it) => it.holdings)) {
+    if (priority === 0) {
+      claimed.set(customerId, (claimed.get(customerId) ?? 0) + room.accelerators);
+    }
+  }
+  return claimed;
+};
+
+const splitClaims = (
+  input: RoundInput,
+): { claims: planTypes.PlanUnit[]; others: planTypes.PlanUnit[] } => {
+  const claimed = claimedNow(input.workers);
+  const claims: planTypes.PlanUnit[] = [];
+  const others: planTypes.PlanUnit[] = [];
+  const ranked = [...input.units].sort(
+    (a, b) => a.priority - b.priority || a.latestStartMs - b.latestStartMs,
+  );
+  for (const unit of ranked) {
+    const used = (claimed.get(unit.customerId) ?? 0) + acceleratorsOf(unit);
+    const isClaim = unit.priority === 0 && used <= (input.guarantees.get(unit.customerId) ?? 0);
+    if (isClaim) claimed.set(unit.customerId, used);
+    (isClaim ? claims : others).push(unit);
+  }
+  return { claims, others };
+};
+
+/**
+ * @param input - workers and what is ready; the workers' free room is taken from
+ * @returns what to start, what to stop and what waits
+ */
+export const planRound = (input: RoundInput): planTypes.RoundPlan => {
+  const starts: planTypes.Placement[] = [];
+  const evictions = new Map<string, planTypes.PlanUnit>();
+  const waits: planTypes.Wait[] = [];
+  const { claims, others } = splitClaims(input);
+  const leaving = new Set(
+    input.workers.flatMap((it) =>
+      it.holdings.filter((holding) => holding.isLeaving).map((holding) => holding.groupKey),
+    ),
+  );
+
+  const startNow = (unit: planTypes.PlanUnit): boolean => {
+    const { groups } = gangPlacement.candidateGroups(input.workers, unit);
+    const placement = gangPlacement.placeNow(groups, unit);
+    if (placement === undefined) return false;
+    gangPlacement.takeRoom(placement);
+    starts.push(placement);
+    return true;
+  };
+
+  const claim = (unit: planTypes.PlanUnit): void => {
+    const { groups } = gangPlacement.candidateGroups(input.workers, unit);
+    const anywhere = input.workers.filter((it) => gangPlacement.isSuitable(it, unit));
+    const costOf = lossOf(unit);
+    const future =
+      roomToCome.findRoomToCome(input.workers, groups, unit, costOf) ??
+      roomToCome.findRoomToCome(input.workers, [anywhere], unit, costOf);
+    if (future === undefined) {
+      waits.push({ unit, reason: 'no room even after stopping what may be stopped' });
+      return;
+    }
+    gangPlacement.takeRoom(future.placement);
+    if (future.leaving.size === 0) {
+      starts.push(future.placement);
+      return;
+    }
+    for (const key of future.leaving) if (!leaving.has(key)) evictions.set(key, unit);
+    waits.push({ unit, reason: `waits for ${future.leaving.size} groups to leave` });
+  };
+
+  for (const unit of claims) if (!startNow(unit)) claim(unit);
+
+  const fullSteps = new Set<string>();
+  let reservations = 0;
+  for (const unit of others) {
+    // Tasks of one step are alike: where one found no room the next finds none either.
+    const isTried = unit.unit.tasks.length === 1 && fullSteps.has(unit.stepKey);
+    if (!isTried && !startNow(unit)) {
+      fullSteps.add(unit.stepKey);
+      const isReserving = reservations < MAX_RESERVATIONS && unit.waitedMs >= RESERVE_AFTER_MS;
+      const { groups } = gangPlacement.candidateGroups(input.workers, unit);
+      const future = isReserving
+        ? roomToCome.findRoomToCome(input.workers, groups, unit, waitFor)
+        : undefined;
+      if (future !== undefined) {
+        gangPlacement.takeRoom(future.placement);
+        reservations += 1;
+      }
+      waits.push({ unit, reason: future === undefined ? 'no room' : 'room is kept for it' });
+    }
+  }
+  return { starts, evictions, waits };
+};
--- /dev/null
+++ b/src/coordination/common/pool/viewIntake.ts
@@ -0,0 +1,98 @@
+/**
+ * What a worker's own list of runs says about the leader's picture of it. Pure: gives facts, the
+ * leader acts on them.
+ */
+import type * as poolWorker from '../../../state/common/pool/poolWorker.js';
+import * as workerTable from './workerTable.js';
+
+/** A worker's list with the circumstances under which it was made. */
+export interface NumberedView {
+  readonly view: poolWorker.WorkerView;
+  /** Fence under which the worker answered. */
+  readonly viewFence: number;
+  /** Time since the agent had the list, by the agent's clock. */
+  readonly viewAgeMs: number;
+}
+
+/** An end that the worker lists, with the run that it ends where the leader knows it. */
+export interface ListedEnd {
+  readonly end: poolWorker.EndedRun;
+  readonly run: workerTable.RunHolding | undefined;
+}
+
+/** What follows from a worker's list. */
+export interface ViewFacts {
+  /** Ends not seen before, in their order. */
+  readonly ends: readonly ListedEnd[];
+  /** Runs that the worker has and the leader does not know. */
+  readonly strays: readonly poolWorker.RunningTask[];
+  /** Runs that are certainly gone without a listed end. */
+  readonly gone: readonly workerTable.RunHolding[];
+  /** Runs that were present and are not listed any more. */
+  readonly vanished: readonly workerTable.RunHolding[];
+  /** Runs that have a new checkpoint. */
+  readonly saved: readonly workerTable.RunHolding[];
+}
+
+const noteRunning = (
+  run: workerTable.RunHolding,
+  listed: poolWorker.RunningTask,
+  nowMs: number,
+): boolean => {
+  if (run.phase === workerTable.RunPhase.ordering || run.phase === workerTable.RunPhase.closing) {
+    run.phase = workerTable.RunPhase.present;
+  }
+  if (listed.percent > run.percent) run.movedAtMs = nowMs;
+  run.percent = listed.percent;
+  if (listed.saved === '' || listed.saved === run.saved) return false;
+  run.saved = listed.saved;
+  run.savedAtMs = nowMs;
+  return true;
+};
+
+/**
+ * Takes a worker's list into the picture of its runs. The caller has made sure that the list is newer
+ * than the last one and of the present life of the worker.
+ *
+ * @param worker - the worker
+ * @param numbered - its list
+ * @param nowMs - the leader's clock
+ * @returns what follows
+ */
+export const takeView = (
+  worker: workerTable.WorkerEntry,
+  numbered: NumberedView,
+  nowMs: number,
+): ViewFacts => {
+  const { view, viewFence } = numbered;
+  const ends: ListedEnd[] = [];
+  for (const end of view.ended) {
+    if (end.sequence > worker.appliedUpTo) {
+      const key = workerTable.runKey(end.task, end.run);
+      ends.push({ end, run: worker.runs.get(key) });
+      worker.runs.delete(key);
+      worker.appliedUpTo = end.sequence;
+    }
+  }
+  const strays: poolWorker.RunningTask[] = [];
+  const saved: workerTable.RunHolding[] = [];
+  const listed = new Set<string>();
+  for (const running of view.running) {
+    const key = workerTable.runKey(running.task, running.run);
+    listed.add(key);
+    const run = worker.runs.get(key);
+    if (run === undefined) strays.push(running);
+    else if (noteRunning(run, running, nowMs)) saved.push(run);
+  }
+  const gone: workerTable.RunHolding[] = [];
+  const vanished: workerTable.RunHolding[] = [];
+  for (const [key, run] of worker.runs) {
+    if (!listed.has(key)) {
+      const isClosed = run.phase === workerTable.RunPhase.closing && viewFence >= run.closeFence;
+      if (isClosed) gone.push(run);
+      else if (run.phase === workerTable.RunPhase.present) vanished.push(run);
+    }
+  }
+  gone.forEach((run) => worker.runs.delete(workerTable.runKey(run.name, run.run)));
+  return { ends, strays, gone, vanished, saved };
+};
--- /dev/null
+++ b/src/coordination/common/pool/workerTable.ts
@@ -0,0 +1,241 @@
+/**
+ * The leader's picture of the workers and of the runs that take room on them.
+ */
+import * as poolJob from '../../../state/common/pool/poolJob.js';
+import * as poolWorker from '../../../state/common/pool/poolWorker.js';
+import * as endLedger from './endLedger.js';
+import type * as jobBook from './jobBook.js';
+import type * as leaseClock from './leaseClock.js';
+import type * as planTypes from './planTypes.js';
+
+/** Where a run is between its order and its listed end. */
+export const RunPhase = {
+  /** Its start is being stored or sent. */
+  ordering: 'ordering',
+  /** The worker has it. */
+  present: 'present',
+  /** Its stop has been ordered. */
+  stopping: 'stopping',
+  /**
+   * Not known to the worker as far as one can see; it counts as gone once the worker has answered
+   * under a fence that refuses every earlier order.
+   */
+  closing: 'closing',
+} as const;
+
+/** One of the values of {@link RunPhase}. */
+export type RunPhase = (typeof RunPhase)[keyof typeof RunPhase];
+
+/** A run that takes room on a worker. */
+export interface RunHolding {
+  readonly name: string;
+  readonly run: number;
+  readonly entry: jobBook.JobEntry;
+  readonly task: jobBook.TaskEntry;
+  readonly step: poolJob.Step;
+  readonly room: poolJob.Resources;
+  readonly stepKey: string;
+  readonly groupKey: string;
+  /** Leader's clock when the run was ordered, or first seen. */
+  readonly sinceMs: number;
+  phase: RunPhase;
+  /** Fence under which the worker must have answered before the run counts as gone. */
+  closeFence: number;
+  percent: number;
+  saved: string;
+  /** Leader's clock when the last checkpoint was seen; {@link sinceMs} before the first. */
+  savedAtMs: number;
+  /** Leader's clock when {@link percent} last rose. */
+  movedAtMs: number;
+  /** Leader's clock of the last stop order. */
+  stopSentAtMs: number;
+}
+
+/** An agent with its worker. */
+export interface WorkerEntry {
+  readonly agentId: string;
+  url: string;
+  bootId: string;
+  info: poolWorker.WorkerInfo | undefined;
+  /** Number under which the leader gives orders here; rises to refuse earlier ones. */
+  fence: number;
+  /** Ends up to this one are stored. */
+  seenUpTo: number;
+  /** Ends up to this one are taken into the jobs. */
+  appliedUpTo: number;
+  /** Ends of the worker's present life that are being stored. */
+  ends: endLedger.EndLedger;
+  /** The worker's clock in the newest list that was taken; an older list is dropped. */
+  viewClockMs: number;
+  sample: leaseClock.ClockSample | undefined;
+  /** Leader's clock by which every lease that it granted here has run out. */
+  leasesLapseAtMs: number;
+  isReachable: boolean;
+  contactedAtMs: number;
+  readonly runs: Map<string, RunHolding>;
+}
+
+/** Fences of one epoch; one is used for each time that earlier orders must be refused. */
+export const FENCES_PER_EPOCH = 1_000_000;
+
+/**
+ * @param epoch - the leader's epoch
+ * @returns the first fence of the epoch, above all of earlier epochs
+ */
+export const firstFence = (epoch: number): number => epoch * FENCES_PER_EPOCH;
+
+/**
+ * @param name - a task's name
+ * @param run - number of its start
+ * @returns the key of the run among a worker's runs
+ */
+export const runKey = (name: string, run: number): string => `${name}#${run}`;
+
+/**
+ * @param agentId - the agent
+ * @param url - where it answers
+ * @param fence - first fence of the leader's epoch
+ * @param nowMs - the leader's clock
+ * @returns an agent of which nothing is known yet
+ */
+export const createWorkerEntry = (
+  agentId: string,
+  url: string,
+  fence: number,
+  nowMs: number,
+): WorkerEntry => ({
+  agentId,
+  url,
+  bootId: '',
+  info: undefined,
+  fence,
+  seenUpTo: 0,
+  appliedUpTo: 0,
+  ends: endLedger.createEndLedger(),
+  viewClockMs: 0,
+  sample: undefined,
+  leasesLapseAtMs: 0,
+  isReachable: false,
+  contactedAtMs: nowMs,
+  runs: new Map(),
+});
+
+/**
+ * @param entry - the job
+ * @param task - its task
+ * @returns names of the task, its step and the group that it runs and ends with
+ */
+export const keysOf = (
+  entry: jobBook.JobEntry,
+  task: jobBook.TaskEntry,
+): { readonly name: string; readonly stepKey: string; readonly groupKey: string } => {
+  const { jobId, steps } = entry.job;
+  const name = poolWorker.formatTaskName({ jobId, ...task });
+  const stepKey = `${jobId}.${task.occurrence}.${task.step}`;
+  return { name, stepKey, groupKey: steps[task.step]?.isGang === true ? stepKey : name };
+};
+
+/**
+ * @param entry - the job
+ * @param task - its task, given to a worker
+ * @param phase - where the run is
+ * @param nowMs - the leader's clock
+ * @returns the run as it takes room on its worker
+ */
+export const createRun = (
+  entry: jobBook.JobEntry,
+  task: jobBook.TaskEntry,
+  phase: RunPhase,
+  nowMs: number,
+): RunHolding => {
+  const step = entry.job.steps[task.step] as poolJob.Step;
+  return {
+    ...keysOf(entry, task),
+    run: task.run,
+    entry,
+    task,
+    step,
+    room: poolJob.roomOf(step),
+    sinceMs: nowMs,
+    phase,
+    closeFence: 0,
+    percent: 0,
+    saved: task.saved,
+    savedAtMs: nowMs,
+    movedAtMs: nowMs,
+    stopSentAtMs: 0,
+  };
+};
+
+/** Below this percentage the progress says little about the whole. */
+const MIN_TELLING_PERCENT = 5;
+
+/**
+ * @param run - a run
+ * @param nowMs - the leader's clock
+ * @returns expected time to its end, from its own progress where that tells
+ */
+export const remainingMsOf = (run: RunHolding, nowMs: number): number => {
+  const elapsedMs = nowMs - run.sinceMs;
+  if (run.percent >= MIN_TELLING_PERCENT) {
+    return (elapsedMs * (100 - run.percent)) / run.percent;
+  }
+  return Math.max(run.step.estimatedMs - elapsedMs, run.step.estimatedMs / 4);
+};
+
+const toHolding = (run: RunHolding, nowMs: number): planTypes.Holding => ({
+  jobId: run.entry.job.jobId,
+  task: run.name,
+  run: run.run,
+  room: run.room,
+  stepKey: run.stepKey,
+  groupKey: run.groupKey,
+  priority: run.entry.job.policy.priority,
+  customerId: run.entry.job.customerId,
+  isLeaving: run.phase === RunPhase.stopping || run.phase === RunPhase.closing,
+  isProtected: run.step.maxUnavailable !== undefined,
+  unsavedMs: nowMs - run.savedAtMs,
+  remainingMs: remainingMsOf(run, nowMs),
+});
+
+/**
+ * @param worker - an agent with its worker
+ * @returns room that no run takes
+ */
+export const freeRoom = (worker: WorkerEntry): poolJob.Resources => {
+  let free = worker.info?.capacity ?? poolJob.NO_RESOURCES;
+  for (const run of worker.runs.values()) free = poolJob.addResources(free, run.room, -1);
+  return free;
+};
+
+/**
+ * @param worker - an agent with its worker
+ * @returns whether the worker may be given new tasks
+ */
+export const takesTasks = (worker: WorkerEntry): boolean =>
+  worker.isReachable &&
+  worker.info?.state === poolWorker.WorkerState.ready &&
+  worker.sample?.incarnationMs === worker.info.incarnationMs;
+
+/**
+ * @param worker - a worker that takes tasks
+ * @param nowMs - the leader's clock
+ * @returns the worker as a planning round looks at it, or undefined where it takes no tasks
+ */
+export const toPlanWorker = (
+  worker: WorkerEntry,
+  nowMs: number,
+): planTypes.PlanWorker | undefined => {
+  const { info } = worker;
+  if (info === undefined || !takesTasks(worker)) return undefined;
+  return {
+    workerId: info.workerId,
+    incarnationMs: info.incarnationMs,
+    service: info.service,
+    rack: info.rack ?? '',
+    labels: info.labels,
+    capacity: info.capacity,
+    free: freeRoom(worker),
+    holdings: [...worker.runs.values()].map((run) => toHolding(run, nowMs)),
+  };
+};
--- /dev/null
+++ b/src/coordination/node/pool/agentSession.ts
@@ -0,0 +1,115 @@
+/**
+ * The leader's standing conversation with one agent: each exchange renews the tasks' leases and waits
+ * for news of the worker.
+ */
+import type * as clock from '../../../base/common/clock.js';
+import type * as disposable from '../../../base/common/disposable.js';
+import * as errors from '../../../base/common/errors.js';
+import type * as logging from '../../../base/common/logging.js';
+import type * as agentContract from '../../../state/common/pool/agentContract.js';
+import * as leaseClock from '../../common/pool/leaseClock.js';
+import type * as workerTable from '../../common/pool/workerTable.js';
+
+/** What a session needs. */
+export interface AgentSessionOptions {
+  readonly link: agentContract.AgentLink;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  readonly worker: workerTable.WorkerEntry;
+  /** How long leases are granted for; 0 while the leadership is not certain. */
+  readonly grantMs: () => number;
+  /** @returns settled once the ends among the news may be acknowledged */
+  readonly onNews: (news: agentContract.WorkerNews, receivedAtMs: number) => Promise<unknown>;
+  readonly onDidLose: () => void;
+}
+
+/** How long an exchange waits for news; leases of ten seconds are renewed ten times as often. */
+const WAIT_MS = 900;
+
+/** Pause after an exchange that failed: a restarted agent is found again within it. */
+const RETRY_MS = 200;
+
+/**
+ * Longest wait for ends to be stored before the next exchange, which acknowledges them. Without the
+ * wait the acknowledgement would come with the exchange after it, most of a second later.
+ */
+const MAX_STORING_MS = 150;
+
+/** With an older reading of the worker's clock nothing is granted: the worker does not answer. */
+const MAX_SAMPLE_AGE_MS = 2500;
+
+/**
+ * Counts what it grants, so that the leader knows when all of it has lapsed.
+ *
+ * @param worker - the worker
+ * @param nowMs - the leader's clock
+ * @param grantMs - how long leases are granted for; 0 grants none
+ * @returns end of the leases on the worker's clock; 0 where nothing is granted
+ */
+export const grantLease = (
+  worker: workerTable.WorkerEntry,
+  nowMs: number,
+  grantMs: number,
+): number => {
+  const { sample } = worker;
+  if (sample === undefined || grantMs === 0) return 0;
+  if (nowMs - sample.atMs > MAX_SAMPLE_AGE_MS) return 0;
+  const untilMs = leaseClock.leaseUntil(sample, nowMs, grantMs);
+  worker.leasesLapseAtMs = Math.max(worker.leasesLapseAtMs, leaseClock.lapsedBy(sample, untilMs));
+  return untilMs;
+};
+
+/**
+ * @param options - what the session needs
+ * @returns the session; disposing it ends it after the exchange under way
+ */
+export const startAgentSession = (options: AgentSessionOptions): disposable.Disposable => {
+  const { worker, clock: time } = options;
+  let isDisposed = false;
+  let knownVersion = 0;
+  let bootId = '';
+
+  const requestOf = (): agentContract.SyncRequest => ({
+    fence: worker.fence,
+    incarnationMs: worker.sample?.incarnationMs ?? 0,
+    leaseUntilMs: grantLease(worker, time.monotonicMs(), options.grantMs()),
+    seenUpTo: worker.seenUpTo,
+    knownVersion,
+    waitMs: WAIT_MS,
+  });
+  const pause = (durationMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      time.after(durationMs, resolve);
+    });
+  const note = (news: agentContract.WorkerNews): Promise<unknown> => {
+    knownVersion = news.version;
+    if (news.bootId !== bootId) {
+      options.log('info', 'agentFound', { agent: worker.agentId, boot: news.bootId });
+    }
+    bootId = news.bootId;
+    return options.onNews(news, time.monotonicMs());
+  };
+  const run = async (): Promise<void> => {
+    while (!isDisposed) {
+      try {
+        const news = await options.link.sync(worker.url, requestOf());
+        if (!isDisposed) await Promise.race([note(news), pause(MAX_STORING_MS)]);
+      } catch (thrown) {
+        if (isDisposed) return;
+        const { message } = errors.normalize(thrown);
+        if (worker.isReachable) {
+          options.log('warn', 'agentLost', { agent: worker.agentId, reason: message });
+        }
+        knownVersion = 0;
+        options.onDidLose();
+        await pause(RETRY_MS);
+      }
+    }
+  };
+  void run();
+  return {
+    dispose: () => {
+      isDisposed = true;
+    },
+  };
+};
--- /dev/null
+++ b/src/coordination/node/pool/configurationFeed.ts
@@ -0,0 +1,150 @@
+/**
+ * Follows the operators' configuration in the store. Takes only later versions, and knows up to which
+ * moment it has certainly seen every change.
+ */
+import type * as clock from '../../../base/common/clock.js';
+import type * as disposable from '../../../base/common/disposable.js';
+import * as errors from '../../../base/common/errors.js';
+import * as event from '../../../base/common/event.js';
+import type * as logging from '../../../base/common/logging.js';
+import type * as poolConfiguration from '../../../state/common/pool/poolConfiguration.js';
+import type * as recordStore from '../../../state/common/pool/recordStore.js';
+import type * as store from '../../../state/common/store.js';
+
+/** What the feed needs. */
+export interface ConfigurationFeedOptions {
+  readonly store: recordStore.RecordStore;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  /** Key of the record that holds the configuration. */
+  readonly key: string;
+  /** @throws where the text is no configuration */
+  readonly decode: (text: string) => poolConfiguration.PoolConfiguration;
+}
+
+/** The configuration as this process knows it. */
+export interface ConfigurationFeed extends disposable.Disposable {
+  readonly current: () => poolConfiguration.HeldConfiguration | undefined;
+  /**
+   * How long ago the store certainly had nothing later than {@link current}. A credential that was
+   * withdrawn since then may still be accepted here.
+   */
+  readonly ageMs: () => number;
+  /** Reads the record at once, where a write has shown that it changed. */
+  readonly refresh: () => Promise<void>;
+  readonly onDidChange: event.Event<poolConfiguration.HeldConfiguration>;
+}
+
+/** Wait of a watch: bounds how old the proof of freshness gets on a quiet day. */
+const WATCH_MS = 1200;
+
+/** Pause after a failed call. */
+const RETRY_MS = 200;
+
+/**
+ * @param options - what the feed needs
+ * @returns the feed, which follows until it is disposed
+ */
+export const startConfigurationFeed = (options: ConfigurationFeedOptions): ConfigurationFeed => {
+  const { clock: time, log } = options;
+  const changes = event.createEmitter<poolConfiguration.HeldConfiguration>();
+  const aborter = new AbortController();
+  let isDisposed = false;
+  let held: poolConfiguration.HeldConfiguration | undefined;
+  let provenAtMs = -Infinity;
+  let provenAtWallMs = -Infinity;
+  let isConnected = false;
+
+  /** The clock that went further tells: in a suspension the monotonic one stands still. */
+  const ageMs = (): number =>
+    Math.max(time.monotonicMs() - provenAtMs, time.wallMs() - provenAtWallMs);
+
+  const take = (record: store.StoreEntry): void => {
+    if (record.key !== options.key) return;
+    let configuration: poolConfiguration.PoolConfiguration;
+    try {
+      configuration = options.decode(record.value);
+    } catch (thrown) {
+      const { message } = errors.normalize(thrown);
+      log('error', 'configurationUnreadable', { revision: record.revision, reason: message });
+      return;
+    }
+    if (held !== undefined && configuration.version < held.configuration.version) return;
+    const isNewer = configuration.version !== held?.configuration.version;
+    held = { configuration, revision: Math.max(record.revision, held?.revision ?? 0) };
+    if (!isNewer) return;
+    const { version, queues, customers } = configuration;
+    log('info', 'configurationTaken', {
+      configVersion: version,
+      revision: record.revision,
+      queues: queues.length,
+      customers: customers.length,
+    });
+    changes.fire(held);
+  };
+
+  const prove = (atMs: number, atWallMs: number): void => {
+    if (atMs >= provenAtMs) {
+      provenAtMs = atMs;
+      provenAtWallMs = atWallMs;
+    }
+    if (!isConnected) log('info', 'configurationStoreAnswers', {});
+    isConnected = true;
+  };
+
+  const read = async (): Promise<number> => {
+    const sentAtMs = time.monotonicMs();
+    const sentAtWallMs = time.wallMs();
+    const { entries, revision } = await options.store.list(options.key);
+    entries.forEach(take);
+    prove(sentAtMs, sentAtWallMs);
+    return revision;
+  };
+
+  const follow = async (afterRevision: number): Promise<void> => {
+    let revision = afterRevision;
+    while (!isDisposed) {
+      const sentAtMs = time.monotonicMs();
+      const sentAtWallMs = time.wallMs();
+      const seen = await options.store.watch(options.key, revision, WATCH_MS, aborter.signal);
+      if (seen.isGap) return;
+      seen.entries.forEach(take);
+      // A watch that saw nothing was answered when its wait was over, one with events at any time.
+      const waitedMs = seen.entries.length === 0 ? WATCH_MS : 0;
+      const elapsedMs = Math.min(waitedMs, time.monotonicMs() - sentAtMs);
+      prove(sentAtMs + elapsedMs, sentAtWallMs + elapsedMs);
+      revision = seen.revision;
+    }
+  };
+
+  const run = async (): Promise<void> => {
+    while (!isDisposed) {
+      try {
+        await follow(await read());
+      } catch (thrown) {
+        if (isDisposed) return;
+        if (isConnected) {
+          log('warn', 'configurationStoreLost', { reason: errors.normalize(thrown).message });
+        }
+        isConnected = false;
+        await new Promise<void>((resolve) => {
+          time.after(RETRY_MS, resolve);
+        });
+      }
+    }
+  };
+  void run();
+  return {
+    current: () => held,
+    ageMs,
+    refresh: async () => {
+      await read();
+    },
+    onDidChange: changes.event,
+    dispose: () => {
+      isDisposed = true;
+      aborter.abort();
+      changes.dispose();
+    },
+  };
+};
--- /dev/null
+++ b/src/coordination/node/pool/jobDesk.ts
@@ -0,0 +1,270 @@
+/**
+ * Takes jobs in, cancels them and tells their state, at any entry and without the leader: a job is
+ * accepted once its record is stored, under the condition that the configuration by which it was
+ * judged is still the one in force.
+ *
+ * Guards against an answer of the store that is lost: the same write is sent again, which changes
+ * nothing where the first took effect. Where it stays open whether the job is stored, the answer is
+ * `outcomeUnknown` and never a refusal, since a late copy of the write may still take effect.
+ */
+import type * as clock from '../../../base/common/clock.js';
+import * as errors from '../../../base/common/errors.js';
+import type * as logging from '../../../base/common/logging.js';
+import type * as metrics from '../../../base/common/metrics.js';
+import * as poolConfiguration from '../../../state/common/pool/poolConfiguration.js';
+import * as poolJob from '../../../state/common/pool/poolJob.js';
+import * as poolKeys from '../../../state/common/pool/poolKeys.js';
+import * as progressRecord from '../../../state/common/pool/progressRecord.js';
+import type * as recordStore from '../../../state/common/pool/recordStore.js';
+import * as store from '../../../state/common/store.js';
+import * as jobChecks from '../../common/pool/jobChecks.js';
+
+import type * as configurationFeed from './configurationFeed.js';
+
+/** What the desk needs. */
+export interface JobDeskOptions {
+  readonly store: recordStore.RecordStore;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  readonly metrics: metrics.Metrics;
+  readonly feed: configurationFeed.ConfigurationFeed;
+  /** Key of the record that holds the configuration. */
+  readonly configurationKey: string;
+  /** A withdrawn credential must be refused this long after the withdrawal. */
+  readonly revokeMs: number;
+}
+
+/** What every call says of itself. */
+export interface Call {
+  /** Names the call in the log. */
+  readonly requestId: string;
+  readonly host: string;
+  readonly path: string;
+  readonly apiKey: string | undefined;
+  /** How long the caller waits for the answer. */
+  readonly deadlineMs: number;
+}
+
+/** What a caller asks to run. */
+export interface JobDraft {
+  readonly payload: string;
+  readonly steps: readonly poolJob.Step[];
+  readonly schedule: poolJob.Schedule | undefined;
+}
+
+/** A call whose queue and customer are known. */
+export interface AdmittedCall {
+  readonly queue: poolConfiguration.Queue;
+  readonly customerId: string;
+  /** Rest of the path behind the queue's prefix: a job's id, or nothing. */
+  readonly jobId: string;
+  /** Revision of the configuration by which the call was judged. */
+  readonly configurationRevision: number;
+}
+
+/** Takes jobs in. Each call throws the error that the caller gets. */
+export interface JobDesk {
+  /** @throws AuburnliftError `notFound`, `unauthenticated` or `staleConfiguration` */
+  readonly admit: (call: Call) => AdmittedCall;
+  readonly submit: (call: Call, admitted: AdmittedCall, draft: JobDraft) => Promise<void>;
+  readonly cancel: (call: Call, admitted: AdmittedCall) => Promise<void>;
+  readonly state: (call: Call, admitted: AdmittedCall) => Promise<poolJob.PoolJobState>;
+}
+
+/**
+ * Without proof of a fresh configuration for this part of the bound on withdrawals, a credential is
+ * not accepted any more; the rest is for the call's own way.
+ */
+const FRESH_SHARE = 0.7;
+
+/** Kept of the caller's time for the way back of the answer. */
+const ANSWER_MS = 250;
+
+/** Pause before a failed call to the store is tried again. */
+const RETRY_MS = 60;
+
+/** With an older proof the store counts as out of reach: a call is refused without being tried. */
+const STORE_LOST_MS = 2500;
+
+/** When a caller that was refused for the store's sake may come back; outages last seconds. */
+const RETRY_AFTER_MS = 1000;
+
+/** Times that a call is judged anew because the configuration changed under it. */
+const MAX_REJUDGED = 4;
+
+const unavailable = (message: string): errors.AuburnliftError =>
+  errors.fail('storeUnavailable', `${message}; nothing ran`, { retryAfterMs: RETRY_AFTER_MS });
+
+const gone = (): errors.AuburnliftError => errors.fail('gone', 'no such job', { field: 'jobId' });
+
+/**
+ * @param options - what the desk needs
+ * @returns the desk
+ */
+export const createJobDesk = (options: JobDeskOptions): JobDesk => {
+  const { clock: time, feed, log, metrics } = options;
+
+  const admit = (call: Call): AdmittedCall => {
+    const held = feed.current();
+    if (held === undefined) throw unavailable('no configuration is known yet');
+    const queue = poolConfiguration.findQueue(held.configuration, call.host, call.path);
+    if (queue === undefined) {
+      throw errors.fail('notFound', `no queue at ${call.host}${call.path}; nothing ran`, {
+        field: 'path',
+      });
+    }
+    const jobId = call.path.slice(queue.pathPrefix.length);
+    const base = { queue, jobId, configurationRevision: held.revision };
+    if (queue.isPublic) return { ...base, customerId: '' };
+    if (feed.ageMs() > options.revokeMs * FRESH_SHARE) {
+      throw unavailable('credentials can not be checked while the store is out of reach');
+    }
+    const customer =
+      call.apiKey === undefined
+        ? undefined
+        : poolConfiguration.findCustomer(held.configuration, call.apiKey);
+    if (customer === undefined) {
+      throw errors.fail('unauthenticated', 'the API key is missing or unknown; nothing ran');
+    }
+    return { ...base, customerId: customer.customerId };
+  };
+
+  const pause = (durationMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      time.after(durationMs, resolve);
+    });
+
+  /** Tries a transaction until it is answered or the caller's time is over. */
+  const transact = async (
+    call: Call,
+    endMs: number,
+    transaction: recordStore.Transaction,
+  ): Promise<recordStore.TransactionResult> => {
+    if (feed.ageMs() > STORE_LOST_MS) throw unavailable('the store is out of reach');
+    let isOpen = false;
+    for (;;) {
+      try {
+        return await options.store.transact(transaction);
+      } catch (thrown) {
+        isOpen ||= thrown instanceof store.StoreOutcomeUnknown;
+        const { message } = errors.normalize(thrown);
+        log('warn', 'storeCallFailed', { request: call.requestId, isOpen, reason: message });
+        if (time.monotonicMs() + RETRY_MS >= endMs) {
+          throw isOpen
+            ? errors.fail('outcomeUnknown', 'the store did not answer; the outcome is open')
+            : unavailable('the store refuses');
+        }
+      }
+      await pause(RETRY_MS);
+    }
+  };
+
+  const read = async <T>(call: Call, endMs: number, attempt: () => Promise<T>): Promise<T> => {
+    for (;;) {
+      try {
+        return await attempt();
+      } catch (thrown) {
+        const { message } = errors.normalize(thrown);
+        log('warn', 'storeCallFailed', { request: call.requestId, isOpen: false, reason: message });
+        if (time.monotonicMs() + RETRY_MS >= endMs) throw unavailable('the store does not answer');
+      }
+      await pause(RETRY_MS);
+    }
+  };
+
+  const endOf = (call: Call): number =>
+    time.monotonicMs() + Math.max(ANSWER_MS, call.deadlineMs - ANSWER_MS);
+
+  /** Writes a record unless it exists, as long as the call is allowed by the configuration in force. */
+  const writeOnce = async (
+    call: Call,
+    admitted: AdmittedCall,
+    key: string,
+    valueOf: (admitted: AdmittedCall) => string,
+  ): Promise<'written' | 'exists'> => {
+    const endMs = endOf(call);
+    let judged = admitted;
+    for (let tries = 0; tries < MAX_REJUDGED; tries += 1) {
+      const result = await transact(call, endMs, {
+        conditions: [
+          { key, revision: store.ABSENT_REVISION },
+          { key: options.configurationKey, revision: judged.configurationRevision },
+        ],
+        puts: [{ key, value: valueOf(judged) }],
+        removes: [],
+      });
+      if (result.isCommitted) return 'written';
+      if (result.current.some((it) => it.key === key)) return 'exists';
+      log('info', 'judgedAnew', {
+        request: call.requestId,
+        configRevision: judged.configurationRevision,
+      });
+      await read(call, endMs, feed.refresh);
+      judged = admit(call);
+    }
+    throw unavailable('the configuration changes too often');
+  };
+
+  const submit: JobDesk['submit'] = async (call, admitted, draft) => {
+    jobChecks.checkSteps(draft.steps);
+    const startedAtMs = time.monotonicMs();
+    const { jobId } = admitted;
+    const key = poolKeys.jobKey(jobId, poolKeys.JobPart.spec);
+    const outcome = await writeOnce(call, admitted, key, ({ queue, customerId }) => {
+      const job: poolJob.PoolJob = {
+        jobId,
+        customerId,
+        payload: draft.payload,
+        steps: draft.steps,
+        ...(draft.schedule === undefined ? {} : { schedule: draft.schedule }),
+        acceptedAtMs: Math.round(time.wallMs()),
+        policy: queue.policy,
+      };
+      return JSON.stringify(job);
+    });
+    metrics.time('auburnlift_submit_ms', time.monotonicMs() - startedAtMs, { outcome });
+    log('info', 'jobAccepted', {
+      request: call.requestId,
+      job: jobId,
+      queue: admitted.queue.policy.queue,
+      customer: admitted.customerId,
+      outcome,
+      configRevision: admitted.configurationRevision,
+    });
+  };
+
+  /** The job's records that any entry writes; none where nobody submitted it. */
+  const findRecords = (call: Call, admitted: AdmittedCall): Promise<ReadonlySet<string>> => {
+    const prefix = poolKeys.jobPrefix(admitted.jobId);
+    return read(call, endOf(call), async () => {
+      const { entries } = await options.store.list(prefix);
+      return new Set(entries.map((it) => it.key.slice(prefix.length)));
+    });
+  };
+
+  const cancel: JobDesk['cancel'] = async (call, admitted) => {
+    const records = await findRecords(call, admitted);
+    if (!records.has(poolKeys.JobPart.spec)) throw gone();
+    const key = poolKeys.jobKey(admitted.jobId, poolKeys.JobPart.cancel);
+    const outcome = records.has(poolKeys.JobPart.cancel)
+      ? 'exists'
+      : await writeOnce(call, admitted, key, () =>
+          JSON.stringify({ cancelledAtMs: Math.round(time.wallMs()) }),
+        );
+    log('info', 'jobCancelled', { request: call.requestId, job: admitted.jobId, outcome });
+  };
+
+  const state: JobDesk['state'] = async (call, admitted) => {
+    const progress = await read(call, endOf(call), () =>
+      options.store.get(poolKeys.progressKey(admitted.jobId)),
+    );
+    if (progress !== undefined) return progressRecord.decodeProgress(progress.value).state;
+    const records = await findRecords(call, admitted);
+    if (!records.has(poolKeys.JobPart.spec)) throw gone();
+    return records.has(poolKeys.JobPart.cancel)
+      ? poolJob.PoolJobState.cancelled
+      : poolJob.PoolJobState.queued;
+  };
+
+  return { admit, submit, cancel, state };
+};
--- /dev/null
+++ b/src/coordination/node/pool/orderDesk.ts
@@ -0,0 +1,164 @@
+/**
+ * Sends the leader's orders: those of one turn of the loop to one worker go in one message.
+ */
+import type * as clock from '../../../base/common/clock.js';
+import * as errors from '../../../base/common/errors.js';
+import type * as logging from '../../../base/common/logging.js';
+import * as agentContract from '../../../state/common/pool/agentContract.js';
+import type * as workerTable from '../../common/pool/workerTable.js';
+
+import * as agentSession from './agentSession.js';
+
+/** A run to start. */
+export interface StartOrder {
+  readonly run: workerTable.RunHolding;
+  readonly ticket: string | undefined;
+}
+
+/** What an order came to; `unknown` where no answer came. */
+export interface SettledOrder {
+  readonly run: workerTable.RunHolding;
+  readonly outcome: agentContract.OrderOutcome;
+  readonly reason: string;
+}
+
+/** What a message of orders came to. */
+export interface SettledOrders {
+  readonly worker: workerTable.WorkerEntry;
+  readonly starts: readonly SettledOrder[];
+  readonly stops: readonly SettledOrder[];
+  /** The worker after the orders; undefined where no answer came. */
+  readonly news: agentContract.WorkerNews | undefined;
+  readonly isNewsLater: boolean;
+  readonly receivedAtMs: number;
+}
+
+/** What the desk needs. */
+export interface OrderDeskOptions {
+  readonly link: agentContract.AgentLink;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  /** How long leases are granted for; 0 while the leadership is not certain. */
+  readonly grantMs: () => number;
+  readonly onSettled: (settled: SettledOrders) => void;
+}
+
+/** Sends orders. */
+export interface OrderDesk {
+  readonly start: (worker: workerTable.WorkerEntry, order: StartOrder) => void;
+  readonly stop: (worker: workerTable.WorkerEntry, run: workerTable.RunHolding) => void;
+  readonly dispose: () => void;
+}
+
+interface Outgoing {
+  readonly worker: workerTable.WorkerEntry;
+  readonly starts: StartOrder[];
+  readonly stops: workerTable.RunHolding[];
+}
+
+const toStart = (order: StartOrder, leaseUntilMs: number): agentContract.StartCommand => ({
+  task: order.run.name,
+  run: order.run.run,
+  jobId: order.run.entry.job.jobId,
+  leaseUntilMs,
+  saved: order.run.task.saved,
+  ...(order.ticket === undefined ? {} : { ticket: order.ticket }),
+});
+
+const settle = (
+  runs: readonly workerTable.RunHolding[],
+  results: readonly agentContract.OrderResult[],
+): SettledOrder[] =>
+  runs.map((run, index) => ({
+    run,
+    outcome: results[index]?.outcome ?? agentContract.OrderOutcome.unknown,
+    reason: results[index]?.reason ?? 'no answer',
+  }));
+
+/**
+ * @param options - what the desk needs
+ * @returns a desk without orders
+ */
+export const createOrderDesk = (options: OrderDeskOptions): OrderDesk => {
+  const outgoing = new Map<string, Outgoing>();
+  let isDisposed = false;
+
+  const requestOf = (its: Outgoing, info: { workerId: string; incarnationMs: number }) => {
+    const nowMs = options.clock.monotonicMs();
+    const leaseUntilMs = agentSession.grantLease(its.worker, nowMs, options.grantMs());
+    const payloads: Record<string, string> = {};
+    for (const { run } of its.starts) {
+      payloads[run.entry.job.jobId] = run.entry.job.payload;
+    }
+    return {
+      fence: its.worker.fence,
+      workerId: info.workerId,
+      incarnationMs: info.incarnationMs,
+      payloads,
+      // Without a lease nothing could run; the start is refused by its deadline of 0.
+      starts: its.starts.map((order) => toStart(order, leaseUntilMs)),
+      stops: its.stops.map(({ name, run }) => ({ task: name, run })),
+      paces: [],
+    };
+  };
+
+  const settled = (its: Outgoing, reply: agentContract.OrderReply | undefined): void => {
+    options.onSettled({
+      worker: its.worker,
+      starts: settle(
+        its.starts.map(({ run }) => run),
+        reply?.starts ?? [],
+      ),
+      stops: settle(its.stops, reply?.stops ?? []),
+      news: reply?.news,
+      isNewsLater: reply?.isNewsLater ?? false,
+      receivedAtMs: options.clock.monotonicMs(),
+    });
+  };
+
+  const send = async (its: Outgoing): Promise<void> => {
+    const { info, url, agentId } = its.worker;
+    let reply: agentContract.OrderReply | undefined;
+    try {
+      if (info !== undefined) reply = await options.link.order(url, requestOf(its, info));
+    } catch (thrown) {
+      const { message } = errors.normalize(thrown);
+      options.log('warn', 'ordersUnanswered', {
+        agent: agentId,
+        starts: its.starts.length,
+        stops: its.stops.length,
+        reason: message,
+      });
+    }
+    if (!isDisposed) settled(its, reply);
+  };
+
+  const flush = async (): Promise<void> => {
+    await Promise.resolve();
+    const all = [...outgoing.values()];
+    outgoing.clear();
+    for (const its of all) void send(its);
+  };
+
+  const outgoingOf = (worker: workerTable.WorkerEntry): Outgoing => {
+    const known = outgoing.get(worker.agentId);
+    if (known !== undefined) return known;
+    const created: Outgoing = { worker, starts: [], stops: [] };
+    outgoing.set(worker.agentId, created);
+    if (outgoing.size === 1) void flush();
+    return created;
+  };
+
+  return {
+    start: (worker, order) => {
+      outgoingOf(worker).starts.push(order);
+    },
+    stop: (worker, run) => {
+      outgoingOf(worker).stops.push(run);
+    },
+    dispose: () => {
+      isDisposed = true;
+      outgoing.clear();
+    },
+  };
+};
--- /dev/null
+++ b/src/coordination/node/pool/pendingCounts.ts
@@ -0,0 +1,95 @@
+/**
+ * How many accepted jobs of a queue have not begun: asked of the leader, counted from the store where
+ * no leader answers. A figure is used again for a second.
+ */
+import type * as clock from '../../../base/common/clock.js';
+import * as errors from '../../../base/common/errors.js';
+import type * as logging from '../../../base/common/logging.js';
+import type * as poolJob from '../../../state/common/pool/poolJob.js';
+import * as poolKeys from '../../../state/common/pool/poolKeys.js';
+import * as progressRecord from '../../../state/common/pool/progressRecord.js';
+import type * as recordStore from '../../../state/common/pool/recordStore.js';
+
+import type * as poolLeadership from './poolLeadership.js';
+
+/** What the counts need. */
+export interface PendingCountsOptions {
+  readonly store: recordStore.RecordStore;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  /** Asks a scheduler; throws where it does not lead or does not answer. */
+  readonly askLeader: (url: string) => Promise<Readonly<Record<string, number>>>;
+}
+
+/** Counts jobs that have not begun. */
+export interface PendingCounts {
+  /** @throws AuburnliftError `storeUnavailable` where neither leader nor store answers */
+  readonly ofQueue: (queue: string) => Promise<number>;
+}
+
+/** A figure may be two seconds old when the caller has it. */
+const KEEP_MS = 800;
+
+type Counts = Readonly<Record<string, number>>;
+
+/**
+ * @param options - what the counts need
+ * @returns the counts
+ */
+export const createPendingCounts = (options: PendingCountsOptions): PendingCounts => {
+  const { store, clock: time } = options;
+  let kept: { readonly counts: Promise<Counts>; readonly atMs: number } | undefined;
+
+  const fromLeader = async (): Promise<Counts | undefined> => {
+    const record = await store.get(poolKeys.LEADER);
+    if (record === undefined) return undefined;
+    const { url } = JSON.parse(record.value) as poolLeadership.LeaderRecord;
+    try {
+      return await options.askLeader(url);
+    } catch (thrown) {
+      options.log('warn', 'leaderNotAnswering', {
+        url,
+        reason: errors.normalize(thrown).message,
+      });
+      return undefined;
+    }
+  };
+
+  const fromStore = async (): Promise<Counts> => {
+    const jobs = await store.list(poolKeys.JOBS);
+    const progress = await store.list(poolKeys.PROGRESS);
+    const begun = new Set(
+      progress.entries
+        .filter((it) => progressRecord.decodeProgress(it.value).state !== 'queued')
+        .map((it) => it.key.slice(poolKeys.PROGRESS.length)),
+    );
+    const counts: Record<string, number> = {};
+    for (const { key, value } of jobs.entries) {
+      const parsed = poolKeys.parseJobKey(key);
+      const isWaiting = parsed?.part === poolKeys.JobPart.spec && !begun.has(parsed.jobId);
+      if (isWaiting) {
+        const { queue } = (JSON.parse(value) as poolJob.PoolJob).policy;
+        counts[queue] = (counts[queue] ?? 0) + 1;
+      }
+    }
+    return counts;
+  };
+
+  const load = async (): Promise<Counts> => (await fromLeader()) ?? (await fromStore());
+
+  return {
+    ofQueue: async (queue) => {
+      const nowMs = time.monotonicMs();
+      if (kept === undefined || nowMs - kept.atMs > KEEP_MS) {
+        kept = { counts: load(), atMs: nowMs };
+      }
+      const { counts } = kept;
+      try {
+        return (await counts)[queue] ?? 0;
+      } catch (thrown) {
+        kept = undefined;
+        throw thrown;
+      }
+    },
+  };
+};
--- /dev/null
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -0,0 +1,332 @@
+/**
+ * The agent's part: holds the worker's tasks in life for the leader, carries its orders to the worker
+ * and tells it what changed. Keeps nothing that lasts.
+ *
+ * Guards against an order that gets no answer: it is given again until the worker answers, which is
+ * safe since a worker knows each run by its number.
+ */
+import type * as clock from '../../../base/common/clock.js';
+import type * as disposable from '../../../base/common/disposable.js';
+import * as errors from '../../../base/common/errors.js';
+import type * as logging from '../../../base/common/logging.js';
+import type * as metrics from '../../../base/common/metrics.js';
+import * as agentContract from '../../../state/common/pool/agentContract.js';
+import * as poolWorker from '../../../state/common/pool/poolWorker.js';
+
+/** What the agent needs. */
+export interface PoolAgentOptions {
+  readonly worker: agentContract.WorkerLink;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  readonly metrics: metrics.Metrics;
+  readonly bootId: string;
+}
+
+/** What a worker says of itself, with what orders its messages. */
+export interface Heartbeat {
+  readonly info: poolWorker.WorkerInfo;
+  /** Rises with each message of one life. */
+  readonly sequence: number;
+}
+
+/** The agent beside one worker. */
+export interface PoolAgent extends disposable.Disposable {
+  readonly noteHeartbeat: (heartbeat: Heartbeat) => void;
+  /** The worker said that it ends now. */
+  readonly noteDeparture: (workerId: string) => void;
+  readonly sync: (request: agentContract.SyncRequest) => Promise<agentContract.WorkerNews>;
+  readonly order: (request: agentContract.OrderRequest) => Promise<agentContract.OrderReply>;
+}
+
+/** How long the worker may hold a request open for an end: each one also renews the leases. */
+const VIEW_WAIT_MS = 900;
+
+/** Pause after the worker did not answer. */
+const RETRY_MS = 150;
+
+/**
+ * A worker answers at once while it lists ends that are not acknowledged; without this pause the agent
+ * would ask it again and again until the leader has stored them.
+ */
+const UNACKNOWLEDGED_MS = 250;
+
+/** Attempts to give one order; the worker is on the same machine and answers in a millisecond. */
+const ORDER_ATTEMPTS = 3;
+
+interface HeldView {
+  readonly view: poolWorker.WorkerView;
+  readonly fence: number;
+  readonly receivedAtMs: number;
+}
+
+const describeRuns = (view: poolWorker.WorkerView | undefined): string =>
+  view === undefined
+    ? ''
+    : `${view.incarnationMs};${view.running.map((it) => `${it.task}#${it.run}`).join(',')};${
+        view.ended.at(-1)?.sequence ?? 0
+      }`;
+
+/**
+ * @param options - what the agent needs
+ * @returns the agent, which does nothing before a leader calls
+ */
+export const createPoolAgent = (options: PoolAgentOptions): PoolAgent => {
+  const { clock: time, log, metrics } = options;
+  let isDisposed = false;
+  let info: poolWorker.WorkerInfo | undefined;
+  let heartbeatSequence = -1;
+  let held: HeldView | undefined;
+  let fence = 0;
+  let lease = { incarnationMs: 0, untilMs: 0 };
+  let seen = { incarnationMs: 0, upTo: 0 };
+  let version = 1;
+  let isHolding = false;
+  let onDidAcknowledge: () => void = () => undefined;
+  const waiters = new Set<() => void>();
+
+  const pause = (durationMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      time.after(durationMs, resolve);
+    });
+  const noteChange = (): void => {
+    version += 1;
+    const woken = [...waiters];
+    waiters.clear();
+    woken.forEach((wake) => wake());
+  };
+  const waitForChange = (waitMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      const wake = (): void => {
+        void timer.dispose();
+        waiters.delete(wake);
+        resolve();
+      };
+      const timer = time.after(waitMs, wake);
+      waiters.add(wake);
+    });
+
+  const isPresentLife = (incarnationMs: number): boolean =>
+    incarnationMs !== 0 && incarnationMs === (held?.view.incarnationMs ?? info?.incarnationMs);
+
+  const takeView = (view: poolWorker.WorkerView, viewFence: number): void => {
+    const isOlder =
+      held !== undefined &&
+      (view.incarnationMs < held.view.incarnationMs ||
+        (view.incarnationMs === held.view.incarnationMs && view.clockMs < held.view.clockMs));
+    if (isOlder) return;
+    const before = describeRuns(held?.view);
+    held = {
+      view,
+      fence: Math.max(viewFence, held?.fence ?? 0),
+      receivedAtMs: time.monotonicMs(),
+    };
+    if (before !== describeRuns(view)) noteChange();
+  };
+
+  /** @returns whether the worker gave its list */
+  const look = async (waitMs: number): Promise<boolean> => {
+    const viewFence = fence;
+    const answer = await options.worker.view(info?.workerId, {
+      fence: viewFence,
+      leaseUntilMs: isPresentLife(lease.incarnationMs) ? lease.untilMs : 0,
+      seenUpTo: isPresentLife(seen.incarnationMs) ? seen.upTo : 0,
+      waitMs,
+    });
+    if (answer.outcome === 'view') {
+      takeView(answer.view, viewFence);
+      return true;
+    }
+    metrics.count('auburnlift_worker_unanswered_total', { outcome: answer.outcome });
+    return false;
+  };
+
+  const hasUnacknowledged = (): boolean => {
+    const last = held?.view.ended.at(-1)?.sequence ?? 0;
+    const upTo = isPresentLife(seen.incarnationMs) ? seen.upTo : 0;
+    return last > upTo;
+  };
+  const waitForAcknowledgement = (): Promise<void> =>
+    new Promise((resolve) => {
+      const timer = time.after(UNACKNOWLEDGED_MS, resolve);
+      onDidAcknowledge = () => {
+        void timer.dispose();
+        resolve();
+      };
+    });
+
+  /** Renews the leases and waits for ends, as long as a leader has called. */
+  const hold = async (): Promise<void> => {
+    if (isHolding) return;
+    isHolding = true;
+    let isAnswering = true;
+    while (!isDisposed) {
+      const isSeen = await look(VIEW_WAIT_MS);
+      if (isSeen !== isAnswering) {
+        log(isSeen ? 'info' : 'warn', isSeen ? 'workerAnswers' : 'workerSilent', {
+          worker: info?.workerId,
+          fence,
+        });
+      }
+      isAnswering = isSeen;
+      if (!isSeen) await pause(RETRY_MS);
+      else if (hasUnacknowledged()) await waitForAcknowledgement();
+    }
+  };
+
+  const raiseFence = (next: number): void => {
+    if (next < fence) {
+      throw errors.fail('staleEpoch', `fence ${next} is below ${fence}; nothing ran`);
+    }
+    if (next === fence) return;
+    log('info', 'fenceRaised', { from: fence, to: next });
+    fence = next;
+  };
+
+  const news = (): agentContract.WorkerNews => ({
+    bootId: options.bootId,
+    version,
+    ...(info === undefined ? {} : { worker: info }),
+    ...(held === undefined ? {} : { view: held.view }),
+    viewFence: held?.fence ?? 0,
+    viewAgeMs: held === undefined ? 0 : Math.ceil(time.monotonicMs() - held.receivedAtMs),
+  });
+
+  const attempt = async (
+    give: () => Promise<agentContract.WorkerAnswer>,
+  ): Promise<agentContract.WorkerAnswer> => {
+    let answer = await give();
+    let isUnsettled = false;
+    for (let tries = 1; tries < ORDER_ATTEMPTS && answer.outcome === 'unknown'; tries += 1) {
+      isUnsettled = true;
+      answer = await give();
+    }
+    // After an attempt without an answer a refusal does not settle the order: the first copy may come late.
+    return isUnsettled && answer.outcome === 'refused'
+      ? { outcome: 'unknown', reason: answer.reason }
+      : answer;
+  };
+
+  const refusalOf = (request: agentContract.OrderRequest): string | undefined => {
+    if (info === undefined) return 'the worker is not known yet';
+    if (info.workerId !== request.workerId || info.incarnationMs !== request.incarnationMs) {
+      return 'another life of the worker is meant';
+    }
+    return undefined;
+  };
+
+  const startOne = async (
+    request: agentContract.OrderRequest,
+    command: agentContract.StartCommand,
+  ): Promise<agentContract.OrderResult> => {
+    const { task, run, jobId, leaseUntilMs, saved, ticket } = command;
+    const refuse = (reason: string): agentContract.OrderResult => ({
+      task,
+      run,
+      outcome: 'refused',
+      reason,
+    });
+    const refusal = refusalOf(request);
+    if (refusal !== undefined) return refuse(refusal);
+    if (info?.state !== poolWorker.WorkerState.ready) return refuse('the worker is leaving');
+    if (leaseUntilMs === 0) return refuse('no lease was granted');
+    const payload = request.payloads[jobId] ?? '';
+    const order = { task, run, payload, leaseUntilMs, fence: request.fence, saved, ticket };
+    const answer = await attempt(() => options.worker.start(request.workerId, order));
+    metrics.count('auburnlift_worker_starts_total', { outcome: answer.outcome });
+    log('info', 'startGiven', { task, run, fence: request.fence, ...answer });
+    return { task, run, ...answer };
+  };
+
+  const stopOne = async (
+    request: agentContract.OrderRequest,
+    { task, run }: agentContract.StopCommand,
+  ): Promise<agentContract.OrderResult> => {
+    const refusal = refusalOf(request);
+    if (refusal !== undefined) return { task, run, outcome: 'refused', reason: refusal };
+    const order = { task, run, fence: request.fence };
+    const answer = await attempt(() => options.worker.stop(request.workerId, order));
+    log('info', 'stopGiven', { task, run, fence: request.fence, ...answer });
+    return { task, run, ...answer };
+  };
+
+  const paceOne = async (
+    request: agentContract.OrderRequest,
+    { task, run, percent }: agentContract.PaceCommand,
+  ): Promise<agentContract.OrderResult> => {
+    const refusal = refusalOf(request);
+    if (refusal !== undefined) return { task, run, outcome: 'refused', reason: refusal };
+    const order = { task, run, percent, fence: request.fence };
+    const answer = await attempt(() => options.worker.pace(request.workerId, order));
+    log('info', 'paceGiven', { task, run, percent, fence: request.fence, ...answer });
+    return { task, run, ...answer };
+  };
+
+  return {
+    noteHeartbeat: (heartbeat) => {
+      const next = heartbeat.info;
+      const before = info;
+      if (before !== undefined) {
+        if (next.incarnationMs < before.incarnationMs) return;
+        const isSameLife = next.incarnationMs === before.incarnationMs;
+        if (isSameLife && heartbeat.sequence <= heartbeatSequence) return;
+      }
+      heartbeatSequence = heartbeat.sequence;
+      info = next;
+      const isNews =
+        before?.workerId !== next.workerId ||
+        before.incarnationMs !== next.incarnationMs ||
+        before.state !== next.state;
+      if (!isNews) return;
+      log('info', 'workerChanged', {
+        worker: next.workerId,
+        incarnation: next.incarnationMs,
+        sequence: heartbeat.sequence,
+        state: next.state,
+        remainingMs: next.remainingMs,
+      });
+      noteChange();
+    },
+    noteDeparture: (workerId) => {
+      if (info?.workerId !== workerId) return;
+      log('info', 'workerLeft', { worker: workerId, incarnation: info.incarnationMs });
+      info = { ...info, state: poolWorker.WorkerState.gone };
+      noteChange();
+    },
+    sync: async (request) => {
+      raiseFence(request.fence);
+      const { incarnationMs } = request;
+      if (request.leaseUntilMs > 0) {
+        const isSame = lease.incarnationMs === incarnationMs;
+        const untilMs = Math.max(isSame ? lease.untilMs : 0, request.leaseUntilMs);
+        lease = { incarnationMs, untilMs };
+      }
+      if (incarnationMs !== 0) {
+        const isLater = request.seenUpTo > seen.upTo || incarnationMs !== seen.incarnationMs;
+        seen = { incarnationMs, upTo: request.seenUpTo };
+        if (isLater) onDidAcknowledge();
+      }
+      if (held === undefined || held.fence < fence) {
+        await look(0);
+        void hold();
+        return news();
+      }
+      void hold();
+      if (request.knownVersion === version) await waitForChange(request.waitMs);
+      return news();
+    },
+    order: async (request) => {
+      raiseFence(request.fence);
+      const [starts, stops, paces] = await Promise.all([
+        Promise.all(request.starts.map((it) => startOne(request, it))),
+        Promise.all(request.stops.map((it) => stopOne(request, it))),
+        Promise.all(request.paces.map((it) => paceOne(request, it))),
+      ]);
+      const isNewsLater = await look(0);
+      return { starts, stops, paces, news: news(), isNewsLater };
+    },
+    dispose: () => {
+      isDisposed = true;
+      noteChange();
+    },
+  };
+};
--- /dev/null
+++ b/src/coordination/node/pool/poolLeadership.ts
@@ -0,0 +1,243 @@
+/**
+ * Leadership of the pools: a leased record names the leader, an epoch that only rises is its fence.
+ * Both are written in one transaction.
+ *
+ * Guards against a holder that is paused: it counts from before its renewal was sent, by the clock
+ * that went further. In a suspension the monotonic clock stands still, in a freeze both run on.
+ */
+import type * as clock from '../../../base/common/clock.js';
+import type * as disposable from '../../../base/common/disposable.js';
+import * as errors from '../../../base/common/errors.js';
+import type * as logging from '../../../base/common/logging.js';
+import type * as random from '../../../base/common/random.js';
+import * as poolKeys from '../../../state/common/pool/poolKeys.js';
+import type * as recordStore from '../../../state/common/pool/recordStore.js';
+
+/** Who leads. */
+export interface LeaderRecord {
+  readonly holderId: string;
+  /** Where other processes reach it. */
+  readonly url: string;
+  readonly epoch: number;
+  /** Chosen by the writer, so that a lost answer is settled by reading back. */
+  readonly writeId: string;
+}
+
+/** One period of leading. */
+export interface Term {
+  readonly epoch: number;
+  /** The leased record with its revision; every write of the leader is conditional on it. */
+  readonly condition: recordStore.Condition;
+  /** Whether the lease certainly stands now. */
+  readonly isCertain: () => boolean;
+}
+
+/** What leadership needs. */
+export interface LeadershipOptions {
+  readonly store: recordStore.RecordStore;
+  readonly clock: clock.Clock;
+  readonly random: random.Random;
+  readonly log: logging.Log;
+  readonly newId: () => string;
+  readonly holderId: string;
+  readonly url: string;
+  readonly leaseMs: number;
+  readonly onDidGain: (term: Term) => void;
+  readonly onDidLose: (reason: string) => void;
+}
+
+/** A candidate, or the leader. */
+export interface Leadership extends disposable.Disposable {
+  /** Who leads, as far as this process knows. */
+  readonly leader: () => LeaderRecord | undefined;
+  /** Gives leadership up, so that another process takes it at once. */
+  readonly release: () => Promise<void>;
+  /** Steps down without touching the store: something contradicts this process's picture. */
+  readonly abandon: (reason: string) => void;
+}
+
+/** Renewals in one lease: three may fail before it lapses. */
+const RENEWALS_PER_LEASE = 4;
+
+/** A renewal that takes longer is of no use: the next one is due. */
+const RENEW_TIMEOUT_SHARE = 0.4;
+
+/** How long a follower's watch waits; longer saves calls, and a silent line is noticed this late. */
+const WATCH_MS = 5000;
+
+/** Spread of the candidates' first attempts, so that not all write at once. */
+const CAMPAIGN_SPREAD_MS = 120;
+
+/** Pause after a failed call. */
+const RETRY_MS = 250;
+
+interface Held {
+  readonly term: Term;
+  readonly leaseId: string;
+}
+
+const parseLeader = (text: string | undefined): LeaderRecord | undefined => {
+  if (text === undefined) return undefined;
+  return JSON.parse(text) as LeaderRecord;
+};
+
+/**
+ * @param options - what leadership needs
+ * @returns a candidate that campaigns until it is disposed
+ */
+export const createLeadership = (options: LeadershipOptions): Leadership => {
+  const { store, clock: time, log } = options;
+  let isDisposed = false;
+  let held: Held | undefined;
+  let known: LeaderRecord | undefined;
+  let certainUntilMs = 0;
+  let certainUntilWallMs = 0;
+  /** The last attempt to take over; its answer may have been lost. */
+  let attempt: { readonly record: LeaderRecord; readonly leaseId: string } | undefined;
+  const aborter = new AbortController();
+
+  const pause = (durationMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      time.after(durationMs, resolve);
+    });
+  const noteRenewed = (sentAtMs: number, sentAtWallMs: number): void => {
+    certainUntilMs = sentAtMs + options.leaseMs;
+    certainUntilWallMs = sentAtWallMs + options.leaseMs;
+  };
+  const isCertain = (): boolean =>
+    held !== undefined && time.monotonicMs() < certainUntilMs && time.wallMs() < certainUntilWallMs;
+  const lose = (reason: string): void => {
+    if (held === undefined) return;
+    held = undefined;
+    known = undefined;
+    log('warn', 'leadershipLost', { reason });
+    options.onDidLose(reason);
+  };
+  const endLease = async (leaseId: string): Promise<void> => {
+    try {
+      await store.revokeLease(leaseId);
+    } catch (thrown) {
+      // It lapses by itself; the next leader only comes later.
+      log('warn', 'leaseEndFailed', { reason: errors.normalize(thrown).message });
+    }
+  };
+
+  const gain = (record: LeaderRecord, leaseId: string, revision: number): void => {
+    const condition = { key: poolKeys.LEADER, revision };
+    held = { leaseId, term: { epoch: record.epoch, condition, isCertain } };
+    known = record;
+    log('info', 'leadershipGained', { epoch: record.epoch, revision });
+    options.onDidGain(held.term);
+  };
+
+  const takeOver = async (epochRevision: number, lastEpoch: number): Promise<void> => {
+    const sentAtMs = time.monotonicMs();
+    const sentAtWallMs = time.wallMs();
+    const leaseId = await store.grantLease(options.leaseMs);
+    const { holderId, url } = options;
+    const record = { holderId, url, epoch: lastEpoch + 1, writeId: options.newId() };
+    attempt = { record, leaseId };
+    const result = await store.transact({
+      conditions: [
+        { key: poolKeys.LEADER, revision: 0 },
+        { key: poolKeys.EPOCH, revision: epochRevision },
+      ],
+      puts: [
+        { key: poolKeys.LEADER, value: JSON.stringify(record), leaseId },
+        { key: poolKeys.EPOCH, value: String(record.epoch) },
+      ],
+      removes: [],
+    });
+    if (!result.isCommitted || isDisposed) return;
+    noteRenewed(sentAtMs, sentAtWallMs);
+    gain(record, leaseId, result.revision);
+  };
+
+  const renew = async (current: Held): Promise<void> => {
+    const sentAtMs = time.monotonicMs();
+    const sentAtWallMs = time.wallMs();
+    const stands = await store.renewLease(current.leaseId, options.leaseMs * RENEW_TIMEOUT_SHARE);
+    if (held !== current) return;
+    if (stands) noteRenewed(sentAtMs, sentAtWallMs);
+    else lose('the lease has lapsed');
+  };
+
+  const lead = async (current: Held): Promise<void> => {
+    while (held === current && !isDisposed) {
+      if (isCertain()) await pause(options.leaseMs / RENEWALS_PER_LEASE);
+      try {
+        if (held === current) await renew(current);
+      } catch (thrown) {
+        // Whether the lease stands is open; nothing is granted until a renewal has been answered.
+        log('warn', 'leaseRenewalFailed', { reason: errors.normalize(thrown).message });
+        await pause(RETRY_MS);
+      }
+    }
+  };
+
+  /** @returns the revision up to which the records were read, where somebody leads */
+  const campaign = async (): Promise<number | undefined> => {
+    const { entries, revision } = await store.list(poolKeys.LEADERSHIP);
+    const leader = entries.find((it) => it.key === poolKeys.LEADER);
+    known = parseLeader(leader?.value);
+    if (leader !== undefined) {
+      if (attempt === undefined || known?.writeId !== attempt.record.writeId) return revision;
+      // Our own write whose answer was lost: it counts from its first renewal.
+      gain(attempt.record, attempt.leaseId, leader.revision);
+      return undefined;
+    }
+    const epoch = entries.find((it) => it.key === poolKeys.EPOCH);
+    await takeOver(epoch?.revision ?? 0, Number(epoch?.value ?? 0));
+    return undefined;
+  };
+
+  const waitForVacancy = async (afterRevision: number): Promise<void> => {
+    let revision = afterRevision;
+    while (!isDisposed) {
+      const seen = await store.watch(poolKeys.LEADERSHIP, revision, WATCH_MS, aborter.signal);
+      if (seen.isGap || seen.deletedKeys.includes(poolKeys.LEADER)) return;
+      const leader = seen.entries.find((it) => it.key === poolKeys.LEADER);
+      if (leader !== undefined) known = parseLeader(leader.value);
+      revision = seen.revision;
+    }
+  };
+
+  const run = async (): Promise<void> => {
+    while (!isDisposed) {
+      try {
+        const revision = await campaign();
+        if (held !== undefined) await lead(held);
+        else if (revision !== undefined) await waitForVacancy(revision);
+        if (!isDisposed) await pause(options.random() * CAMPAIGN_SPREAD_MS);
+      } catch (thrown) {
+        if (!isDisposed) {
+          log('warn', 'campaignFailed', { reason: errors.normalize(thrown).message });
+          await pause(RETRY_MS);
+        }
+      }
+    }
+  };
+  void run();
+
+  return {
+    leader: () => known,
+    release: async () => {
+      isDisposed = true;
+      aborter.abort();
+      const current = held;
+      held = undefined;
+      if (current !== undefined) await endLease(current.leaseId);
+    },
+    abandon: (reason) => {
+      const current = held;
+      attempt = undefined;
+      lose(reason);
+      if (current !== undefined) void endLease(current.leaseId);
+    },
+    dispose: () => {
+      isDisposed = true;
+      held = undefined;
+      aborter.abort();
+    },
+  };
+};
--- /dev/null
+++ b/src/coordination/node/pool/runControl.ts
@@ -0,0 +1,345 @@
+/**
+ * The leader's hold on what runs: takes agents' news into the jobs, orders starts and stops, and gives
+ * a run up only when it has certainly ended or can't start any more.
+ *
+ * Guards, each against a task that runs twice:
+ * - an order without an answer may be carried out seconds later. The run counts as gone only once the
+ *   worker has answered under a higher fence, which refuses every earlier order;
+ * - a worker that can't be reached runs on. Its runs count until every lease granted there has lapsed;
+ * - an end is acknowledged, and so forgotten by the worker, only after the job's progress is stored.
+ */
+import type * as clock from '../../../base/common/clock.js';
+import type * as logging from '../../../base/common/logging.js';
+import type * as metrics from '../../../base/common/metrics.js';
+import * as agentContract from '../../../state/common/pool/agentContract.js';
+import * as poolWorker from '../../../state/common/pool/poolWorker.js';
+import * as endLedger from '../../common/pool/endLedger.js';
+import * as jobBook from '../../common/pool/jobBook.js';
+import type * as jobRegistry from '../../common/pool/jobRegistry.js';
+import * as viewIntake from '../../common/pool/viewIntake.js';
+import * as workerTable from '../../common/pool/workerTable.js';
+
+import type * as orderDesk from './orderDesk.js';
+
+/** What run control needs. */
+export interface RunControlOptions {
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  readonly metrics: metrics.Metrics;
+  readonly registry: jobRegistry.JobRegistry;
+  readonly workers: ReadonlyMap<string, workerTable.WorkerEntry>;
+  readonly desk: () => orderDesk.OrderDesk;
+  /** Stores a job's progress; settled once it is stored. */
+  readonly save: (jobId: string) => Promise<void>;
+  /** Something changed that a planning round should look at. */
+  readonly onDidChange: () => void;
+}
+
+/** The leader's hold on what runs. */
+export interface RunControl {
+  /** @returns settled once the ends among the news are stored and may be acknowledged */
+  readonly takeNews: (
+    worker: workerTable.WorkerEntry,
+    news: agentContract.WorkerNews,
+    receivedAtMs: number,
+  ) => Promise<unknown>;
+  readonly takeSettled: (settled: orderDesk.SettledOrders) => void;
+  /** Registers a run that a former leader ordered; the worker's next list settles it. */
+  readonly adoptAssigned: (
+    worker: workerTable.WorkerEntry,
+    entry: jobBook.JobEntry,
+    task: jobBook.TaskEntry,
+  ) => void;
+  readonly stopRun: (
+    worker: workerTable.WorkerEntry,
+    run: workerTable.RunHolding,
+    cause: string,
+  ) => void;
+  /** Stops what is left of a job that has ended, and of gangs that lost a member. */
+  readonly stopUnwanted: (entry: jobBook.JobEntry, cause: string) => void;
+  /** Ends a run of which nothing is left to wait for. */
+  readonly noteLost: (run: workerTable.RunHolding, cause: string) => void;
+  /** The leases of a worker that can't be reached have all lapsed. */
+  readonly giveUpWorker: (worker: workerTable.WorkerEntry, cause: string) => void;
+  /** Sends stops again that had no effect yet. */
+  readonly repeatStops: () => void;
+  readonly isWanted: (run: workerTable.RunHolding) => boolean;
+}
+
+/** A stop takes a few hundred milliseconds; one without effect is sent again after this time. */
+const REPEAT_STOP_MS = 700;
+
+/** With an older list the worker does not answer its agent, and is given nothing new. */
+const MAX_VIEW_AGE_MS = 2500;
+
+const isWanted = (run: workerTable.RunHolding): boolean => {
+  const { entry, task } = run;
+  if (entry.isCancelled || jobBook.isEnded(entry)) return false;
+  return jobBook.groupOf(entry, task).every((it) => it.phase === 'assigned' && it.run === run.run);
+};
+
+/**
+ * @param options - what run control needs
+ * @returns run control
+ */
+export const createRunControl = (options: RunControlOptions): RunControl => {
+  const { clock: time, log, metrics } = options;
+  const nowMs = (): number => time.monotonicMs();
+
+  const stopRun = (
+    worker: workerTable.WorkerEntry,
+    run: workerTable.RunHolding,
+    cause: string,
+  ): void => {
+    run.phase = workerTable.RunPhase.stopping;
+    run.stopSentAtMs = nowMs();
+    log('info', 'runStopped', { task: run.name, run: run.run, agent: worker.agentId, cause });
+    metrics.count('auburnlift_stops_total', { cause });
+    options.desk().stop(worker, run);
+  };
+
+  const stopUnwanted = (entry: jobBook.JobEntry, cause: string): void => {
+    for (const worker of options.workers.values()) {
+      for (const run of worker.runs.values()) {
+        const isOurs = run.entry === entry && run.phase === workerTable.RunPhase.present;
+        if (isOurs && !isWanted(run)) stopRun(worker, run, cause);
+      }
+    }
+  };
+
+  /** Nothing of the run is left once the worker has answered under the next fence. */
+  const close = (worker: workerTable.WorkerEntry, run: workerTable.RunHolding): void => {
+    worker.fence += 1;
+    run.phase = workerTable.RunPhase.closing;
+    run.closeFence = worker.fence;
+  };
+
+  const endRun = (
+    entry: jobBook.JobEntry,
+    task: jobBook.TaskEntry,
+    outcome: jobBook.RunOutcome,
+  ): Promise<void> | undefined => {
+    const { jobId } = entry.job;
+    if (!jobBook.noteEnd(entry, task, outcome, time.wallMs())) return undefined;
+    metrics.count('auburnlift_run_ends_total', { how: outcome.how });
+    log('info', 'runEnded', {
+      job: jobId,
+      step: task.step,
+      index: task.index,
+      run: outcome.run,
+      how: outcome.how,
+      worker: task.workerId,
+      failures: task.failures,
+      state: entry.state,
+    });
+    stopUnwanted(entry, jobBook.isEnded(entry) ? 'jobEnded' : 'gangBroken');
+    options.onDidChange();
+    return options.save(jobId);
+  };
+
+  const noteLost = (run: workerTable.RunHolding, cause: string): void => {
+    log('warn', 'runLost', { task: run.name, run: run.run, cause });
+    const outcome = { run: run.run, how: 'lost', saved: run.saved } as const;
+    void endRun(run.entry, run.task, outcome);
+  };
+
+  const takeEnd = (
+    worker: workerTable.WorkerEntry,
+    end: poolWorker.EndedRun,
+  ): Promise<void> | undefined => {
+    const name = poolWorker.parseTaskName(end.task);
+    const entry = name === undefined ? undefined : options.registry.get(name.jobId);
+    const task =
+      name === undefined || entry === undefined ? undefined : jobBook.findTask(entry, name);
+    if (entry === undefined || task === undefined) {
+      log('warn', 'endOfUnknownRun', { task: end.task, run: end.run, agent: worker.agentId });
+      return undefined;
+    }
+    return endRun(entry, task, end);
+  };
+
+  const takeStray = (worker: workerTable.WorkerEntry, listed: poolWorker.RunningTask): void => {
+    const name = poolWorker.parseTaskName(listed.task);
+    const entry = name === undefined ? undefined : options.registry.get(name.jobId);
+    const task =
+      name === undefined || entry === undefined ? undefined : jobBook.findTask(entry, name);
+    if (entry === undefined || task === undefined) {
+      log('error', 'unknownTaskRuns', { task: listed.task, agent: worker.agentId });
+      return;
+    }
+    const run = {
+      ...workerTable.createRun(entry, task, workerTable.RunPhase.present, nowMs()),
+      run: listed.run,
+      percent: listed.percent,
+      saved: listed.saved,
+    };
+    worker.runs.set(workerTable.runKey(run.name, run.run), run);
+    if (!isWanted(run)) stopRun(worker, run, 'notWanted');
+  };
+
+  const noteSaved = (run: workerTable.RunHolding): void => {
+    if (!isWanted(run)) return;
+    for (const member of jobBook.groupOf(run.entry, run.task)) member.saved = run.saved;
+  };
+
+  const startNewLife = (worker: workerTable.WorkerEntry, info: poolWorker.WorkerInfo): void => {
+    worker.info = info;
+    worker.seenUpTo = 0;
+    worker.appliedUpTo = 0;
+    worker.ends = endLedger.createEndLedger();
+    worker.viewClockMs = 0;
+    worker.sample = undefined;
+    worker.leasesLapseAtMs = 0;
+    // The former life ended with all it ran, but an order to it may still reach the new one.
+    if (worker.runs.size > 0) worker.fence += 1;
+    for (const run of worker.runs.values()) {
+      run.phase = workerTable.RunPhase.closing;
+      run.closeFence = worker.fence;
+    }
+  };
+
+  const takeInfo = (
+    worker: workerTable.WorkerEntry,
+    info: poolWorker.WorkerInfo | undefined,
+  ): void => {
+    if (info === undefined) return;
+    const before = worker.info;
+    const isNewLife =
+      before?.workerId !== info.workerId || before.incarnationMs !== info.incarnationMs;
+    if (isNewLife) startNewLife(worker, info);
+    worker.info = info;
+    if (isNewLife || before.state !== info.state) {
+      log('info', 'workerChanged', {
+        agent: worker.agentId,
+        worker: info.workerId,
+        incarnation: info.incarnationMs,
+        state: info.state,
+        remainingMs: info.remainingMs,
+      });
+      options.onDidChange();
+    }
+  };
+
+  const acknowledge = (
+    worker: workerTable.WorkerEntry,
+    listed: readonly viewIntake.ListedEnd[],
+  ): Promise<unknown> => {
+    const { ends } = worker;
+    listed.forEach(({ end }) => ends.add(end.sequence));
+    return Promise.all(
+      listed.map(async ({ end }) => {
+        await takeEnd(worker, end);
+        const upTo = ends.note(end.sequence);
+        if (worker.ends === ends) worker.seenUpTo = upTo;
+      }),
+    );
+  };
+
+  const takeView = (
+    worker: workerTable.WorkerEntry,
+    news: agentContract.WorkerNews,
+    receivedAtMs: number,
+  ): Promise<unknown> => {
+    const { view, viewFence, viewAgeMs } = news;
+    const { info } = worker;
+    const isPresent = view !== undefined && view.incarnationMs === info?.incarnationMs;
+    if (!isPresent || view.clockMs < worker.viewClockMs) return Promise.resolve();
+    worker.viewClockMs = view.clockMs;
+    worker.sample = {
+      incarnationMs: view.incarnationMs,
+      clockMs: view.clockMs,
+      atMs: receivedAtMs - viewAgeMs,
+    };
+    const facts = viewIntake.takeView(worker, { view, viewFence, viewAgeMs }, nowMs());
+    facts.saved.forEach(noteSaved);
+    const stored = acknowledge(worker, facts.ends);
+    facts.gone.forEach((run) => noteLost(run, 'notOnWorker'));
+    facts.vanished.forEach((run) => close(worker, run));
+    facts.strays.forEach((listed) => takeStray(worker, listed));
+    for (const run of worker.runs.values()) {
+      const isStale = run.phase === workerTable.RunPhase.present && !isWanted(run);
+      if (isStale) stopRun(worker, run, 'notWanted');
+    }
+    if (facts.ends.length + facts.gone.length > 0) options.onDidChange();
+    return stored;
+  };
+
+  const takeNews: RunControl['takeNews'] = (worker, news, receivedAtMs) => {
+    const wasReachable = worker.isReachable;
+    worker.contactedAtMs = receivedAtMs;
+    worker.bootId = news.bootId;
+    takeInfo(worker, news.worker);
+    const stored = takeView(worker, news, receivedAtMs);
+    worker.isReachable = worker.sample !== undefined && news.viewAgeMs <= MAX_VIEW_AGE_MS;
+    if (worker.isReachable !== wasReachable) options.onDidChange();
+    return stored;
+  };
+
+  const takeStart = (worker: workerTable.WorkerEntry, it: orderDesk.SettledOrder): void => {
+    const { run, outcome, reason } = it;
+    const isOpen = worker.runs.get(workerTable.runKey(run.name, run.run)) === run;
+    if (!isOpen) return;
+    if (outcome === agentContract.OrderOutcome.accepted) {
+      if (run.phase === workerTable.RunPhase.ordering) run.phase = workerTable.RunPhase.present;
+      if (!isWanted(run)) stopRun(worker, run, 'notWanted');
+      return;
+    }
+    log('warn', 'startNotTaken', {
+      task: run.name,
+      run: run.run,
+      agent: worker.agentId,
+      outcome,
+      reason,
+    });
+    metrics.count('auburnlift_starts_not_taken_total', { outcome });
+    if (run.phase === workerTable.RunPhase.ordering) close(worker, run);
+  };
+
+  const takeStop = (settled: orderDesk.SettledOrders, it: orderDesk.SettledOrder): void => {
+    const { worker, isNewsLater, news } = settled;
+    const key = workerTable.runKey(it.run.name, it.run.run);
+    const isOpen = worker.runs.get(key) === it.run;
+    if (!isOpen || it.outcome !== agentContract.OrderOutcome.accepted || !isNewsLater) return;
+    const isListed = news?.view?.running.some(
+      ({ task, run }) => task === it.run.name && run === it.run.run,
+    );
+    if (isListed !== false) return;
+    // Stopped before it was there: the worker refuses the run for good.
+    worker.runs.delete(key);
+    noteLost(it.run, 'stoppedBeforeStart');
+  };
+
+  return {
+    isWanted,
+    stopRun,
+    stopUnwanted,
+    noteLost,
+    takeNews,
+    takeSettled: (settled) => {
+      const { worker, news, receivedAtMs } = settled;
+      settled.starts.forEach((it) => takeStart(worker, it));
+      if (news !== undefined) void takeNews(worker, news, receivedAtMs);
+      settled.stops.forEach((it) => takeStop(settled, it));
+    },
+    adoptAssigned: (worker, entry, task) => {
+      const run = workerTable.createRun(entry, task, workerTable.RunPhase.closing, nowMs());
+      run.closeFence = worker.fence;
+      worker.runs.set(workerTable.runKey(run.name, run.run), run);
+    },
+    giveUpWorker: (worker, cause) => {
+      worker.fence += 1;
+      const runs = [...worker.runs.values()];
+      worker.runs.clear();
+      runs.forEach((run) => noteLost(run, cause));
+    },
+    repeatStops: () => {
+      const dueMs = nowMs() - REPEAT_STOP_MS;
+      for (const worker of options.workers.values()) {
+        for (const run of worker.runs.values()) {
+          const isDue = run.phase === workerTable.RunPhase.stopping && run.stopSentAtMs < dueMs;
+          if (isDue) stopRun(worker, run, 'repeated');
+        }
+      }
+    },
+  };
+};
--- /dev/null
+++ b/src/platform/platformStore.ts
@@ -0,0 +1,232 @@
+/**
+ * The platform's key-value service as the product's record store.
+ *
+ * Guards against answers that are lost: a write whose exchange broke after it was sent ends as
+ * `StoreOutcomeUnknown`, never as a plain failure, since it may take effect now or seconds later.
+ */
+import * as errors from '../base/common/errors.js';
+import * as http from '../base/common/http.js';
+import type * as metrics from '../base/common/metrics.js';
+import * as recordStore from '../state/common/pool/recordStore.js';
+import * as store from '../state/common/store.js';
+
+/** How the service is reached. */
+export interface PlatformStoreOptions {
+  /** Read for each call: a reload of the settings may change it. */
+  readonly address: () => http.Address;
+  readonly call: http.HttpCall;
+  readonly metrics: metrics.Metrics;
+}
+
+/** An item as the service writes it. */
+interface WireItem {
+  readonly key: string;
+  /** Base64. */
+  readonly value?: string;
+  /** Revision of the last change. */
+  readonly rev: number;
+  /** Stands on an event of a removal. */
+  readonly tombstone?: boolean;
+}
+
+interface WirePage {
+  readonly items?: readonly WireItem[];
+  readonly more_pages?: boolean;
+  /** Revision of the whole store when the answer was made. */
+  readonly as_of: number;
+}
+
+interface WireEvents {
+  readonly events?: readonly WireItem[];
+  readonly as_of: number;
+}
+
+/**
+ * Longest wait for an answer. The service answers in 4 ms and up to 60 times slower on bad days,
+ * 20 ms away; past a second it counts as silent.
+ */
+const TIMEOUT_MS = 1000;
+
+/** Time on top of a watch's own wait before it counts as silent. */
+const WATCH_SLACK_MS = 1200;
+
+const OK = 200;
+const NOT_FOUND = 404;
+const GONE = 410;
+const CONDITION_FAILED = 412;
+const TOO_MANY = 429;
+const SERVER_ERROR = 500;
+const UNAVAILABLE = 503;
+
+const decodeValue = (item: WireItem): store.StoreEntry => ({
+  key: item.key,
+  value: Buffer.from(item.value ?? '', 'base64').toString('utf8'),
+  revision: item.rev,
+});
+
+const encodePut = ({ key, value, leaseId }: recordStore.Put): object => ({
+  key,
+  value: Buffer.from(value, 'utf8').toString('base64'),
+  ...(leaseId === undefined ? {} : { lease: Number(leaseId) }),
+});
+
+const parse = <T>(reply: http.HttpReply): T =>
+  JSON.parse(Buffer.from(reply.body).toString('utf8')) as T;
+
+const unavailable = (operation: string, reason: string): errors.AuburnliftError =>
+  errors.fail('storeUnavailable', `the store did not answer ${operation}: ${reason}`, {
+    retryAfterMs: 1000,
+  });
+
+/** Several events of one key count as the last of them. */
+const toWatchResult = (seen: WireEvents): store.WatchResult => {
+  const last = new Map<string, WireItem>();
+  for (const event of seen.events ?? []) last.set(event.key, event);
+  const items = [...last.values()];
+  return {
+    entries: items.filter((it) => it.tombstone !== true).map(decodeValue),
+    deletedKeys: items.filter((it) => it.tombstone === true).map((it) => it.key),
+    revision: seen.as_of,
+    isGap: false,
+  };
+};
+
+/**
+ * @param options - how the service is reached
+ * @returns the store
+ */
+export const createPlatformStore = (options: PlatformStoreOptions): recordStore.RecordStore => {
+  const send = (
+    operation: string,
+    method: string,
+    path: string,
+    body?: object,
+    timeoutMs = TIMEOUT_MS,
+    signal?: AbortSignal,
+  ): Promise<http.HttpReply> => {
+    options.metrics.count('auburnlift_store_calls_total', { operation });
+    return options.call({
+      address: options.address(),
+      method,
+      path,
+      headers: body === undefined ? {} : { 'content-type': 'application/json' },
+      body: body === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(body)),
+      timeoutMs,
+      ...(signal === undefined ? {} : { signal }),
+    });
+  };
+
+  /** Calls that change nothing, or nothing that matters where they are repeated. */
+  const read = async (
+    operation: string,
+    method: string,
+    path: string,
+    expected: readonly number[],
+    rest: { body?: object; timeoutMs?: number; signal?: AbortSignal } = {},
+  ): Promise<http.HttpReply> => {
+    let reply: http.HttpReply;
+    try {
+      reply = await send(operation, method, path, rest.body, rest.timeoutMs, rest.signal);
+    } catch (thrown) {
+      options.metrics.count('auburnlift_store_failures_total', { operation });
+      throw unavailable(operation, errors.normalize(thrown).message);
+    }
+    if (expected.includes(reply.status)) return reply;
+    options.metrics.count('auburnlift_store_failures_total', { operation });
+    throw unavailable(operation, `status ${reply.status}`);
+  };
+
+  const write = async (operation: string, path: string, body: object): Promise<http.HttpReply> => {
+    let reply: http.HttpReply;
+    try {
+      reply = await send(operation, 'POST', path, body);
+    } catch (thrown) {
+      options.metrics.count('auburnlift_store_failures_total', { operation });
+      const isUnseen =
+        thrown instanceof http.HttpCallError && thrown.failure === http.HttpFailure.notSent;
+      const { message } = errors.normalize(thrown);
+      if (isUnseen) throw unavailable(operation, message);
+      throw new store.StoreOutcomeUnknown(message);
+    }
+    const { status } = reply;
+    if (status === OK || status === CONDITION_FAILED || status === NOT_FOUND) return reply;
+    options.metrics.count('auburnlift_store_failures_total', { operation });
+    if (status === TOO_MANY || status === UNAVAILABLE) {
+      throw unavailable(operation, `status ${status}`);
+    }
+    if (status < SERVER_ERROR) {
+      throw errors.fail('internal', `the store refused ${operation} with status ${status}`);
+    }
+    throw new store.StoreOutcomeUnknown(`status ${status}`);
+  };
+
+  const listPage = async (prefix: string, after: string | undefined): Promise<WirePage> => {
+    const query = new URLSearchParams({ prefix, ...(after === undefined ? {} : { after }) });
+    const path = `/-/kv-range?${query.toString()}`;
+    return parse<WirePage>(await read('list', 'GET', path, [OK]));
+  };
+
+  return {
+    get: async (key) => {
+      const path = `/-/kv-key?${new URLSearchParams({ key }).toString()}`;
+      const reply = await read('get', 'GET', path, [OK, NOT_FOUND]);
+      return reply.status === NOT_FOUND ? undefined : decodeValue(parse<WireItem>(reply));
+    },
+    list: async (prefix) => {
+      const entries: store.StoreEntry[] = [];
+      let page = await listPage(prefix, undefined);
+      // Pages are no snapshot: a watch has to go on from the first, which saw the least.
+      const revision = page.as_of;
+      for (;;) {
+        const items = page.items ?? [];
+        entries.push(...items.map(decodeValue));
+        const last = items.at(-1);
+        if (page.more_pages !== true || last === undefined) return { entries, revision };
+        page = await listPage(prefix, last.key);
+      }
+    },
+    transact: async ({ conditions, puts, removes }) => {
+      const reply = await write('transact', '/-/kv-txn', {
+        if_rev: conditions.map(({ key, revision }) => ({ key, rev: revision })),
+        set_keys: puts.map(encodePut),
+        remove: removes,
+      });
+      if (reply.status === OK) {
+        return { isCommitted: true, revision: parse<{ rev: number }>(reply).rev };
+      }
+      if (reply.status === NOT_FOUND) return { isCommitted: false, current: [], isLeaseGone: true };
+      const { items = [] } = parse<{ items?: readonly WireItem[] }>(reply);
+      // A key that does not exist may be listed with revision 0.
+      const current = items.filter((it) => it.rev > 0 && it.tombstone !== true).map(decodeValue);
+      return { isCommitted: false, current, isLeaseGone: false };
+    },
+    grantLease: async (ttlMs) => {
+      const body = { ttl_ms: ttlMs };
+      const reply = await read('grantLease', 'POST', '/-/kv-lease', [OK], { body });
+      return String(parse<{ lease: number }>(reply).lease);
+    },
+    renewLease: async (leaseId, timeoutMs = TIMEOUT_MS) => {
+      const path = `/-/kv-keep/${leaseId}`;
+      const rest = { timeoutMs };
+      const reply = await read('renewLease', 'POST', path, [OK, NOT_FOUND], rest);
+      return reply.status === OK;
+    },
+    revokeLease: async (leaseId) => {
+      await read('revokeLease', 'DELETE', `/-/kv-lease-end/${leaseId}`, [OK, 204, NOT_FOUND]);
+    },
+    watch: async (prefix, afterRevision, waitMs, signal) => {
+      const query = new URLSearchParams({
+        prefix,
+        after: String(afterRevision),
+        wait_ms: String(waitMs),
+      });
+      const path = `/-/kv-watch?${query.toString()}`;
+      const reply = await read('watch', 'GET', path, [OK, GONE], {
+        timeoutMs: waitMs + WATCH_SLACK_MS,
+        signal,
+      });
+      if (reply.status === OK) return toWatchResult(parse<WireEvents>(reply));
+      return { entries: [], deletedKeys: [], revision: afterRevision, isGap: true };
+    },
+  };
+};
--- /dev/null
+++ b/src/programs/poolEntry.ts
@@ -0,0 +1,122 @@
+/**
+ * The entry of pools: takes clients' jobs, cancels them and tells their state. Needs no leader for
+ * any of it.
+ */
+import * as poolConfigurationFeed from '../coordination/node/pool/configurationFeed.js';
+import * as jobDesk from '../coordination/node/pool/jobDesk.js';
+import * as pendingCounts from '../coordination/node/pool/pendingCounts.js';
+import * as errors from '../base/common/errors.js';
+import * as jobApi from '../platform/jobApi.js';
+import * as operatorConfiguration from '../platform/operatorConfiguration.js';
+import * as httpServer from '../transport/node/httpServer.js';
+import * as rpcClient from '../transport/node/rpcClient.js';
+
+import * as poolKit from './poolKit.js';
+
+/** Clients' connections; the platform gives a process some four thousand descriptors. */
+const MAX_CONNECTIONS = 3000;
+
+/** Above any configured limit, so that the limit itself is answered with a clear error. */
+const MAX_BODY_BYTES = 1_048_576;
+
+/** The leader answers from memory, half a world away at most. */
+const LEADER_TIMEOUT_MS = 700;
+
+/** With an older proof of the configuration the entry asks for no new connections. */
+const READY_AGE_MS = 3000;
+
+/**
+ * New connections still come until the balancer has missed two looks a second apart; the entry
+ * answers them meanwhile.
+ */
+const LEAVE_MS = 2300;
+
+/** Kept of the time before the process is killed, for its last answers. */
+const EXIT_SLACK_MS = 700;
+
+/**
+ * @param kit - the program's parts
+ * @returns the running entry
+ */
+export const startPoolEntry = async (kit: poolKit.PoolKit): Promise<poolKit.PoolProgram> => {
+  const settings = kit.settings();
+  let isLeaving = false;
+  const feed = kit.owned.add(
+    poolConfigurationFeed.startConfigurationFeed({
+      store: kit.store,
+      clock: kit.clock,
+      log: kit.log,
+      key: operatorConfiguration.CONFIGURATION_KEY,
+      decode: operatorConfiguration.decodeConfiguration,
+    }),
+  );
+  const clients = rpcClient.createRpcClients({
+    call: kit.call,
+    timeoutMs: LEADER_TIMEOUT_MS,
+    peerSecret: poolKit.PEER_SECRET,
+  });
+  const counts = pendingCounts.createPendingCounts({
+    store: kit.store,
+    clock: kit.clock,
+    log: kit.log,
+    askLeader: async (url) => {
+      const answer = await clients.poolScheduler(url).pending({ from: kit.sender() });
+      return answer.pendingByQueue;
+    },
+  });
+  const api = jobApi.createJobApi({
+    desk: jobDesk.createJobDesk({
+      store: kit.store,
+      clock: kit.clock,
+      log: kit.log,
+      metrics: kit.metrics,
+      feed,
+      configurationKey: operatorConfiguration.CONFIGURATION_KEY,
+      revokeMs: settings.revokeMs,
+    }),
+    pending: counts.ofQueue,
+    maxBodyBytes: () => feed.current()?.configuration.maxBodyBytes ?? MAX_BODY_BYTES,
+    newRequestId: () => kit.newId().slice(0, 8),
+    nowMs: kit.clock.monotonicMs,
+    log: kit.log,
+    metrics: kit.metrics,
+  });
+  const notReadyReason = (): string | undefined => {
+    if (isLeaving) return 'leaving';
+    if (feed.current() === undefined) return 'no configuration yet';
+    return feed.ageMs() > READY_AGE_MS ? 'the store is out of reach' : undefined;
+  };
+  const readiness: httpServer.Handler = () => {
+    const reason = notReadyReason();
+    const status = reason === undefined ? 200 : 503;
+    return Promise.resolve(httpServer.jsonReply({ reason: reason ?? 'ready' }, status));
+  };
+  if (settings.front === undefined || settings.readiness === undefined) {
+    throw errors.fail('invalidRequest', 'an entry needs its addresses for clients and readiness', {
+      field: 'listen',
+    });
+  }
+  const limits = { maxBodyBytes: MAX_BODY_BYTES, maxConnections: MAX_CONNECTIONS };
+  const front = await httpServer.listen(
+    { ...settings.front, ...limits },
+    httpServer.toListener(api, MAX_BODY_BYTES),
+  );
+  const ready = await httpServer.listen(
+    { ...settings.readiness, ...limits },
+    httpServer.toListener(readiness, MAX_BODY_BYTES),
+  );
+  kit.owned.add(front);
+  kit.owned.add(ready);
+  await poolKit.listenForPeers(kit, undefined, notReadyReason);
+  return {
+    shutdown: async () => {
+      isLeaving = true;
+      front.discourage();
+      await new Promise<void>((resolve) => {
+        kit.clock.after(LEAVE_MS, resolve);
+      });
+      await front.drain(settings.graceMs - LEAVE_MS - EXIT_SLACK_MS);
+      await kit.owned.dispose();
+    },
+  };
+};
--- /dev/null
+++ b/src/programs/poolKit.ts
@@ -0,0 +1,129 @@
+/**
+ * What every program that serves pools is made of: log, metrics, connections, the store and a server
+ * for the other processes.
+ */
+import * as crypto from 'node:crypto';
+
+import type * as clock from '../base/common/clock.js';
+import * as disposable from '../base/common/disposable.js';
+import * as errors from '../base/common/errors.js';
+import type * as http from '../base/common/http.js';
+import type * as logging from '../base/common/logging.js';
+import * as metrics from '../base/common/metrics.js';
+import * as random from '../base/common/random.js';
+import * as log from '../base/node/log.js';
+import * as systemClock from '../base/node/systemClock.js';
+import * as platformStore from '../platform/platformStore.js';
+import type * as envelope from '../protocol/common/envelope.js';
+import type * as poolSettings from '../state/common/pool/poolSettings.js';
+import type * as recordStore from '../state/common/pool/recordStore.js';
+import * as healthApi from '../transport/node/healthApi.js';
+import * as httpClient from '../transport/node/httpClient.js';
+import * as httpServer from '../transport/node/httpServer.js';
+import * as rpcServer from '../transport/node/rpcServer.js';
+
+/** Parts that all programs of a pool share. */
+export interface PoolKit {
+  readonly clock: clock.Clock;
+  readonly random: random.Random;
+  readonly newId: () => string;
+  readonly log: logging.Log;
+  readonly metrics: metrics.Metrics;
+  readonly owned: disposable.DisposableStore;
+  readonly call: http.HttpCall;
+  readonly store: recordStore.RecordStore;
+  /** The settings in force; a reload replaces them. */
+  readonly settings: () => poolSettings.PoolSettings;
+  readonly sender: () => envelope.Sender;
+}
+
+/** A running program of a pool. */
+export interface PoolProgram {
+  /** Finishes what is in flight and releases everything. */
+  readonly shutdown: () => Promise<void>;
+}
+
+/** Connections to one address; the leader has a few open exchanges with each agent. */
+const MAX_CONNECTIONS = 64;
+
+/** Below the usual state time-outs of balancers and firewalls, which start at a minute. */
+const MAX_IDLE_MS = 20_000;
+
+const MAX_REPLY_BYTES = 8_388_608;
+
+/** Connections of other processes: all agents of a leader and some to spare. */
+const MAX_PEER_CONNECTIONS = 2048;
+
+/**
+ * The platform gives the processes no common secret; the ports between them are open to its own
+ * network only.
+ */
+export const PEER_SECRET = '';
+
+/**
+ * @param role - which program
+ * @param settings - the settings in force
+ * @returns the parts, owned by the program
+ */
+export const createPoolKit = (
+  role: envelope.Sender['role'],
+  settings: () => poolSettings.PoolSettings,
+): PoolKit => {
+  const owned = disposable.createDisposableStore();
+  const client = owned.add(
+    httpClient.createHttpClient({
+      clock: systemClock.systemClock,
+      maxConnections: MAX_CONNECTIONS,
+      maxIdleMs: MAX_IDLE_MS,
+      maxReplyBytes: MAX_REPLY_BYTES,
+    }),
+  );
+  const counters = metrics.createMetrics();
+  const processId = `${settings().nodeId}.${role}`;
+  return {
+    clock: systemClock.systemClock,
+    random: random.createRandom(crypto.randomInt(2 ** 31)),
+    newId: () => crypto.randomUUID(),
+    log: log.createLog('info', { role, node: settings().nodeId }),
+    metrics: counters,
+    owned,
+    call: client.call,
+    store: platformStore.createPlatformStore({
+      address: () => settings().store,
+      call: client.call,
+      metrics: counters,
+    }),
+    settings,
+    sender: () => ({ processId, role, configVersion: 0 }),
+  };
+};
+
+/**
+ * Serves the other processes of the system, and health and metrics at the same address.
+ *
+ * @param kit - the program's parts
+ * @param router - what other processes may call; undefined where they call nothing
+ * @param notReadyReason - why the process should get no traffic now
+ * @returns the server
+ */
+export const listenForPeers = async (
+  kit: PoolKit,
+  router: Parameters<typeof rpcServer.createRpcListener>[0] | undefined,
+  notReadyReason: () => string | undefined,
+): Promise<httpServer.HttpServer> => {
+  const local: httpServer.Handler = (request) => {
+    const answer = healthApi.answerHealth({ metrics: kit.metrics, notReadyReason }, request);
+    if (answer !== undefined) return Promise.resolve(answer);
+    throw errors.fail('notFound', `no page ${request.path}`, { field: 'path' });
+  };
+  const listener = httpServer.toListener(local, rpcServer.MAX_RPC_BYTES);
+  const server = await httpServer.listen(
+    {
+      ...kit.settings().peers,
+      maxBodyBytes: rpcServer.MAX_RPC_BYTES,
+      maxConnections: MAX_PEER_CONNECTIONS,
+    },
+    router === undefined ? listener : rpcServer.createRpcListener(router, PEER_SECRET, listener),
+  );
+  return kit.owned.add(server);
+};
--- /dev/null
+++ b/src/programs/poolScheduler.ts
@@ -0,0 +1,109 @@
+/**
+ * The scheduler of pools: campaigns for the leadership and, while it has it, leads.
+ */
+import * as errors from '../base/common/errors.js';
+import * as configurationFeed from '../coordination/node/pool/configurationFeed.js';
+import * as poolLeader from '../coordination/node/pool/poolLeader.js';
+import * as poolLeadership from '../coordination/node/pool/poolLeadership.js';
+import * as operatorConfiguration from '../platform/operatorConfiguration.js';
+import * as poolRouters from '../protocol/node/poolRouters.js';
+import type * as agentContract from '../state/common/pool/agentContract.js';
+import * as http from '../base/common/http.js';
+import * as rpcClient from '../transport/node/rpcClient.js';
+
+import * as poolKit from './poolKit.js';
+
+/** An exchange with an agent waits up to 0.9 s for news; past this the agent counts as silent. */
+const SYNC_TIMEOUT_MS = 2200;
+
+/** Orders are carried out within a few attempts of 0.6 s each. */
+const ORDER_TIMEOUT_MS = 2500;
+
+/**
+ * Long enough that a busy store or a short pause costs no leadership, short enough that a successor
+ * still starts urgent work within seconds.
+ */
+const LEADER_LEASE_MS = 3000;
+
+const createLink = (kit: poolKit.PoolKit): agentContract.AgentLink => {
+  const clientsWith = (timeoutMs: number): rpcClient.RpcClients =>
+    rpcClient.createRpcClients({ call: kit.call, timeoutMs, peerSecret: poolKit.PEER_SECRET });
+  const syncClients = clientsWith(SYNC_TIMEOUT_MS);
+  const orderClients = clientsWith(ORDER_TIMEOUT_MS);
+  return {
+    sync: async (url, sync) => {
+      const { news } = await syncClients.poolAgent(url).sync({ from: kit.sender(), sync });
+      return news;
+    },
+    order: async (url, order) => {
+      const { reply } = await orderClients.poolAgent(url).order({ from: kit.sender(), order });
+      return reply;
+    },
+  };
+};
+
+/**
+ * @param kit - the program's parts
+ * @returns the running scheduler
+ */
+export const startPoolScheduler = async (kit: poolKit.PoolKit): Promise<poolKit.PoolProgram> => {
+  const settings = kit.settings();
+  const link = createLink(kit);
+  let leader: poolLeader.PoolLeader | undefined;
+  const feed = kit.owned.add(
+    configurationFeed.startConfigurationFeed({
+      store: kit.store,
+      clock: kit.clock,
+      log: kit.log,
+      key: operatorConfiguration.CONFIGURATION_KEY,
+      decode: operatorConfiguration.decodeConfiguration,
+    }),
+  );
+  const endTerm = (): void => {
+    void leader?.dispose();
+    leader = undefined;
+  };
+  const router = poolRouters.createPoolSchedulerRouter({
+    pending: () => {
+      const pendingByQueue = leader?.pendingByQueue();
+      if (pendingByQueue === undefined) {
+        throw errors.fail('notLeader', 'this scheduler does not lead; nothing ran');
+      }
+      return Promise.resolve({ from: kit.sender(), pendingByQueue });
+    },
+  });
+  const server = await poolKit.listenForPeers(kit, router, () => undefined);
+  const leadership: poolLeadership.Leadership = kit.owned.add(
+    poolLeadership.createLeadership({
+      store: kit.store,
+      clock: kit.clock,
+      random: kit.random,
+      log: kit.log,
+      newId: kit.newId,
+      holderId: kit.sender().processId,
+      url: http.formatAddress(server.address),
+      leaseMs: Math.max(LEADER_LEASE_MS, settings.minStoreLeaseMs),
+      onDidGain: (term) => {
+        leader = poolLeader.startPoolLeader({
+          store: kit.store,
+          clock: kit.clock,
+          log: kit.log,
+          metrics: kit.metrics,
+          link,
+          term,
+          limits: { maxLeaseMs: settings.maxLeaseMs, statusMs: settings.statusMs },
+          configuration: () => feed.current()?.configuration,
+          onDidConflict: (reason) => leadership.abandon(reason),
+        });
+      },
+      onDidLose: endTerm,
+    }),
+  );
+  return {
+    shutdown: async () => {
+      endTerm();
+      await leadership.release();
+      await kit.owned.dispose();
+    },
+  };
+};
--- /dev/null
+++ b/src/programs/runPoolMain.ts
@@ -0,0 +1,67 @@
+/**
+ * The life of a program that serves pools: settings, start, reloads, a signal, a graceful end.
+ */
+import * as errorKinds from '../base/common/errorKinds.js';
+import * as errors from '../base/common/errors.js';
+import * as bootSettings from '../platform/bootSettings.js';
+import * as settingsWatch from '../platform/settingsWatch.js';
+import type * as envelope from '../protocol/common/envelope.js';
+
+import * as poolKit from './poolKit.js';
+
+const signalled = (): Promise<string> =>
+  new Promise((resolve) => {
+    process.once('SIGTERM', () => resolve('SIGTERM'));
+    process.once('SIGINT', () => resolve('SIGINT'));
+  });
+
+const live = async (
+  role: bootSettings.PoolProgram & envelope.Sender['role'],
+  start: (kit: poolKit.PoolKit) => Promise<poolKit.PoolProgram>,
+): Promise<void> => {
+  const path = bootSettings.bootPath();
+  let settings = bootSettings.readBootSettings(path, role);
+  const kit = poolKit.createPoolKit(role, () => settings);
+  const stopped = signalled();
+  const program = await start(kit);
+  const watch = settingsWatch.watchSettings({
+    path,
+    program: role,
+    clock: kit.clock,
+    log: kit.log,
+    onDidChange: (changed) => {
+      settings = changed;
+    },
+  });
+  kit.log('info', 'started', {
+    peers: settings.peers.port,
+    zone: settings.zone,
+    region: settings.region,
+    startMs: Math.round(process.uptime() * 1000),
+  });
+  const signal = await stopped;
+  kit.log('info', 'stopping', { signal });
+  void watch.dispose();
+  await program.shutdown();
+  kit.log('info', 'stopped', { signal });
+};
+
+/**
+ * Runs a program until SIGTERM or SIGINT, then shuts it down gracefully and exits.
+ *
+ * @param role - which program
+ * @param start - starts it
+ */
+export const runPoolMain = async (
+  role: bootSettings.PoolProgram & envelope.Sender['role'],
+  start: (kit: poolKit.PoolKit) => Promise<poolKit.PoolProgram>,
+): Promise<void> => {
+  try {
+    await live(role, start);
+    process.exit(0);
+  } catch (thrown) {
+    const error = errors.normalize(thrown);
+    process.stderr.write(`${error.message}\n`);
+    process.exit(errorKinds.ERROR_TABLE[error.kind].exitCode);
+  }
+};
--- a/src/programs/test/childPrograms.ts
+++ b/src/programs/test/childPrograms.ts
@@ -40,8 +40,8 @@
 const whenStarted = async (
   child: childProcess.ChildProcess,
 ): Promise<ReadonlyMap<string, string>> => {
-  if (child.stderr === null) throw new Error('no standard error');
-  const lines = readline.createInterface({ input: child.stderr });
+  if (child.stdout === null) throw new Error('no standard output');
+  const lines = readline.createInterface({ input: child.stdout });
   return new Promise((resolve, reject) => {
     lines.on('line', (line) => {
       const facts = parseLine(line);
@@ -79,7 +79,7 @@
       const file = writeSettings(`// written by a test\n${JSON.stringify(settings, null, 2)}`);
       const script = path.join(BIN, `${program}.js`);
       const child = childProcess.spawn(process.execPath, [script, '--settings', file], {
-        stdio: ['ignore', 'ignore', 'pipe'],
+        stdio: ['ignore', 'pipe', 'ignore'],
       });
       children.add(child);
       const started = await whenStarted(child);
--- /dev/null
+++ b/src/protocol/common/poolMessages.ts
@@ -0,0 +1,53 @@
+/**
+ * Messages between the processes that serve pools: the leader and the agents, entries and the leader.
+ */
+import * as Schema from 'effect/Schema';
+
+import * as agentContract from '../../state/common/pool/agentContract.js';
+import * as units from '../../state/common/units.js';
+import * as envelope from './envelope.js';
+
+/** The leader renews its authority and the tasks' leases, and waits for news. */
+export const SyncMessage = Schema.Struct({
+  from: envelope.Sender,
+  sync: agentContract.SyncRequest,
+});
+
+/** See {@link SyncMessage}. */
+export type SyncMessage = typeof SyncMessage.Type;
+
+/** What the agent knows of its worker. */
+export interface SyncAnswer {
+  readonly from: envelope.Sender;
+  readonly news: agentContract.WorkerNews;
+}
+
+/** The leader's orders. */
+export const OrderMessage = Schema.Struct({
+  from: envelope.Sender,
+  order: agentContract.OrderRequest,
+});
+
+/** See {@link OrderMessage}. */
+export type OrderMessage = typeof OrderMessage.Type;
+
+/** What became of the orders. */
+export interface OrderAnswer {
+  readonly from: envelope.Sender;
+  readonly reply: agentContract.OrderReply;
+}
+
+/** An entry asks the leader how many jobs wait. */
+export const PendingMessage = Schema.Struct({ from: envelope.Sender });
+
+/** See {@link PendingMessage}. */
+export type PendingMessage = typeof PendingMessage.Type;
+
+/** Accepted jobs by queue of which no task has started. */
+export const PendingAnswer = Schema.Struct({
+  from: envelope.Sender,
+  pendingByQueue: Schema.Record(Schema.String, units.Count),
+});
+
+/** See {@link PendingAnswer}. */
+export type PendingAnswer = typeof PendingAnswer.Type;
--- /dev/null
+++ b/src/protocol/node/poolRouters.ts
@@ -0,0 +1,39 @@
+/**
+ * Routers of the processes that serve pools.
+ */
+import * as poolMessages from '../common/poolMessages.js';
+import * as rpc from './rpc.js';
+
+/** Handlers of an agent; each throws `staleEpoch` for a leader that has been followed by another. */
+export interface PoolAgentService {
+  readonly sync: (message: poolMessages.SyncMessage) => Promise<poolMessages.SyncAnswer>;
+  readonly order: (message: poolMessages.OrderMessage) => Promise<poolMessages.OrderAnswer>;
+}
+
+/** Handlers of a scheduler; each throws `notLeader` where it does not lead. */
+export interface PoolSchedulerService {
+  readonly pending: (message: poolMessages.PendingMessage) => Promise<poolMessages.PendingAnswer>;
+}
+
+/**
+ * @param service - handlers
+ * @returns the agent's router
+ */
+export const createPoolAgentRouter = (service: PoolAgentService) =>
+  rpc.router({
+    sync: rpc.procedure(poolMessages.SyncMessage, service.sync),
+    order: rpc.procedure(poolMessages.OrderMessage, service.order),
+  });
+
+/** Type of the agent's router, for clients. */
+export type PoolAgentRouter = ReturnType<typeof createPoolAgentRouter>;
+
+/**
+ * @param service - handlers
+ * @returns the scheduler's router
+ */
+export const createPoolSchedulerRouter = (service: PoolSchedulerService) =>
+  rpc.router({ pending: rpc.procedure(poolMessages.PendingMessage, service.pending) });
+
+/** Type of the scheduler's router, for clients. */
+export type PoolSchedulerRouter = ReturnType<typeof createPoolSchedulerRouter>;
--- a/src/transport/node/rpcClient.ts
+++ b/src/transport/node/rpcClient.ts
@@ -8,6 +8,7 @@
 import * as http from '../../base/common/http.js';
 import type * as agentRouter from '../../protocol/node/agentRouter.js';
 import type * as entryRouter from '../../protocol/node/entryRouter.js';
+import type * as poolRouters from '../../protocol/node/poolRouters.js';
 import type * as schedulerRouter from '../../protocol/node/schedulerRouter.js';
 
 /** Path under which every process serves its router. */
@@ -132,6 +133,24 @@
   };
 };
 
+const poolAgentClient = (options: RpcClientOptions, url: string) => {
+  const client = create<poolRouters.PoolAgentRouter>(options, url);
+  const wrap = wrapFor(options, url);
+  return { sync: wrap(client.sync), order: wrap(client.order) };
+};
+
+const poolSchedulerClient = (options: RpcClientOptions, url: string) => {
+  const client = create<poolRouters.PoolSchedulerRouter>(options, url);
+  const wrap = wrapFor(options, url);
+  return { pending: wrap(client.pending) };
+};
+
+/** An agent of a pool as the leader calls it. */
+export type PoolAgentClient = ReturnType<typeof poolAgentClient>;
+
+/** A scheduler of pools as entries call it. */
+export type PoolSchedulerClient = ReturnType<typeof poolSchedulerClient>;
+
 /** An agent as other processes call it. */
 export type AgentClient = ReturnType<typeof agentClient>;
 
@@ -146,6 +165,8 @@
   readonly agent: (url: string) => AgentClient;
   readonly entry: (url: string) => EntryClient;
   readonly scheduler: (url: string) => SchedulerClient;
+  readonly poolAgent: (url: string) => PoolAgentClient;
+  readonly poolScheduler: (url: string) => PoolSchedulerClient;
 }
 
 const memoize = <T>(make: (url: string) => T): ((url: string) => T) => {
@@ -165,4 +186,6 @@
   agent: memoize((url) => agentClient(options, url)),
   entry: memoize((url) => entryClient(options, url)),
   scheduler: memoize((url) => schedulerClient(options, url)),
+  poolAgent: memoize((url) => poolAgentClient(options, url)),
+  poolScheduler: memoize((url) => poolSchedulerClient(options, url)),
 });
--- a/tools/houseRules.js
+++ b/tools/houseRules.js
@@ -11,6 +11,7 @@
   'coordination',
   'protocol',
   'transport',
+  'platform',
   'standins',
   'programs',
   'dev',
