--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -27,7 +27,8 @@
 };
 
 const heldOfStep = (worker: planTypes.PlanWorker, stepKey: string): number =>
-  worker.holdings.filter((it) => it.stepKey === stepKey).length;
+  worker.holdings.filter((it) => it.stepKey === stepKey).length +
+  (worker.placedSteps.get(stepKey) ?? 0);
 
 /**
  * @param worker - a worker
@@ -166,7 +167,9 @@
  * @param placement - a placement
  */
 export const takeRoom = (placement: planTypes.Placement): void => {
+  const { room, stepKey } = placement.unit;
   for (const worker of placement.workers) {
-    worker.free = poolJob.addResources(worker.free, placement.unit.room, -1);
+    worker.free = poolJob.addResources(worker.free, room, -1);
+    worker.placedSteps.set(stepKey, (worker.placedSteps.get(stepKey) ?? 0) + 1);
   }
 };
--- a/src/coordination/common/pool/planTypes.ts
+++ b/src/coordination/common/pool/planTypes.ts
@@ -37,6 +37,8 @@
   /** Room that nothing holds; a round takes from it. */
   free: poolJob.Resources;
   readonly holdings: readonly Holding[];
+  /** Tasks of each step that the round has placed here. */
+  readonly placedSteps: Map<string, number>;
 }
 
 /** Tasks that start together or not at all. */
--- /dev/null
+++ b/src/coordination/common/pool/test/poolFixtures.ts
@@ -0,0 +1,113 @@
+/**
+ * Jobs and workers for the tests of pools.
+ */
+import type * as poolJob from '../../../../state/common/pool/poolJob.js';
+import * as jobBook from '../jobBook.js';
+import type * as planTypes from '../planTypes.js';
+import * as readyQueue from '../readyQueue.js';
+
+/** One step with defaults for what a test does not care about. */
+export const makeStep = (changes: Partial<poolJob.Step> = {}): poolJob.Step => ({
+  count: 1,
+  resources: { cpuMillicores: 1000, memoryMb: 1000, accelerators: 1 },
+  estimatedMs: 1000,
+  after: [],
+  isCheckpointing: false,
+  isGang: false,
+  isSameRack: false,
+  maxPerWorker: 0,
+  isSpeculative: false,
+  isLongRunning: false,
+  targetLatencyMs: 0,
+  isFiller: false,
+  ...changes,
+});
+
+/** What a test says of a job. */
+export interface JobChanges {
+  readonly jobId?: string;
+  readonly customerId?: string;
+  readonly priority?: number;
+  readonly attempts?: number;
+  readonly acceptedAtMs?: number;
+  readonly schedule?: poolJob.Schedule;
+}
+
+/** A job of the given steps. */
+export const makeJob = (
+  steps: readonly Partial<poolJob.Step>[],
+  changes: JobChanges = {},
+): poolJob.PoolJob => ({
+  jobId: changes.jobId ?? 'job',
+  customerId: changes.customerId ?? 'customer',
+  payload: '',
+  steps: steps.map(makeStep),
+  ...(changes.schedule === undefined ? {} : { schedule: changes.schedule }),
+  acceptedAtMs: changes.acceptedAtMs ?? 0,
+  policy: {
+    queue: 'queue',
+    service: 'service',
+    priority: changes.priority ?? 1,
+    attempts: changes.attempts ?? 2,
+    stretch: 3,
+    objectiveMs: 1000,
+    needsAdvice: false,
+  },
+});
+
+/** A worker of eight accelerators with what runs on it. */
+export const makeWorker = (
+  workerId: string,
+  changes: Partial<planTypes.PlanWorker> = {},
+): planTypes.PlanWorker => {
+  const capacity = { cpuMillicores: 64_000, memoryMb: 256_000, accelerators: 8 };
+  const worker: planTypes.PlanWorker = {
+    workerId,
+    incarnationMs: 1,
+    service: 'service',
+    rack: 'r1',
+    labels: [],
+    capacity,
+    free: capacity,
+    holdings: [],
+    placedSteps: new Map(),
+    ...changes,
+  };
+  for (const { room } of worker.holdings) {
+    worker.free = {
+      cpuMillicores: worker.free.cpuMillicores - room.cpuMillicores,
+      memoryMb: worker.free.memoryMb - room.memoryMb,
+      accelerators: worker.free.accelerators - room.accelerators,
+    };
+  }
+  return worker;
+};
+
+/** A run that takes room. */
+export const makeHolding = (
+  task: string,
+  accelerators: number,
+  changes: Partial<planTypes.Holding> = {},
+): planTypes.Holding => ({
+  jobId: task,
+  task,
+  run: 1,
+  room: { cpuMillicores: 1000, memoryMb: 1000, accelerators },
+  stepKey: `${task}.step`,
+  groupKey: task,
+  priority: 2,
+  customerId: 'other',
+  isLeaving: false,
+  isProtected: false,
+  unsavedMs: 1000,
+  remainingMs: 1000,
+  ...changes,
+});
+
+/** What of the jobs is ready, after a wait. */
+export const makeUnits = (jobs: readonly poolJob.PoolJob[], waitedMs = 0): planTypes.PlanUnit[] => {
+  const queue = readyQueue.createReadyQueue();
+  const entries = jobs.map((job) => jobBook.createEntry(job, 0));
+  queue.units(entries, 0, 0);
+  return queue.units(entries, waitedMs, waitedMs);
+};
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -237,5 +237,6 @@
     capacity: info.capacity,
     free: freeRoom(worker),
     holdings: [...worker.runs.values()].map((run) => toHolding(run, nowMs)),
+    placedSteps: new Map(),
   };
 };
