Leave draining workers in time, suspect workers that fail everything, store checkpoints

Cause: work on a worker that drained was lost with it; a loss of all power left tasks waiting ten seconds for leases of workers that had come back under other ids; urgent tasks beyond their guarantee waited seconds behind work with twenty seconds to spare.

Change: runs that can't end before their worker leaves are stopped at their checkpoint; a task's row names its agent, and a later life of that agent's worker ends the run; two failures of different jobs make a worker suspect; urgent work that can still be in time stops what loses less than itself; late work goes behind what can be in time; checkpoints are stored every two seconds; leadership lapses in 2 s.

Ruled out: shorter task leases (they would not ride out an outage of the store).

--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -114,9 +114,11 @@
   const { step, tasks } = unit.unit;
   const suitable = workers.filter((worker) => isSuitable(worker, unit));
   const avoided = new Set(tasks.flatMap((task) => task.avoid));
-  const untried = suitable.filter((worker) => !avoided.has(worker.workerId));
-  // Where it failed everywhere it may go anywhere again: the fault is then its own.
-  const usable = couldEverHold(untried, unit) ? untried : suitable;
+  const sound = suitable.filter((worker) => !worker.isSuspect);
+  const untried = sound.filter((worker) => !avoided.has(worker.workerId));
+  // Where it failed everywhere it may go anywhere again: the fault is then its own. Suspects are
+  // used only where the others could never hold it.
+  const usable = [untried, sound].find((its) => couldEverHold(its, unit)) ?? suitable;
   const needsOneRack = step.isSameRack && step.isGang && tasks.length > 1;
   const racks = [...byRack(usable).entries()];
   const near = racks
--- a/src/coordination/common/pool/jobBook.ts
+++ b/src/coordination/common/pool/jobBook.ts
@@ -17,6 +17,7 @@
   failedRun: number;
   workerId: string;
   incarnationMs: number;
+  agentId: string;
   saved: string;
   /** Workers on which it failed or stood still; the next run goes elsewhere where it can. */
   avoid: string[];
@@ -35,6 +36,8 @@
   progressRevision: number;
   /** Leader's clock when it learnt of the job. */
   readonly learntAtMs: number;
+  /** How often work of it was stopped for others that could not claim it as their guarantee. */
+  preemptions: number;
 }
 
 /** Tasks that are started together: a gang, or one task. */
@@ -56,6 +59,7 @@
   failedRun: 0,
   workerId: '',
   incarnationMs: 0,
+  agentId: '',
   saved: '',
   avoid: [],
 });
@@ -107,6 +111,7 @@
     occurrences: [],
     progressRevision: 0,
     learntAtMs: nowMs,
+    preemptions: 0,
   };
   if (job.schedule === undefined) addDueOccurrences(entry, 0);
   return entry;
@@ -216,6 +221,7 @@
   readonly task: TaskEntry;
   readonly workerId: string;
   readonly incarnationMs: number;
+  readonly agentId: string;
 }
 
 /**
@@ -228,11 +234,12 @@
 export const assign = (entry: JobEntry, assignments: readonly Assignment[]): void => {
   const run = 1 + Math.max(...assignments.map(({ task }) => task.run));
   const saved = assignments.map(({ task }) => task.saved).find((it) => it !== '') ?? '';
-  for (const { task, workerId, incarnationMs } of assignments) {
+  for (const { task, workerId, incarnationMs, agentId } of assignments) {
     task.run = run;
     task.phase = progressRecord.TaskPhase.assigned;
     task.workerId = workerId;
     task.incarnationMs = incarnationMs;
+    task.agentId = agentId;
     task.saved = saved;
   }
   if (entry.state === poolJob.PoolJobState.queued) entry.state = poolJob.PoolJobState.running;
--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -17,6 +17,15 @@
 /** A unit keeps room free after this wait; shorter gaps close by themselves with the next end. */
 const RESERVE_AFTER_MS = 1500;
 
+/** What serves nobody any more is set back for no longer than this: its caller still wants it done. */
+const MAX_SET_BACK_MS = 30_000;
+
+/** Urgent work beyond its guarantee stops others for at most this multiple of its own work. */
+const MAX_LOSS_SHARE = 1;
+
+/** A job is stopped this often at most for what could not claim its room. */
+const MAX_PREEMPTIONS = 2;
+
 /** An accelerator weighs as much as so many cores in what is lost by stopping work. */
 const CORES_PER_ACCELERATOR = 8;
 
@@ -43,6 +52,12 @@
       ? (1 + holding.unsavedMs) * weightInCores(holding.room)
       : undefined;
 
+/** Cheap victims only: those of a lower priority that were not stopped too often already. */
+const preemptLossOf =
+  (unit: planTypes.PlanUnit): roomToCome.CostOf =>
+  (holding) =>
+    holding.preemptions < MAX_PREEMPTIONS ? lossOf(unit)(holding) : undefined;
+
 const waitFor: roomToCome.CostOf = (holding) => 1 + holding.remainingMs;
 
 const acceleratorsOf = (unit: planTypes.PlanUnit): number =>
@@ -59,6 +74,21 @@
   return claimed;
 };
 
+/**
+ * Below one for each priority: what can still be in time goes before what is late, and what serves
+ * nobody any more goes last of all. In a burst of urgent work the earliest deadline alone would spend
+ * the room on what has just missed its own, and make everything behind it late as well.
+ */
+const LATE_RANK = 0.5;
+const USELESS_RANK = 1_000_000;
+
+const rankOf = (unit: planTypes.PlanUnit, nowMs: number): number => {
+  if (nowMs > unit.uselessAfterMs && unit.waitedMs < MAX_SET_BACK_MS) {
+    return USELESS_RANK + unit.priority;
+  }
+  return unit.priority + (nowMs > unit.latestStartMs ? LATE_RANK : 0);
+};
+
 const splitClaims = (
   input: RoundInput,
 ): { claims: planTypes.PlanUnit[]; others: planTypes.PlanUnit[] } => {
@@ -66,7 +96,7 @@
   const claims: planTypes.PlanUnit[] = [];
   const others: planTypes.PlanUnit[] = [];
   const ranked = [...input.units].sort(
-    (a, b) => a.priority - b.priority || a.latestStartMs - b.latestStartMs,
+    (a, b) => rankOf(a, input.nowMs) - rankOf(b, input.nowMs) || a.latestStartMs - b.latestStartMs,
   );
   for (const unit of ranked) {
     const used = (claimed.get(unit.customerId) ?? 0) + acceleratorsOf(unit);
@@ -123,12 +153,25 @@
 
   for (const unit of claims) if (!startNow(unit)) claim(unit);
 
+  /** Urgent work that can still be in time may stop what loses less than itself by it. */
+  const preempt = (unit: planTypes.PlanUnit): boolean => {
+    if (unit.priority !== 0 || input.nowMs > unit.latestStartMs) return false;
+    const { groups } = gangPlacement.candidateGroups(input.workers, unit);
+    const future = roomToCome.findRoomToCome(input.workers, groups, unit, preemptLossOf(unit));
+    const ownWork = unit.expectedMs * weightInCores(unit.room) * unit.unit.tasks.length;
+    if (future === undefined || future.cost > MAX_LOSS_SHARE * ownWork) return false;
+    gangPlacement.takeRoom(future.placement);
+    for (const key of future.leaving) if (!leaving.has(key)) evictions.set(key, unit);
+    waits.push({ unit, reason: `waits for ${future.leaving.size} groups to leave` });
+    return true;
+  };
+
   const fullSteps = new Set<string>();
   let reservations = 0;
   for (const unit of others) {
     // Tasks of one step are alike: where one found no room the next finds none either.
     const isTried = unit.unit.tasks.length === 1 && fullSteps.has(unit.stepKey);
-    if (!isTried && !startNow(unit)) {
+    if (!isTried && !startNow(unit) && !preempt(unit)) {
       fullSteps.add(unit.stepKey);
       const isReserving = reservations < MAX_RESERVATIONS && unit.waitedMs >= RESERVE_AFTER_MS;
       const { groups } = gangPlacement.candidateGroups(input.workers, unit);
--- a/src/coordination/common/pool/planTypes.ts
+++ b/src/coordination/common/pool/planTypes.ts
@@ -20,6 +20,8 @@
   readonly isLeaving: boolean;
   /** Whether stopping it would break a promise: a long-running task beyond its budget. */
   readonly isProtected: boolean;
+  /** How often its job was stopped for others that could not claim it as their guarantee. */
+  readonly preemptions: number;
   /** Work that is lost where it is stopped now, in milliseconds of its run. */
   readonly unsavedMs: number;
   /** Expected time to its end. */
@@ -29,6 +31,7 @@
 /** A worker that may take tasks. */
 export interface PlanWorker {
   readonly workerId: string;
+  readonly agentId: string;
   readonly incarnationMs: number;
   readonly service: string;
   readonly rack: string;
@@ -37,6 +40,8 @@
   /** Room that nothing holds; a round takes from it. */
   free: poolJob.Resources;
   readonly holdings: readonly Holding[];
+  /** Fails or holds up what it runs, as far as one sees; takes tasks only where nobody else can. */
+  readonly isSuspect: boolean;
   /** Tasks of each step that the round has placed here. */
   readonly placedSteps: Map<string, number>;
 }
@@ -51,6 +56,8 @@
   readonly room: poolJob.Resources;
   /** Time by the leader's clock until which a start still serves the caller in time. */
   readonly latestStartMs: number;
+  /** Time by the leader's clock after which a start serves nobody any more. */
+  readonly uselessAfterMs: number;
   /** How long it has been ready. */
   readonly waitedMs: number;
   /** Expected run time of one task near its data. */
--- a/src/coordination/common/pool/readyQueue.ts
+++ b/src/coordination/common/pool/readyQueue.ts
@@ -22,6 +22,9 @@
   ) => planTypes.PlanUnit[];
 }
 
+/** A job still serves its caller in part up to this multiple of its objective. */
+const LATE_MULTIPLE = 3;
+
 const startAtMs = (unit: jobBook.ReadyUnit): number => {
   const { job } = unit.entry;
   return job.schedule === undefined ? job.acceptedAtMs : jobBook.dueAtMs(job, unit.occurrence);
@@ -42,6 +45,8 @@
     const [first] = unit.tasks;
     const { stepKey, groupKey } = workerTable.keysOf(unit.entry, first as jobBook.TaskEntry);
     const ageMs = wallMs - startAtMs(unit);
+    const objectiveMs = jobChain.objectiveMs(job);
+    const chainMs = jobChain.longestChainMs(job);
     return {
       unit,
       groupKey,
@@ -49,7 +54,8 @@
       priority: job.policy.priority,
       customerId: job.customerId,
       room: poolJob.roomOf(unit.step),
-      latestStartMs: nowMs - ageMs + jobChain.objectiveMs(job) - jobChain.longestChainMs(job),
+      latestStartMs: nowMs - ageMs + objectiveMs - chainMs,
+      uselessAfterMs: nowMs - ageMs + LATE_MULTIPLE * objectiveMs - chainMs,
       waitedMs: nowMs - (readySinceMs.get(groupKey) ?? nowMs),
       expectedMs: unit.step.estimatedMs,
     };
--- a/src/coordination/common/pool/test/poolFixtures.ts
+++ b/src/coordination/common/pool/test/poolFixtures.ts
@@ -63,6 +63,7 @@
   const capacity = { cpuMillicores: 64_000, memoryMb: 256_000, accelerators: 8 };
   const worker: planTypes.PlanWorker = {
     workerId,
+    agentId: `agent-${workerId}`,
     incarnationMs: 1,
     service: 'service',
     rack: 'r1',
@@ -70,6 +71,7 @@
     capacity,
     free: capacity,
     holdings: [],
+    isSuspect: false,
     placedSteps: new Map(),
     ...changes,
   };
@@ -99,6 +101,7 @@
   customerId: 'other',
   isLeaving: false,
   isProtected: false,
+  preemptions: 0,
   unsavedMs: 1000,
   remainingMs: 1000,
   ...changes,
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -7,6 +7,7 @@
 import type * as jobBook from './jobBook.js';
 import type * as leaseClock from './leaseClock.js';
 import type * as planTypes from './planTypes.js';
+import * as workerBlame from './workerBlame.js';
 
 /** Where a run is between its order and its listed end. */
 export const RunPhase = {
@@ -70,9 +71,13 @@
   sample: leaseClock.ClockSample | undefined;
   /** Leader's clock by which every lease that it granted here has run out. */
   leasesLapseAtMs: number;
+  /** Leader's clock at which a draining worker ends; infinite for one that stays. */
+  leavesAtMs: number;
   isReachable: boolean;
   contactedAtMs: number;
   readonly runs: Map<string, RunHolding>;
+  /** What speaks against the worker's present life. */
+  blame: workerBlame.WorkerBlame;
 }
 
 /** Fences of one epoch; one is used for each time that earlier orders must be refused. */
@@ -115,9 +120,11 @@
   viewClockMs: 0,
   sample: undefined,
   leasesLapseAtMs: 0,
+  leavesAtMs: Infinity,
   isReachable: false,
   contactedAtMs: nowMs,
   runs: new Map(),
+  blame: workerBlame.createWorkerBlame(),
 });
 
 /**
@@ -194,6 +201,7 @@
   customerId: run.entry.job.customerId,
   isLeaving: run.phase === RunPhase.stopping || run.phase === RunPhase.closing,
   isProtected: run.step.maxUnavailable !== undefined,
+  preemptions: run.entry.preemptions,
   unsavedMs: nowMs - run.savedAtMs,
   remainingMs: remainingMsOf(run, nowMs),
 });
@@ -230,6 +238,7 @@
   if (info === undefined || !takesTasks(worker)) return undefined;
   return {
     workerId: info.workerId,
+    agentId: worker.agentId,
     incarnationMs: info.incarnationMs,
     service: info.service,
     rack: info.rack ?? '',
@@ -237,6 +246,7 @@
     capacity: info.capacity,
     free: freeRoom(worker),
     holdings: [...worker.runs.values()].map((run) => toHolding(run, nowMs)),
+    isSuspect: workerBlame.isSuspect(worker.blame, nowMs),
     placedSteps: new Map(),
   };
 };
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -82,6 +82,12 @@
 /** How often ended jobs are looked for; their removal is not urgent. */
 const REMOVE_PERIOD_MS = 10_000;
 
+/**
+ * Checkpoints are stored together this often, so that a loss of all power costs no more than this much
+ * of saved work; stored one by one they would be most of the leader's writes.
+ */
+const CHECKPOINT_PERIOD_MS = 2000;
+
 interface AgentRecord {
   readonly url: string;
 }
@@ -99,11 +105,13 @@
   const sessions = new Map<string, disposable.Disposable>();
   const listedAgents = new Set<string>();
   const queue = readyQueue.createReadyQueue();
+  const savedJobs = new Set<string>();
   const waitReasons = new Map<string, string>();
   const startedAtMs = time.monotonicMs();
   let isLoaded = false;
   let isPlanDue = false;
   let removedAtMs = startedAtMs;
+  let checkpointedAtMs = startedAtMs;
 
   const nowMs = (): number => time.monotonicMs();
   const grantMs = (): number => (term.isCertain() ? options.limits.maxLeaseMs - LEASE_SLACK_MS : 0);
@@ -139,6 +147,7 @@
     workers,
     desk: () => desk,
     save: writer.save,
+    onDidSave: (jobId) => savedJobs.add(jobId),
     onDidChange: () => schedulePlan(),
   });
   const desk = orderDesk.createOrderDesk({
@@ -149,9 +158,6 @@
     onSettled: control.takeSettled,
   });
 
-  const workerById = (workerId: string): workerTable.WorkerEntry | undefined =>
-    [...workers.values()].find((it) => it.info?.workerId === workerId);
-
   /** Sends a stored start, as soon as the leadership is certain. */
   const sendStart = (worker: workerTable.WorkerEntry, run: workerTable.RunHolding): void => {
     if (owned.isDisposed() || run.phase !== workerTable.RunPhase.ordering) return;
@@ -171,12 +177,12 @@
   const begin = (placement: planTypes.Placement): void => {
     const { entry, tasks } = placement.unit.unit;
     const assignments = tasks.map((task, index) => {
-      const { workerId, incarnationMs } = placement.workers[index] as planTypes.PlanWorker;
-      return { task, workerId, incarnationMs };
+      const { workerId, incarnationMs, agentId } = placement.workers[index] as planTypes.PlanWorker;
+      return { task, workerId, incarnationMs, agentId };
     });
     jobBook.assign(entry, assignments);
     const runs = tasks.flatMap((task) => {
-      const worker = workerById(task.workerId);
+      const worker = workers.get(task.agentId);
       if (worker === undefined) return [];
       const run = workerTable.createRun(entry, task, workerTable.RunPhase.ordering, nowMs());
       worker.runs.set(workerTable.runKey(run.name, run.run), run);
@@ -198,6 +204,8 @@
   };
 
   const evict = (groupKey: string, beneficiary: planTypes.PlanUnit): void => {
+    const victim = registry.get(groupKey.split('.')[0] ?? '');
+    if (victim !== undefined) victim.preemptions += 1;
     for (const worker of workers.values()) {
       for (const run of worker.runs.values()) {
         const isVictim = run.groupKey === groupKey && run.phase === workerTable.RunPhase.present;
@@ -258,7 +266,7 @@
     for (const entry of registry.all()) {
       if (jobBook.isEnded(entry)) continue;
       for (const task of jobBook.tasksOf(entry)) {
-        const isHere = task.phase === 'assigned' && task.workerId === worker.info?.workerId;
+        const isHere = task.phase === 'assigned' && task.agentId === worker.agentId;
         const { name } = workerTable.keysOf(entry, task);
         const isKnown = worker.runs.has(workerTable.runKey(name, task.run));
         if (isHere && !isKnown) control.adoptAssigned(worker, entry, task);
@@ -428,11 +436,13 @@
   /** Tasks that a former leader gave to workers that nobody has seen since. */
   const giveUpUnseen = (): void => {
     if (nowMs() < formerLapseAtMs) return;
-    const seen = new Set([...workers.values()].map((it) => it.info?.workerId));
+    const seen = new Set(
+      [...workers.values()].filter((it) => it.info !== undefined).map((it) => it.agentId),
+    );
     for (const entry of registry.all()) {
       if (jobBook.isEnded(entry)) continue;
       for (const task of jobBook.tasksOf(entry)) {
-        if (task.phase === 'assigned' && !seen.has(task.workerId)) {
+        if (task.phase === 'assigned' && !seen.has(task.agentId)) {
           const { closing } = workerTable.RunPhase;
           control.noteLost(workerTable.createRun(entry, task, closing, nowMs()), 'workerNeverSeen');
         }
@@ -473,9 +483,18 @@
     log('info', 'endedJobsRemoved', { jobs: due.length, isCommitted: result.isCommitted });
   };
 
+  const storeCheckpoints = (): void => {
+    if (nowMs() - checkpointedAtMs < CHECKPOINT_PERIOD_MS) return;
+    checkpointedAtMs = nowMs();
+    savedJobs.forEach((jobId) => void writer.save(jobId));
+    savedJobs.clear();
+  };
+
   const tick = (): void => {
     if (owned.isDisposed()) return;
     control.repeatStops();
+    control.inspect();
+    storeCheckpoints();
     giveUpSilent();
     giveUpUnseen();
     forgetAgents();
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -17,6 +17,7 @@
 import * as jobBook from '../../common/pool/jobBook.js';
 import type * as jobRegistry from '../../common/pool/jobRegistry.js';
 import * as viewIntake from '../../common/pool/viewIntake.js';
+import * as workerBlame from '../../common/pool/workerBlame.js';
 import * as workerTable from '../../common/pool/workerTable.js';
 
 import type * as orderDesk from './orderDesk.js';
@@ -31,6 +32,8 @@
   readonly desk: () => orderDesk.OrderDesk;
   /** Stores a job's progress; settled once it is stored. */
   readonly save: (jobId: string) => Promise<void>;
+  /** A job has a new checkpoint, which is worth storing when convenient. */
+  readonly onDidSave: (jobId: string) => void;
   /** Something changed that a planning round should look at. */
   readonly onDidChange: () => void;
 }
@@ -64,6 +67,8 @@
   /** Sends stops again that had no effect yet. */
   readonly repeatStops: () => void;
   readonly isWanted: (run: workerTable.RunHolding) => boolean;
+  /** Looks at what stands still, and at what a draining worker would take away with it. */
+  readonly inspect: () => void;
 }
 
 /** A stop takes a few hundred milliseconds; one without effect is sent again after this time. */
@@ -72,6 +77,26 @@
 /** With an older list the worker does not answer its agent, and is given nothing new. */
 const MAX_VIEW_AGE_MS = 2500;
 
+/** A draining worker that does not say how long it lives is taken to leave after this time. */
+const DEFAULT_REMAINING_MS = 2000;
+
+/** Kept of a draining worker's time for the stop itself and for the way there and back. */
+const EVACUATION_MS = 800;
+
+/** A worker that said it ends and has not answered since is taken to be gone after this time. */
+const DEPARTED_MS = 1200;
+
+/**
+ * Without any progress for this long, and for this part of its declared work, a run is taken to stand
+ * still: its worker gets nothing more, and after a longer time the run goes elsewhere. Workers that
+ * stand still mostly go on within six seconds, and a run that moves loses what it has not saved.
+ */
+const STALL = { suspectMs: 1500, suspectShare: 0.05, moveMs: 6500, moveShare: 0.15 } as const;
+
+/** It has ended as far as the job is concerned; the worker will list it. */
+const isDone = (run: workerTable.RunHolding): boolean =>
+  run.task.phase === 'done' && run.task.run === run.run;
+
 const isWanted = (run: workerTable.RunHolding): boolean => {
   const { entry, task } = run;
   if (entry.isCancelled || jobBook.isEnded(entry)) return false;
@@ -102,7 +127,7 @@
     for (const worker of options.workers.values()) {
       for (const run of worker.runs.values()) {
         const isOurs = run.entry === entry && run.phase === workerTable.RunPhase.present;
-        if (isOurs && !isWanted(run)) stopRun(worker, run, cause);
+        if (isOurs && !isWanted(run) && !isDone(run)) stopRun(worker, run, cause);
       }
     }
   };
@@ -143,6 +168,23 @@
     void endRun(run.entry, run.task, outcome);
   };
 
+  const noteBlame = (
+    worker: workerTable.WorkerEntry,
+    end: poolWorker.EndedRun,
+    jobId: string,
+  ): void => {
+    if (end.how === poolWorker.EndKind.done) workerBlame.noteSuccess(worker.blame);
+    if (end.how !== poolWorker.EndKind.failed) return;
+    if (!workerBlame.noteFailure(worker.blame, jobId, nowMs())) return;
+    metrics.count('auburnlift_workers_suspected_total');
+    log('warn', 'workerSuspected', {
+      agent: worker.agentId,
+      worker: worker.info?.workerId,
+      forMs: Math.round(worker.blame.suspectUntilMs - nowMs()),
+      suspicions: worker.blame.suspicions,
+    });
+  };
+
   const takeEnd = (
     worker: workerTable.WorkerEntry,
     end: poolWorker.EndedRun,
@@ -151,6 +193,7 @@
     const entry = name === undefined ? undefined : options.registry.get(name.jobId);
     const task =
       name === undefined || entry === undefined ? undefined : jobBook.findTask(entry, name);
+    noteBlame(worker, end, name?.jobId ?? '');
     if (entry === undefined || task === undefined) {
       log('warn', 'endOfUnknownRun', { task: end.task, run: end.run, agent: worker.agentId });
       return undefined;
@@ -180,6 +223,7 @@
   const noteSaved = (run: workerTable.RunHolding): void => {
     if (!isWanted(run)) return;
     for (const member of jobBook.groupOf(run.entry, run.task)) member.saved = run.saved;
+    options.onDidSave(run.entry.job.jobId);
   };
 
   const startNewLife = (worker: workerTable.WorkerEntry, info: poolWorker.WorkerInfo): void => {
@@ -190,6 +234,8 @@
     worker.viewClockMs = 0;
     worker.sample = undefined;
     worker.leasesLapseAtMs = 0;
+    worker.leavesAtMs = Infinity;
+    worker.blame = workerBlame.createWorkerBlame();
     // The former life ended with all it ran, but an order to it may still reach the new one.
     if (worker.runs.size > 0) worker.fence += 1;
     for (const run of worker.runs.values()) {
@@ -208,6 +254,9 @@
       before?.workerId !== info.workerId || before.incarnationMs !== info.incarnationMs;
     if (isNewLife) startNewLife(worker, info);
     worker.info = info;
+    if (info.state === poolWorker.WorkerState.draining && worker.leavesAtMs === Infinity) {
+      worker.leavesAtMs = nowMs() + (info.remainingMs ?? DEFAULT_REMAINING_MS);
+    }
     if (isNewLife || before.state !== info.state) {
       log('info', 'workerChanged', {
         agent: worker.agentId,
@@ -257,13 +306,20 @@
     facts.vanished.forEach((run) => close(worker, run));
     facts.strays.forEach((listed) => takeStray(worker, listed));
     for (const run of worker.runs.values()) {
-      const isStale = run.phase === workerTable.RunPhase.present && !isWanted(run);
+      const isStale = run.phase === workerTable.RunPhase.present && !isWanted(run) && !isDone(run);
       if (isStale) stopRun(worker, run, 'notWanted');
     }
     if (facts.ends.length + facts.gone.length > 0) options.onDidChange();
     return stored;
   };
 
+  const giveUpWorker = (worker: workerTable.WorkerEntry, cause: string): void => {
+    worker.fence += 1;
+    const runs = [...worker.runs.values()];
+    worker.runs.clear();
+    runs.forEach((run) => noteLost(run, cause));
+  };
+
   const takeNews: RunControl['takeNews'] = (worker, news, receivedAtMs) => {
     const wasReachable = worker.isReachable;
     worker.contactedAtMs = receivedAtMs;
@@ -271,6 +327,9 @@
     takeInfo(worker, news.worker);
     const stored = takeView(worker, news, receivedAtMs);
     worker.isReachable = worker.sample !== undefined && news.viewAgeMs <= MAX_VIEW_AGE_MS;
+    const hasDeparted =
+      worker.info?.state === poolWorker.WorkerState.gone && news.viewAgeMs > DEPARTED_MS;
+    if (hasDeparted && worker.runs.size > 0) giveUpWorker(worker, 'workerLeft');
     if (worker.isReachable !== wasReachable) options.onDidChange();
     return stored;
   };
@@ -309,8 +368,45 @@
     noteLost(it.run, 'stoppedBeforeStart');
   };
 
+  const stopGroup = (run: workerTable.RunHolding, cause: string): void => {
+    for (const worker of options.workers.values()) {
+      for (const it of worker.runs.values()) {
+        const isMember = it.groupKey === run.groupKey && it.run === run.run;
+        if (isMember && it.phase === workerTable.RunPhase.present) stopRun(worker, it, cause);
+      }
+    }
+  };
+
+  const inspectRun = (worker: workerTable.WorkerEntry, run: workerTable.RunHolding): void => {
+    if (run.phase !== workerTable.RunPhase.present || !isWanted(run)) return;
+    const { estimatedMs, isLongRunning } = run.step;
+    if (nowMs() + workerTable.remainingMsOf(run, nowMs()) > worker.leavesAtMs - EVACUATION_MS) {
+      // It would end with its worker; stopped now it can go on elsewhere, and from a checkpoint.
+      stopGroup(run, 'workerLeaves');
+      return;
+    }
+    if (isLongRunning) return;
+    const stillMs = nowMs() - run.movedAtMs;
+    if (stillMs > STALL.suspectMs + STALL.suspectShare * estimatedMs) {
+      workerBlame.noteStall(worker.blame, nowMs());
+    }
+    if (stillMs > STALL.moveMs + STALL.moveShare * estimatedMs) {
+      run.task.avoid.push(worker.info?.workerId ?? '');
+      stopGroup(run, 'standsStill');
+    }
+  };
+
+  const inspect = (): void => {
+    for (const worker of options.workers.values()) {
+      if (worker.isReachable) {
+        for (const run of [...worker.runs.values()]) inspectRun(worker, run);
+      }
+    }
+  };
+
   return {
     isWanted,
+    inspect,
     stopRun,
     stopUnwanted,
     noteLost,
@@ -326,12 +422,7 @@
       run.closeFence = worker.fence;
       worker.runs.set(workerTable.runKey(run.name, run.run), run);
     },
-    giveUpWorker: (worker, cause) => {
-      worker.fence += 1;
-      const runs = [...worker.runs.values()];
-      worker.runs.clear();
-      runs.forEach((run) => noteLost(run, cause));
-    },
+    giveUpWorker,
     repeatStops: () => {
       const dueMs = nowMs() - REPEAT_STOP_MS;
       for (const worker of options.workers.values()) {
--- a/src/programs/poolScheduler.ts
+++ b/src/programs/poolScheduler.ts
@@ -20,10 +20,10 @@
 const ORDER_TIMEOUT_MS = 2500;
 
 /**
- * Long enough that a busy store or a short pause costs no leadership, short enough that a successor
- * still starts urgent work within seconds.
+ * Long enough that a store that answers sixty times slower, in a quarter of a second, costs no
+ * leadership; short enough that a successor starts urgent work within seconds.
  */
-const LEADER_LEASE_MS = 3000;
+const LEADER_LEASE_MS = 2000;
 
 const createLink = (kit: poolKit.PoolKit): agentContract.AgentLink => {
   const clientsWith = (timeoutMs: number): rpcClient.RpcClients =>
--- a/src/state/common/pool/progressRecord.ts
+++ b/src/state/common/pool/progressRecord.ts
@@ -33,6 +33,8 @@
   /** Worker of the last run; empty before the first. */
   readonly workerId: string;
   readonly incarnationMs: number;
+  /** Agent beside that worker; a later life of its worker has none of the run. */
+  readonly agentId: string;
   /** Checkpoint from which the next run goes on; empty where there is none. */
   readonly saved: string;
 }
@@ -55,6 +57,7 @@
   failedRun: number,
   workerId: string,
   incarnationMs: number,
+  agentId: string,
   saved: string,
 ];
 
@@ -74,6 +77,7 @@
   row.failedRun,
   row.workerId,
   row.incarnationMs,
+  row.agentId,
   row.saved,
 ];
 
@@ -87,7 +91,8 @@
   failedRun: row[6],
   workerId: row[7],
   incarnationMs: row[8],
-  saved: row[9],
+  agentId: row[9],
+  saved: row[10],
 });
 
 /**
