Give up at the store after two attempts, send callers to another entry, and test pools under faults

Cause: an entry whose store was silent held its callers to their deadline and kept their connections, so they did not come to an entry that could serve them.

Change: calls at an entry end after two attempts of 450 ms; an entry out of rotation asks callers to close; a pool in virtual time (store, workers, agents, leaders) replays single faults.

--- a/src/coordination/node/pool/jobDesk.ts
+++ b/src/coordination/node/pool/jobDesk.ts
@@ -80,11 +80,20 @@
 /** Kept of the caller's time for the way back of the answer. */
 const ANSWER_MS = 250;
 
+/**
+ * Longest time that a call is held while the store does not answer: two attempts. Told then, the
+ * caller comes back at another entry, which may have a way to the store, with most of its time left.
+ */
+const MAX_HELD_MS = 900;
+
 /** Pause before a failed call to the store is tried again. */
 const RETRY_MS = 60;
 
+/** Less time than this is not worth another attempt: the store is two regions' delays away. */
+const MIN_ATTEMPT_MS = 200;
+
 /** With an older proof the store counts as out of reach: a call is refused without being tried. */
-const STORE_LOST_MS = 2500;
+const STORE_LOST_MS = 2000;
 
 /** When a caller that was refused for the store's sake may come back; outages last seconds. */
 const RETRY_AFTER_MS = 1000;
@@ -149,7 +158,7 @@
         isOpen ||= thrown instanceof store.StoreOutcomeUnknown;
         const { message } = errors.normalize(thrown);
         log('warn', 'storeCallFailed', { request: call.requestId, isOpen, reason: message });
-        if (time.monotonicMs() + RETRY_MS >= endMs) {
+        if (time.monotonicMs() + MIN_ATTEMPT_MS >= endMs) {
           throw isOpen
             ? errors.fail('outcomeUnknown', 'the store did not answer; the outcome is open')
             : unavailable('the store refuses');
@@ -166,14 +175,15 @@
       } catch (thrown) {
         const { message } = errors.normalize(thrown);
         log('warn', 'storeCallFailed', { request: call.requestId, isOpen: false, reason: message });
-        if (time.monotonicMs() + RETRY_MS >= endMs) throw unavailable('the store does not answer');
+        if (time.monotonicMs() + MIN_ATTEMPT_MS >= endMs)
+          throw unavailable('the store does not answer');
       }
       await pause(RETRY_MS);
     }
   };
 
   const endOf = (call: Call): number =>
-    time.monotonicMs() + Math.max(ANSWER_MS, call.deadlineMs - ANSWER_MS);
+    time.monotonicMs() + Math.min(MAX_HELD_MS, Math.max(0, call.deadlineMs - ANSWER_MS));
 
   /** Writes a record unless it exists, as long as the call is allowed by the configuration in force. */
   const writeOnce = async (
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -486,7 +486,7 @@
   const storeCheckpoints = (): void => {
     if (nowMs() - checkpointedAtMs < CHECKPOINT_PERIOD_MS) return;
     checkpointedAtMs = nowMs();
-    savedJobs.forEach((jobId) => void writer.save(jobId));
+    for (const jobId of savedJobs) void writer.save(jobId);
     savedJobs.clear();
   };
 
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -17,6 +17,11 @@
   /** Accepted jobs of a queue of which no task has started. */
   readonly pending: (queue: string) => Promise<number>;
   readonly maxBodyBytes: () => number;
+  /**
+   * Whether callers should open their next connection elsewhere: an open one stays with this entry
+   * even after the balancer has taken it out of rotation.
+   */
+  readonly sendsAway: () => boolean;
   readonly newRequestId: () => string;
   readonly nowMs: () => number;
   readonly log: logging.Log;
@@ -219,6 +224,8 @@
       durationMs: Math.round(durationMs),
       reason,
     });
-    return reply;
+    return options.sendsAway()
+      ? { ...reply, headers: { ...reply.headers, connection: 'close' } }
+      : reply;
   };
 };
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -16,6 +16,8 @@
   readonly address: () => http.Address;
   readonly call: http.HttpCall;
   readonly metrics: metrics.Metrics;
+  /** Longest wait for an answer; a watch waits this much longer than it asked for. */
+  readonly timeoutMs: number;
 }
 
 /** An item as the service writes it. */
@@ -41,15 +43,6 @@
   readonly as_of: number;
 }
 
-/**
- * Longest wait for an answer. The service answers in 4 ms and up to 60 times slower on bad days,
- * 20 ms away; past a second it counts as silent.
- */
-const TIMEOUT_MS = 1000;
-
-/** Time on top of a watch's own wait before it counts as silent. */
-const WATCH_SLACK_MS = 1200;
-
 const OK = 200;
 const NOT_FOUND = 404;
 const GONE = 410;
@@ -101,7 +94,7 @@
     method: string,
     path: string,
     body?: object,
-    timeoutMs = TIMEOUT_MS,
+    timeoutMs = options.timeoutMs,
     signal?: AbortSignal,
   ): Promise<http.HttpReply> => {
     options.metrics.count('auburnlift_store_calls_total', { operation });
@@ -205,7 +198,7 @@
       const reply = await read('grantLease', 'POST', '/-/kv-lease', [OK], { body });
       return String(parse<{ lease: number }>(reply).lease);
     },
-    renewLease: async (leaseId, timeoutMs = TIMEOUT_MS) => {
+    renewLease: async (leaseId, timeoutMs = options.timeoutMs) => {
       const path = `/-/kv-keep/${leaseId}`;
       const rest = { timeoutMs };
       const reply = await read('renewLease', 'POST', path, [OK, NOT_FOUND], rest);
@@ -222,7 +215,7 @@
       });
       const path = `/-/kv-watch?${query.toString()}`;
       const reply = await read('watch', 'GET', path, [OK, GONE], {
-        timeoutMs: waitMs + WATCH_SLACK_MS,
+        timeoutMs: waitMs + options.timeoutMs,
         signal,
       });
       if (reply.status === OK) return toWatchResult(parse<WireEvents>(reply));
--- a/src/programs/poolEntry.ts
+++ b/src/programs/poolEntry.ts
@@ -23,7 +23,7 @@
 const LEADER_TIMEOUT_MS = 700;
 
 /** With an older proof of the configuration the entry asks for no new connections. */
-const READY_AGE_MS = 3000;
+const READY_AGE_MS = 2000;
 
 /**
  * New connections still come until the balancer has missed two looks a second apart; the entry
@@ -76,6 +76,7 @@
     }),
     pending: counts.ofQueue,
     maxBodyBytes: () => feed.current()?.configuration.maxBodyBytes ?? MAX_BODY_BYTES,
+    sendsAway: () => notReadyReason() !== undefined,
     newRequestId: () => kit.newId().slice(0, 8),
     nowMs: kit.clock.monotonicMs,
     log: kit.log,
--- a/src/programs/poolKit.ts
+++ b/src/programs/poolKit.ts
@@ -13,6 +13,7 @@
 import * as random from '../base/common/random.js';
 import * as log from '../base/node/log.js';
 import * as systemClock from '../base/node/systemClock.js';
+import type * as bootSettings from '../platform/bootSettings.js';
 import * as platformStore from '../platform/platformStore.js';
 import type * as envelope from '../protocol/common/envelope.js';
 import type * as poolSettings from '../state/common/pool/poolSettings.js';
@@ -60,13 +61,20 @@
  */
 export const PEER_SECRET = '';
 
+/**
+ * Longest wait for an answer of the store, which comes in 4 ms, 20 ms away, and up to 60 times slower
+ * on bad days. A caller waits at the entry: it is better told soon, and comes back at another one; the
+ * others have time.
+ */
+const STORE_TIMEOUT_MS = { entry: 450, scheduler: 1000, agent: 1000 } as const;
+
 /**
  * @param role - which program
  * @param settings - the settings in force
  * @returns the parts, owned by the program
  */
 export const createPoolKit = (
-  role: envelope.Sender['role'],
+  role: bootSettings.PoolProgram,
   settings: () => poolSettings.PoolSettings,
 ): PoolKit => {
   const owned = disposable.createDisposableStore();
@@ -92,6 +100,7 @@
       address: () => settings().store,
       call: client.call,
       metrics: counters,
+      timeoutMs: STORE_TIMEOUT_MS[role],
     }),
     settings,
     sender: () => ({ processId, role, configVersion: 0 }),
--- a/src/programs/runPoolMain.ts
+++ b/src/programs/runPoolMain.ts
@@ -5,7 +5,6 @@
 import * as errors from '../base/common/errors.js';
 import * as bootSettings from '../platform/bootSettings.js';
 import * as settingsWatch from '../platform/settingsWatch.js';
-import type * as envelope from '../protocol/common/envelope.js';
 
 import * as poolKit from './poolKit.js';
 
@@ -16,7 +15,7 @@
   });
 
 const live = async (
-  role: bootSettings.PoolProgram & envelope.Sender['role'],
+  role: bootSettings.PoolProgram,
   start: (kit: poolKit.PoolKit) => Promise<poolKit.PoolProgram>,
 ): Promise<void> => {
   const path = bootSettings.bootPath();
@@ -53,7 +52,7 @@
  * @param start - starts it
  */
 export const runPoolMain = async (
-  role: bootSettings.PoolProgram & envelope.Sender['role'],
+  role: bootSettings.PoolProgram,
   start: (kit: poolKit.PoolKit) => Promise<poolKit.PoolProgram>,
 ): Promise<void> => {
   try {
--- /dev/null
+++ b/src/standins/memoryPoolWorker.ts
@@ -0,0 +1,299 @@
+/**
+ * A stand-in for a worker of a pool: runs tasks on a clock that tests move, and has the faults that its
+ * contract names. Keeps a record of every start, which tests judge by.
+ */
+import type * as clock from '../base/common/clock.js';
+import type * as disposable from '../base/common/disposable.js';
+import type * as agentContract from '../state/common/pool/agentContract.js';
+import type * as poolWorker from '../state/common/pool/poolWorker.js';
+
+/** Fault switches; all are off at first. */
+export interface PoolWorkerFaults {
+  /** No call is answered, and none takes effect. */
+  isSilent: boolean;
+  /** So many of the next orders get no answer and are carried out after `lateByMs`. */
+  delayOrders: number;
+  lateByMs: number;
+  /** Every task fails as soon as it is started. */
+  failsAll: boolean;
+  /** Tasks stand still. */
+  isStalled: boolean;
+}
+
+/** One run, from its start to its end. */
+export interface RecordedRun {
+  readonly task: string;
+  readonly run: number;
+  readonly payload: string;
+  readonly startedAtMs: number;
+  endedAtMs: number | undefined;
+  how: poolWorker.EndKind | 'crashed' | undefined;
+}
+
+/** What tests see and do besides the contract. */
+export interface MemoryPoolWorker {
+  readonly link: agentContract.WorkerLink;
+  readonly faults: PoolWorkerFaults;
+  readonly runs: readonly RecordedRun[];
+  readonly info: () => poolWorker.WorkerInfo;
+  /** Ends everything at once and begins a new life, under the same or another id. */
+  readonly crash: (workerId?: string) => void;
+  readonly dispose: () => void;
+}
+
+/** What the stand-in is. */
+export interface MemoryPoolWorkerOptions {
+  readonly clock: clock.Clock;
+  readonly info: poolWorker.WorkerInfo;
+  /** How long a task works. */
+  readonly workMs: (task: string) => number;
+  /** Size of the gang that a task belongs to; 1 for a task that runs alone. */
+  readonly gangOf: (task: string) => number;
+  readonly maxLeaseMs: number;
+  readonly gangMs: number;
+}
+
+interface LiveRun {
+  readonly record: RecordedRun;
+  timer: disposable.Disposable | undefined;
+}
+
+const STOP_MS = 50;
+const TICK_MS = 100;
+const NO_ANSWER: agentContract.WorkerAnswer = { outcome: 'unknown', reason: 'silence' };
+const ACCEPTED: agentContract.WorkerAnswer = { outcome: 'accepted', reason: '' };
+
+/** Gangs that span workers are known to all of them. */
+const gangKeyOf = (record: RecordedRun): string =>
+  `${record.task.slice(0, record.task.lastIndexOf('.'))}#${record.run}`;
+
+/** Tells the members of gangs on all workers of a test about each other. */
+export interface GangBoard {
+  readonly members: Map<string, Set<LiveRun>>;
+  readonly workers: Set<(key: string, how: poolWorker.EndKind) => void>;
+}
+
+/**
+ * @returns a board without gangs
+ */
+export const createGangBoard = (): GangBoard => ({ members: new Map(), workers: new Set() });
+
+/**
+ * @param options - what the stand-in is
+ * @param board - shared by the workers of a test
+ * @returns the stand-in
+ */
+export const createMemoryPoolWorker = (
+  options: MemoryPoolWorkerOptions,
+  board: GangBoard,
+): MemoryPoolWorker => {
+  const { clock: time } = options;
+  const runs: RecordedRun[] = [];
+  const faults: PoolWorkerFaults = {
+    isSilent: false,
+    delayOrders: 0,
+    lateByMs: 3000,
+    failsAll: false,
+    isStalled: false,
+  };
+  const waiters = new Set<() => void>();
+  let { info } = options;
+  let bornAtMs = time.monotonicMs();
+  let live = new Map<string, LiveRun>();
+  let refusedUpTo = new Map<string, number>();
+  let ended: poolWorker.EndedRun[] = [];
+  let sequence = 0;
+  let fence = 0;
+  let leaseUntilMs = 0;
+  let isDisposed = false;
+
+  const clockMs = (): number => Math.floor(time.monotonicMs() - bornAtMs);
+  const wakeAll = (): void => {
+    const woken = [...waiters];
+    waiters.clear();
+    woken.forEach((wake) => wake());
+  };
+  const end = (it: LiveRun, how: poolWorker.EndKind): void => {
+    const { record } = it;
+    if (record.how !== undefined) return;
+    void it.timer?.dispose();
+    record.how = how;
+    record.endedAtMs = time.monotonicMs();
+    live.delete(record.task);
+    refusedUpTo.set(record.task, Math.max(record.run, refusedUpTo.get(record.task) ?? 0));
+    sequence += 1;
+    ended.push({ sequence, task: record.task, run: record.run, how, saved: '' });
+    board.members.get(gangKeyOf(record))?.delete(it);
+    wakeAll();
+  };
+  const endGang = (key: string, how: poolWorker.EndKind): void => {
+    for (const it of [...live.values()]) if (gangKeyOf(it.record) === key) end(it, how);
+  };
+  board.workers.add(endGang);
+  const endWithGang = (it: LiveRun, how: poolWorker.EndKind): void => {
+    const key = gangKeyOf(it.record);
+    const isGang = options.gangOf(it.record.task) > 1;
+    end(it, how);
+    if (!isGang) return;
+    for (const worker of board.workers) worker(key, how === 'done' ? 'done' : 'broken');
+  };
+  const work = (it: LiveRun): void => {
+    if (faults.failsAll) {
+      endWithGang(it, 'failed');
+      return;
+    }
+    it.timer = time.after(options.workMs(it.record.task), () => {
+      if (faults.isStalled) work(it);
+      else endWithGang(it, 'done');
+    });
+  };
+  const begin = (it: LiveRun): void => {
+    const size = options.gangOf(it.record.task);
+    if (size === 1) {
+      work(it);
+      return;
+    }
+    const key = gangKeyOf(it.record);
+    const members = board.members.get(key) ?? new Set();
+    members.add(it);
+    board.members.set(key, members);
+    it.timer = time.after(options.gangMs, () => endWithGang(it, 'alone'));
+    if (members.size < size) return;
+    for (const member of members) {
+      void member.timer?.dispose();
+      member.timer = undefined;
+    }
+    work(it);
+  };
+  const start = (order: agentContract.WorkerStart): agentContract.WorkerAnswer => {
+    const refuse = (reason: string): agentContract.WorkerAnswer => ({ outcome: 'refused', reason });
+    if (order.fence < fence) return refuse('fence');
+    fence = order.fence;
+    if (order.leaseUntilMs <= clockMs()) return refuse('late');
+    leaseUntilMs = Math.max(
+      leaseUntilMs,
+      Math.min(order.leaseUntilMs, clockMs() + options.maxLeaseMs),
+    );
+    const { task, run, payload } = order;
+    if (live.get(task)?.record.run === run) return ACCEPTED;
+    if (run <= (refusedUpTo.get(task) ?? 0) || live.has(task)) return refuse('old');
+    const record: RecordedRun = {
+      task,
+      run,
+      payload,
+      startedAtMs: time.monotonicMs(),
+      endedAtMs: undefined,
+      how: undefined,
+    };
+    runs.push(record);
+    const it: LiveRun = { record, timer: undefined };
+    live.set(task, it);
+    begin(it);
+    return ACCEPTED;
+  };
+  const stop = (order: agentContract.StopCommand & { readonly fence: number }) => {
+    if (order.fence < fence) return { outcome: 'refused', reason: 'fence' } as const;
+    fence = order.fence;
+    const it = live.get(order.task);
+    refusedUpTo.set(order.task, Math.max(order.run, refusedUpTo.get(order.task) ?? 0));
+    if (it?.record.run === order.run) time.after(STOP_MS, () => endWithGang(it, 'stopped'));
+    return ACCEPTED;
+  };
+
+  const carryOut = (
+    workerId: string,
+    deed: () => agentContract.WorkerAnswer,
+  ): Promise<agentContract.WorkerAnswer> => {
+    if (faults.isSilent) return Promise.resolve(NO_ANSWER);
+    if (faults.delayOrders > 0) {
+      faults.delayOrders -= 1;
+      time.after(faults.lateByMs, () => {
+        if (workerId === info.workerId) deed();
+      });
+      return Promise.resolve(NO_ANSWER);
+    }
+    if (workerId !== info.workerId) return Promise.resolve({ outcome: 'refused', reason: '421' });
+    return Promise.resolve(deed());
+  };
+
+  const lapse = (): void => {
+    if (isDisposed) return;
+    if (clockMs() > leaseUntilMs) {
+      for (const it of [...live.values()]) endWithGang(it, 'lapsed');
+    }
+    time.after(TICK_MS, lapse);
+  };
+  time.after(TICK_MS, lapse);
+
+  const view = async (
+    workerId: string | undefined,
+    request: agentContract.ViewRequest,
+  ): Promise<agentContract.ViewAnswer> => {
+    if (faults.isSilent) return { outcome: 'unknown', reason: 'silence' };
+    if (workerId !== undefined && workerId !== info.workerId) {
+      return { outcome: 'refused', reason: '421' };
+    }
+    if (request.fence < fence) return { outcome: 'refused', reason: 'fence' };
+    fence = request.fence;
+    ended = ended.filter((it) => it.sequence > request.seenUpTo);
+    if (request.leaseUntilMs > 0) {
+      const cappedMs = Math.min(request.leaseUntilMs, clockMs() + options.maxLeaseMs);
+      leaseUntilMs = Math.max(leaseUntilMs, cappedMs);
+    }
+    if (ended.length === 0 && request.waitMs > 0) {
+      await new Promise<void>((resolve) => {
+        const timer = time.after(request.waitMs, resolve);
+        waiters.add(() => {
+          void timer.dispose();
+          resolve();
+        });
+      });
+    }
+    if (faults.isSilent) return { outcome: 'unknown', reason: 'silence' };
+    const running = [...live.values()].map(({ record }) => {
+      const workedMs = time.monotonicMs() - record.startedAtMs;
+      const percent = Math.min(99, Math.floor((100 * workedMs) / options.workMs(record.task)));
+      return { task: record.task, run: record.run, saved: '', percent };
+    });
+    const { incarnationMs } = info;
+    return {
+      outcome: 'view',
+      view: { incarnationMs, clockMs: clockMs(), running, ended: [...ended] },
+    };
+  };
+
+  return {
+    link: {
+      start: (workerId, order) => carryOut(workerId, () => start(order)),
+      stop: (workerId, order) => carryOut(workerId, () => stop(order)),
+      pace: (workerId) => carryOut(workerId, () => ACCEPTED),
+      view,
+    },
+    faults,
+    runs,
+    info: () => info,
+    crash: (workerId = info.workerId) => {
+      for (const it of live.values()) {
+        void it.timer?.dispose();
+        it.record.how = 'crashed';
+        it.record.endedAtMs = time.monotonicMs();
+        board.members.get(gangKeyOf(it.record))?.delete(it);
+      }
+      const keys = [...live.values()].map(({ record }) => gangKeyOf(record));
+      live = new Map();
+      refusedUpTo = new Map();
+      ended = [];
+      sequence = 0;
+      fence = 0;
+      leaseUntilMs = 0;
+      bornAtMs = time.monotonicMs();
+      info = { ...info, workerId, incarnationMs: info.incarnationMs + 1 + Math.floor(bornAtMs) };
+      keys.forEach((key) => board.workers.forEach((tell) => tell(key, 'broken')));
+      wakeAll();
+    },
+    dispose: () => {
+      isDisposed = true;
+      wakeAll();
+    },
+  };
+};
--- a/src/standins/memoryStore.ts
+++ b/src/standins/memoryStore.ts
@@ -3,6 +3,7 @@
  */
 import type * as clock from '../base/common/clock.js';
 import * as errors from '../base/common/errors.js';
+import type * as recordStore from '../state/common/pool/recordStore.js';
 import * as store from '../state/common/store.js';
 
 /** Fault switches; all are off at first. */
@@ -13,6 +14,9 @@
   delayMs: number;
   /** So many of the next writes take effect and lose their answers. */
   loseWriteAnswers: number;
+  /** So many of the next transactions get no answer and take effect after `lateByMs`, if they still may. */
+  delayTransactions: number;
+  lateByMs: number;
   /** Watches wait for ever and see nothing. */
   areWatchesSilent: boolean;
   /** The next watch says that it no longer remembers. */
@@ -20,7 +24,7 @@
 }
 
 /** The stand-in, with what it counted. */
-export interface MemoryStore extends store.Store {
+export interface MemoryStore extends store.Store, recordStore.RecordStore {
   readonly faults: StoreFaults;
   readonly calls: () => Readonly<Record<string, number>>;
   /** Ends leases whose time is over; also happens before each call. */
@@ -63,6 +67,8 @@
     isDown: false,
     delayMs: 0,
     loseWriteAnswers: 0,
+    delayTransactions: 0,
+    lateByMs: 2000,
     areWatchesSilent: false,
     skipNextWatch: false,
   };
@@ -76,6 +82,9 @@
     });
   const record = (key: string): void => {
     revision += 1;
+    note(key);
+  };
+  const note = (key: string): void => {
     changes.push({ key, revision });
     if (changes.length > MAX_REMEMBERED_CHANGES) {
       forgottenRevision = changes.shift()?.revision ?? forgottenRevision;
@@ -127,6 +136,22 @@
     values.set(request.key, { value: request.value, revision, leaseId: request.leaseId });
     return { isSwapped: true, revision };
   };
+  const change = (transaction: recordStore.Transaction): recordStore.TransactionResult => {
+    const { conditions, puts, removes } = transaction;
+    const isMet = conditions.every(
+      (it) => (entryOf(it.key)?.revision ?? store.ABSENT_REVISION) === it.revision,
+    );
+    const current = conditions.map((it) => entryOf(it.key)).filter((it) => it !== undefined);
+    if (!isMet) return { isCommitted: false, current, isLeaseGone: false };
+    const isLeaseGone = puts.some((it) => it.leaseId !== undefined && !leases.has(it.leaseId));
+    if (isLeaseGone) return { isCommitted: false, current: [], isLeaseGone };
+    // All changes of a transaction have one revision.
+    revision += 1;
+    for (const { key, value, leaseId } of puts) values.set(key, { value, revision, leaseId });
+    const removed = removes.filter((key) => values.delete(key));
+    [...puts.map(({ key }) => key), ...removed].forEach(note);
+    return { isCommitted: true, revision };
+  };
   const changesAfter = (prefix: string, afterRevision: number): store.WatchResult | undefined => {
     if (afterRevision < forgottenRevision) {
       return { entries: [], deletedKeys: [], revision, isGap: true };
@@ -200,6 +225,20 @@
       }
       return result;
     },
+    transact: async (transaction) => {
+      await enter('transact');
+      if (faults.delayTransactions > 0) {
+        faults.delayTransactions -= 1;
+        timeSource.after(faults.lateByMs, () => change(transaction));
+        throw new store.StoreOutcomeUnknown('the stand-in takes its time');
+      }
+      const result = change(transaction);
+      if (faults.loseWriteAnswers > 0) {
+        faults.loseWriteAnswers -= 1;
+        throw new store.StoreOutcomeUnknown('the stand-in lost the answer');
+      }
+      return result;
+    },
     grantLease: async (ttlMs) => {
       await enter('grantLease');
       leaseCount += 1;
--- /dev/null
+++ b/src/standins/test/poolExploration.test.ts
@@ -0,0 +1,17 @@
+/**
+ * Random faults on a whole pool: the product's own leader, agents and writer, every seed the same run.
+ */
+import * as test from 'node:test';
+
+import * as poolExploration from './poolExploration.js';
+
+/** Enough that each kind of fault meets each other kind; more by hand, see CONTRIBUTING.md. */
+const SEEDS = Number(process.env.POOL_SEEDS ?? 25);
+
+const FIRST_SEED = Number(process.env.POOL_FIRST_SEED ?? 1);
+
+test.describe('a pool under random faults', () => {
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) {
+    test.it(`seed ${seed}`, () => poolExploration.explore(seed));
+  }
+});
--- /dev/null
+++ b/src/standins/test/poolFaults.test.ts
@@ -0,0 +1,249 @@
+/**
+ * A whole pool under single faults: what callers see, and that no task runs twice.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
+import * as poolKit from './poolKit.js';
+
+interface Case {
+  readonly name: string;
+  readonly options: poolKit.PoolOptions;
+  /** Jobs that are there at the start. */
+  readonly jobs: Parameters<typeof fixtures.makeJob>[];
+  /** What happens, and when. */
+  readonly act: (pool: poolKit.Pool, first: poolKit.Candidate) => Promise<void>;
+  /** State of each job in the end. */
+  readonly states: Readonly<Record<string, string>>;
+  /** Number of runs in the end, where it is certain. */
+  readonly runs?: number;
+}
+
+/** Long enough for any lease to lapse and the work to be done again. */
+const SETTLE_MS = 30_000;
+
+const CASES: readonly Case[] = [
+  {
+    name: 'steps run in their order',
+    options: { workers: 2 },
+    jobs: [[[{ count: 3 }, { count: 2, after: [0] }], { jobId: 'a' }]],
+    act: () => Promise.resolve(),
+    states: { a: 'complete' },
+    runs: 5,
+  },
+  {
+    name: 'a gang over two workers runs once, with all its members',
+    options: { workers: 3 },
+    jobs: [
+      [
+        [{ count: 2, isGang: true, resources: { cpuMillicores: 1, memoryMb: 1, accelerators: 8 } }],
+        { jobId: 'a' },
+      ],
+    ],
+    act: () => Promise.resolve(),
+    states: { a: 'complete' },
+    runs: 2,
+  },
+  {
+    // A caller cancels; two seconds later its tasks still held their accelerators, because the leader
+    // looked at cancellations only when it planned something else.
+    name: 'a cancelled job stops',
+    options: { workers: 1, workMs: () => 60_000 },
+    jobs: [[[{ count: 2 }], { jobId: 'a' }]],
+    act: async (pool) => {
+      await pool.clock.advance(1000);
+      await pool.cancel('a');
+      await pool.clock.advance(1000);
+      assert.deepEqual(
+        pool.runs().map((it) => it.how),
+        ['stopped', 'stopped'],
+      );
+    },
+    states: { a: 'cancelled' },
+    runs: 2,
+  },
+  {
+    // An order gets no answer and is carried out three seconds later, on a sound worker. Given to
+    // another worker meanwhile, the task would run on both.
+    name: 'an order that is carried out late does not run beside its successor',
+    options: { workers: 2, workMs: () => 8000 },
+    jobs: [[[{}], { jobId: 'a' }]],
+    act: async (pool) => {
+      pool.sites.forEach(({ worker }) => {
+        worker.faults.delayOrders = 3;
+      });
+      await pool.clock.advance(5000);
+    },
+    states: { a: 'complete' },
+  },
+  {
+    // The leader is killed while a task works. The next one finds it in the agents' lists and must not
+    // start it again.
+    name: 'a task outlives its leader',
+    options: { workers: 2, workMs: () => 6000 },
+    jobs: [[[{ count: 2 }], { jobId: 'a' }]],
+    act: async (pool, first) => {
+      await pool.clock.advance(1500);
+      first.kill();
+      pool.addCandidate();
+      await pool.clock.advance(1000);
+    },
+    states: { a: 'complete' },
+    runs: 2,
+  },
+  {
+    // The worker crashes and comes back under the same id with nothing in it, while an order to its
+    // former life is still on the way.
+    name: 'a reborn worker does not carry out what its former life was told',
+    options: { workers: 1, workMs: () => 4000 },
+    jobs: [[[{}], { jobId: 'a' }]],
+    act: async (pool) => {
+      const [site] = pool.sites;
+      assert.ok(site);
+      site.worker.faults.delayOrders = 3;
+      await pool.clock.advance(1200);
+      site.worker.crash();
+      await pool.clock.advance(5000);
+    },
+    states: { a: 'complete' },
+  },
+  {
+    // A worker is cut off and runs on. Its task may start elsewhere only when its lease has lapsed.
+    name: 'a worker that is cut off keeps its task until the lease has lapsed',
+    options: { workers: 2, workMs: () => 20_000 },
+    jobs: [[[{}], { jobId: 'a' }]],
+    act: async (pool) => {
+      await pool.clock.advance(1000);
+      const busy = pool.sites.find(({ worker }) => worker.runs.length > 0);
+      assert.ok(busy);
+      busy.isCut = true;
+      await pool.clock.advance(poolKit.MAX_LEASE_MS - 1000);
+      assert.equal(pool.runs().length, 1);
+      await pool.clock.advance(4000);
+      assert.equal(pool.runs().length, 2);
+    },
+    states: { a: 'complete' },
+    runs: 2,
+  },
+  {
+    name: 'a restarted agent finds its tasks again',
+    options: { workers: 1, workMs: () => 5000 },
+    jobs: [[[{}], { jobId: 'a' }]],
+    act: async (pool) => {
+      await pool.clock.advance(1500);
+      pool.sites[0]?.restartAgent();
+    },
+    states: { a: 'complete' },
+    runs: 1,
+  },
+  {
+    // The store does the writes and loses the answers: the leader sends them again.
+    name: 'lost answers of the store lose no start and no end',
+    options: { workers: 1 },
+    jobs: [[[{ count: 3 }], { jobId: 'a' }]],
+    act: async (pool) => {
+      pool.store.faults.loseWriteAnswers = 6;
+      await pool.clock.advance(3000);
+    },
+    states: { a: 'complete' },
+    runs: 3,
+  },
+  {
+    // A write of progress takes effect two seconds later than a newer one. Conditional on leadership
+    // alone it would put the older progress back.
+    name: 'a write that takes effect late overwrites nothing newer',
+    options: { workers: 1, workMs: () => 500 },
+    jobs: [[[{ count: 1 }, { count: 1, after: [0] }], { jobId: 'a' }]],
+    act: async (pool) => {
+      await pool.clock.advance(300);
+      pool.store.faults.delayTransactions = 1;
+      await pool.clock.advance(6000);
+    },
+    states: { a: 'complete' },
+    runs: 2,
+  },
+  {
+    name: 'tasks live through an outage of the store that is shorter than their lease',
+    options: { workers: 1, workMs: () => 8000 },
+    jobs: [[[{}], { jobId: 'a' }]],
+    act: async (pool) => {
+      await pool.clock.advance(1500);
+      pool.store.faults.isDown = true;
+      await pool.clock.advance(5000);
+      pool.store.faults.isDown = false;
+    },
+    states: { a: 'complete' },
+    runs: 1,
+  },
+  {
+    // Every task fails on one worker whose health looks good. It must not eat the attempts of all.
+    name: 'a worker that fails everything is left alone',
+    options: { workers: 3, acceleratorsPerWorker: 2 },
+    jobs: Array.from({ length: 8 }, (_, index) => [
+      [{ count: 1 }],
+      { jobId: `j${index}`, attempts: 3 },
+    ]),
+    act: (pool) => {
+      const [site] = pool.sites;
+      assert.ok(site);
+      site.worker.faults.failsAll = true;
+      return Promise.resolve();
+    },
+    states: Object.fromEntries(Array.from({ length: 8 }, (_, index) => [`j${index}`, 'complete'])),
+  },
+  {
+    name: 'a job that fails on every worker is given up after its attempts',
+    options: { workers: 3 },
+    jobs: [[[{}], { jobId: 'a', attempts: 2 }]],
+    act: (pool) => {
+      pool.sites.forEach(({ worker }) => {
+        worker.faults.failsAll = true;
+      });
+      return Promise.resolve();
+    },
+    states: { a: 'failed' },
+    runs: 2,
+  },
+  {
+    // A customer claims its guarantee while a lower priority holds every accelerator.
+    name: 'a claim stops what borrows its room and starts',
+    options: {
+      workers: 1,
+      workMs: (task) => (task.startsWith('low') ? 20_000 : 1000),
+      guarantees: { owner: 8 },
+    },
+    jobs: [[[{ count: 8 }], { jobId: 'low', priority: 2 }]],
+    act: async (pool) => {
+      await pool.clock.advance(1500);
+      await pool.submit(
+        fixtures.makeJob([{ resources: { cpuMillicores: 1, memoryMb: 1, accelerators: 8 } }], {
+          jobId: 'claim',
+          customerId: 'owner',
+          priority: 0,
+        }),
+      );
+      await pool.clock.advance(1000);
+      assert.equal(pool.runs().filter((it) => it.task.startsWith('claim')).length, 1);
+    },
+    states: { claim: 'complete', low: 'complete' },
+  },
+];
+
+test.describe('a pool under a fault', () => {
+  for (const it of CASES) {
+    test.it(it.name, async () => {
+      const pool = poolKit.createPool(it.options);
+      for (const job of it.jobs) await pool.submit(fixtures.makeJob(...job));
+      const first = pool.addCandidate();
+      await it.act(pool, first);
+      await pool.clock.advance(SETTLE_MS);
+      for (const [jobId, state] of Object.entries(it.states)) {
+        assert.equal((await pool.progress(jobId))?.state, state, jobId);
+      }
+      poolKit.assertAtMostOnce(pool.runs());
+      if (it.runs !== undefined) assert.equal(pool.runs().length, it.runs);
+      pool.dispose();
+    });
+  }
+});
--- /dev/null
+++ b/src/standins/test/poolKit.ts
@@ -0,0 +1,299 @@
+/**
+ * A whole pool in one process on a clock that tests move: store, workers, agents, a desk and any
+ * number of candidates for the leadership. What runs is the product's own code; only the lines between
+ * its processes are replaced.
+ */
+import * as assert from 'node:assert/strict';
+
+import * as clock from '../../base/common/clock.js';
+import * as errors from '../../base/common/errors.js';
+import * as logging from '../../base/common/logging.js';
+import * as metrics from '../../base/common/metrics.js';
+import * as random from '../../base/common/random.js';
+import * as poolAgent from '../../coordination/node/pool/poolAgent.js';
+import * as poolLeader from '../../coordination/node/pool/poolLeader.js';
+import * as poolLeadership from '../../coordination/node/pool/poolLeadership.js';
+import type * as agentContract from '../../state/common/pool/agentContract.js';
+import type * as poolConfiguration from '../../state/common/pool/poolConfiguration.js';
+import type * as poolJob from '../../state/common/pool/poolJob.js';
+import * as poolKeys from '../../state/common/pool/poolKeys.js';
+import * as poolWorker from '../../state/common/pool/poolWorker.js';
+import * as progressRecord from '../../state/common/pool/progressRecord.js';
+import * as memoryPoolWorker from '../memoryPoolWorker.js';
+import * as memoryStore from '../memoryStore.js';
+
+/** Longest lease that the workers of a test grant. */
+export const MAX_LEASE_MS = 6000;
+
+/** A worker with its agent and the line between leader and agent. */
+export interface Site {
+  readonly worker: memoryPoolWorker.MemoryPoolWorker;
+  /** Cuts the line between leaders and the agent. */
+  isCut: boolean;
+  /** Replaces the agent's process, which forgets everything. */
+  readonly restartAgent: () => void;
+}
+
+/** A candidate for the leadership. */
+export interface Candidate {
+  readonly leader: () => poolLeader.PoolLeader | undefined;
+  /** Ends it without a word, as a killed process does. */
+  readonly kill: () => void;
+}
+
+/** A whole pool. */
+export interface Pool {
+  readonly clock: clock.FakeClock;
+  readonly store: memoryStore.MemoryStore;
+  readonly sites: readonly Site[];
+  readonly addCandidate: () => Candidate;
+  readonly submit: (job: poolJob.PoolJob) => Promise<void>;
+  readonly cancel: (jobId: string) => Promise<void>;
+  readonly progress: (jobId: string) => Promise<progressRecord.ProgressRecord | undefined>;
+  /** All runs on all workers. */
+  readonly runs: () => memoryPoolWorker.RecordedRun[];
+  readonly dispose: () => void;
+}
+
+/** What a test says of its pool. */
+export interface PoolOptions {
+  readonly workers: number;
+  readonly acceleratorsPerWorker?: number;
+  readonly workMs?: (task: string) => number;
+  readonly guarantees?: Readonly<Record<string, number>>;
+  readonly jobs?: readonly poolJob.PoolJob[];
+  readonly log?: logging.Log;
+  readonly seed?: number;
+}
+
+const HEARTBEAT_MS = 500;
+const RACK_SIZE = 3;
+
+const configurationOf = (options: PoolOptions): poolConfiguration.PoolConfiguration => ({
+  version: 1,
+  queues: [],
+  services: [],
+  customers: Object.entries(options.guarantees ?? {}).map(([customerId, count]) => ({
+    customerId,
+    apiKeys: [],
+    guaranteedAccelerators: count,
+  })),
+  maxBodyBytes: 1000,
+});
+
+/** Size of the gang of a task, read from the jobs that the test submits. */
+const gangSizes = (): {
+  readonly note: (job: poolJob.PoolJob) => void;
+  readonly of: (task: string) => number;
+} => {
+  const jobs = new Map<string, poolJob.PoolJob>();
+  return {
+    note: (job) => jobs.set(job.jobId, job),
+    of: (task) => {
+      const name = poolWorker.parseTaskName(task);
+      const step = jobs.get(name?.jobId ?? '')?.steps[name?.step ?? 0];
+      return step?.isGang === true ? step.count : 1;
+    },
+  };
+};
+
+/**
+ * @param options - what the test says of its pool
+ * @returns the pool, without candidates
+ */
+export const createPool = (options: PoolOptions): Pool => {
+  const time = clock.createFakeClock(1_000_000);
+  const store = memoryStore.createMemoryStore(time);
+  const log = options.log ?? logging.silentLog;
+  const counters = metrics.createMetrics();
+  const gangs = gangSizes();
+  const board = memoryPoolWorker.createGangBoard();
+  const configuration = configurationOf(options);
+  const candidates = new Set<Candidate>();
+  let ids = 0;
+  let isDisposed = false;
+  const newId = (): string => {
+    ids += 1;
+    return `id-${ids}`;
+  };
+
+  interface OpenSite extends Site {
+    agent: poolAgent.PoolAgent;
+  }
+  const createSite = (index: number): OpenSite => {
+    const worker = memoryPoolWorker.createMemoryPoolWorker(
+      {
+        clock: time,
+        info: {
+          workerId: `w${index}`,
+          incarnationMs: 1,
+          service: 'service',
+          zone: 'zone',
+          state: 'ready',
+          capacity: {
+            cpuMillicores: 64_000,
+            memoryMb: 256_000,
+            accelerators: options.acceleratorsPerWorker ?? 8,
+          },
+          labels: ['a', `r${Math.floor(index / RACK_SIZE)}`],
+          rack: `r${Math.floor(index / RACK_SIZE)}`,
+        },
+        workMs: options.workMs ?? (() => 1000),
+        gangOf: gangs.of,
+        maxLeaseMs: MAX_LEASE_MS,
+        gangMs: 1500,
+      },
+      board,
+    );
+    const createAgent = (): poolAgent.PoolAgent =>
+      poolAgent.createPoolAgent({
+        worker: worker.link,
+        clock: time,
+        log,
+        metrics: counters,
+        bootId: newId(),
+      });
+    let sequence = 0;
+    const site: OpenSite = {
+      worker,
+      isCut: false,
+      agent: createAgent(),
+      restartAgent: () => {
+        void site.agent.dispose();
+        site.agent = createAgent();
+      },
+    };
+    const beat = (): void => {
+      if (isDisposed) return;
+      sequence += 1;
+      if (!worker.faults.isSilent) site.agent.noteHeartbeat({ info: worker.info(), sequence });
+      time.after(HEARTBEAT_MS, beat);
+    };
+    beat();
+    return site;
+  };
+  const sites = Array.from({ length: options.workers }, (_, index) => createSite(index));
+  const siteAt = (url: string): OpenSite => {
+    const site = sites[Number(url.slice(url.lastIndexOf('/') + 1))];
+    if (site === undefined || site.isCut) {
+      throw errors.fail('peerUnreachable', 'the line is cut');
+    }
+    return site;
+  };
+  /** A cut also loses answers that are on their way. */
+  const over = async <T>(url: string, call: (agent: poolAgent.PoolAgent) => Promise<T>) => {
+    const site = siteAt(url);
+    const { agent } = site;
+    const answer = await call(agent);
+    if (site.agent !== agent) throw errors.fail('peerUnreachable', 'the agent was restarted');
+    siteAt(url);
+    return answer;
+  };
+  const link: agentContract.AgentLink = {
+    sync: (url, request) => over(url, (agent) => agent.sync(request)),
+    order: (url, request) => over(url, (agent) => agent.order(request)),
+  };
+
+  const put = async (key: string, value: string): Promise<void> => {
+    await store.transact({ conditions: [], puts: [{ key, value }], removes: [] });
+  };
+  const announce = Promise.all(
+    sites.map((_, index) =>
+      put(poolKeys.agentKey(`agent-${index}`), JSON.stringify({ url: `http://agent/${index}` })),
+    ),
+  );
+
+  const addCandidate = (): Candidate => {
+    let leader: poolLeader.PoolLeader | undefined;
+    let isKilled = false;
+    const own: Pick<memoryStore.MemoryStore, keyof memoryStore.MemoryStore> = store;
+    const leadership: poolLeadership.Leadership = poolLeadership.createLeadership({
+      store: own,
+      clock: time,
+      random: random.createRandom(options.seed ?? 1),
+      log,
+      newId,
+      holderId: newId(),
+      url: 'http://scheduler:1',
+      leaseMs: 2000,
+      onDidGain: (term) => {
+        if (isKilled) return;
+        leader = poolLeader.startPoolLeader({
+          store: own,
+          clock: time,
+          log,
+          metrics: counters,
+          link,
+          term,
+          limits: { maxLeaseMs: MAX_LEASE_MS, statusMs: 120_000 },
+          configuration: () => configuration,
+          onDidConflict: (reason) => leadership.abandon(reason),
+        });
+      },
+      onDidLose: () => {
+        void leader?.dispose();
+        leader = undefined;
+      },
+    });
+    const candidate: Candidate = {
+      leader: () => leader,
+      kill: () => {
+        isKilled = true;
+        void leadership.dispose();
+        void leader?.dispose();
+        leader = undefined;
+        candidates.delete(candidate);
+      },
+    };
+    candidates.add(candidate);
+    return candidate;
+  };
+
+  return {
+    clock: time,
+    store,
+    sites,
+    addCandidate,
+    submit: async (job) => {
+      await announce;
+      gangs.note(job);
+      await put(poolKeys.jobKey(job.jobId, poolKeys.JobPart.spec), JSON.stringify(job));
+    },
+    cancel: (jobId) => put(poolKeys.jobKey(jobId, poolKeys.JobPart.cancel), '{}'),
+    progress: async (jobId) => {
+      const record = await store.get(poolKeys.progressKey(jobId));
+      return record === undefined ? undefined : progressRecord.decodeProgress(record.value);
+    },
+    runs: () => sites.flatMap(({ worker }) => worker.runs),
+    dispose: () => {
+      isDisposed = true;
+      candidates.forEach((it) => it.kill());
+      sites.forEach((it) => {
+        it.worker.dispose();
+        void it.agent.dispose();
+      });
+    },
+  };
+};
+
+/**
+ * Asserts that no task ran twice at once, and none again after it was done in sound order.
+ *
+ * @param runs - all runs on all workers
+ */
+export const assertAtMostOnce = (runs: readonly memoryPoolWorker.RecordedRun[]): void => {
+  const byTask = new Map<string, memoryPoolWorker.RecordedRun[]>();
+  for (const run of runs) byTask.set(run.task, [...(byTask.get(run.task) ?? []), run]);
+  for (const [task, its] of byTask) {
+    const ordered = [...its].sort((a, b) => a.startedAtMs - b.startedAtMs);
+    ordered.forEach((run, index) => {
+      const next = ordered[index + 1];
+      if (next === undefined) return;
+      const endedAtMs = run.endedAtMs ?? Infinity;
+      assert.ok(
+        next.startedAtMs >= endedAtMs,
+        `${task}: run ${next.run} began at ${next.startedAtMs}, run ${run.run} ended at ${endedAtMs}`,
+      );
+    });
+  }
+};
--- a/src/state/common/pool/recordStore.ts
+++ b/src/state/common/pool/recordStore.ts
@@ -42,11 +42,6 @@
 export const MAX_TRANSACTION_ENTRIES = 32;
 
 /** The store as the pool uses it. */
-export interface RecordStore extends Omit<store.Store, 'compareAndSwap' | 'renewLease'> {
+export interface RecordStore extends Omit<store.Store, 'compareAndSwap'> {
   readonly transact: (transaction: Transaction) => Promise<TransactionResult>;
-  /**
-   * @param timeoutMs - after it the renewal counts as failed; of no use to its holder later
-   * @returns whether the lease still stood
-   */
-  readonly renewLease: (leaseId: string, timeoutMs?: number) => Promise<boolean>;
 }
--- a/src/state/common/store.ts
+++ b/src/state/common/store.ts
@@ -60,8 +60,11 @@
   readonly compareAndSwap: (swap: CompareAndSwap) => Promise<SwapResult>;
   /** @returns an id that lapses unless it is renewed within the time */
   readonly grantLease: (ttlMs: number) => Promise<string>;
-  /** @returns whether the lease still stood */
-  readonly renewLease: (leaseId: string) => Promise<boolean>;
+  /**
+   * @param timeoutMs - after it the renewal counts as failed; of no use to its holder later
+   * @returns whether the lease still stood
+   */
+  readonly renewLease: (leaseId: string, timeoutMs?: number) => Promise<boolean>;
   readonly revokeLease: (leaseId: string) => Promise<void>;
   /** Waits for a change after the revision; gives an empty result when the wait is over. */
   readonly watch: (
