Acknowledge no end of a gang before the whole job is stored

Cause: the first member's end makes the whole gang done in the leader's memory; the ends of the other members then changed nothing, and were acknowledged at once while the store was down.

Ruled out: a leadership that was lost (the same leader held it), a late write (none was answered).

Change: an end that changes nothing waits for what of its job is still to be stored.

Conclusion: the guard belongs to acknowledging, so it holds for every end.

--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -50,6 +50,9 @@
  */
 const UNACKNOWLEDGED_MS = 250;
 
+/** A leader that asks about a worker that does not answer waits this long for news. */
+const SILENT_WAIT_MS = 300;
+
 /** Attempts to give one order; the worker is on the same machine and answers in a millisecond. */
 const ORDER_ATTEMPTS = 3;
 
@@ -306,8 +309,10 @@
         if (isLater) onDidAcknowledge();
       }
       if (held === undefined || held.fence < fence) {
-        await look(0);
+        const isSeen = await look(0);
         void hold();
+        // A worker that refuses at once would otherwise have the leader ask without a pause.
+        if (!isSeen) await waitForChange(Math.min(request.waitMs, SILENT_WAIT_MS));
         return news();
       }
       void hold();
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -147,6 +147,7 @@
     workers,
     desk: () => desk,
     save: writer.save,
+    whenStored: writer.whenStored,
     onDidSave: (jobId) => savedJobs.add(jobId),
     onDidChange: () => schedulePlan(),
   });
--- a/src/coordination/node/pool/progressWriter.ts
+++ b/src/coordination/node/pool/progressWriter.ts
@@ -42,6 +42,11 @@
    * @returns settled once the job as it is now, or later, is stored; never where the leader gives up
    */
   readonly save: (jobId: string) => Promise<void>;
+  /**
+   * @param jobId - a job
+   * @returns settled once nothing of the job waits to be stored any more
+   */
+  readonly whenStored: (jobId: string) => Promise<void>;
   readonly dispose: () => void;
 }
 
@@ -69,6 +74,7 @@
  */
 export const createProgressWriter = (options: ProgressWriterOptions): ProgressWriter => {
   const due = new Map<string, Waiter[]>();
+  let writing: { readonly jobIds: readonly string[]; readonly waiters: Waiter[] } | undefined;
   let isWriting = false;
   let isDisposed = false;
 
@@ -151,8 +157,10 @@
     while (due.size > 0 && !isDisposed) {
       const { batch, waiters } = takeBatch();
       const startedAtMs = options.clock.monotonicMs();
+      writing = { jobIds: batch.jobIds, waiters };
       const isWritten = batch.records.length === 0 || (await write(batch));
       if (!isWritten) return;
+      writing = undefined;
       options.metrics.time(
         'auburnlift_progress_write_ms',
         options.clock.monotonicMs() - startedAtMs,
@@ -163,6 +171,14 @@
   };
 
   return {
+    whenStored: (jobId) => {
+      const waiters =
+        due.get(jobId) ?? (writing?.jobIds.includes(jobId) === true ? writing.waiters : undefined);
+      if (waiters === undefined) return Promise.resolve();
+      return new Promise((resolve) => {
+        waiters.push({ resolve });
+      });
+    },
     save: (jobId) =>
       new Promise((resolve) => {
         const waiters = due.get(jobId) ?? [];
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -32,6 +32,8 @@
   readonly desk: () => orderDesk.OrderDesk;
   /** Stores a job's progress; settled once it is stored. */
   readonly save: (jobId: string) => Promise<void>;
+  /** Settled once nothing of a job waits to be stored any more. */
+  readonly whenStored: (jobId: string) => Promise<void>;
   /** A job has a new checkpoint, which is worth storing when convenient. */
   readonly onDidSave: (jobId: string) => void;
   /** Something changed that a planning round should look at. */
@@ -143,9 +145,10 @@
     entry: jobBook.JobEntry,
     task: jobBook.TaskEntry,
     outcome: jobBook.RunOutcome,
-  ): Promise<void> | undefined => {
+  ): Promise<void> => {
     const { jobId } = entry.job;
-    if (!jobBook.noteEnd(entry, task, outcome, time.wallMs())) return undefined;
+    // The end of another member may have changed the job already, and that may not be stored yet.
+    if (!jobBook.noteEnd(entry, task, outcome, time.wallMs())) return options.whenStored(jobId);
     metrics.count('auburnlift_run_ends_total', { how: outcome.how });
     log('info', 'runEnded', {
       job: jobId,
--- a/src/standins/memoryPoolWorker.ts
+++ b/src/standins/memoryPoolWorker.ts
@@ -36,6 +36,8 @@
   readonly faults: PoolWorkerFaults;
   readonly runs: readonly RecordedRun[];
   readonly info: () => poolWorker.WorkerInfo;
+  /** Ends up to this one have been acknowledged in the present life, and are forgotten. */
+  readonly acknowledgedUpTo: () => number;
   /** Ends everything at once and begins a new life, under the same or another id. */
   readonly crash: (workerId?: string) => void;
   readonly dispose: () => void;
@@ -104,6 +106,7 @@
   let ended: poolWorker.EndedRun[] = [];
   let sequence = 0;
   let fence = 0;
+  let acknowledgedUpTo = 0;
   let leaseUntilMs = 0;
   let isDisposed = false;
 
@@ -235,6 +238,7 @@
     }
     if (request.fence < fence) return { outcome: 'refused', reason: 'fence' };
     fence = request.fence;
+    acknowledgedUpTo = Math.max(acknowledgedUpTo, request.seenUpTo);
     ended = ended.filter((it) => it.sequence > request.seenUpTo);
     if (request.leaseUntilMs > 0) {
       const cappedMs = Math.min(request.leaseUntilMs, clockMs() + options.maxLeaseMs);
@@ -272,6 +276,7 @@
     faults,
     runs,
     info: () => info,
+    acknowledgedUpTo: () => acknowledgedUpTo,
     crash: (workerId = info.workerId) => {
       for (const it of live.values()) {
         void it.timer?.dispose();
@@ -285,6 +290,7 @@
       ended = [];
       sequence = 0;
       fence = 0;
+      acknowledgedUpTo = 0;
       leaseUntilMs = 0;
       bornAtMs = time.monotonicMs();
       info = { ...info, workerId, incarnationMs: info.incarnationMs + 1 + Math.floor(bornAtMs) };
--- a/src/standins/test/poolExploration.ts
+++ b/src/standins/test/poolExploration.ts
@@ -131,6 +131,7 @@
     guarantees: { owner: 8, other: 8 },
   });
   const jobs = Array.from({ length: JOBS }, (_, index) => makeJob(index, next));
+  await pool.ready;
   let leader = pool.addCandidate();
   const submitted: poolJob.PoolJob[] = [];
   for (let step = 0; step < STEPS; step += 1) {
--- a/src/standins/test/poolFaults.test.ts
+++ b/src/standins/test/poolFaults.test.ts
@@ -163,6 +163,35 @@
     states: { a: 'complete' },
     runs: 2,
   },
+  {
+    // A gang ends as done while the store is down, then everything loses power, and the gang runs
+    // again: the end of its second member had been acknowledged, and so forgotten by the worker,
+    // because the first member's end had already made the whole gang done in the leader's memory.
+    name: 'no end of a gang is acknowledged before the job is stored',
+    options: { workers: 2, workMs: () => 2000 },
+    jobs: [
+      [
+        [{ count: 2, isGang: true, resources: { cpuMillicores: 1, memoryMb: 1, accelerators: 8 } }],
+        { jobId: 'a' },
+      ],
+    ],
+    act: async (pool) => {
+      await pool.clock.advance(1500);
+      pool.store.faults.isDown = true;
+      await pool.clock.advance(3500);
+      assert.deepEqual(
+        pool.runs().map((it) => it.how),
+        ['done', 'done'],
+      );
+      assert.deepEqual(
+        pool.sites.map(({ worker }) => worker.acknowledgedUpTo()),
+        [0, 0],
+      );
+      pool.store.faults.isDown = false;
+    },
+    states: { a: 'complete' },
+    runs: 2,
+  },
   {
     name: 'tasks live through an outage of the store that is shorter than their lease',
     options: { workers: 1, workMs: () => 8000 },
--- a/src/standins/test/poolKit.ts
+++ b/src/standins/test/poolKit.ts
@@ -46,6 +46,8 @@
   readonly clock: clock.FakeClock;
   readonly store: memoryStore.MemoryStore;
   readonly sites: readonly Site[];
+  /** The agents' entries are written: awaited before the first fault. */
+  readonly ready: Promise<unknown>;
   readonly addCandidate: () => Candidate;
   readonly submit: (job: poolJob.PoolJob) => Promise<void>;
   readonly cancel: (jobId: string) => Promise<void>;
@@ -197,7 +199,7 @@
   const put = async (key: string, value: string): Promise<void> => {
     await store.transact({ conditions: [], puts: [{ key, value }], removes: [] });
   };
-  const announce = Promise.all(
+  const ready = Promise.all(
     sites.map((_, index) =>
       put(poolKeys.agentKey(`agent-${index}`), JSON.stringify({ url: `http://agent/${index}` })),
     ),
@@ -253,9 +255,10 @@
     clock: time,
     store,
     sites,
+    ready,
     addCandidate,
     submit: async (job) => {
-      await announce;
+      await ready;
       gangs.note(job);
       await put(poolKeys.jobKey(job.jobId, poolKeys.JobPart.spec), JSON.stringify(job));
     },
