Hold the platform's contracts and the pool's guards by tables of cases

Change: contract tables for store, worker, settings, configuration, heartbeats and the client side, with lost and late answers, refusals and garbage; tables for jobs, leases, ends and blame.

--- /dev/null
+++ b/src/coordination/common/pool/test/jobBook.test.ts
@@ -0,0 +1,190 @@
+/**
+ * A job's tasks: what may start, and what an end means.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import type * as poolJob from '../../../../state/common/pool/poolJob.js';
+import * as progressRecord from '../../../../state/common/pool/progressRecord.js';
+import * as jobBook from '../jobBook.js';
+import * as fixtures from './poolFixtures.js';
+
+type End = readonly [step: number, index: number, run: number, how: jobBook.RunOutcome['how']];
+
+interface Case {
+  readonly name: string;
+  readonly steps: readonly Partial<poolJob.Step>[];
+  readonly attempts?: number;
+  /** Rounds of assigning all that is ready, then taking note of ends. */
+  readonly rounds: readonly (readonly End[])[];
+  readonly state: poolJob.PoolJobState;
+  /** Groups that may start in the end, by step and first index. */
+  readonly ready?: readonly string[];
+}
+
+const GANG: Partial<poolJob.Step> = { count: 2, isGang: true };
+
+const CASES: readonly Case[] = [
+  { name: 'nothing has started', steps: [{}], rounds: [], state: 'queued', ready: ['0.0'] },
+  {
+    name: 'a step waits for all tasks of those before it',
+    steps: [{ count: 2 }, { after: [0] }],
+    rounds: [[[0, 0, 1, 'done']]],
+    state: 'running',
+    ready: [],
+  },
+  {
+    name: 'then it may start',
+    steps: [{ count: 2 }, { after: [0] }],
+    rounds: [
+      [
+        [0, 0, 1, 'done'],
+        [0, 1, 1, 'done'],
+      ],
+    ],
+    state: 'running',
+    ready: ['1.0'],
+  },
+  {
+    name: 'one end stands for the gang',
+    steps: [GANG],
+    rounds: [[[0, 1, 1, 'done']]],
+    state: 'complete',
+  },
+  {
+    name: 'a gang starts again only when all its members have ended',
+    steps: [GANG],
+    rounds: [[[0, 0, 1, 'failed']]],
+    state: 'running',
+    ready: [],
+  },
+  {
+    name: 'two failed members are one failure of the gang',
+    steps: [GANG],
+    attempts: 2,
+    rounds: [
+      [
+        [0, 0, 1, 'failed'],
+        [0, 1, 1, 'failed'],
+      ],
+    ],
+    state: 'running',
+    ready: ['0.0'],
+  },
+  {
+    name: 'failures as often as allowed end the job',
+    steps: [{}],
+    attempts: 2,
+    rounds: [[[0, 0, 1, 'failed']], [[0, 0, 2, 'failed']]],
+    state: 'failed',
+    ready: [],
+  },
+  {
+    name: 'what was stopped or lost counts as no failure',
+    steps: [{}],
+    attempts: 1,
+    rounds: [[[0, 0, 1, 'stopped']], [[0, 0, 2, 'lost']], [[0, 0, 3, 'lapsed']]],
+    state: 'running',
+    ready: ['0.0'],
+  },
+  {
+    // An end of the first run arrives after the second has begun. Taken for the second, the job would
+    // be shown as complete while its task still works.
+    name: 'an end of an earlier run changes nothing',
+    steps: [{}],
+    rounds: [[[0, 0, 1, 'lost']], [[0, 0, 1, 'done']]],
+    state: 'running',
+    ready: [],
+  },
+  {
+    name: 'a long-running task starts again however it ends',
+    steps: [{ isLongRunning: true }],
+    attempts: 1,
+    rounds: [[[0, 0, 1, 'failed']], [[0, 0, 2, 'done']]],
+    state: 'running',
+    ready: ['0.0'],
+  },
+];
+
+const assignAll = (entry: jobBook.JobEntry): void => {
+  for (const { tasks } of jobBook.readyUnits(entry)) {
+    const place = { workerId: 'w', incarnationMs: 1, agentId: 'a' };
+    jobBook.assign(
+      entry,
+      tasks.map((task) => ({ task, ...place })),
+    );
+  }
+};
+
+const noteAll = (entry: jobBook.JobEntry, ends: readonly End[]): void => {
+  for (const [step, index, run, how] of ends) {
+    const name = { jobId: 'job', occurrence: 0, step, index };
+    const task = jobBook.findTask(entry, name) as jobBook.TaskEntry;
+    jobBook.noteEnd(entry, task, { run, how, saved: '' }, 5);
+  }
+};
+
+const readyOf = (entry: jobBook.JobEntry): string[] =>
+  jobBook.readyUnits(entry).map((it) => `${it.stepIndex}.${it.tasks[0]?.index ?? ''}`);
+
+test.describe('jobBook', () => {
+  for (const it of CASES) {
+    test.it(it.name, () => {
+      const job = fixtures.makeJob(it.steps, { attempts: it.attempts ?? 3 });
+      const entry = jobBook.createEntry(job, 0);
+      for (const ends of it.rounds) {
+        assignAll(entry);
+        noteAll(entry, ends);
+      }
+      assert.equal(entry.state, it.state);
+      if (it.ready !== undefined) assert.deepEqual(readyOf(entry), it.ready);
+      // What is kept is enough for the next leader.
+      const text = progressRecord.encodeProgress(jobBook.toRecord(entry));
+      const restored = jobBook.createEntry(job, 0);
+      jobBook.restore(restored, progressRecord.decodeProgress(text), 1);
+      assert.equal(restored.state, it.state);
+      assert.deepEqual(readyOf(restored), readyOf(entry));
+    });
+  }
+
+  test.it('a gang goes on from one checkpoint, under one run number', () => {
+    const entry = jobBook.createEntry(fixtures.makeJob([GANG]), 0);
+    assignAll(entry);
+    const [first] = jobBook.tasksOf(entry);
+    assert.ok(first);
+    jobBook.noteEnd(entry, first, { run: 1, how: 'stopped', saved: 'here' }, 5);
+    noteAll(entry, [[0, 1, 1, 'broken']]);
+    assignAll(entry);
+    assert.deepEqual(
+      jobBook.tasksOf(entry).map((task) => [task.run, task.saved]),
+      [
+        [2, 'here'],
+        [2, 'here'],
+      ],
+    );
+  });
+
+  test.it('an occurrence starts when it is due, and the job ends with the last', () => {
+    const schedule = { firstAtMs: 1000, intervalMs: 500, occurrences: 2 };
+    const entry = jobBook.createEntry(fixtures.makeJob([{}], { schedule }), 0);
+    jobBook.addDueOccurrences(entry, 999);
+    assert.equal(jobBook.readyUnits(entry).length, 0);
+    jobBook.addDueOccurrences(entry, 1000);
+    assignAll(entry);
+    noteAll(entry, [[0, 0, 1, 'done']]);
+    assert.equal(entry.state, 'running');
+    jobBook.addDueOccurrences(entry, 1500);
+    assignAll(entry);
+    const task = jobBook.findTask(entry, { jobId: 'job', occurrence: 1, step: 0, index: 0 });
+    assert.ok(task);
+    jobBook.noteEnd(entry, task, { run: 1, how: 'done', saved: '' }, 5);
+    assert.equal(entry.state, 'complete');
+  });
+
+  test.it('a cancelled job starts nothing more', () => {
+    const entry = jobBook.createEntry(fixtures.makeJob([{ count: 2 }]), 0);
+    assert.equal(jobBook.cancel(entry, 5), true);
+    assert.deepEqual(readyOf(entry), []);
+    assert.equal(entry.state, 'cancelled');
+  });
+});
--- /dev/null
+++ b/src/platform/test/decoding.test.ts
@@ -0,0 +1,169 @@
+/**
+ * What the platform writes, decoded: settings, configuration and heartbeats, and what can't be read.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as errors from '../../base/common/errors.js';
+import * as bootSettings from '../bootSettings.js';
+import * as operatorConfiguration from '../operatorConfiguration.js';
+import * as workerWire from '../workerWire.js';
+
+const SETTINGS = `
+node = "side-1"
+ip = "10.0.0.1"
+zone = "z"
+region = "r"
+port_range = [7000, 7015]
+heartbeat_ms = 1500
+app = "10.0.0.1:80"
+backend = "s"
+news_to_come = true
+[listen]
+control = "10.0.0.1:90"
+[platform]
+addr = "10.0.0.9:70"
+ttl_min_ms = 1000
+[bounds]
+grace_s = 6
+hold_max_ms = 10000
+status_s = 120
+revoke_ms = 5000
+gang_ms = 3000
+`;
+
+const messageOf = (deed: () => unknown): string => {
+  try {
+    deed();
+    return '';
+  } catch (thrown) {
+    return errors.normalize(thrown).message;
+  }
+};
+
+test.describe('settings of the platform', () => {
+  test.it('are read, and what is not known is ignored', () => {
+    const settings = bootSettings.parseBootSettings(SETTINGS, 'local.toml', 'agent');
+    assert.deepEqual(settings.peers, { host: '10.0.0.1', port: 7000 });
+    assert.deepEqual(settings.worker, { host: '10.0.0.1', port: 80 });
+    assert.deepEqual([settings.graceMs, settings.statusMs], [6000, 120_000]);
+    assert.equal(settings.front, undefined);
+  });
+
+  test.it('give each program of one machine a port of its own', () => {
+    const ports = (['entry', 'scheduler'] as const).map(
+      (program) => bootSettings.parseBootSettings(SETTINGS, 'f', program).peers.port,
+    );
+    assert.deepEqual(ports, [7000, 7001]);
+  });
+
+  const BROKEN: readonly [string, string, RegExp][] = [
+    ['a missing table', SETTINGS.replace('[platform]', '[elsewhere]'), /local\.toml.*platform/],
+    [
+      'a missing field',
+      SETTINGS.replace('hold_max_ms', 'other'),
+      /local\.toml.*bounds\.hold_max_ms/,
+    ],
+    ['a field of another type', SETTINGS.replace('1500', '"soon"'), /local\.toml.*heartbeat_ms/],
+    ['text that is no TOML', '= = =', /local\.toml: not TOML/],
+  ];
+  for (const [name, text, says] of BROKEN) {
+    test.it(`${name} is named with file and field`, () => {
+      const message = messageOf(() => bootSettings.parseBootSettings(text, 'local.toml', 'agent'));
+      assert.match(message, says);
+    });
+  }
+});
+
+test.describe('the configuration of the operators', () => {
+  test.it('is decoded with the defaults of what is left out', () => {
+    const decoded = operatorConfiguration.decodeConfiguration(
+      JSON.stringify({
+        version: 7,
+        routes: [{ name: 'r', host: 'h', prefix: '/p/', backend: 's', slo_ms: 500, stretch: 1.5 }],
+        tenants: [{ name: 't', api_keys: ['k'], guaranteed: { gpu: 16 } }],
+        something: 'new',
+      }),
+    );
+    assert.equal(decoded.version, 7);
+    assert.deepEqual(decoded.queues[0]?.policy, {
+      queue: 'r',
+      service: 's',
+      priority: 0,
+      attempts: 1,
+      stretch: 1.5,
+      objectiveMs: 500,
+      needsAdvice: false,
+    });
+    assert.deepEqual(decoded.customers, [
+      { customerId: 't', apiKeys: ['k'], guaranteedAccelerators: 16 },
+    ]);
+  });
+
+  const BROKEN: readonly [string, string][] = [
+    ['no JSON', '{'],
+    ['no version', '{"routes":[]}'],
+    ['a queue without a prefix', '{"version":1,"routes":[{"name":"r"}]}'],
+  ];
+  for (const [name, text] of BROKEN) {
+    test.it(`${name} is refused`, () => {
+      assert.notEqual(
+        messageOf(() => operatorConfiguration.decodeConfiguration(text)),
+        '',
+      );
+    });
+  }
+});
+
+const HEARTBEAT = {
+  backend: 's',
+  addr: '10.0.0.1:80',
+  zone: 'z',
+  version: 'v1',
+  slots: 8,
+  state: 'ready',
+  cold_left_ms: 0,
+  capacity: { cpu: 16_000, mem_mb: 32_768, gpu: 8 },
+  labels: ['a', 'r1-3'],
+  clock_ms: 5,
+  seq: 4,
+  born: 99,
+};
+
+test.describe('a heartbeat', () => {
+  test.it('is decoded', () => {
+    const body = Buffer.from(
+      JSON.stringify({ ...HEARTBEAT, state: 'draining', remaining_ms: 2000 }),
+    );
+    assert.deepEqual(workerWire.decodeHeartbeat('i-1', body), {
+      sequence: 4,
+      info: {
+        workerId: 'i-1',
+        incarnationMs: 99,
+        service: 's',
+        zone: 'z',
+        state: 'draining',
+        capacity: { cpuMillicores: 16_000, memoryMb: 32_768, accelerators: 8 },
+        labels: ['a', 'r1-3'],
+        rack: 'r1-3',
+        remainingMs: 2000,
+      },
+    });
+  });
+
+  const GARBAGE: readonly [string, string][] = [
+    ['bytes', '\u0000\u0001'],
+    ['a list', '[]'],
+    ['no state', JSON.stringify({ ...HEARTBEAT, state: undefined })],
+    ['a state that is not known', JSON.stringify({ ...HEARTBEAT, state: 'asleep' })],
+    ['a sequence of another type', JSON.stringify({ ...HEARTBEAT, seq: '4' })],
+    ['a fraction of a sequence', JSON.stringify({ ...HEARTBEAT, seq: 4.5 })],
+    ['a capacity of another type', JSON.stringify({ ...HEARTBEAT, capacity: 8 })],
+    ['no service', JSON.stringify({ ...HEARTBEAT, backend: undefined })],
+  ];
+  for (const [name, text] of GARBAGE) {
+    test.it(`with ${name} names no worker`, () => {
+      assert.equal(workerWire.decodeHeartbeat('i-1', Buffer.from(text)), undefined);
+    });
+  }
+});
--- /dev/null
+++ b/src/platform/test/platformStore.test.ts
@@ -0,0 +1,225 @@
+/**
+ * The platform's store as its pages describe it: what is sent, and what each answer and each missing
+ * answer means.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as errors from '../../base/common/errors.js';
+import * as metrics from '../../base/common/metrics.js';
+import type * as recordStore from '../../state/common/pool/recordStore.js';
+import * as store from '../../state/common/store.js';
+import * as platformStore from '../platformStore.js';
+import * as scripted from './scriptedCall.js';
+
+const base64 = (text: string): string => Buffer.from(text).toString('base64');
+
+const create = (line: scripted.ScriptedCall): recordStore.RecordStore =>
+  platformStore.createPlatformStore({
+    address: () => ({ host: '127.0.0.1', port: 1 }),
+    call: line.call,
+    metrics: metrics.createMetrics(),
+    timeoutMs: 500,
+  });
+
+const TRANSACTION: recordStore.Transaction = {
+  conditions: [{ key: 'a', revision: 0 }],
+  puts: [{ key: 'a', value: 'text', leaseId: '7' }],
+  removes: ['b'],
+};
+
+/** What became of a call: its value, or how it failed. */
+const outcomeOf = async (call: () => Promise<unknown>): Promise<unknown> => {
+  try {
+    return await call();
+  } catch (thrown) {
+    if (thrown instanceof store.StoreOutcomeUnknown) return 'outcomeUnknown';
+    return errors.normalize(thrown).kind;
+  }
+};
+
+interface Case {
+  readonly name: string;
+  readonly answers: readonly scripted.Scripted[];
+  readonly call: (subject: recordStore.RecordStore) => Promise<unknown>;
+  readonly outcome: unknown;
+  readonly path?: string;
+  readonly body?: unknown;
+}
+
+const transact = (subject: recordStore.RecordStore): Promise<unknown> =>
+  subject.transact(TRANSACTION);
+
+const watch = (subject: recordStore.RecordStore): Promise<unknown> =>
+  subject.watch('p/', 5, 1000, new AbortController().signal);
+
+const CASES: readonly Case[] = [
+  {
+    name: 'a transaction carries conditions, puts in base64 and removes',
+    answers: [{ status: 200, body: { rev: 9 } }],
+    call: transact,
+    outcome: { isCommitted: true, revision: 9 },
+    path: '/-/kv-txn',
+    body: {
+      if_rev: [{ key: 'a', rev: 0 }],
+      set_keys: [{ key: 'a', value: base64('text'), lease: 7 }],
+      remove: ['b'],
+    },
+  },
+  {
+    name: 'a condition that does not hold gives the records as they stand',
+    answers: [
+      {
+        status: 412,
+        body: {
+          items: [
+            { key: 'a', value: base64('x'), rev: 4 },
+            { key: 'c', rev: 0 },
+          ],
+        },
+      },
+    ],
+    call: transact,
+    outcome: {
+      isCommitted: false,
+      isLeaseGone: false,
+      current: [{ key: 'a', value: 'x', revision: 4 }],
+    },
+  },
+  {
+    name: 'a lease that has ended is told apart',
+    answers: [{ status: 404 }],
+    call: transact,
+    outcome: { isCommitted: false, isLeaseGone: true, current: [] },
+  },
+  {
+    name: 'busy: nothing was done',
+    answers: [{ status: 429 }],
+    call: transact,
+    outcome: 'storeUnavailable',
+  },
+  {
+    name: 'refused: nothing was done',
+    answers: [{ status: 503 }],
+    call: transact,
+    outcome: 'storeUnavailable',
+  },
+  {
+    name: 'no connection: nothing was done',
+    answers: [{ failure: 'notSent' }],
+    call: transact,
+    outcome: 'storeUnavailable',
+  },
+  {
+    // A caller is told that its job was refused, and the job runs: the write took effect and only its
+    // answer was lost.
+    name: 'a write without an answer may take effect',
+    answers: [{ failure: 'lost' }],
+    call: transact,
+    outcome: 'outcomeUnknown',
+  },
+  {
+    name: 'a write that is silent may take effect',
+    answers: [{ failure: 'timeout' }],
+    call: transact,
+    outcome: 'outcomeUnknown',
+  },
+  {
+    name: 'a failure from something in between may come after the deed',
+    answers: [{ status: 502 }],
+    call: transact,
+    outcome: 'outcomeUnknown',
+  },
+  {
+    name: 'a forbidden write is a defect of ours',
+    answers: [{ status: 403 }],
+    call: transact,
+    outcome: 'internal',
+  },
+  {
+    name: 'a list follows its pages and counts from the first',
+    answers: [
+      {
+        status: 200,
+        body: { items: [{ key: 'p/1', value: base64('1'), rev: 1 }], more_pages: true, as_of: 3 },
+      },
+      { status: 200, body: { items: [{ key: 'p/2', value: base64('2'), rev: 4 }], as_of: 5 } },
+    ],
+    call: (subject) => subject.list('p/'),
+    outcome: {
+      revision: 3,
+      entries: [
+        { key: 'p/1', value: '1', revision: 1 },
+        { key: 'p/2', value: '2', revision: 4 },
+      ],
+    },
+  },
+  {
+    name: 'a key that is not there',
+    answers: [{ status: 404 }],
+    call: (subject) => subject.get('a'),
+    outcome: undefined,
+    path: '/-/kv-key?key=a',
+  },
+  {
+    name: 'a read without an answer changes nothing',
+    answers: [{ failure: 'timeout' }],
+    call: (subject) => subject.get('a'),
+    outcome: 'storeUnavailable',
+  },
+  {
+    name: 'a watch gives the last event of each key',
+    answers: [
+      {
+        status: 200,
+        body: {
+          events: [
+            { key: 'p/1', value: base64('old'), rev: 6 },
+            { key: 'p/2', value: base64('x'), rev: 7 },
+            { key: 'p/1', value: base64('new'), rev: 8 },
+            { key: 'p/2', rev: 9, tombstone: true },
+          ],
+          as_of: 9,
+        },
+      },
+    ],
+    call: watch,
+    outcome: {
+      entries: [{ key: 'p/1', value: 'new', revision: 8 }],
+      deletedKeys: ['p/2'],
+      revision: 9,
+      isGap: false,
+    },
+    path: '/-/kv-watch?prefix=p%2F&after=5&wait_ms=1000',
+  },
+  {
+    name: 'a history that is gone is a gap',
+    answers: [{ status: 410 }],
+    call: watch,
+    outcome: { entries: [], deletedKeys: [], revision: 5, isGap: true },
+  },
+  {
+    name: 'a lease that lapsed',
+    answers: [{ status: 404 }],
+    call: (subject) => subject.renewLease('7'),
+    outcome: false,
+    path: '/-/kv-keep/7',
+  },
+  {
+    name: 'a renewal without an answer says nothing about the lease',
+    answers: [{ failure: 'lost' }],
+    call: (subject) => subject.renewLease('7'),
+    outcome: 'storeUnavailable',
+  },
+];
+
+test.describe('platformStore', () => {
+  for (const it of CASES) {
+    test.it(it.name, async () => {
+      const line = scripted.scriptedCall(...it.answers);
+      assert.deepEqual(await outcomeOf(() => it.call(create(line))), it.outcome);
+      if (it.path !== undefined) assert.equal(line.sent[0]?.path, it.path);
+      if (it.body !== undefined) assert.deepEqual(line.sent[0]?.body, it.body);
+    });
+  }
+});
--- /dev/null
+++ b/src/platform/test/workerClient.test.ts
@@ -0,0 +1,112 @@
+/**
+ * The worker's calls as its pages describe them, and what each answer means for an order.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as metrics from '../../base/common/metrics.js';
+import type * as agentContract from '../../state/common/pool/agentContract.js';
+import * as workerClient from '../workerClient.js';
+import * as scripted from './scriptedCall.js';
+
+const create = (line: scripted.ScriptedCall): agentContract.WorkerLink =>
+  workerClient.createWorkerClient({
+    address: () => ({ host: '127.0.0.1', port: 1 }),
+    call: line.call,
+    metrics: metrics.createMetrics(),
+  });
+
+const START: agentContract.WorkerStart = {
+  task: 'j.0.0.0',
+  run: 2,
+  payload: 'text',
+  leaseUntilMs: 500,
+  fence: 7,
+  saved: '',
+  ticket: undefined,
+};
+
+interface Case {
+  readonly name: string;
+  readonly answer: scripted.Scripted;
+  readonly outcome: string;
+  readonly reason?: string;
+}
+
+const START_CASES: readonly Case[] = [
+  { name: 'taken', answer: { status: 200, body: { clock_ms: 1 } }, outcome: 'accepted' },
+  {
+    name: 'refused with its reason',
+    answer: { status: 409, body: { clock_ms: 1, reason: 'room' } },
+    outcome: 'refused',
+    reason: 'room',
+  },
+  { name: 'another life of the worker', answer: { status: 421 }, outcome: 'refused' },
+  { name: 'unhealthy: nothing was done', answer: { status: 503 }, outcome: 'refused' },
+  { name: 'busy: nothing was done', answer: { status: 429 }, outcome: 'refused' },
+  { name: 'no connection', answer: { failure: 'notSent' }, outcome: 'refused' },
+  // The order may be carried out seconds later: given to another worker now, the task runs twice.
+  { name: 'no answer', answer: { failure: 'timeout' }, outcome: 'unknown' },
+  { name: 'an answer that is cut', answer: { failure: 'lost' }, outcome: 'unknown' },
+  { name: 'a failure after the deed', answer: { status: 500 }, outcome: 'unknown' },
+];
+
+test.describe('workerClient', () => {
+  for (const it of START_CASES) {
+    test.it(`start: ${it.name}`, async () => {
+      const answer = await create(scripted.scriptedCall(it.answer)).start('i-1', START);
+      assert.equal(answer.outcome, it.outcome);
+      if (it.reason !== undefined) assert.equal(answer.reason, it.reason);
+    });
+  }
+
+  test.it('a start names the life that it is meant for and leaves out what is empty', async () => {
+    const line = scripted.scriptedCall({ status: 200 });
+    await create(line).start('i-1', START);
+    const [sent] = line.sent;
+    assert.equal(sent?.path, '/-/run-start');
+    assert.equal(sent.headers['auburnlift-expect-instance'], 'i-1');
+    assert.deepEqual(sent.body, {
+      task: 'j.0.0.0',
+      run: 2,
+      spec: 'text',
+      deadline_ms: 500,
+      fence: 7,
+    });
+  });
+
+  test.it('a look renews nothing without a lease', async () => {
+    const view = { clock_ms: 9, born: 3, running: [['j.0.0.0', 2, 's', 41, 7]], ended: [] };
+    const line = scripted.scriptedCall({ status: 200, body: view });
+    const request = { fence: 7, leaseUntilMs: 0, seenUpTo: 4, waitMs: 100 };
+    const answer = await create(line).view(undefined, request);
+    assert.deepEqual(line.sent[0]?.body, { fence: 7, seen_upto: 4, wait_ms: 100 });
+    assert.deepEqual(answer, {
+      outcome: 'view',
+      view: {
+        incarnationMs: 3,
+        clockMs: 9,
+        running: [{ task: 'j.0.0.0', run: 2, saved: 's', percent: 41, loadFigure: 7 }],
+        ended: [],
+      },
+    });
+  });
+
+  const UNREADABLE: readonly [string, scripted.Scripted][] = [
+    ['bytes that are no JSON', { status: 200, body: 'garbage' }],
+    // Half a list would say that the rest is gone, and the rest would be started again.
+    ['a row of another form', { status: 200, body: { clock_ms: 1, running: [['t']], ended: [] } }],
+    [
+      'an end of another kind',
+      { status: 200, body: { clock_ms: 1, ended: [[1, 't', 1, '?', '']] } },
+    ],
+    ['a clock of another type', { status: 200, body: { clock_ms: 'now' } }],
+  ];
+  for (const [name, answer] of UNREADABLE) {
+    test.it(`a look that gives ${name} gives nothing`, async () => {
+      const request = { fence: 7, leaseUntilMs: 0, seenUpTo: 0, waitMs: 0 };
+      const got = await create(scripted.scriptedCall(answer)).view('i-1', request);
+      assert.equal(got.outcome, 'unknown');
+    });
+  }
+});
--- /dev/null
+++ b/src/standins/test/jobDesk.test.ts
@@ -0,0 +1,334 @@
+/**
+ * Taking jobs in at an entry: what is stored, and that a refusal is true.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as clock from '../../base/common/clock.js';
+import * as errors from '../../base/common/errors.js';
+import * as logging from '../../base/common/logging.js';
+import * as metrics from '../../base/common/metrics.js';
+import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
+import * as configurationFeed from '../../coordination/node/pool/configurationFeed.js';
+import * as jobDesk from '../../coordination/node/pool/jobDesk.js';
+import type * as poolConfiguration from '../../state/common/pool/poolConfiguration.js';
+import * as poolKeys from '../../state/common/pool/poolKeys.js';
+import * as progressRecord from '../../state/common/pool/progressRecord.js';
+import * as memoryStore from '../memoryStore.js';
+
+const CONFIGURATION_KEY = 'configuration';
+const ID = '5c0e7a21d94b36f8';
+
+const makeConfiguration = (version: number, apiKeys: readonly string[], isQueueThere = true) => {
+  const configuration: poolConfiguration.PoolConfiguration = {
+    version,
+    queues: isQueueThere
+      ? [
+          {
+            policy: fixtures.makeJob([{}]).policy,
+            host: 'h',
+            pathPrefix: '/q/',
+            isPublic: false,
+            timeoutMs: 3000,
+          },
+        ]
+      : [],
+    services: [],
+    customers: [{ customerId: 'c', apiKeys, guaranteedAccelerators: 0 }],
+    maxBodyBytes: 1000,
+  };
+  return JSON.stringify(configuration);
+};
+
+interface Rig {
+  readonly clock: clock.FakeClock;
+  readonly store: memoryStore.MemoryStore;
+  readonly feed: configurationFeed.ConfigurationFeed;
+  readonly desk: jobDesk.JobDesk;
+  readonly configure: (text: string) => Promise<void>;
+}
+
+const createRig = async (): Promise<Rig> => {
+  const time = clock.createFakeClock(1_000_000);
+  const store = memoryStore.createMemoryStore(time);
+  const configure = async (value: string): Promise<void> => {
+    const puts = [{ key: CONFIGURATION_KEY, value }];
+    await store.transact({ conditions: [], puts, removes: [] });
+  };
+  await configure(makeConfiguration(1, ['key']));
+  const feed = configurationFeed.startConfigurationFeed({
+    store,
+    clock: time,
+    log: logging.silentLog,
+    key: CONFIGURATION_KEY,
+    decode: (text) => JSON.parse(text) as poolConfiguration.PoolConfiguration,
+  });
+  await time.advance(100);
+  const desk = jobDesk.createJobDesk({
+    store,
+    clock: time,
+    log: logging.silentLog,
+    metrics: metrics.createMetrics(),
+    feed,
+    configurationKey: CONFIGURATION_KEY,
+    revokeMs: 5000,
+  });
+  return { clock: time, store, feed, desk, configure };
+};
+
+const call = (changes: Partial<jobDesk.Call> = {}): jobDesk.Call => ({
+  requestId: 'id',
+  host: 'h',
+  path: `/q/${ID}`,
+  apiKey: 'key',
+  deadlineMs: 3000,
+  ...changes,
+});
+
+const DRAFT: jobDesk.JobDraft = {
+  payload: 'text',
+  steps: [fixtures.makeStep()],
+  schedule: undefined,
+};
+
+/** The outcome of a call, while the clock runs on. */
+const outcomeOf = async (rig: Rig, deed: () => Promise<unknown>): Promise<unknown> => {
+  const settled = deed().then(
+    (value) => value ?? 'accepted',
+    (thrown: unknown) => errors.normalize(thrown).kind,
+  );
+  await rig.clock.advance(3000);
+  return settled;
+};
+
+const submit = (rig: Rig, its = call()): Promise<unknown> =>
+  outcomeOf(rig, async () => rig.desk.submit(its, rig.desk.admit(its), DRAFT));
+
+const isStored = async (rig: Rig): Promise<boolean> =>
+  (await rig.store.get(poolKeys.jobKey(ID, poolKeys.JobPart.spec))) !== undefined;
+
+interface Case {
+  readonly name: string;
+  readonly act: (rig: Rig) => Promise<unknown>;
+  readonly outcome: unknown;
+  /** Whether the job is stored in the end. */
+  readonly isStored: boolean;
+}
+
+const SUBMIT_CASES: readonly Case[] = [
+  { name: 'a job is stored', act: submit, outcome: 'accepted', isStored: true },
+  {
+    name: 'the same job again is the same job',
+    act: async (rig) => {
+      await submit(rig);
+      return submit(rig);
+    },
+    outcome: 'accepted',
+    isStored: true,
+  },
+  {
+    name: 'no such queue',
+    act: (rig) => submit(rig, call({ host: 'elsewhere' })),
+    outcome: 'notFound',
+    isStored: false,
+  },
+  {
+    name: 'an unknown credential',
+    act: (rig) => submit(rig, call({ apiKey: 'other' })),
+    outcome: 'unauthenticated',
+    isStored: false,
+  },
+  {
+    name: 'no credential',
+    act: (rig) => submit(rig, call({ apiKey: undefined })),
+    outcome: 'unauthenticated',
+    isStored: false,
+  },
+  {
+    name: 'a step that refers forward',
+    act: (rig) => {
+      const its = call();
+      const steps = [fixtures.makeStep({ after: [0] })];
+      return outcomeOf(rig, async () =>
+        rig.desk.submit(its, rig.desk.admit(its), { ...DRAFT, steps }),
+      );
+    },
+    outcome: 'invalidRequest',
+    isStored: false,
+  },
+  {
+    // The store does the write and its answer is lost. Told that it was refused, the caller would see
+    // its job run all the same.
+    name: 'a lost answer does not make a refusal',
+    act: (rig) => {
+      rig.store.faults.loseWriteAnswers = 1;
+      return submit(rig);
+    },
+    outcome: 'accepted',
+    isStored: true,
+  },
+  {
+    // No answer comes at all while the caller waits, and the write takes effect afterwards.
+    name: 'a write that is still open is never called a refusal',
+    act: async (rig) => {
+      rig.store.faults.delayTransactions = 20;
+      const outcome = await submit(rig);
+      await rig.clock.advance(5000);
+      return outcome;
+    },
+    outcome: 'outcomeUnknown',
+    isStored: true,
+  },
+  {
+    name: 'a store that is down refuses, and nothing was stored',
+    act: async (rig) => {
+      rig.store.faults.isDown = true;
+      const outcome = await submit(rig);
+      rig.store.faults.isDown = false;
+      return outcome;
+    },
+    outcome: 'storeUnavailable',
+    isStored: false,
+  },
+  {
+    // The credential is withdrawn and a job with it comes before this entry has heard: the write is
+    // conditional on the configuration by which the call was judged.
+    name: 'a credential that was withdrawn a moment ago is not taken',
+    act: (rig) =>
+      outcomeOf(rig, async () => {
+        const its = call();
+        const admitted = rig.desk.admit(its);
+        await rig.configure(makeConfiguration(2, ['another']));
+        return rig.desk.submit(its, admitted, DRAFT);
+      }),
+    outcome: 'unauthenticated',
+    isStored: false,
+  },
+  {
+    name: 'a change that leaves the call allowed does not refuse it',
+    act: (rig) =>
+      outcomeOf(rig, async () => {
+        const its = call();
+        const admitted = rig.desk.admit(its);
+        await rig.configure(makeConfiguration(2, ['key', 'another']));
+        return rig.desk.submit(its, admitted, DRAFT);
+      }),
+    outcome: 'accepted',
+    isStored: true,
+  },
+  {
+    // An entry is cut off from the store. Its copy of the configuration gets old, and a credential may
+    // have been withdrawn since.
+    name: 'without proof of a fresh configuration no credential is taken',
+    act: async (rig) => {
+      rig.store.faults.isDown = true;
+      await rig.clock.advance(6000);
+      const outcome = await submit(rig);
+      rig.store.faults.isDown = false;
+      return outcome;
+    },
+    outcome: 'storeUnavailable',
+    isStored: false,
+  },
+  {
+    name: 'no older configuration is taken',
+    act: async (rig) => {
+      await rig.configure(makeConfiguration(5, ['key']));
+      await rig.clock.advance(200);
+      await rig.configure(makeConfiguration(4, ['key'], false));
+      await rig.clock.advance(200);
+      return rig.feed.current()?.configuration.version;
+    },
+    outcome: 5,
+    isStored: false,
+  },
+];
+
+test.describe('submitting a job', () => {
+  for (const it of SUBMIT_CASES) {
+    test.it(it.name, async () => {
+      const rig = await createRig();
+      assert.equal(await it.act(rig), it.outcome);
+      assert.equal(await isStored(rig), it.isStored);
+      await rig.feed.dispose();
+    });
+  }
+
+  test.it('a caller is told within a second while the store is silent', async () => {
+    const rig = await createRig();
+    rig.store.faults.isDown = true;
+    const startedAtMs = rig.clock.monotonicMs();
+    let answeredAtMs = Infinity;
+    const its = call();
+    const settled = rig.desk.submit(its, rig.desk.admit(its), DRAFT).catch(() => {
+      answeredAtMs = rig.clock.monotonicMs();
+    });
+    await rig.clock.advance(1000);
+    await settled;
+    assert.ok(answeredAtMs - startedAtMs <= 1000);
+    await rig.feed.dispose();
+  });
+});
+
+const state = (rig: Rig): Promise<unknown> => {
+  const its = call();
+  return outcomeOf(rig, async () => rig.desk.state(its, rig.desk.admit(its)));
+};
+
+const cancel = (rig: Rig): Promise<unknown> => {
+  const its = call();
+  return outcomeOf(rig, async () => rig.desk.cancel(its, rig.desk.admit(its)));
+};
+
+const STATE_CASES: readonly [string, (rig: Rig) => Promise<unknown>, unknown][] = [
+  ['a job that nobody submitted is gone', state, 'gone'],
+  ['cancelling it says the same', cancel, 'gone'],
+  [
+    'a job that has not begun is queued',
+    async (rig) => {
+      await submit(rig);
+      return state(rig);
+    },
+    'queued',
+  ],
+  [
+    'a cancelled job is cancelled before the leader has heard of it',
+    async (rig) => {
+      await submit(rig);
+      await cancel(rig);
+      return state(rig);
+    },
+    'cancelled',
+  ],
+  [
+    'what the leader stored goes first',
+    async (rig) => {
+      await submit(rig);
+      await cancel(rig);
+      const value = progressRecord.encodeProgress({ state: 'complete', endedAtMs: 1, tasks: [] });
+      const puts = [{ key: poolKeys.progressKey(ID), value }];
+      await rig.store.transact({ conditions: [], puts, removes: [] });
+      return state(rig);
+    },
+    'complete',
+  ],
+  [
+    'a store that does not answer says nothing of the job',
+    async (rig) => {
+      await submit(rig);
+      rig.store.faults.isDown = true;
+      return state(rig);
+    },
+    'storeUnavailable',
+  ],
+];
+
+test.describe('a job’s state', () => {
+  for (const [name, act, outcome] of STATE_CASES) {
+    test.it(name, async () => {
+      const rig = await createRig();
+      assert.equal(await act(rig), outcome);
+      await rig.feed.dispose();
+    });
+  }
+});
