Catch the guards that no test missed

Cause: with six of 21 guards taken out of the built code all tests passed: the leadership condition, the wait for a former leader's leases, the fence under which a run is gone, refusals after an unanswered attempt, the agent's fence, the freshness of credentials.

Change: tests of the parts and one of the whole; npm run guards takes each guard out and expects a test to fail.

--- a/src/standins/test/jobDesk.test.ts
+++ b/src/standins/test/jobDesk.test.ts
@@ -224,6 +224,7 @@
       rig.store.faults.isDown = true;
       await rig.clock.advance(6000);
       const outcome = await submit(rig);
+      assert.throws(() => rig.desk.admit(call()), /credentials can not be checked/);
       rig.store.faults.isDown = false;
       return outcome;
     },
--- a/src/standins/test/poolFaults.test.ts
+++ b/src/standins/test/poolFaults.test.ts
@@ -126,6 +126,27 @@
     states: { a: 'complete' },
     runs: 2,
   },
+  {
+    // The leader is killed while a worker that it served is cut off. The next leader knows nothing of
+    // the leases that stand there, and may start the task elsewhere only after the longest of them.
+    name: 'a new leader waits for the leases of the former',
+    options: { workers: 2, workMs: () => 20_000 },
+    jobs: [[[{}], { jobId: 'a' }]],
+    act: async (pool, first) => {
+      await pool.clock.advance(1000);
+      const busy = pool.sites.find(({ worker }) => worker.runs.length > 0);
+      assert.ok(busy);
+      busy.isCut = true;
+      first.kill();
+      pool.addCandidate();
+      await pool.clock.advance(4500);
+      assert.equal(pool.runs().length, 1);
+      await pool.clock.advance(6000);
+      assert.equal(pool.runs().length, 2);
+    },
+    states: { a: 'complete' },
+    runs: 2,
+  },
   {
     name: 'a restarted agent finds its tasks again',
     options: { workers: 1, workMs: () => 5000 },
--- /dev/null
+++ b/src/standins/test/poolParts.test.ts
@@ -0,0 +1,214 @@
+/**
+ * Parts of a pool on their own, where the whole would hide that a guard is missing.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as clock from '../../base/common/clock.js';
+import * as errors from '../../base/common/errors.js';
+import * as logging from '../../base/common/logging.js';
+import * as metrics from '../../base/common/metrics.js';
+import * as jobBook from '../../coordination/common/pool/jobBook.js';
+import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
+import * as viewIntake from '../../coordination/common/pool/viewIntake.js';
+import * as workerTable from '../../coordination/common/pool/workerTable.js';
+import * as poolAgent from '../../coordination/node/pool/poolAgent.js';
+import * as progressWriter from '../../coordination/node/pool/progressWriter.js';
+import type * as agentContract from '../../state/common/pool/agentContract.js';
+import type * as poolWorker from '../../state/common/pool/poolWorker.js';
+import * as memoryStore from '../memoryStore.js';
+
+const put = (store: memoryStore.MemoryStore, key: string, value: string) =>
+  store.transact({ conditions: [], puts: [{ key, value }], removes: [] });
+
+test.describe('progressWriter', () => {
+  // A former leader has not noticed that another leads. Its write of a job that the new leader has not
+  // touched yet would start the job a second time.
+  test.it('writes nothing once another leads', async () => {
+    const time = clock.createFakeClock();
+    const store = memoryStore.createMemoryStore(time);
+    await put(store, 'leader', 'first');
+    const { revision = 0 } = (await store.get('leader')) ?? {};
+    await put(store, 'leader', 'second');
+    const conflicts: string[] = [];
+    const writer = progressWriter.createProgressWriter({
+      store,
+      clock: time,
+      log: logging.silentLog,
+      metrics: metrics.createMetrics(),
+      leadership: { key: 'leader', revision },
+      recordOf: (jobId) => ({ key: jobId, value: 'progress', revision: 0 }),
+      onDidWrite: () => assert.fail('nothing may be written'),
+      onDidConflict: (reason) => conflicts.push(reason),
+    });
+    void writer.save('job');
+    await time.advance(1000);
+    assert.equal(conflicts.length, 1);
+    assert.equal(await store.get('job'), undefined);
+    writer.dispose();
+  });
+});
+
+test.describe('viewIntake', () => {
+  const CASES: readonly [name: string, viewFence: number, isGone: boolean][] = [
+    // The worker does not list the run, but its order may still be on the way.
+    ['a list under the order’s own fence says nothing', 4, false],
+    ['a list under the next one says that the run is gone', 5, true],
+  ];
+  for (const [name, viewFence, isGone] of CASES) {
+    test.it(name, () => {
+      const worker = workerTable.createWorkerEntry('agent', 'http://a:1', 5, 0);
+      const entry = jobBook.createEntry(fixtures.makeJob([{}]), 0);
+      const [task] = jobBook.tasksOf(entry);
+      assert.ok(task);
+      const run = workerTable.createRun(entry, task, workerTable.RunPhase.closing, 0);
+      run.closeFence = 5;
+      worker.runs.set(workerTable.runKey(run.name, run.run), run);
+      const view = { incarnationMs: 1, clockMs: 1, running: [], ended: [] };
+      const facts = viewIntake.takeView(worker, { view, viewFence, viewAgeMs: 0 }, 0);
+      assert.equal(facts.gone.length, isGone ? 1 : 0);
+      assert.equal(worker.runs.size, isGone ? 0 : 1);
+    });
+  }
+});
+
+const INFO: poolWorker.WorkerInfo = {
+  workerId: 'w',
+  incarnationMs: 5,
+  service: 's',
+  zone: 'z',
+  state: 'ready',
+  capacity: { cpuMillicores: 1, memoryMb: 1, accelerators: 1 },
+  labels: [],
+};
+
+const createAgent = (
+  answers: readonly agentContract.WorkerAnswer[],
+): { agent: poolAgent.PoolAgent; starts: () => number } => {
+  let starts = 0;
+  const accepted: agentContract.WorkerAnswer = { outcome: 'accepted', reason: '' };
+  const agent = poolAgent.createPoolAgent({
+    worker: {
+      start: () => {
+        starts += 1;
+        return Promise.resolve(answers[starts - 1] ?? accepted);
+      },
+      stop: () => Promise.resolve(accepted),
+      pace: () => Promise.resolve(accepted),
+      view: () => Promise.resolve({ outcome: 'refused', reason: 'test' }),
+    },
+    clock: clock.createFakeClock(),
+    log: logging.silentLog,
+    metrics: metrics.createMetrics(),
+    bootId: 'boot',
+  });
+  agent.noteHeartbeat({ info: INFO, sequence: 1 });
+  return { agent, starts: () => starts };
+};
+
+const ORDER: agentContract.OrderRequest = {
+  fence: 5,
+  workerId: 'w',
+  incarnationMs: 5,
+  payloads: { j: 'text' },
+  starts: [{ task: 'j.0.0.0', run: 1, jobId: 'j', leaseUntilMs: 9, saved: '' }],
+  stops: [],
+  paces: [],
+};
+
+const UNKNOWN: agentContract.WorkerAnswer = { outcome: 'unknown', reason: 'silence' };
+const REFUSED: agentContract.WorkerAnswer = { outcome: 'refused', reason: 'room' };
+
+interface AgentCase {
+  readonly name: string;
+  readonly answers: readonly agentContract.WorkerAnswer[];
+  readonly before?: (agent: poolAgent.PoolAgent) => void;
+  readonly order?: Partial<agentContract.OrderRequest>;
+  readonly outcome: agentContract.OrderOutcome;
+  readonly starts: number;
+}
+
+const AGENT_CASES: readonly AgentCase[] = [
+  { name: 'a start is given', answers: [], outcome: 'accepted', starts: 1 },
+  { name: 'a refusal is told', answers: [REFUSED], outcome: 'refused', starts: 1 },
+  {
+    name: 'an order without an answer is given again',
+    answers: [UNKNOWN],
+    outcome: 'accepted',
+    starts: 2,
+  },
+  {
+    // The first copy got no answer and may come late; that the second was refused for want of room
+    // says nothing about it.
+    name: 'a refusal after that settles nothing',
+    answers: [UNKNOWN, REFUSED],
+    outcome: 'unknown',
+    starts: 2,
+  },
+  {
+    name: 'three attempts without an answer stay open',
+    answers: [UNKNOWN, UNKNOWN, UNKNOWN],
+    outcome: 'unknown',
+    starts: 3,
+  },
+  {
+    name: 'another life of the worker is meant',
+    answers: [],
+    order: { incarnationMs: 4 },
+    outcome: 'refused',
+    starts: 0,
+  },
+  {
+    name: 'the worker is leaving',
+    answers: [],
+    before: (agent) => {
+      agent.noteHeartbeat({ info: { ...INFO, state: 'draining' }, sequence: 2 });
+    },
+    outcome: 'refused',
+    starts: 0,
+  },
+  {
+    // A heartbeat that was held up by a cut comes after its sender has crashed and another life has
+    // registered: it must not take the present life's place.
+    name: 'a heartbeat of an earlier life changes nothing',
+    answers: [],
+    before: (agent) => {
+      agent.noteHeartbeat({ info: { ...INFO, incarnationMs: 4, state: 'draining' }, sequence: 99 });
+    },
+    outcome: 'accepted',
+    starts: 1,
+  },
+  {
+    name: 'an older heartbeat of the same life changes nothing',
+    answers: [],
+    before: (agent) => {
+      agent.noteHeartbeat({ info: { ...INFO, state: 'draining' }, sequence: 1 });
+    },
+    outcome: 'accepted',
+    starts: 1,
+  },
+];
+
+test.describe('poolAgent', () => {
+  for (const it of AGENT_CASES) {
+    test.it(it.name, async () => {
+      const { agent, starts } = createAgent(it.answers);
+      it.before?.(agent);
+      const reply = await agent.order({ ...ORDER, ...it.order });
+      assert.equal(reply.starts[0]?.outcome, it.outcome);
+      assert.equal(starts(), it.starts);
+      void agent.dispose();
+    });
+  }
+
+  // A leader that was followed by another still sends an order.
+  test.it('a leader that has been followed is refused', async () => {
+    const { agent, starts } = createAgent([]);
+    await agent.order({ ...ORDER, starts: [] });
+    await assert.rejects(agent.order({ ...ORDER, fence: 4 }), (thrown) => {
+      return errors.normalize(thrown).kind === 'staleEpoch';
+    });
+    assert.equal(starts(), 0);
+    void agent.dispose();
+  });
+});
--- /dev/null
+++ b/tools/guards.js
@@ -0,0 +1,188 @@
+/**
+ * Takes each guard out of the built code, one at a time, and expects a test to fail: a guard that no
+ * test misses is a guard that the next change may drop unseen. Run after a build: `npm run guards`.
+ */
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+
+const NODE_POOL = 'coordination/node/pool';
+const COMMON_POOL = 'coordination/common/pool';
+
+const TESTS = [
+  'standins/test/poolFaults.test.js',
+  'standins/test/poolParts.test.js',
+  'standins/test/jobDesk.test.js',
+  'standins/test/poolExploration.test.js',
+  `${COMMON_POOL}/test/jobBook.test.js`,
+  `${COMMON_POOL}/test/poolGuards.test.js`,
+  `${COMMON_POOL}/test/planRound.test.js`,
+  'platform/test/platformStore.test.js',
+  'platform/test/workerClient.test.js',
+];
+
+/** Each guard with the code that is it and the code without it. */
+const GUARDS = [
+  [
+    'a progress write is conditional on the record it overwrites',
+    `${NODE_POOL}/progressWriter.js`,
+    '[options.leadership, ...batch.records]',
+    '[options.leadership]',
+  ],
+  [
+    'a progress write is conditional on the leadership',
+    `${NODE_POOL}/progressWriter.js`,
+    '[options.leadership, ...batch.records]',
+    '[...batch.records]',
+  ],
+  [
+    'an end waits for what of its job is not stored',
+    `${NODE_POOL}/runControl.js`,
+    'return options.whenStored(jobId);',
+    'return Promise.resolve();',
+  ],
+  [
+    'an end is acknowledged after it is stored',
+    `${NODE_POOL}/runControl.js`,
+    'return options.save(jobId);',
+    'void options.save(jobId); return Promise.resolve();',
+  ],
+  [
+    'a run is gone only under a fence that refuses its order',
+    `${COMMON_POOL}/viewIntake.js`,
+    'viewFence >= run.closeFence',
+    'true',
+  ],
+  [
+    'a silent worker keeps its runs until its leases have lapsed',
+    `${NODE_POOL}/poolLeader.js`,
+    'nowMs() > worker.leasesLapseAtMs',
+    'true',
+  ],
+  [
+    'a new leader waits for leases of the former',
+    `${NODE_POOL}/poolLeader.js`,
+    'if (nowMs() < formerLapseAtMs)',
+    'if (false)',
+  ],
+  [
+    'a start is stored before it is sent',
+    `${NODE_POOL}/poolLeader.js`,
+    '.then(() => runs.forEach(({ worker, run }) => sendStart(worker, run)));',
+    ';runs.forEach(({ worker, run }) => sendStart(worker, run));',
+  ],
+  [
+    'a refusal after an unanswered attempt settles nothing',
+    `${NODE_POOL}/poolAgent.js`,
+    "isUnsettled && answer.outcome === 'refused'",
+    'false',
+  ],
+  [
+    'an agent refuses a lower fence',
+    `${NODE_POOL}/poolAgent.js`,
+    'if (next < fence)',
+    'if (false)',
+  ],
+  [
+    'an end of an earlier run changes nothing',
+    `${COMMON_POOL}/jobBook.js`,
+    'task.run === outcome.run',
+    'true',
+  ],
+  [
+    'several failed members are one failure',
+    `${COMMON_POOL}/jobBook.js`,
+    'if (task.failedRun === run)',
+    'if (false)',
+  ],
+  [
+    'ends are acknowledged without a gap',
+    `${COMMON_POOL}/endLedger.js`,
+    'open.size === 0 ? highest : Math.min(...open) - 1',
+    'highest',
+  ],
+  [
+    'a submit is conditional on the configuration',
+    `${NODE_POOL}/jobDesk.js`,
+    '{ key: options.configurationKey, revision: judged.configurationRevision },',
+    '',
+  ],
+  ['an open outcome is never a refusal', `${NODE_POOL}/jobDesk.js`, 'throw isOpen', 'throw false'],
+  [
+    'no credential without a fresh configuration',
+    `${NODE_POOL}/jobDesk.js`,
+    'feed.ageMs() > options.revokeMs * FRESH_SHARE',
+    'false',
+  ],
+  [
+    'no older configuration is taken',
+    `${NODE_POOL}/configurationFeed.js`,
+    'configuration.version < held.configuration.version',
+    'false',
+  ],
+  [
+    'a round counts what it has placed',
+    `${COMMON_POOL}/gangPlacement.js`,
+    'worker.placedSteps.set(',
+    'void (',
+  ],
+  [
+    'a write without an answer may take effect',
+    'platform/platformStore.js',
+    'if (isUnseen)',
+    'if (true)',
+  ],
+  [
+    'an order without an answer may be carried out',
+    'platform/workerClient.js',
+    "isUnseen ? 'refused' : 'unknown'",
+    "'refused'",
+  ],
+  [
+    'an unreadable list is no list',
+    'platform/workerWire.js',
+    'running.includes(undefined) || ended.includes(undefined)',
+    'false',
+  ],
+];
+
+const OUTPUT = 'target/guards';
+const TIMEOUT_MS = 120_000;
+const AT_ONCE = 4;
+
+const prepare = (index, file, from, to) => {
+  const folder = path.join(OUTPUT, String(index));
+  fs.rmSync(folder, { recursive: true, force: true });
+  fs.cpSync('dist', folder, { recursive: true });
+  const target = path.join(folder, file);
+  const text = fs.readFileSync(target, 'utf8');
+  if (!text.includes(from)) throw new Error(`${file} does not contain: ${from}`);
+  fs.writeFileSync(target, text.replace(from, to));
+  return folder;
+};
+
+const run = (folder) =>
+  new Promise((resolve) => {
+    const files = TESTS.map((it) => path.join(folder, it));
+    const child = childProcess.spawn(process.execPath, ['--test', ...files], { stdio: 'ignore' });
+    const timer = setTimeout(() => child.kill(), TIMEOUT_MS);
+    child.on('exit', (code) => {
+      clearTimeout(timer);
+      fs.rmSync(folder, { recursive: true, force: true });
+      resolve(code !== 0);
+    });
+  });
+
+const queue = GUARDS.map((guard, index) => ({ guard, index }));
+let missed = 0;
+const work = async () => {
+  for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
+    const [name, file, from, to] = next.guard;
+    const isCaught = await run(prepare(next.index, file, from, to));
+    if (!isCaught) missed += 1;
+    console.log(`${isCaught ? 'caught' : 'MISSED'}  ${name}`);
+  }
+};
+await Promise.all(Array.from({ length: AT_ONCE }, work));
+console.log(`${GUARDS.length - missed} of ${GUARDS.length} guards are held by a test`);
+process.exit(missed === 0 ? 0 : 1);
