Ask the policy service for consent, pause after refused starts, and split the leader by matter

Change: an advice desk asks for a few workers at a time and keeps tickets while they are valid; a start that no worker took is tried again after a pause that doubles; feed, planning, removal and inspection stand in files of their own.

Ruled out: asking for all workers (the service takes time for each).

--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -51,6 +51,7 @@
   const { step, entry } = unit.unit;
   if (worker.service !== entry.job.policy.service) return false;
   if (step.requiredLabel !== undefined && !worker.labels.includes(step.requiredLabel)) return false;
+  if (unit.ticketsByWorker?.has(worker.workerId) === false) return false;
   return poolJob.timesThatFit(worker.capacity, unit.room) > 0;
 };
 
--- a/src/coordination/common/pool/jobBook.ts
+++ b/src/coordination/common/pool/jobBook.ts
@@ -19,6 +19,10 @@
   incarnationMs: number;
   agentId: string;
   saved: string;
+  /** Starts in a row that no worker took. */
+  refusals: number;
+  /** Leader's clock before which it is not started again. */
+  notBeforeMs: number;
   /** Workers on which it failed or stood still; the next run goes elsewhere where it can. */
   avoid: string[];
 }
@@ -61,6 +65,8 @@
   incarnationMs: 0,
   agentId: '',
   saved: '',
+  refusals: 0,
+  notBeforeMs: 0,
   avoid: [],
 });
 
@@ -192,6 +198,24 @@
   return tasks.filter(isWaiting).map((task) => ({ ...base, tasks: [task] }));
 };
 
+/** First pause after a start that no worker took, doubled with each further one. */
+const REFUSED_PAUSE_MS = 100;
+
+/** Longest such pause: the worker or its policy may have changed by then. */
+const MAX_REFUSED_PAUSE_MS = 5000;
+
+/**
+ * Sets a task back whose start was refused or stays open. Without a pause a worker that refuses
+ * everything draws start after start, each with a write to the store.
+ *
+ * @param task - the task
+ * @param nowMs - the leader's clock
+ */
+export const noteRefusal = (task: TaskEntry, nowMs: number): void => {
+  task.notBeforeMs = nowMs + Math.min(MAX_REFUSED_PAUSE_MS, REFUSED_PAUSE_MS * 2 ** task.refusals);
+  task.refusals += 1;
+};
+
 /**
  * @param entry - a job
  * @returns what of it may start now, were there room
--- a/src/coordination/common/pool/planTypes.ts
+++ b/src/coordination/common/pool/planTypes.ts
@@ -62,6 +62,8 @@
   readonly waitedMs: number;
   /** Expected run time of one task near its data. */
   readonly expectedMs: number;
+  /** Consent for each worker that may run it; absent where none is needed. */
+  readonly ticketsByWorker?: ReadonlyMap<string, string>;
 }
 
 /** A unit with a worker for each of its tasks. */
--- a/src/coordination/common/pool/readyQueue.ts
+++ b/src/coordination/common/pool/readyQueue.ts
@@ -67,6 +67,7 @@
       const units: planTypes.PlanUnit[] = [];
       for (const entry of entries) {
         for (const ready of jobBook.readyUnits(entry)) {
+          if (ready.tasks.some((task) => task.notBeforeMs > nowMs)) continue;
           const unit = toPlanUnit(ready, nowMs, wallMs);
           sinceMs.set(unit.groupKey, readySinceMs.get(unit.groupKey) ?? nowMs);
           units.push(unit);
--- a/src/coordination/common/pool/test/poolFixtures.ts
+++ b/src/coordination/common/pool/test/poolFixtures.ts
@@ -31,6 +31,7 @@
   readonly attempts?: number;
   readonly acceptedAtMs?: number;
   readonly schedule?: poolJob.Schedule;
+  readonly needsAdvice?: boolean;
 }
 
 /** A job of the given steps. */
@@ -51,7 +52,7 @@
     attempts: changes.attempts ?? 2,
     stretch: 3,
     objectiveMs: 1000,
-    needsAdvice: false,
+    needsAdvice: changes.needsAdvice ?? false,
   },
 });
 
--- /dev/null
+++ b/src/coordination/node/pool/endedJobs.ts
@@ -0,0 +1,70 @@
+/**
+ * Removes the records of jobs that ended so long ago that nobody is owed their state.
+ */
+import type * as clock from '../../../base/common/clock.js';
+import * as errors from '../../../base/common/errors.js';
+import type * as logging from '../../../base/common/logging.js';
+import * as poolKeys from '../../../state/common/pool/poolKeys.js';
+import type * as recordStore from '../../../state/common/pool/recordStore.js';
+import * as jobBook from '../../common/pool/jobBook.js';
+import type * as jobRegistry from '../../common/pool/jobRegistry.js';
+
+/** What the removal needs. */
+export interface EndedJobsOptions {
+  readonly store: Pick<recordStore.RecordStore, 'transact'>;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  readonly registry: jobRegistry.JobRegistry;
+  /** The record of leadership that must still stand. */
+  readonly leadership: recordStore.Condition;
+  /** A job's state is told at least this long after its end. */
+  readonly statusMs: number;
+}
+
+/** Ended jobs are removed this long after their state has to be told: clocks differ, callers are late. */
+const SLACK_MS = 60_000;
+
+/** Jobs removed in one transaction: three records each. */
+const JOBS_AT_ONCE = 8;
+
+/** How often ended jobs are looked for; their removal is not urgent. */
+const PERIOD_MS = 10_000;
+
+/**
+ * @param options - what the removal needs
+ * @returns looks for ended jobs where it is time, and removes some of them
+ */
+export const createEndedJobsRemoval = (options: EndedJobsOptions): (() => Promise<void>) => {
+  const { clock: time, log, registry } = options;
+  let lookedAtMs = time.monotonicMs();
+
+  const remove = async (jobIds: readonly string[]): Promise<void> => {
+    const { isCommitted } = await options.store.transact({
+      conditions: [options.leadership],
+      puts: [],
+      removes: jobIds.flatMap((jobId) => [
+        poolKeys.jobKey(jobId, poolKeys.JobPart.spec),
+        poolKeys.jobKey(jobId, poolKeys.JobPart.cancel),
+        poolKeys.progressKey(jobId),
+      ]),
+    });
+    if (isCommitted) jobIds.forEach(registry.remove);
+    log('info', 'endedJobsRemoved', { jobs: jobIds.length, isCommitted });
+  };
+
+  return async () => {
+    if (time.monotonicMs() - lookedAtMs < PERIOD_MS) return;
+    lookedAtMs = time.monotonicMs();
+    const beforeMs = time.wallMs() - options.statusMs - SLACK_MS;
+    const due = [...registry.all()]
+      .filter((it) => jobBook.isEnded(it) && it.endedAtMs < beforeMs)
+      .slice(0, JOBS_AT_ONCE)
+      .map((it) => it.job.jobId);
+    if (due.length === 0) return;
+    try {
+      await remove(due);
+    } catch (thrown) {
+      log('warn', 'removalFailed', { reason: errors.normalize(thrown).message });
+    }
+  };
+};
--- a/src/coordination/node/pool/jobDesk.ts
+++ b/src/coordination/node/pool/jobDesk.ts
@@ -175,8 +175,8 @@
       } catch (thrown) {
         const { message } = errors.normalize(thrown);
         log('warn', 'storeCallFailed', { request: call.requestId, isOpen: false, reason: message });
-        if (time.monotonicMs() + MIN_ATTEMPT_MS >= endMs)
-          throw unavailable('the store does not answer');
+        const isLate = time.monotonicMs() + MIN_ATTEMPT_MS >= endMs;
+        if (isLate) throw unavailable('the store does not answer');
       }
       await pause(RETRY_MS);
     }
--- /dev/null
+++ b/src/coordination/node/pool/planDriver.ts
@@ -0,0 +1,206 @@
+/**
+ * Runs planning rounds and carries them out: stores each start, sends it once it is stored, and stops
+ * what a claim needs the room of.
+ */
+import type * as clock from '../../../base/common/clock.js';
+import type * as logging from '../../../base/common/logging.js';
+import type * as metrics from '../../../base/common/metrics.js';
+import type * as poolConfiguration from '../../../state/common/pool/poolConfiguration.js';
+import * as gangPlacement from '../../common/pool/gangPlacement.js';
+import * as jobBook from '../../common/pool/jobBook.js';
+import type * as jobRegistry from '../../common/pool/jobRegistry.js';
+import * as planRound from '../../common/pool/planRound.js';
+import type * as planTypes from '../../common/pool/planTypes.js';
+import * as readyQueue from '../../common/pool/readyQueue.js';
+import * as workerTable from '../../common/pool/workerTable.js';
+
+import * as adviceDesk from './adviceDesk.js';
+import type * as orderDesk from './orderDesk.js';
+import type * as poolLeadership from './poolLeadership.js';
+import type * as runControl from './runControl.js';
+
+/** What planning needs. */
+export interface PlanDriverOptions {
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  readonly metrics: metrics.Metrics;
+  readonly term: poolLeadership.Term;
+  readonly registry: jobRegistry.JobRegistry;
+  readonly workers: ReadonlyMap<string, workerTable.WorkerEntry>;
+  readonly control: () => runControl.RunControl;
+  readonly desk: () => orderDesk.OrderDesk;
+  /** Stores a job's progress; settled once it is stored. */
+  readonly save: (jobId: string) => Promise<void>;
+  readonly configuration: () => poolConfiguration.PoolConfiguration | undefined;
+  readonly askAdvice: adviceDesk.AdviceDeskOptions['ask'];
+  /** Whether all jobs are known and the term goes on. */
+  readonly isReady: () => boolean;
+}
+
+/** Runs planning rounds. */
+export interface PlanDriver {
+  /** Asks for a round; changes that come together are planned together. */
+  readonly schedule: () => void;
+}
+
+/** Changes of this time are planned together. */
+const GATHER_MS = 1;
+
+/** A start that waits for a certain leadership looks again after this time. */
+const RECHECK_MS = 50;
+
+/**
+ * @param options - what planning needs
+ * @returns the driver, which plans when it is asked
+ */
+export const createPlanDriver = (options: PlanDriverOptions): PlanDriver => {
+  const { clock: time, log, metrics, registry, workers } = options;
+  const queue = readyQueue.createReadyQueue();
+  const waitReasons = new Map<string, string>();
+  let isDue = false;
+
+  const nowMs = (): number => time.monotonicMs();
+
+  const schedule = (): void => {
+    if (isDue) return;
+    isDue = true;
+    time.after(GATHER_MS, plan);
+  };
+
+  const advice = adviceDesk.createAdviceDesk({
+    clock: time,
+    log,
+    metrics,
+    ask: options.askAdvice,
+    onDidAdvise: schedule,
+  });
+
+  /** Sends a stored start, as soon as the leadership is certain. */
+  const sendStart = (
+    worker: workerTable.WorkerEntry,
+    run: workerTable.RunHolding,
+    ticket: string | undefined,
+  ): void => {
+    if (!options.isReady() || run.phase !== workerTable.RunPhase.ordering) return;
+    if (!options.control().isWanted(run)) {
+      worker.runs.delete(workerTable.runKey(run.name, run.run));
+      options.control().noteLost(run, 'notSent');
+      schedule();
+      return;
+    }
+    if (!options.term.isCertain()) {
+      time.after(RECHECK_MS, () => sendStart(worker, run, ticket));
+      return;
+    }
+    options.desk().start(worker, { run, ticket });
+  };
+
+  const begin = (placement: planTypes.Placement): void => {
+    const { unit } = placement;
+    const { entry, tasks } = unit.unit;
+    const assignments = tasks.map((task, index) => {
+      const { workerId, incarnationMs, agentId } = placement.workers[index] as planTypes.PlanWorker;
+      return { task, workerId, incarnationMs, agentId };
+    });
+    jobBook.assign(entry, assignments);
+    const runs = tasks.flatMap((task) => {
+      const worker = workers.get(task.agentId);
+      if (worker === undefined) return [];
+      const run = workerTable.createRun(entry, task, workerTable.RunPhase.ordering, nowMs());
+      worker.runs.set(workerTable.runKey(run.name, run.run), run);
+      return [{ worker, run }];
+    });
+    waitReasons.delete(unit.groupKey);
+    metrics.time('auburnlift_ready_to_start_ms', unit.waitedMs);
+    log('info', 'placed', {
+      job: entry.job.jobId,
+      group: unit.groupKey,
+      run: tasks[0]?.run,
+      workers: tasks.map((it) => it.workerId).join(','),
+      waitedMs: Math.round(unit.waitedMs),
+      configVersion: options.configuration()?.version,
+    });
+    void options.save(entry.job.jobId).then(() =>
+      runs.forEach(({ worker, run }) => {
+        sendStart(worker, run, unit.ticketsByWorker?.get(run.task.workerId));
+      }),
+    );
+  };
+
+  const evict = (groupKey: string, beneficiary: planTypes.PlanUnit): void => {
+    const victim = registry.get(groupKey.split('.')[0] ?? '');
+    if (victim !== undefined) victim.preemptions += 1;
+    for (const worker of workers.values()) {
+      for (const run of worker.runs.values()) {
+        const isVictim = run.groupKey === groupKey && run.phase === workerTable.RunPhase.present;
+        if (isVictim) {
+          options.control().stopRun(worker, run, `reclaimedFor ${beneficiary.groupKey}`);
+        }
+      }
+    }
+  };
+
+  const noteWait = ({ unit, reason }: planTypes.Wait): void => {
+    if (waitReasons.get(unit.groupKey) === reason) return;
+    waitReasons.set(unit.groupKey, reason);
+    log('info', 'waits', { job: unit.unit.entry.job.jobId, group: unit.groupKey, reason });
+  };
+
+  const guarantees = (): planTypes.Guarantees =>
+    new Map(
+      (options.configuration()?.customers ?? []).map((it) => [
+        it.customerId,
+        it.guaranteedAccelerators,
+      ]),
+    );
+
+  /** Leaves out what the policy service has not consented to yet. */
+  const withTickets = (
+    units: readonly planTypes.PlanUnit[],
+    planWorkers: readonly planTypes.PlanWorker[],
+  ): planTypes.PlanUnit[] => {
+    advice.keepOnly(new Set(units.map((it) => it.stepKey)));
+    return units.flatMap((unit) => {
+      if (!unit.unit.entry.job.policy.needsAdvice) return [unit];
+      const suitable = planWorkers.filter((it) => gangPlacement.isSuitable(it, unit));
+      const ids = suitable.map((it) => it.workerId);
+      const ticketsByWorker = advice.ticketsFor(unit.stepKey, ids);
+      if (ticketsByWorker !== undefined) return [{ ...unit, ticketsByWorker }];
+      noteWait({ unit, reason: 'the policy service is asked' });
+      return [];
+    });
+  };
+
+  const addDueOccurrences = (wallMs: number): void => {
+    for (const entry of registry.all()) {
+      if (entry.job.schedule !== undefined && !jobBook.isEnded(entry)) {
+        jobBook.addDueOccurrences(entry, wallMs);
+      }
+    }
+  };
+
+  const plan = (): void => {
+    isDue = false;
+    if (!options.isReady()) return;
+    const startedAtMs = nowMs();
+    const wallMs = time.wallMs();
+    addDueOccurrences(wallMs);
+    const units = queue.units(registry.all(), startedAtMs, wallMs);
+    if (units.length === 0) return;
+    const planWorkers = [...workers.values()]
+      .map((it) => workerTable.toPlanWorker(it, startedAtMs))
+      .filter((it) => it !== undefined);
+    const round = planRound.planRound({
+      nowMs: startedAtMs,
+      workers: planWorkers,
+      units: withTickets(units, planWorkers),
+      guarantees: guarantees(),
+    });
+    metrics.time('auburnlift_plan_round_ms', nowMs() - startedAtMs);
+    round.starts.forEach(begin);
+    round.evictions.forEach((unit, groupKey) => evict(groupKey, unit));
+    round.waits.forEach(noteWait);
+  };
+
+  return { schedule };
+};
--- /dev/null
+++ b/src/coordination/node/pool/recordFeed.ts
@@ -0,0 +1,112 @@
+/**
+ * Tells the leader of every record that it works by: all of them at first, then each change, and all of
+ * them again where the store no longer remembers what has changed.
+ */
+import type * as clock from '../../../base/common/clock.js';
+import type * as disposable from '../../../base/common/disposable.js';
+import * as errors from '../../../base/common/errors.js';
+import type * as logging from '../../../base/common/logging.js';
+import * as poolKeys from '../../../state/common/pool/poolKeys.js';
+import type * as recordStore from '../../../state/common/pool/recordStore.js';
+import type * as store from '../../../state/common/store.js';
+
+/** What the feed needs. */
+export interface RecordFeedOptions {
+  readonly store: recordStore.RecordStore;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  /** A record as it stands; the same may be told again. */
+  readonly onRecord: (record: store.StoreEntry) => void;
+  readonly onRemoved: (key: string) => void;
+  /** A job's progress, told once after all records and before {@link onDidLoad}. */
+  readonly onProgress: (record: store.StoreEntry) => void;
+  readonly onDidLoad: (revision: number) => void;
+}
+
+/** Pause after a failed call to the store. */
+const RETRY_MS = 200;
+
+/** Wait of a watch; a silent line is noticed this late. */
+const WATCH_MS = 5000;
+
+/**
+ * @param options - what the feed needs
+ * @returns the feed, which goes on until it is disposed
+ */
+export const startRecordFeed = (options: RecordFeedOptions): disposable.Disposable => {
+  const { clock: time, log } = options;
+  const aborter = new AbortController();
+  const present = new Set<string>();
+  let isDisposed = false;
+
+  const pause = (): Promise<void> =>
+    new Promise((resolve) => {
+      time.after(RETRY_MS, resolve);
+    });
+  const take = (record: store.StoreEntry): void => {
+    present.add(record.key);
+    options.onRecord(record);
+  };
+  const remove = (key: string): void => {
+    if (present.delete(key)) options.onRemoved(key);
+  };
+
+  const load = async (): Promise<number> => {
+    const live = await options.store.list(poolKeys.LIVE);
+    const progress = await options.store.list(poolKeys.PROGRESS);
+    if (isDisposed) return live.revision;
+    live.entries.forEach(take);
+    progress.entries.forEach(options.onProgress);
+    options.onDidLoad(live.revision);
+    return live.revision;
+  };
+
+  const relist = async (): Promise<number> => {
+    const live = await options.store.list(poolKeys.LIVE);
+    const listed = new Set(live.entries.map((it) => it.key));
+    for (const key of [...present]) if (!listed.has(key)) remove(key);
+    live.entries.forEach(take);
+    log('info', 'relisted', { revision: live.revision, records: live.entries.length });
+    return live.revision;
+  };
+
+  const follow = async (afterRevision: number): Promise<void> => {
+    let revision = afterRevision;
+    while (!isDisposed) {
+      try {
+        const seen = await options.store.watch(poolKeys.LIVE, revision, WATCH_MS, aborter.signal);
+        if (isDisposed) return;
+        if (seen.isGap) {
+          revision = await relist();
+        } else {
+          seen.entries.forEach(take);
+          seen.deletedKeys.forEach(remove);
+          revision = seen.revision;
+        }
+      } catch (thrown) {
+        if (isDisposed) return;
+        log('warn', 'watchFailed', { reason: errors.normalize(thrown).message });
+        await pause();
+      }
+    }
+  };
+
+  const run = async (): Promise<void> => {
+    while (!isDisposed) {
+      try {
+        await follow(await load());
+        return;
+      } catch (thrown) {
+        log('warn', 'loadFailed', { reason: errors.normalize(thrown).message });
+        await pause();
+      }
+    }
+  };
+  void run();
+  return {
+    dispose: () => {
+      isDisposed = true;
+      aborter.abort();
+    },
+  };
+};
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -21,6 +21,7 @@
 import * as workerTable from '../../common/pool/workerTable.js';
 
 import type * as orderDesk from './orderDesk.js';
+import * as runInspection from './runInspection.js';
 
 /** What run control needs. */
 export interface RunControlOptions {
@@ -73,28 +74,15 @@
   readonly inspect: () => void;
 }
 
-/** A stop takes a few hundred milliseconds; one without effect is sent again after this time. */
-const REPEAT_STOP_MS = 700;
-
 /** With an older list the worker does not answer its agent, and is given nothing new. */
 const MAX_VIEW_AGE_MS = 2500;
 
 /** A draining worker that does not say how long it lives is taken to leave after this time. */
 const DEFAULT_REMAINING_MS = 2000;
 
-/** Kept of a draining worker's time for the stop itself and for the way there and back. */
-const EVACUATION_MS = 800;
-
 /** A worker that said it ends and has not answered since is taken to be gone after this time. */
 const DEPARTED_MS = 1200;
 
-/**
- * Without any progress for this long, and for this part of its declared work, a run is taken to stand
- * still: its worker gets nothing more, and after a longer time the run goes elsewhere. Workers that
- * stand still mostly go on within six seconds, and a run that moves loses what it has not saved.
- */
-const STALL = { suspectMs: 1500, suspectShare: 0.05, moveMs: 6500, moveShare: 0.15 } as const;
-
 /** It has ended as far as the job is concerned; the worker will list it. */
 const isDone = (run: workerTable.RunHolding): boolean =>
   run.task.phase === 'done' && run.task.run === run.run;
@@ -188,33 +176,38 @@
     });
   };
 
+  /** The job and task of a run's name, where the leader knows them. */
+  const lookUp = (
+    text: string,
+  ): { entry: jobBook.JobEntry; task: jobBook.TaskEntry } | undefined => {
+    const name = poolWorker.parseTaskName(text);
+    const entry = name === undefined ? undefined : options.registry.get(name.jobId);
+    if (name === undefined || entry === undefined) return undefined;
+    const task = jobBook.findTask(entry, name);
+    return task === undefined ? undefined : { entry, task };
+  };
+
   const takeEnd = (
     worker: workerTable.WorkerEntry,
     end: poolWorker.EndedRun,
   ): Promise<void> | undefined => {
-    const name = poolWorker.parseTaskName(end.task);
-    const entry = name === undefined ? undefined : options.registry.get(name.jobId);
-    const task =
-      name === undefined || entry === undefined ? undefined : jobBook.findTask(entry, name);
-    noteBlame(worker, end, name?.jobId ?? '');
-    if (entry === undefined || task === undefined) {
+    const known = lookUp(end.task);
+    noteBlame(worker, end, known?.entry.job.jobId ?? '');
+    if (known === undefined) {
       log('warn', 'endOfUnknownRun', { task: end.task, run: end.run, agent: worker.agentId });
       return undefined;
     }
-    return endRun(entry, task, end);
+    return endRun(known.entry, known.task, end);
   };
 
   const takeStray = (worker: workerTable.WorkerEntry, listed: poolWorker.RunningTask): void => {
-    const name = poolWorker.parseTaskName(listed.task);
-    const entry = name === undefined ? undefined : options.registry.get(name.jobId);
-    const task =
-      name === undefined || entry === undefined ? undefined : jobBook.findTask(entry, name);
-    if (entry === undefined || task === undefined) {
+    const known = lookUp(listed.task);
+    if (known === undefined) {
       log('error', 'unknownTaskRuns', { task: listed.task, agent: worker.agentId });
       return;
     }
     const run = {
-      ...workerTable.createRun(entry, task, workerTable.RunPhase.present, nowMs()),
+      ...workerTable.createRun(known.entry, known.task, workerTable.RunPhase.present, nowMs()),
       run: listed.run,
       percent: listed.percent,
       saved: listed.saved,
@@ -343,6 +336,7 @@
     if (!isOpen) return;
     if (outcome === agentContract.OrderOutcome.accepted) {
       if (run.phase === workerTable.RunPhase.ordering) run.phase = workerTable.RunPhase.present;
+      run.task.refusals = 0;
       if (!isWanted(run)) stopRun(worker, run, 'notWanted');
       return;
     }
@@ -354,6 +348,7 @@
       reason,
     });
     metrics.count('auburnlift_starts_not_taken_total', { outcome });
+    jobBook.noteRefusal(run.task, nowMs());
     if (run.phase === workerTable.RunPhase.ordering) close(worker, run);
   };
 
@@ -371,41 +366,12 @@
     noteLost(it.run, 'stoppedBeforeStart');
   };
 
-  const stopGroup = (run: workerTable.RunHolding, cause: string): void => {
-    for (const worker of options.workers.values()) {
-      for (const it of worker.runs.values()) {
-        const isMember = it.groupKey === run.groupKey && it.run === run.run;
-        if (isMember && it.phase === workerTable.RunPhase.present) stopRun(worker, it, cause);
-      }
-    }
-  };
-
-  const inspectRun = (worker: workerTable.WorkerEntry, run: workerTable.RunHolding): void => {
-    if (run.phase !== workerTable.RunPhase.present || !isWanted(run)) return;
-    const { estimatedMs, isLongRunning } = run.step;
-    if (nowMs() + workerTable.remainingMsOf(run, nowMs()) > worker.leavesAtMs - EVACUATION_MS) {
-      // It would end with its worker; stopped now it can go on elsewhere, and from a checkpoint.
-      stopGroup(run, 'workerLeaves');
-      return;
-    }
-    if (isLongRunning) return;
-    const stillMs = nowMs() - run.movedAtMs;
-    if (stillMs > STALL.suspectMs + STALL.suspectShare * estimatedMs) {
-      workerBlame.noteStall(worker.blame, nowMs());
-    }
-    if (stillMs > STALL.moveMs + STALL.moveShare * estimatedMs) {
-      run.task.avoid.push(worker.info?.workerId ?? '');
-      stopGroup(run, 'standsStill');
-    }
-  };
-
-  const inspect = (): void => {
-    for (const worker of options.workers.values()) {
-      if (worker.isReachable) {
-        for (const run of [...worker.runs.values()]) inspectRun(worker, run);
-      }
-    }
-  };
+  const { inspect, repeatStops } = runInspection.createRunInspection({
+    clock: time,
+    workers: options.workers,
+    isWanted,
+    stopRun,
+  });
 
   return {
     isWanted,
@@ -426,14 +392,6 @@
       worker.runs.set(workerTable.runKey(run.name, run.run), run);
     },
     giveUpWorker,
-    repeatStops: () => {
-      const dueMs = nowMs() - REPEAT_STOP_MS;
-      for (const worker of options.workers.values()) {
-        for (const run of worker.runs.values()) {
-          const isDue = run.phase === workerTable.RunPhase.stopping && run.stopSentAtMs < dueMs;
-          if (isDue) stopRun(worker, run, 'repeated');
-        }
-      }
-    },
+    repeatStops,
   };
 };
--- /dev/null
+++ b/src/platform/adviceClient.ts
@@ -0,0 +1,62 @@
+/**
+ * The policy service over its one call.
+ */
+import * as Schema from 'effect/Schema';
+
+import * as errors from '../base/common/errors.js';
+import type * as http from '../base/common/http.js';
+import * as schemaIssues from '../base/common/schemaIssues.js';
+import type * as adviceDesk from '../coordination/node/pool/adviceDesk.js';
+
+/** How the service is reached. */
+export interface AdviceClientOptions {
+  /** Undefined where the deployment has none. */
+  readonly address: () => http.Address | undefined;
+  readonly call: http.HttpCall;
+}
+
+const Reply = Schema.Struct({
+  /** Rows of a worker's id and the ticket for it. */
+  allowed: Schema.optionalKey(Schema.Array(Schema.Tuple([Schema.String, Schema.String]))),
+  valid_ms: Schema.optionalKey(Schema.Number),
+});
+
+/** The service thinks for a while, longer for each worker that is named, and calls wait in turn. */
+const TIMEOUT_MS = 15_000;
+
+/** Validity of a ticket whose answer names none. */
+const DEFAULT_VALID_MS = 1000;
+
+const OK = 200;
+
+/**
+ * @param options - how the service is reached
+ * @returns asks the service about workers for a step
+ */
+export const createAdviceClient =
+  (options: AdviceClientOptions): adviceDesk.AdviceDeskOptions['ask'] =>
+  async (stepKey, workerIds) => {
+    const address = options.address();
+    if (address === undefined) {
+      throw errors.fail('notFound', 'the deployment names no policy service', { field: 'hint' });
+    }
+    const reply = await options.call({
+      address,
+      method: 'POST',
+      path: '/-/advise',
+      headers: { 'content-type': 'application/json' },
+      body: Buffer.from(JSON.stringify({ step: stepKey, workers: workerIds })),
+      timeoutMs: TIMEOUT_MS,
+    });
+    if (reply.status !== OK) {
+      throw errors.fail('overloaded', `the policy service answered ${reply.status}`);
+    }
+    const parsed = JSON.parse(Buffer.from(reply.body).toString('utf8')) as unknown;
+    const { allowed = [], valid_ms: validMs = DEFAULT_VALID_MS } = schemaIssues.decodeOrFail(
+      Reply,
+      parsed,
+      'the advice',
+      schemaIssues.Excess.ignore,
+    );
+    return { ticketsByWorker: new Map(allowed), validMs };
+  };
--- a/src/programs/poolScheduler.ts
+++ b/src/programs/poolScheduler.ts
@@ -5,6 +5,7 @@
 import * as configurationFeed from '../coordination/node/pool/configurationFeed.js';
 import * as poolLeader from '../coordination/node/pool/poolLeader.js';
 import * as poolLeadership from '../coordination/node/pool/poolLeadership.js';
+import * as adviceClient from '../platform/adviceClient.js';
 import * as operatorConfiguration from '../platform/operatorConfiguration.js';
 import * as poolRouters from '../protocol/node/poolRouters.js';
 import type * as agentContract from '../state/common/pool/agentContract.js';
@@ -93,6 +94,10 @@
           term,
           limits: { maxLeaseMs: settings.maxLeaseMs, statusMs: settings.statusMs },
           configuration: () => feed.current()?.configuration,
+          askAdvice: adviceClient.createAdviceClient({
+            address: () => kit.settings().advice,
+            call: kit.call,
+          }),
           onDidConflict: (reason) => leadership.abandon(reason),
         });
       },
--- a/src/standins/test/poolFaults.test.ts
+++ b/src/standins/test/poolFaults.test.ts
@@ -147,6 +147,33 @@
     states: { a: 'complete' },
     runs: 2,
   },
+  {
+    // The policy service consents to one worker only, and refuses the first call.
+    name: 'a step that needs consent runs where the policy service allows it',
+    options: {
+      workers: 3,
+      askAdvice: (() => {
+        let calls = 0;
+        return (_step, workerIds) => {
+          calls += 1;
+          if (calls === 1) return Promise.reject(new Error('busy'));
+          const allowed = workerIds.filter((it) => it === 'w2');
+          const ticketsByWorker = new Map(allowed.map((it) => [it, `ticket-${it}`]));
+          return Promise.resolve({ ticketsByWorker, validMs: 3000 });
+        };
+      })(),
+    },
+    jobs: [[[{ count: 2 }], { jobId: 'a', needsAdvice: true }]],
+    act: async (pool) => {
+      await pool.clock.advance(5000);
+      assert.deepEqual(
+        pool.sites.map(({ worker }) => worker.runs.length),
+        [0, 0, 2],
+      );
+    },
+    states: { a: 'complete' },
+    runs: 2,
+  },
   {
     name: 'a restarted agent finds its tasks again',
     options: { workers: 1, workMs: () => 5000 },
--- a/src/standins/test/poolKit.ts
+++ b/src/standins/test/poolKit.ts
@@ -10,6 +10,7 @@
 import * as logging from '../../base/common/logging.js';
 import * as metrics from '../../base/common/metrics.js';
 import * as random from '../../base/common/random.js';
+import type * as adviceDesk from '../../coordination/node/pool/adviceDesk.js';
 import * as poolAgent from '../../coordination/node/pool/poolAgent.js';
 import * as poolLeader from '../../coordination/node/pool/poolLeader.js';
 import * as poolLeadership from '../../coordination/node/pool/poolLeadership.js';
@@ -66,6 +67,7 @@
   readonly jobs?: readonly poolJob.PoolJob[];
   readonly log?: logging.Log;
   readonly seed?: number;
+  readonly askAdvice?: adviceDesk.AdviceDeskOptions['ask'];
 }
 
 const HEARTBEAT_MS = 500;
@@ -229,6 +231,7 @@
           term,
           limits: { maxLeaseMs: MAX_LEASE_MS, statusMs: 120_000 },
           configuration: () => configuration,
+          askAdvice: options.askAdvice ?? (() => Promise.reject(new Error('nobody is asked'))),
           onDidConflict: (reason) => leadership.abandon(reason),
         });
       },
--- a/src/standins/test/poolParts.test.ts
+++ b/src/standins/test/poolParts.test.ts
@@ -205,9 +205,10 @@
   test.it('a leader that has been followed is refused', async () => {
     const { agent, starts } = createAgent([]);
     await agent.order({ ...ORDER, starts: [] });
-    await assert.rejects(agent.order({ ...ORDER, fence: 4 }), (thrown) => {
-      return errors.normalize(thrown).kind === 'staleEpoch';
-    });
+    await assert.rejects(
+      agent.order({ ...ORDER, fence: 4 }),
+      (thrown) => errors.normalize(thrown).kind === 'staleEpoch',
+    );
     assert.equal(starts(), 0);
     void agent.dispose();
   });
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -67,9 +67,9 @@
   ],
   [
     'a start is stored before it is sent',
-    `${NODE_POOL}/poolLeader.js`,
-    '.then(() => runs.forEach(({ worker, run }) => sendStart(worker, run)));',
-    ';runs.forEach(({ worker, run }) => sendStart(worker, run));',
+    `${NODE_POOL}/planDriver.js`,
+    'options.save(entry.job.jobId).then',
+    'Promise.resolve(options.save(entry.job.jobId) && undefined).then',
   ],
   [
     'a refusal after an unanswered attempt settles nothing',
