Index runs by group once a planning round

Cause: each candidate rack looked for the members of a gang among all runs of all workers. A round with 60 waiting units took 1.3 s at 112 workers and 36 s at 670 (median of 7, one machine, beside other load).

Ruled out: the sorting of candidates on a worker (a few holdings each).

Change: runs indexed by group once a round, costs of groups worked out on demand, candidate racks of a unit once a round. Decisions are the same.

--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -116,14 +116,24 @@
   const evictions = new Map<string, planTypes.PlanUnit>();
   const waits: planTypes.Wait[] = [];
   const { claims, others } = splitClaims(input);
+  const runs = roomToCome.indexRuns(input.workers);
   const leaving = new Set(
     input.workers.flatMap((it) =>
       it.holdings.filter((holding) => holding.isLeaving).map((holding) => holding.groupKey),
     ),
   );
 
-  const startNow = (unit: planTypes.PlanUnit): boolean => {
+  const knownGroups = new Map<planTypes.PlanUnit, gangPlacement.CandidateGroups['groups']>();
+  const groupsFor = (unit: planTypes.PlanUnit): gangPlacement.CandidateGroups['groups'] => {
+    const known = knownGroups.get(unit);
+    if (known !== undefined) return known;
     const { groups } = gangPlacement.candidateGroups(input.workers, unit);
+    knownGroups.set(unit, groups);
+    return groups;
+  };
+
+  const startNow = (unit: planTypes.PlanUnit): boolean => {
+    const groups = groupsFor(unit);
     const placement = gangPlacement.placeNow(groups, unit);
     if (placement === undefined) return false;
     gangPlacement.takeRoom(placement);
@@ -132,12 +142,12 @@
   };
 
   const claim = (unit: planTypes.PlanUnit): void => {
-    const { groups } = gangPlacement.candidateGroups(input.workers, unit);
+    const groups = groupsFor(unit);
     const anywhere = input.workers.filter((it) => gangPlacement.isSuitable(it, unit));
     const costOf = lossOf(unit);
     const future =
-      roomToCome.findRoomToCome(input.workers, groups, unit, costOf) ??
-      roomToCome.findRoomToCome(input.workers, [anywhere], unit, costOf);
+      roomToCome.findRoomToCome(runs, groups, unit, costOf) ??
+      roomToCome.findRoomToCome(runs, [anywhere], unit, costOf);
     if (future === undefined) {
       waits.push({ unit, reason: 'no room even after stopping what may be stopped' });
       return;
@@ -156,8 +166,7 @@
   /** Urgent work that can still be in time may stop what loses less than itself by it. */
   const preempt = (unit: planTypes.PlanUnit): boolean => {
     if (unit.priority !== 0 || input.nowMs > unit.latestStartMs) return false;
-    const { groups } = gangPlacement.candidateGroups(input.workers, unit);
-    const future = roomToCome.findRoomToCome(input.workers, groups, unit, preemptLossOf(unit));
+    const future = roomToCome.findRoomToCome(runs, groupsFor(unit), unit, preemptLossOf(unit));
     const ownWork = unit.expectedMs * weightInCores(unit.room) * unit.unit.tasks.length;
     if (future === undefined || future.cost > MAX_LOSS_SHARE * ownWork) return false;
     gangPlacement.takeRoom(future.placement);
@@ -174,9 +183,8 @@
     if (!isTried && !startNow(unit) && !preempt(unit)) {
       fullSteps.add(unit.stepKey);
       const isReserving = reservations < MAX_RESERVATIONS && unit.waitedMs >= RESERVE_AFTER_MS;
-      const { groups } = gangPlacement.candidateGroups(input.workers, unit);
       const future = isReserving
-        ? roomToCome.findRoomToCome(input.workers, groups, unit, waitFor)
+        ? roomToCome.findRoomToCome(runs, groupsFor(unit), unit, waitFor)
         : undefined;
       if (future !== undefined) {
         gangPlacement.takeRoom(future.placement);
--- a/src/coordination/common/pool/roomToCome.ts
+++ b/src/coordination/common/pool/roomToCome.ts
@@ -30,24 +30,53 @@
   readonly cost: number;
 }
 
+/** A run with the worker that holds it. */
+interface HeldRun {
+  readonly worker: planTypes.PlanWorker;
+  readonly holding: planTypes.Holding;
+}
+
+/** The runs that end together, by their group's key. */
+export type RunsByGroup = ReadonlyMap<string, readonly HeldRun[]>;
+
+/**
+ * Made once a round: looked for among all runs for each candidate rack, the members of one gang cost a
+ * round of 670 workers more than half a minute.
+ *
+ * @param workers - all workers, since a gang that leaves frees room on each of its workers
+ * @returns their runs by group
+ */
+export const indexRuns = (workers: readonly planTypes.PlanWorker[]): RunsByGroup => {
+  const runs = new Map<string, HeldRun[]>();
+  for (const worker of workers) {
+    for (const holding of worker.holdings) {
+      const its = runs.get(holding.groupKey);
+      if (its === undefined) runs.set(holding.groupKey, [{ worker, holding }]);
+      else its.push({ worker, holding });
+    }
+  }
+  return runs;
+};
+
 /** All runs of a gang end together, so the cost of one member is that of all. */
-const groupCosts = (
-  workers: readonly planTypes.PlanWorker[],
-  costOf: CostOf,
-): Map<string, number> => {
+const createGroupCosts = (runs: RunsByGroup, costOf: CostOf): ((groupKey: string) => number) => {
   const costs = new Map<string, number>();
-  for (const holding of workers.flatMap((it) => it.holdings)) {
-    const cost = holding.isLeaving ? 0 : (costOf(holding) ?? Infinity);
-    costs.set(holding.groupKey, (costs.get(holding.groupKey) ?? 0) + cost);
-  }
-  return costs;
+  const add = (sum: number, { holding }: HeldRun): number =>
+    sum + (holding.isLeaving ? 0 : (costOf(holding) ?? Infinity));
+  return (groupKey) => {
+    const known = costs.get(groupKey);
+    if (known !== undefined) return known;
+    const cost = (runs.get(groupKey) ?? []).reduce(add, 0);
+    costs.set(groupKey, cost);
+    return cost;
+  };
 };
 
 const victimsOn = (
   worker: planTypes.PlanWorker,
   unit: planTypes.PlanUnit,
   draft: Draft,
-  costs: ReadonlyMap<string, number>,
+  costOfGroup: (groupKey: string) => number,
 ): Victims | undefined => {
   const already = draft.taken.get(worker.workerId) ?? 0;
   if (gangPlacement.spreadLimit(worker, unit) <= already) return undefined;
@@ -56,7 +85,7 @@
   let cost = 0;
   const candidates = worker.holdings
     .filter((it) => !draft.leaving.has(it.groupKey) && it.stepKey !== unit.stepKey)
-    .map((holding) => ({ holding, cost: costs.get(holding.groupKey) ?? Infinity }))
+    .map((holding) => ({ holding, cost: costOfGroup(holding.groupKey) }))
     .filter((it) => Number.isFinite(it.cost))
     .sort((a, b) => a.cost - b.cost);
   for (const it of candidates) {
@@ -70,20 +99,14 @@
   return poolJob.timesThatFit(free, unit.room) > 0 ? { groupKeys, cost } : undefined;
 };
 
-const release = (
-  draft: Draft,
-  workers: readonly planTypes.PlanWorker[],
-  groupKeys: readonly string[],
-): void => {
-  for (const worker of workers) {
-    for (const holding of worker.holdings) {
-      if (groupKeys.includes(holding.groupKey) && !draft.leaving.has(holding.groupKey)) {
-        const free = draft.free.get(worker.workerId) ?? worker.free;
-        draft.free.set(worker.workerId, poolJob.addResources(free, holding.room));
-      }
+const release = (draft: Draft, runs: RunsByGroup, groupKeys: readonly string[]): void => {
+  for (const groupKey of groupKeys) {
+    for (const { worker, holding } of runs.get(groupKey) ?? []) {
+      const free = draft.free.get(worker.workerId) ?? worker.free;
+      draft.free.set(worker.workerId, poolJob.addResources(free, holding.room));
     }
+    draft.leaving.add(groupKey);
   }
-  groupKeys.forEach((key) => draft.leaving.add(key));
 };
 
 /** A little dearer than nothing, so that room that is free now goes first. */
@@ -91,21 +114,21 @@
 
 const addOne = (
   draft: Draft,
-  all: readonly planTypes.PlanWorker[],
+  runs: RunsByGroup,
   group: readonly planTypes.PlanWorker[],
   unit: planTypes.PlanUnit,
-  costs: ReadonlyMap<string, number>,
+  costOfGroup: (groupKey: string) => number,
 ): boolean => {
   let best: { worker: planTypes.PlanWorker; victims: Victims; cost: number } | undefined;
   for (const worker of group) {
-    const victims = victimsOn(worker, unit, draft, costs);
+    const victims = victimsOn(worker, unit, draft, costOfGroup);
     if (victims !== undefined) {
       const cost = victims.cost + victims.groupKeys.length * LEAVING_COST;
       if (best === undefined || cost < best.cost) best = { worker, victims, cost };
     }
   }
   if (best === undefined) return false;
-  release(draft, all, best.victims.groupKeys);
+  release(draft, runs, best.victims.groupKeys);
   const { worker } = best;
   const free = draft.free.get(worker.workerId) ?? worker.free;
   draft.free.set(worker.workerId, poolJob.addResources(free, unit.room, -1));
@@ -116,19 +139,19 @@
 };
 
 /**
- * @param all - all workers, since a gang that leaves frees room on each of its workers
+ * @param runs - all runs by group
  * @param groups - groups of workers within which the unit may be placed
  * @param unit - the unit
  * @param costOf - what it costs that a run leaves
  * @returns the cheapest place, or undefined where there is none
  */
 export const findRoomToCome = (
-  all: readonly planTypes.PlanWorker[],
+  runs: RunsByGroup,
   groups: readonly (readonly planTypes.PlanWorker[])[],
   unit: planTypes.PlanUnit,
   costOf: CostOf,
 ): FuturePlacement | undefined => {
-  const costs = groupCosts(all, costOf);
+  const costOfGroup = createGroupCosts(runs, costOf);
   let best: FuturePlacement | undefined;
   for (const group of groups) {
     const draft: Draft = {
@@ -138,7 +161,7 @@
       workers: [],
       cost: 0,
     };
-    const isPlaced = unit.unit.tasks.every(() => addOne(draft, all, group, unit, costs));
+    const isPlaced = unit.unit.tasks.every(() => addOne(draft, runs, group, unit, costOfGroup));
     if (isPlaced && draft.cost < (best?.cost ?? Infinity)) {
       const placement = { unit, workers: draft.workers };
       best = { placement, leaving: draft.leaving, cost: draft.cost };
