Run the programs of pools as processes in a test

Change: stand-ins of store and worker over the platform's own calls; a job's whole path, a killed leader, an entry that is stopped under load, and missing settings.

--- /dev/null
+++ b/src/programs/test/poolPrograms.test.ts
@@ -0,0 +1,252 @@
+/**
+ * The programs of pools as separate processes, against stand-ins of the platform over its own calls.
+ */
+import * as assert from 'node:assert/strict';
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as test from 'node:test';
+import * as url from 'node:url';
+
+import * as systemClock from '../../base/node/systemClock.js';
+import * as bootFile from '../../platform/test/bootFile.js';
+import * as storeServer from '../../platform/test/storeServer.js';
+import * as workerServer from '../../platform/test/workerServer.js';
+import * as memoryPoolWorker from '../../standins/memoryPoolWorker.js';
+import * as memoryStore from '../../standins/memoryStore.js';
+import * as until from '../../standins/test/until.js';
+
+const BIN = path.join(path.dirname(url.fileURLToPath(import.meta.url)), '../../bin');
+const ID = '5c0e7a21d94b36f8';
+
+/** A free port; another process may take it, which a test would show as a program that does not start. */
+const freePort = (): Promise<number> =>
+  new Promise((resolve, reject) => {
+    const probe = net.createServer();
+    probe.once('error', reject);
+    probe.listen(0, '127.0.0.1', () => {
+      const { port } = probe.address() as net.AddressInfo;
+      probe.close(() => resolve(port));
+    });
+  });
+
+interface Answer {
+  readonly status: number;
+  readonly body: string;
+}
+
+const ask = (port: number, method: string, target: string, body = ''): Promise<Answer> =>
+  new Promise((resolve, reject) => {
+    const request = http.request({
+      host: '127.0.0.1',
+      port,
+      method,
+      path: target,
+      agent: false,
+      headers: bootFile.KEY_HEADERS,
+    });
+    request.on('error', reject);
+    request.on('response', (response) => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('error', reject);
+      response.on('end', () => {
+        resolve({ status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString('utf8') });
+      });
+    });
+    request.end(body);
+  });
+
+interface Rig {
+  readonly store: memoryStore.MemoryStore;
+  readonly worker: memoryPoolWorker.MemoryPoolWorker;
+  readonly frontPort: number;
+  readonly readyPort: number;
+  readonly start: (program: string, env: Record<string, string>) => childProcess.ChildProcess;
+  readonly startScheduler: (nodeId: string) => Promise<childProcess.ChildProcess>;
+  readonly entry: childProcess.ChildProcess;
+  readonly dispose: () => Promise<void>;
+}
+
+const createRig = async (workMs: number): Promise<Rig> => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'auburnlift-pool-'));
+  const children: childProcess.ChildProcess[] = [];
+  const store = memoryStore.createMemoryStore(systemClock.systemClock);
+  await store.transact({ conditions: [], puts: [bootFile.CONFIGURATION], removes: [] });
+  const served = await storeServer.serveStore(store);
+  const storeAddress = storeServer.addressText(served);
+  const worker = memoryPoolWorker.createMemoryPoolWorker(
+    {
+      clock: systemClock.systemClock,
+      info: {
+        workerId: 'i-1',
+        incarnationMs: 1,
+        service: 'service',
+        zone: 'zone',
+        state: 'ready',
+        capacity: { cpuMillicores: 8000, memoryMb: 8000, accelerators: 8 },
+        labels: ['a', 'r1'],
+      },
+      workMs: () => workMs,
+      gangOf: () => 1,
+      maxLeaseMs: 6000,
+      gangMs: 3000,
+    },
+    memoryPoolWorker.createGangBoard(),
+  );
+  const start = (program: string, env: Record<string, string>): childProcess.ChildProcess => {
+    const child = childProcess.spawn(process.execPath, [path.join(BIN, `${program}.js`)], {
+      env: { ...process.env, ...env },
+      stdio: ['ignore', 'ignore', 'inherit'],
+    });
+    children.push(child);
+    return child;
+  };
+  const control = await freePort();
+  const workerSide = await workerServer.serveWorker(worker, control);
+  const [frontPort, readyPort] = [await freePort(), await freePort()];
+  const agentEnv = bootFile.writeBootFile(folder, {
+    nodeId: 'side-1',
+    peerPort: await freePort(),
+    storeAddress,
+    control,
+    workerAddress: storeServer.addressText(workerSide.server),
+  });
+  start('poolAgent', agentEnv);
+  const entryEnv = bootFile.writeBootFile(folder, {
+    nodeId: 'edge-1',
+    peerPort: await freePort(),
+    storeAddress,
+    front: frontPort,
+    ready: readyPort,
+  });
+  const entry = start('poolEntry', entryEnv);
+  const startScheduler = async (nodeId: string): Promise<childProcess.ChildProcess> => {
+    const peerPort = await freePort();
+    return start(
+      'poolScheduler',
+      bootFile.writeBootFile(folder, { nodeId, peerPort, storeAddress }),
+    );
+  };
+  await until.until(
+    'the entry is ready',
+    async () => (await ask(readyPort, 'GET', '/-/ready')).status === 200,
+  );
+  return {
+    store,
+    worker,
+    frontPort,
+    readyPort,
+    start,
+    startScheduler,
+    entry,
+    dispose: async () => {
+      for (const child of children) child.kill('SIGKILL');
+      worker.dispose();
+      await workerSide.dispose();
+      await served.dispose();
+      fs.rmSync(folder, { recursive: true, force: true });
+    },
+  };
+};
+
+const JOB = JSON.stringify({ spec: 'text', steps: [{ count: 2, gpu: 1, est_ms: 500 }] });
+
+const stateOf = async (rig: Rig, id = ID): Promise<string> => {
+  const { body } = await ask(rig.frontPort, 'GET', `/q/${id}`);
+  return (JSON.parse(body) as { state?: string }).state ?? body;
+};
+
+const exitOf = (child: childProcess.ChildProcess): Promise<number | null> =>
+  new Promise((resolve) => {
+    if (child.exitCode !== null) resolve(child.exitCode);
+    else child.once('exit', resolve);
+  });
+
+test.describe('the programs of pools', () => {
+  test.it('take a job, run it and tell its state', async () => {
+    const rig = await createRig(300);
+    try {
+      await rig.startScheduler('edge-1');
+      assert.equal((await ask(rig.frontPort, 'POST', `/q/${ID}`, JOB)).status, 200);
+      await until.until('the job is complete', async () => (await stateOf(rig)) === 'complete');
+      assert.deepEqual(
+        rig.worker.runs.map((it) => [it.how, it.payload]),
+        [
+          ['done', 'text'],
+          ['done', 'text'],
+        ],
+      );
+      assert.equal((await ask(rig.frontPort, 'GET', '/q/0000000000000000')).status, 410);
+      assert.equal((await ask(rig.frontPort, 'GET', '/other/')).status, 404);
+    } finally {
+      await rig.dispose();
+    }
+  });
+
+  // The leader is killed while tasks work: they go on, and the other scheduler takes note of their ends.
+  test.it('go on after the leader was killed', async () => {
+    const rig = await createRig(4000);
+    try {
+      const first = await rig.startScheduler('edge-1');
+      assert.equal((await ask(rig.frontPort, 'POST', `/q/${ID}`, JOB)).status, 200);
+      await until.until('the tasks run', () => Promise.resolve(rig.worker.runs.length === 2));
+      await rig.startScheduler('edge-2');
+      first.kill('SIGKILL');
+      await until.until('the job is complete', async () => (await stateOf(rig)) === 'complete');
+      assert.equal(rig.worker.runs.length, 2);
+    } finally {
+      await rig.dispose();
+    }
+  });
+
+  // An entry is stopped while callers hand in jobs. Each request that it has read gets its whole answer,
+  // readiness goes first, and the process ends by itself.
+  test.it('an entry that is stopped answers everything that it has read', async () => {
+    const rig = await createRig(300);
+    try {
+      let isOver = false;
+      const answers: Promise<Answer>[] = [];
+      const press = (async () => {
+        for (let count = 0; !isOver && count < 200; count += 1) {
+          const id = count.toString(16).padStart(16, '0');
+          answers.push(ask(rig.frontPort, 'POST', `/q/${id}`, JOB));
+          await new Promise((resolve) => {
+            setTimeout(resolve, 10);
+          });
+        }
+      })();
+      await new Promise((resolve) => {
+        setTimeout(resolve, 200);
+      });
+      rig.entry.kill('SIGTERM');
+      await until.until(
+        'the entry is out of rotation',
+        async () => (await ask(rig.readyPort, 'GET', '/-/ready')).status === 503,
+      );
+      isOver = true;
+      await press;
+      const settled = await Promise.allSettled(answers);
+      assert.deepEqual(
+        settled.filter((it) => it.status === 'rejected' || it.value.status !== 200),
+        [],
+      );
+      assert.equal(await exitOf(rig.entry), 0);
+    } finally {
+      await rig.dispose();
+    }
+  });
+
+  test.it('a program without its settings says what is missing', () => {
+    const { status, stderr } = childProcess.spawnSync(
+      process.execPath,
+      [path.join(BIN, 'poolAgent.js')],
+      { env: { PATH: process.env.PATH }, encoding: 'utf8' },
+    );
+    assert.equal(status, 10);
+    assert.match(stderr, /must name the settings file/);
+  });
+});
