Soak the real programs under random faults, and replay the users' loads on the planning round

Change: src/soak (lines that can be harmed, supervised processes, clock steps, store, worker and operator faults, thirteen promises judged by what callers and workers saw), src/bench/saturation (both users' loads over the product's own decisions, two plain baselines). Found by the soak: SIGHUP while a program loads ended it; the programs now listen before they load anything else. Ruled out as faults of the product: jobs still queued 45 s after the faults (the soak handed in 69 s of work in 25 s), and jobs that nobody knew (two soaks on the same ports; blocks of ports are now held).

--- a/src/bench/benches.ts
+++ b/src/bench/benches.ts
@@ -6,6 +6,7 @@
 import * as configurationBench from './configurationBench.js';
 import * as requestsBench from './requestsBench.js';
 import * as rpcBench from './rpcBench.js';
+import * as saturationBench from './saturationBench.js';
 
 /** Runs a measurement with its arguments and prints its lines. */
 export type Bench = (args: readonly string[], print: (line: string) => void) => Promise<void>;
@@ -17,4 +18,5 @@
   configuration: configurationBench.runConfigurationBench,
   requests: requestsBench.runRequestsBench,
   rpc: rpcBench.runRpcBench,
+  saturation: saturationBench.runSaturationBench,
 };
--- /dev/null
+++ b/src/bench/saturation/baselines.ts
@@ -0,0 +1,41 @@
+/**
+ * What the planning round is measured against: two plain ways of placing the same units.
+ */
+import * as gangPlacement from '../../coordination/common/pool/gangPlacement.js';
+import type * as planTypes from '../../coordination/common/pool/planTypes.js';
+import type * as poolReplay from './poolReplay.js';
+
+const placeInOrder = (
+  workers: readonly planTypes.PlanWorker[],
+  units: readonly planTypes.PlanUnit[],
+  goesOnAfter: boolean,
+): planTypes.RoundPlan => {
+  const starts: planTypes.Placement[] = [];
+  const waits: planTypes.Wait[] = [];
+  for (const unit of units) {
+    const isBlocked = !goesOnAfter && waits.length > 0;
+    const suitable = workers.filter((it) => gangPlacement.isSuitable(it, unit));
+    const placement = isBlocked ? undefined : gangPlacement.placeNow([suitable], unit);
+    if (placement === undefined) {
+      waits.push({ unit, reason: 'no room' });
+    } else {
+      gangPlacement.takeRoom(placement);
+      starts.push(placement);
+    }
+  }
+  return { starts, evictions: new Map(), waits };
+};
+
+const arrivalOf = (unit: planTypes.PlanUnit): number => unit.unit.entry.job.acceptedAtMs;
+
+/** In the order of arrival; nobody overtakes. */
+export const firstFitFifo: poolReplay.Planner = ({ workers, units }) => {
+  const ordered = [...units].sort((a, b) => arrivalOf(a) - arrivalOf(b));
+  return placeInOrder(workers, ordered, false);
+};
+
+/** By priority, then by arrival; whatever fits goes. */
+export const priorityBestFit: poolReplay.Planner = ({ workers, units }) => {
+  const ordered = [...units].sort((a, b) => a.priority - b.priority || arrivalOf(a) - arrivalOf(b));
+  return placeInOrder(workers, ordered, true);
+};
--- /dev/null
+++ b/src/bench/saturation/outcomes.ts
@@ -0,0 +1,121 @@
+/**
+ * What callers had of a load: shares of what their jobs were worth, in whole and by kind, size and
+ * customer.
+ */
+import type * as mixes from './mixes.js';
+import type * as poolReplay from './poolReplay.js';
+
+/** Shares of the worth of jobs, 0 to 1. */
+export interface Outcome {
+  readonly served: number;
+  /** Served, less what was spent on work that was thrown away. */
+  readonly net: number;
+  readonly byKind: ReadonlyMap<string, number>;
+  /** The largest tenth of the jobs of each kind. */
+  readonly largest: number;
+  readonly worstCustomer: number;
+  /** Mean of the two worst spans of two seconds in each replay. */
+  readonly worstSpans: number;
+  readonly wastedShare: number;
+}
+
+/** A core-second thrown away, in the worth of jobs. */
+const WASTE_PER_CORE_SECOND = 0.0025;
+
+/** A job is worth 0.3 and 0.7 times its work against the mean of its kind, at most four times the kind's. */
+const BASE_SHARE = 0.3;
+const MAX_MULTIPLE = 4;
+
+/** A job is of some use up to this multiple of its objective. */
+const LATE_MULTIPLE = 3;
+
+const LARGEST_SHARE = 0.1;
+const SPAN_MS = 2000;
+
+interface Credit {
+  readonly job: poolReplay.ReplayedJob;
+  readonly owed: number;
+  readonly earned: number;
+}
+
+const longestMs = ({ arrival }: poolReplay.ReplayedJob): number =>
+  arrival.workMs.reduce((sum, tasks) => sum + Math.max(...tasks), 0);
+
+const earnedShare = (job: poolReplay.ReplayedJob): number => {
+  const { kind, isPoison } = job.arrival;
+  const isServed = job.state === 'complete' || (isPoison && job.state === 'failed');
+  if (!isServed) return 0;
+  const runs = isPoison ? kind.attempts : 1;
+  const objectiveMs = kind.stretch * longestMs(job) * runs + kind.objectiveMs;
+  if (job.durationMs <= objectiveMs) return 1;
+  return job.durationMs <= LATE_MULTIPLE * objectiveMs ? kind.lateWorth / kind.worth : 0;
+};
+
+const shareOf = (credits: readonly Credit[]): number => {
+  const owed = credits.reduce((sum, it) => sum + it.owed, 0);
+  return owed === 0 ? 1 : credits.reduce((sum, it) => sum + it.earned, 0) / owed;
+};
+
+const groupBy = (
+  credits: readonly Credit[],
+  keyOf: (credit: Credit) => string,
+): Map<string, Credit[]> => {
+  const groups = new Map<string, Credit[]>();
+  for (const credit of credits) {
+    const key = keyOf(credit);
+    groups.set(key, [...(groups.get(key) ?? []), credit]);
+  }
+  return groups;
+};
+
+const creditsOf = (mix: mixes.Mix, { jobs }: poolReplay.ReplayResult): Credit[] =>
+  mix.kinds.flatMap((kind) => {
+    const its = jobs.filter((it) => it.arrival.kind === kind && it.state !== 'cancelled');
+    const meanMs = its.reduce((sum, it) => sum + it.arrival.coreMs, 0) / Math.max(1, its.length);
+    return its.map((job) => {
+      const size = BASE_SHARE + (1 - BASE_SHARE) * (job.arrival.coreMs / meanMs);
+      const owed = kind.worth * Math.min(MAX_MULTIPLE, size);
+      return { job, owed, earned: owed * earnedShare(job) };
+    });
+  });
+
+const largestOf = (credits: readonly Credit[]): Credit[] =>
+  [...groupBy(credits, (it) => it.job.arrival.kind.name).values()].flatMap((its) =>
+    [...its]
+      .sort((a, b) => b.job.arrival.coreMs - a.job.arrival.coreMs)
+      .slice(0, Math.ceil(its.length * LARGEST_SHARE)),
+  );
+
+const worstSpansOf = (credits: readonly Credit[]): number => {
+  const spans = groupBy(credits, (it) => String(Math.floor(it.job.arrival.atMs / SPAN_MS)));
+  const [first = 1, second = 1] = [...spans.values()].map(shareOf).sort((a, b) => a - b);
+  return (first + second) / 2;
+};
+
+const mean = (values: readonly number[]): number =>
+  values.reduce((sum, it) => sum + it, 0) / Math.max(1, values.length);
+
+/**
+ * @param mix - the user's load
+ * @param results - replays of it
+ * @returns what callers had of all of them
+ */
+export const outcomeOf = (mix: mixes.Mix, results: readonly poolReplay.ReplayResult[]): Outcome => {
+  const each = results.map((it) => creditsOf(mix, it));
+  const credits = each.flat();
+  const owed = credits.reduce((sum, it) => sum + it.owed, 0);
+  const wastedCoreMs = results.reduce((sum, it) => sum + it.wastedCoreMs, 0);
+  const usedCoreMs = results.reduce((sum, it) => sum + it.usedCoreMs, 0);
+  const served = shareOf(credits);
+  const byKind = groupBy(credits, (it) => it.job.arrival.kind.name);
+  const byCustomer = groupBy(credits, (it) => it.job.arrival.job.customerId);
+  return {
+    served,
+    net: served - ((wastedCoreMs / 1000) * WASTE_PER_CORE_SECOND) / owed,
+    byKind: new Map([...byKind].map(([kind, its]) => [kind, shareOf(its)])),
+    largest: shareOf(largestOf(credits)),
+    worstCustomer: Math.min(...[...byCustomer.values()].map(shareOf)),
+    worstSpans: mean(each.map(worstSpansOf)),
+    wastedShare: wastedCoreMs / Math.max(1, usedCoreMs),
+  };
+};
--- /dev/null
+++ b/src/bench/saturation/poolReplay.ts
@@ -0,0 +1,314 @@
+/**
+ * Replays a load on a pool in virtual time. The product's own queue, job book, table of workers and
+ * planning round decide; only workers, their clocks and the callers are made up.
+ */
+import * as random from '../../base/common/random.js';
+import * as jobBook from '../../coordination/common/pool/jobBook.js';
+import type * as planRound from '../../coordination/common/pool/planRound.js';
+import type * as planTypes from '../../coordination/common/pool/planTypes.js';
+import * as readyQueue from '../../coordination/common/pool/readyQueue.js';
+import * as workerBlame from '../../coordination/common/pool/workerBlame.js';
+import * as workerTable from '../../coordination/common/pool/workerTable.js';
+import * as eventQueue from '../eventQueue.js';
+import type * as mixes from './mixes.js';
+import type * as workload from './workload.js';
+
+/** Decides a planning round. */
+export type Planner = (input: planRound.RoundInput) => planTypes.RoundPlan;
+
+/** What became of one job. */
+export interface ReplayedJob {
+  readonly arrival: workload.Arrival;
+  readonly state: string;
+  /** From its arrival to its end; infinite where it had none. */
+  readonly durationMs: number;
+}
+
+/** What became of a load. */
+export interface ReplayResult {
+  readonly jobs: readonly ReplayedJob[];
+  /** Core-milliseconds of work that was stopped and not saved, an accelerator counted as eight cores. */
+  readonly wastedCoreMs: number;
+  readonly usedCoreMs: number;
+}
+
+/** From a decision to the start on the worker, over the store and the agent. */
+const START_MS = 60;
+
+/** Progress is heard of this often. */
+const LOOK_MS = 900;
+
+/** Replays end here at the latest. */
+const END_MS = 200_000;
+
+/** Trouble of workers. */
+const SLOW = { fromMs: 10_000, untilMs: 17_000 } as const;
+const FAILING = { fromMs: 10_000, untilMs: 16_000 } as const;
+
+const FAILS_AFTER_MS = 900;
+const CORES_PER_ACCELERATOR = 8;
+
+interface Live {
+  readonly worker: workerTable.WorkerEntry;
+  readonly run: workerTable.RunHolding;
+  readonly group: Group;
+  readonly startedAtMs: number;
+}
+
+/** Runs that began together. */
+interface Group {
+  readonly members: Live[];
+  /** Work near the data that is left at the start. */
+  readonly workMs: number;
+  /** Work that was saved before it. */
+  readonly savedMs: number;
+  doneMs: number;
+  /** Longer work by distance and slow workers. */
+  factor: number;
+  movedAtMs: number;
+  isEnded: boolean;
+}
+
+const coresOf = ({ cpuMillicores, accelerators }: workerTable.RunHolding['room']): number =>
+  cpuMillicores / 1000 + CORES_PER_ACCELERATOR * accelerators;
+
+/**
+ * @param mix - the user's load
+ * @param strain - what comes with it
+ * @param arrivals - its jobs
+ * @param planner - decides each round
+ * @param seed - decides which runs fail and which workers have trouble
+ * @returns what became of the jobs
+ */
+export const replay = (
+  mix: mixes.Mix,
+  strain: mixes.Strain,
+  arrivals: readonly workload.Arrival[],
+  planner: Planner,
+  seed: number,
+): ReplayResult => {
+  const next = random.createRandom(seed);
+  const events = eventQueue.createEventQueue();
+  const queue = readyQueue.createReadyQueue();
+  const entries = new Map<string, jobBook.JobEntry>();
+  const arrivalOf = new Map(arrivals.map((it) => [it.job.jobId, it]));
+  const groups = new Set<Group>();
+  const savedMs = new Map<string, number>();
+  const guarantees: planTypes.Guarantees = new Map(
+    Array.from({ length: mix.customers }, (_, index) => [
+      `customer-${index}`,
+      Math.floor((mix.guaranteedShare * mix.workers * mix.capacity.accelerators) / mix.customers),
+    ]),
+  );
+  let wastedCoreMs = 0;
+  let usedCoreMs = 0;
+  let isDue = false;
+
+  const workers = Array.from({ length: mix.workers }, (_, index): workerTable.WorkerEntry => {
+    const rack = `rack-${Math.floor(index / mix.rackSize)}`;
+    const worker = workerTable.createWorkerEntry(`agent-${index}`, '', 1, 0, 0);
+    worker.isReachable = true;
+    worker.sample = { incarnationMs: 1, clockMs: 0, atMs: 0 };
+    worker.info = {
+      workerId: `worker-${index}`,
+      incarnationMs: 1,
+      service: 'service',
+      zone: rack,
+      state: 'ready',
+      capacity: mix.capacity,
+      labels: [rack],
+      rack,
+    };
+    return worker;
+  });
+  const troubled = (share: number): ReadonlySet<workerTable.WorkerEntry> =>
+    new Set(workers.filter(() => next() < share));
+  const slow = troubled(strain.slowShare);
+  const failing = troubled(strain.failingShare);
+  const workerAt = (agentId: string): workerTable.WorkerEntry =>
+    workers[Number(agentId.slice('agent-'.length))] as workerTable.WorkerEntry;
+
+  const isSlowNow = (worker: workerTable.WorkerEntry): boolean =>
+    slow.has(worker) && events.nowMs() >= SLOW.fromMs && events.nowMs() < SLOW.untilMs;
+  const isFailingNow = (worker: workerTable.WorkerEntry): boolean =>
+    failing.has(worker) && events.nowMs() >= FAILING.fromMs && events.nowMs() < FAILING.untilMs;
+
+  const schedule = (): void => {
+    if (isDue) return;
+    isDue = true;
+    events.at(events.nowMs() + 1, plan);
+  };
+
+  /** Brings a group's progress to now, at the pace of its slowest member. */
+  const advance = (group: Group): void => {
+    const nowMs = events.nowMs();
+    const slowest = group.members.some(({ worker }) => isSlowNow(worker)) ? strain.slowFactor : 1;
+    group.doneMs += (nowMs - group.movedAtMs) / (group.factor * slowest);
+    group.movedAtMs = nowMs;
+    const share = Math.min(1, (group.savedMs + group.doneMs) / (group.savedMs + group.workMs));
+    for (const { run } of group.members) {
+      const percent = Math.floor(100 * share);
+      if (percent > run.percent) run.movedAtMs = nowMs;
+      run.percent = percent;
+    }
+  };
+
+  const settle = (live: Live, how: 'done' | 'failed' | 'stopped', isLost: boolean): void => {
+    const { run, worker, group } = live;
+    worker.runs.delete(workerTable.runKey(run.name, run.run));
+    const heldMs = events.nowMs() - live.startedAtMs;
+    usedCoreMs += heldMs * coresOf(run.step.resources);
+    if (isLost) {
+      const lostMs = run.step.isCheckpointing ? Math.min(heldMs, 250) : heldMs;
+      wastedCoreMs += lostMs * coresOf(run.step.resources);
+    }
+    if (how === 'stopped' && run.step.isCheckpointing) {
+      savedMs.set(run.name, group.savedMs + group.doneMs);
+    }
+    const { jobId } = run.entry.job;
+    if (how === 'done') workerBlame.noteSuccess(worker.blame);
+    if (how === 'failed') workerBlame.noteFailure(worker.blame, jobId, events.nowMs());
+    const wallMs = events.nowMs();
+    jobBook.noteEnd(run.entry, run.task, { run: run.run, how, saved: '' }, wallMs);
+  };
+
+  const endGroup = (group: Group, how: 'done' | 'failed' | 'stopped', isLost: boolean): void => {
+    if (group.isEnded) return;
+    advance(group);
+    group.isEnded = true;
+    groups.delete(group);
+    group.members.forEach((live, index) => {
+      // One member fails, the others are broken by it.
+      settle(live, how === 'failed' && index > 0 ? 'stopped' : how, isLost);
+    });
+    const [first] = group.members;
+    if (first !== undefined) stopUnwanted(first.run.entry);
+    schedule();
+  };
+
+  const stopGroup = (group: Group): void => {
+    if (group.members.some(({ run }) => run.phase === workerTable.RunPhase.stopping)) return;
+    for (const { run } of group.members) run.phase = workerTable.RunPhase.stopping;
+    events.at(events.nowMs() + START_MS + mix.stopMs, () => endGroup(group, 'stopped', true));
+  };
+
+  const stopUnwanted = (entry: jobBook.JobEntry): void => {
+    if (!jobBook.isEnded(entry)) return;
+    for (const group of groups) {
+      if (group.members[0]?.run.entry === entry) stopGroup(group);
+    }
+  };
+
+  const watchGroup = (group: Group): void => {
+    if (group.isEnded) return;
+    advance(group);
+    const leftMs = group.workMs - group.doneMs;
+    if (leftMs <= 0.5) {
+      const [first] = group.members;
+      const arrival = arrivalOf.get(first?.run.entry.job.jobId ?? '');
+      const fails = arrival?.isPoison === true || next() < (arrival?.kind.failShare ?? 0);
+      endGroup(group, fails ? 'failed' : 'done', fails);
+      return;
+    }
+    if (group.members.some(({ worker }) => isFailingNow(worker)) && group.doneMs > 0) {
+      endGroup(group, 'failed', true);
+      return;
+    }
+    const stepMs = Math.min(LOOK_MS, Math.max(1, leftMs * group.factor));
+    events.at(events.nowMs() + stepMs, () => watchGroup(group));
+  };
+
+  const begin = (placement: planTypes.Placement): void => {
+    const { unit } = placement.unit;
+    const { entry, tasks, step } = unit;
+    jobBook.assign(
+      entry,
+      tasks.map((task, index) => {
+        const { workerId, incarnationMs, agentId } = placement.workers[
+          index
+        ] as planTypes.PlanWorker;
+        return { task, workerId, incarnationMs, agentId };
+      }),
+    );
+    const arrival = arrivalOf.get(entry.job.jobId);
+    const racks = new Set(placement.workers.map((it) => it.rack));
+    const [firstTask] = tasks;
+    const whole = arrival?.workMs[unit.stepIndex]?.[firstTask?.index ?? 0] ?? 0;
+    const names = tasks.map((task) => workerTable.keysOf(entry, task).name);
+    const saved = Math.max(0, ...names.map((name) => savedMs.get(name) ?? 0));
+    const nowMs = events.nowMs();
+    const group: Group = {
+      members: [],
+      workMs: Math.max(1, whole - saved),
+      savedMs: saved,
+      doneMs: 0,
+      factor: step.isSameRack && racks.size > 1 ? mix.farFactor : 1,
+      movedAtMs: nowMs + START_MS,
+      isEnded: false,
+    };
+    for (const task of tasks) {
+      const worker = workerAt(task.agentId);
+      const run = workerTable.createRun(entry, task, workerTable.RunPhase.present, nowMs);
+      worker.runs.set(workerTable.runKey(run.name, run.run), run);
+      group.members.push({ worker, run, group, startedAtMs: nowMs });
+    }
+    groups.add(group);
+    const isFailing = group.members.some(({ worker }) => isFailingNow(worker));
+    const firstLookMs = isFailing ? FAILS_AFTER_MS : START_MS;
+    events.at(nowMs + firstLookMs, () => watchGroup(group));
+  };
+
+  const evict = (groupKey: string): void => {
+    const victim = entries.get(groupKey.split('.')[0] ?? '');
+    if (victim !== undefined) victim.preemptions += 1;
+    for (const group of groups) {
+      if (group.members[0]?.run.groupKey === groupKey) stopGroup(group);
+    }
+  };
+
+  const plan = (): void => {
+    isDue = false;
+    const nowMs = events.nowMs();
+    for (const group of groups) advance(group);
+    const units = queue.units(entries.values(), nowMs, nowMs);
+    if (units.length === 0) return;
+    const planWorkers = workers
+      .map((it) => workerTable.toPlanWorker(it, nowMs))
+      .filter((it) => it !== undefined);
+    const round = planner({ nowMs, workers: planWorkers, units, guarantees });
+    round.starts.forEach(begin);
+    for (const groupKey of round.evictions.keys()) evict(groupKey);
+  };
+
+  for (const arrival of arrivals) {
+    events.at(arrival.atMs, () => {
+      entries.set(arrival.job.jobId, jobBook.createEntry(arrival.job, arrival.atMs));
+      schedule();
+    });
+    if (Number.isFinite(arrival.cancelAtMs)) {
+      events.at(arrival.cancelAtMs, () => {
+        const entry = entries.get(arrival.job.jobId);
+        if (entry === undefined || !jobBook.cancel(entry, events.nowMs())) return;
+        stopUnwanted(entry);
+        schedule();
+      });
+    }
+  }
+  const tick = (): void => {
+    schedule();
+    if (events.nowMs() < END_MS) events.at(events.nowMs() + LOOK_MS, tick);
+  };
+  tick();
+  events.runUntil(END_MS);
+
+  const jobs = arrivals.map((arrival): ReplayedJob => {
+    const entry = entries.get(arrival.job.jobId);
+    const isOver = entry !== undefined && entry.endedAtMs > 0;
+    return {
+      arrival,
+      state: entry?.state ?? 'queued',
+      durationMs: isOver ? entry.endedAtMs - arrival.atMs : Infinity,
+    };
+  });
+  return { jobs, wastedCoreMs, usedCoreMs };
+};
--- /dev/null
+++ b/src/bench/saturation/workload.ts
@@ -0,0 +1,136 @@
+/**
+ * Jobs of one replay, drawn from a mix and a strain by a seed.
+ */
+import type * as random from '../../base/common/random.js';
+import * as randoms from '../../base/common/random.js';
+import type * as poolJob from '../../state/common/pool/poolJob.js';
+import type * as mixes from './mixes.js';
+
+/** A job with what only the replay knows of it. */
+export interface Arrival {
+  readonly atMs: number;
+  readonly kind: mixes.JobKind;
+  readonly job: poolJob.PoolJob;
+  /** Work of each task by step and index, near its data. */
+  readonly workMs: readonly (readonly number[])[];
+  /** All its runs fail. */
+  readonly isPoison: boolean;
+  /** When its caller takes it back; infinite mostly. */
+  readonly cancelAtMs: number;
+  /** Its work in core-milliseconds, an accelerator counted as eight cores. */
+  readonly coreMs: number;
+}
+
+/** Jobs arrive for this long. */
+export const ARRIVALS_MS = 46_000;
+
+/** A burst of urgent work. */
+const BURST = { fromMs: 8000, untilMs: 14_000 } as const;
+
+const CORES_PER_ACCELERATOR = 8;
+
+/** A normal variate by the sum of uniform ones: near enough for sizes. */
+const normal = (next: random.Random): number => {
+  let sum = 0;
+  for (let draw = 0; draw < 12; draw += 1) sum += next();
+  return sum - 6;
+};
+
+const drawSize = (next: random.Random, { mean, spread, max }: mixes.JobKind['workMs']): number =>
+  Math.min(max, mean * Math.exp(spread * normal(next) - (spread * spread) / 2));
+
+const drawSteps = (
+  next: random.Random,
+  kind: mixes.JobKind,
+): { steps: poolJob.Step[]; workMs: number[][] } => {
+  const stepCount = next() < kind.secondStepShare ? 2 : 1;
+  const accelerators = kind.accelerators[randoms.integerBelow(next, kind.accelerators.length)] ?? 1;
+  const isCheckpointing = next() < kind.checkpointShare;
+  const isGang = next() < kind.gangShare;
+  const isSameRack = next() < kind.sameRackShare;
+  const steps: poolJob.Step[] = [];
+  const workMs: number[][] = [];
+  for (let index = 0; index < stepCount; index += 1) {
+    const count = Math.max(1, Math.round(drawSize(next, kind.tasks)));
+    const stepMs = drawSize(next, kind.workMs);
+    const isWhole = isGang && count > 1;
+    const eachMs = Array.from({ length: count }, () => stepMs * (0.85 + 0.3 * next()));
+    const longestMs = Math.max(...eachMs);
+    workMs.push(isWhole ? eachMs.map(() => longestMs) : eachMs);
+    steps.push({
+      count,
+      resources: {
+        cpuMillicores: kind.cpuMillicores,
+        memoryMb: kind.memoryMb,
+        accelerators,
+      },
+      estimatedMs: Math.round(stepMs * kind.estimateFactor ** (2 * next() - 1)),
+      after: index === 0 ? [] : [index - 1],
+      isCheckpointing,
+      isGang: isWhole,
+      isSameRack: isWhole && isSameRack,
+      maxPerWorker: 0,
+      isSpeculative: false,
+      isLongRunning: false,
+      targetLatencyMs: 0,
+      isFiller: false,
+    });
+  }
+  return { steps, workMs };
+};
+
+const coreMsOf = (steps: readonly poolJob.Step[], workMs: readonly (readonly number[])[]): number =>
+  steps.reduce((sum, { resources }, index) => {
+    const cores = resources.cpuMillicores / 1000 + CORES_PER_ACCELERATOR * resources.accelerators;
+    return sum + cores * (workMs[index] ?? []).reduce((total, it) => total + it, 0);
+  }, 0);
+
+const isInBurst = (kind: mixes.JobKind, atMs: number): boolean =>
+  kind.priority === 0 && atMs >= BURST.fromMs && atMs < BURST.untilMs;
+
+/**
+ * @param mix - the user's load
+ * @param strain - what comes with it
+ * @param seed - decides all of it
+ * @returns the jobs in the order of their arrival
+ */
+export const drawWorkload = (mix: mixes.Mix, strain: mixes.Strain, seed: number): Arrival[] => {
+  const next = randoms.createRandom(seed);
+  const arrivals: Arrival[] = [];
+  for (const kind of mix.kinds) {
+    const peak = Math.max(1, strain.urgentBurst);
+    const gapMs = 1000 / (kind.jobsPerSecond * strain.load * peak);
+    for (let atMs = 0; atMs < ARRIVALS_MS;) {
+      atMs += -Math.log(1 - next()) * gapMs;
+      const keptShare = (isInBurst(kind, atMs) ? strain.urgentBurst : 1) / peak;
+      if (atMs >= ARRIVALS_MS || next() >= keptShare) continue;
+      const { steps, workMs } = drawSteps(next, kind);
+      const jobId = `${kind.name}-${arrivals.length}`;
+      arrivals.push({
+        atMs,
+        kind,
+        workMs,
+        isPoison: kind.priority === 2 && next() < strain.poisonShare,
+        cancelAtMs: next() < kind.cancelShare ? atMs + 500 + 5000 * next() : Infinity,
+        coreMs: coreMsOf(steps, workMs),
+        job: {
+          jobId,
+          customerId: `customer-${Math.floor(mix.customers * next() ** 1.5)}`,
+          payload: '',
+          steps,
+          acceptedAtMs: Math.round(atMs),
+          policy: {
+            queue: kind.name,
+            service: 'service',
+            priority: kind.priority,
+            attempts: kind.attempts,
+            stretch: kind.stretch,
+            objectiveMs: kind.objectiveMs,
+            needsAdvice: false,
+          },
+        },
+      });
+    }
+  }
+  return arrivals.sort((a, b) => a.atMs - b.atMs);
+};
--- /dev/null
+++ b/src/bench/saturationBench.ts
@@ -0,0 +1,71 @@
+/**
+ * `npm run bench -- saturation [SEEDS]`: what callers get when load is at its worst, beside two plain ways
+ * of placing.
+ */
+import * as planRound from '../coordination/common/pool/planRound.js';
+
+import * as baselines from './saturation/baselines.js';
+import * as mixes from './saturation/mixes.js';
+import * as outcomes from './saturation/outcomes.js';
+import * as poolReplay from './saturation/poolReplay.js';
+import * as workload from './saturation/workload.js';
+
+/** Enough that a whole percent tells two ways apart; a few seconds in all. */
+const DEFAULT_SEEDS = 12;
+
+const PLANNERS: Readonly<Record<string, poolReplay.Planner>> = {
+  ours: planRound.planRound,
+  'priority, best fit': baselines.priorityBestFit,
+  'first come, first fit': baselines.firstFitFifo,
+};
+
+const percent = (share: number): string => (100 * share).toFixed(1).padStart(6);
+
+const HEADER = [
+  'planner'.padEnd(22),
+  'served',
+  '   net',
+  ' spans',
+  'largest',
+  'worst customer',
+  'wasted',
+  ' by kind',
+].join(' ');
+
+const rowOf = (name: string, outcome: outcomes.Outcome): string =>
+  [
+    name.padEnd(22),
+    percent(outcome.served),
+    percent(outcome.net),
+    percent(outcome.worstSpans),
+    percent(outcome.largest).padStart(7),
+    percent(outcome.worstCustomer).padStart(14),
+    percent(outcome.wastedShare),
+    ...[...outcome.byKind].map(([kind, share]) => ` ${kind} ${percent(share).trim()}`),
+  ].join(' ');
+
+/**
+ * @param args - how many seeds
+ * @param print - prints a line
+ * @returns when all is printed
+ */
+export const runSaturationBench = (
+  args: readonly string[],
+  print: (line: string) => void,
+): Promise<void> => {
+  const seeds = Number(args[0] ?? DEFAULT_SEEDS);
+  for (const mix of mixes.MIXES) {
+    for (const strain of mixes.STRAINS) {
+      print(`\n${mix.name}, ${strain.name} (shares of worth in per cent, ${seeds} seeds)`);
+      print(HEADER);
+      for (const [name, planner] of Object.entries(PLANNERS)) {
+        const results = Array.from({ length: seeds }, (_, seed) => {
+          const arrivals = workload.drawWorkload(mix, strain, seed + 1);
+          return poolReplay.replay(mix, strain, arrivals, planner, seed + 1);
+        });
+        print(rowOf(name, outcomes.outcomeOf(mix, results)));
+      }
+    }
+  }
+  return Promise.resolve();
+};
--- /dev/null
+++ b/src/bin/auburnliftSoak.ts
@@ -0,0 +1,56 @@
+#!/usr/bin/env node
+/**
+ * `npm run soak -- [FIRST_SEED] [SEEDS] [SECONDS] [AT_ONCE]`: random faults on real processes, one soak a
+ * seed. Logs of a seed that failed stay in `target/soak/SEED`.
+ */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+
+import * as soakRun from '../soak/soakRun.js';
+
+const [firstSeed = Date.now() % 1_000_000, seeds = 1, seconds = 20, atOnce = 2] = process.argv
+  .slice(2)
+  .map(Number);
+
+/** A few dozen processes at most, at eight a soak. */
+const SIZES = { entries: 2, schedulers: 2, workers: 4 };
+
+/** Each process of a soak is ended with it. */
+const EXIT_LISTENERS = 400;
+process.setMaxListeners(EXIT_LISTENERS);
+
+let failed = 0;
+let nextSeed = firstSeed;
+
+const say = (line: string): void => {
+  process.stdout.write(`${line}\n`);
+};
+
+const soakOne = async (seed: number): Promise<void> => {
+  const folder = path.join('target', 'soak', String(seed));
+  fs.rmSync(folder, { recursive: true, force: true });
+  const report = await soakRun.runSoak({ seed, faultsMs: seconds * 1000, sizes: SIZES, folder });
+  const { broken, jobs, calls, runs } = report;
+  say(
+    `seed ${seed}: ${broken.length} broken; ${jobs} jobs, ${calls} calls, ${runs} runs, ${report.faults.length} faults`,
+  );
+  if (broken.length === 0) {
+    fs.rmSync(folder, { recursive: true, force: true });
+    return;
+  }
+  failed += 1;
+  fs.writeFileSync(path.join(folder, 'report.json'), JSON.stringify(report, null, 2));
+  broken.slice(0, 12).forEach((it) => say(`  ${it}`));
+};
+
+const work = async (): Promise<void> => {
+  while (nextSeed < firstSeed + seeds) {
+    const seed = nextSeed;
+    nextSeed += 1;
+    await soakOne(seed);
+  }
+};
+
+await Promise.all(Array.from({ length: atOnce }, work));
+say(`${seeds - failed} of ${seeds} seeds kept every promise`);
+process.exit(failed === 0 ? 0 : 1);
--- a/src/bin/poolAgent.ts
+++ b/src/bin/poolAgent.ts
@@ -2,6 +2,8 @@
 /**
  * The agent of pools; reads the settings file that the platform names.
  */
+import '../base/node/earlySignals.js';
+
 import * as program from '../programs/poolAgent.js';
 import * as runPoolMain from '../programs/runPoolMain.js';
 
--- a/src/bin/poolEntry.ts
+++ b/src/bin/poolEntry.ts
@@ -2,6 +2,8 @@
 /**
  * The entry of pools; reads the settings file that the platform names.
  */
+import '../base/node/earlySignals.js';
+
 import * as program from '../programs/poolEntry.js';
 import * as runPoolMain from '../programs/runPoolMain.js';
 
--- a/src/platform/test/workerServer.ts
+++ b/src/platform/test/workerServer.ts
@@ -79,6 +79,7 @@
     addr: '127.0.0.1:1',
     zone: info.zone,
     state: info.state,
+    ...(info.remainingMs === undefined ? {} : { remaining_ms: info.remainingMs }),
     capacity: {
       cpu: info.capacity.cpuMillicores,
       mem_mb: info.capacity.memoryMb,
--- /dev/null
+++ b/src/soak/lineProxy.ts
@@ -0,0 +1,129 @@
+/**
+ * A loopback proxy in front of one address, through which a soak harms the line between two processes
+ * from outside of both: delay, reset, refusal, silence of open connections, and cuts one way.
+ */
+import * as net from 'node:net';
+
+import type * as disposable from '../base/common/disposable.js';
+
+/** What happens to the bytes of a line. */
+export const LineFault = {
+  none: 'none',
+  /** Every piece is passed on late, in order. */
+  delay: 'delay',
+  /** New connections are reset. */
+  refuse: 'refuse',
+  /** Nothing passes in either direction, and nobody is told. */
+  silence: 'silence',
+  /** What the caller sends is lost; answers pass. */
+  cutRequests: 'cutRequests',
+  /** Requests arrive; what is answered is lost. */
+  cutAnswers: 'cutAnswers',
+} as const;
+
+/** One of the values of {@link LineFault}. */
+export type LineFault = (typeof LineFault)[keyof typeof LineFault];
+
+/** A line that can be harmed. */
+export interface LineProxy extends disposable.Disposable {
+  readonly port: number;
+  /** Holds until the next one is set; connections that lost bytes stay silent for good. */
+  readonly setFault: (fault: LineFault) => void;
+  /** Resets every open connection. */
+  readonly reset: () => void;
+  /** Open connections go silent for good, while new ones work. */
+  readonly silenceOpen: () => void;
+}
+
+/** Longer than a process waits between two renewals of a leadership, shorter than any time-out. */
+const DELAY_MS = 180;
+
+interface Flow {
+  readonly from: net.Socket;
+  readonly to: net.Socket;
+  readonly isRequest: boolean;
+}
+
+interface Connection {
+  readonly sockets: readonly net.Socket[];
+  /** Bytes were lost on it: anything that still passed would be garbage. */
+  isMute: boolean;
+}
+
+const LOST: Readonly<Record<LineFault, (flow: Flow) => boolean>> = {
+  none: () => false,
+  delay: () => false,
+  refuse: () => false,
+  silence: () => true,
+  cutRequests: (flow) => flow.isRequest,
+  cutAnswers: (flow) => !flow.isRequest,
+};
+
+/**
+ * @param targetPort - loopback port that the line leads to
+ * @param listenPort - port of the proxy; 0 takes any
+ * @returns the line, without a fault
+ */
+export const openLine = async (targetPort: number, listenPort = 0): Promise<LineProxy> => {
+  const connections = new Set<Connection>();
+  let fault: LineFault = LineFault.none;
+
+  const carry = (connection: Connection, flow: Flow): void => {
+    const { from, to } = flow;
+    const pass = (act: () => void): void => {
+      if (LOST[fault](flow)) connection.isMute = true;
+      if (connection.isMute) return;
+      const deliver = (): void => {
+        if (!connection.isMute && !to.destroyed) act();
+      };
+      if (fault === LineFault.delay) setTimeout(deliver, DELAY_MS);
+      else deliver();
+    };
+    from.on('data', (chunk: Buffer) => pass(() => to.write(chunk)));
+    from.on('end', () => pass(() => to.end()));
+    // A partition hides the end of a connection as well; its other side finds out by a time-out.
+    from.on('close', () => pass(() => to.destroySoon()));
+    from.on('error', () => pass(() => to.resetAndDestroy()));
+  };
+
+  const server = net.createServer({ allowHalfOpen: true }, (caller) => {
+    if (fault === LineFault.refuse) {
+      caller.on('error', () => undefined);
+      caller.resetAndDestroy();
+      return;
+    }
+    const target = net.connect({ port: targetPort, host: '127.0.0.1', allowHalfOpen: true });
+    const connection = { sockets: [caller, target], isMute: false };
+    connections.add(connection);
+    carry(connection, { from: caller, to: target, isRequest: true });
+    carry(connection, { from: target, to: caller, isRequest: false });
+    const forget = (): void => {
+      if (caller.destroyed && target.destroyed) connections.delete(connection);
+    };
+    caller.on('close', forget);
+    target.on('close', forget);
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(listenPort, '127.0.0.1', resolve);
+  });
+
+  const reset = (): void => {
+    for (const { sockets } of connections) sockets.forEach((it) => it.resetAndDestroy());
+  };
+  return {
+    port: (server.address() as net.AddressInfo).port,
+    setFault: (next) => {
+      fault = next;
+    },
+    reset,
+    silenceOpen: () => {
+      for (const connection of connections) connection.isMute = true;
+    },
+    dispose: () =>
+      new Promise<void>((resolve) => {
+        server.close(() => resolve());
+        reset();
+      }),
+  };
+};
--- /dev/null
+++ b/src/soak/test/promises.test.ts
@@ -0,0 +1,180 @@
+/**
+ * Each promise that a soak judges by is broken once on purpose: a check that finds nothing proves nothing.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as evidence from '../evidence.js';
+import * as promises from '../promises.js';
+
+const JOB: evidence.SubmittedJob = {
+  jobId: 'aa',
+  payload: 'work',
+  steps: [
+    { count: 1, accelerators: 8, isGang: false, after: [] },
+    { count: 1, accelerators: 1, isGang: false, after: [0] },
+  ],
+};
+
+const call = (changes: Partial<evidence.CallRecord>): evidence.CallRecord => ({
+  entry: 'edge-0',
+  method: 'GET',
+  jobId: 'aa',
+  apiKey: 'key',
+  sentAtMs: 0,
+  endedAtMs: 10,
+  end: evidence.CallEnd.answered,
+  status: 200,
+  state: undefined,
+  ...changes,
+});
+
+const run = (changes: Partial<evidence.WorkerRun>): evidence.WorkerRun => ({
+  task: 'aa.0.0.0',
+  run: 1,
+  payload: 'work',
+  startedAtMs: 100,
+  endedAtMs: 200,
+  how: 'done',
+  isAcknowledged: true,
+  workerIndex: 0,
+  ...changes,
+});
+
+const SUBMIT = call({ method: 'POST' });
+const FIRST = run({});
+const SECOND = run({ task: 'aa.0.1.0', startedAtMs: 300, endedAtMs: 400 });
+const SHOWN = call({ sentAtMs: 500, endedAtMs: 510, state: 'complete' });
+
+const SOUND: evidence.Evidence = {
+  jobs: [JOB],
+  calls: [SUBMIT, SHOWN],
+  runs: [FIRST, SECOND],
+  revocations: [],
+  disturbances: [],
+  failures: [],
+  acceleratorsPerWorker: 8,
+  revokeMs: 5000,
+  attempts: 3,
+};
+
+const CUT = call({ sentAtMs: 600, endedAtMs: 900, end: evidence.CallEnd.cut, status: 0 });
+
+const CASES: readonly [
+  name: string,
+  changes: Partial<evidence.Evidence>,
+  expected: RegExp | undefined,
+][] = [
+  ['a sound soak', {}, undefined],
+  [
+    'two runs of a task at once',
+    { runs: [run({ endedAtMs: 250, how: 'stopped' }), run({ run: 2, startedAtMs: 249 }), SECOND] },
+    /run 2 began while run 1 worked/,
+  ],
+  [
+    'a run after an end that was taken note of',
+    { runs: [FIRST, run({ run: 2, startedAtMs: 210, endedAtMs: 220 }), SECOND] },
+    /run 2 began after the task was done/,
+  ],
+  [
+    'a run again after an end that went with its worker',
+    {
+      runs: [
+        run({ isAcknowledged: false }),
+        run({ run: 2, startedAtMs: 210, endedAtMs: 220 }),
+        SECOND,
+      ],
+    },
+    undefined,
+  ],
+  [
+    'a refused job that runs',
+    { calls: [call({ method: 'POST', status: 503 })] },
+    /every attempt to hand it in was refused/,
+  ],
+  [
+    'a job handed in with an open outcome that runs',
+    { calls: [call({ method: 'POST', status: 503 }), call({ method: 'POST', status: 504 })] },
+    undefined,
+  ],
+  [
+    'an accepted job that is forgotten',
+    { calls: [SUBMIT, call({ sentAtMs: 50, status: 410 }), SHOWN] },
+    /no such job/,
+  ],
+  [
+    'a job shown as complete too soon',
+    { calls: [SUBMIT, call({ sentAtMs: 300, endedAtMs: 310, state: 'complete' })] },
+    /shown as complete before aa.0.1.0 was done/,
+  ],
+  [
+    'a job shown as failed without cause',
+    {
+      calls: [SUBMIT, call({ sentAtMs: 300, endedAtMs: 310, state: 'failed' })],
+      runs: [run({ how: 'failed' }), run({ run: 2, startedAtMs: 201, endedAtMs: 202 })],
+    },
+    /shown as failed without 3 failed runs/,
+  ],
+  [
+    'an accepted job that stays open',
+    { calls: [SUBMIT, call({ sentAtMs: 500, endedAtMs: 510, state: 'running' })] },
+    /running long after the faults/,
+  ],
+  [
+    'work that is left over',
+    { runs: [FIRST, run({ task: 'aa.0.1.0', endedAtMs: undefined, how: undefined })] },
+    /still works though its job has ended/,
+  ],
+  [
+    'a step before its turn',
+    { runs: [FIRST, run({ task: 'aa.0.1.0', startedAtMs: 150, workerIndex: 1 })] },
+    /step 1 began before aa.0.0.0/,
+  ],
+  [
+    'a worker over its capacity',
+    { runs: [FIRST, run({ task: 'aa.0.1.0', startedAtMs: 150 })] },
+    /brings worker 0 to 9 accelerators/,
+  ],
+  [
+    'a start that nobody asked for',
+    { runs: [FIRST, run({ ...SECOND, payload: 'other' })] },
+    /something that nobody handed in/,
+  ],
+  [
+    'a key that is served after it was taken away',
+    {
+      revocations: [{ apiKey: 'key', atMs: 1000 }],
+      calls: [SUBMIT, SHOWN, call({ sentAtMs: 6001, state: 'complete', endedAtMs: 6002 })],
+    },
+    /served a key that was taken away/,
+  ],
+  [
+    'a key that is served within its bound',
+    {
+      revocations: [{ apiKey: 'key', atMs: 1000 }],
+      calls: [SUBMIT, SHOWN, call({ sentAtMs: 5999, state: 'complete', endedAtMs: 6002 })],
+    },
+    undefined,
+  ],
+  ['a valid key that is refused', { calls: [SUBMIT, SHOWN, call({ status: 401 })] }, /valid key/],
+  ['a call cut off in a planned stop', { calls: [SUBMIT, SHOWN, CUT] }, /cut off GET aa/],
+  [
+    'a call cut off by a fault',
+    {
+      calls: [SUBMIT, SHOWN, CUT],
+      disturbances: [{ entry: 'edge-0', fromMs: 500, untilMs: 700 }],
+    },
+    undefined,
+  ],
+  ['a process that ends by itself', { failures: ['edge-0 ended by itself: 1'] }, /by itself/],
+];
+
+test.describe('the promises of a soak', () => {
+  for (const [name, changes, expected] of CASES) {
+    test.it(name, () => {
+      const broken = promises.findBroken({ ...SOUND, ...changes });
+      if (expected === undefined) assert.deepEqual(broken, []);
+      else assert.match(broken.join('\n'), expected);
+    });
+  }
+});
--- a/src/standins/memoryPoolWorker.ts
+++ b/src/standins/memoryPoolWorker.ts
@@ -28,6 +28,8 @@
   readonly startedAtMs: number;
   endedAtMs: number | undefined;
   how: poolWorker.EndKind | 'crashed' | undefined;
+  /** The worker was told that its end is stored, and forgot it. */
+  isAcknowledged: boolean;
 }
 
 /** What tests see and do besides the contract. */
@@ -38,6 +40,8 @@
   readonly info: () => poolWorker.WorkerInfo;
   /** Ends up to this one have been acknowledged in the present life, and are forgotten. */
   readonly acknowledgedUpTo: () => number;
+  /** Says that it leaves; it goes on with what it has. */
+  readonly drain: (remainingMs: number) => void;
   /** Ends everything at once and begins a new life, under the same or another id. */
   readonly crash: (workerId?: string) => void;
   readonly dispose: () => void;
@@ -55,6 +59,11 @@
   readonly gangMs: number;
 }
 
+interface EndedRecord {
+  readonly listed: poolWorker.EndedRun;
+  readonly record: RecordedRun;
+}
+
 interface LiveRun {
   readonly record: RecordedRun;
   timer: disposable.Disposable | undefined;
@@ -103,7 +112,7 @@
   let bornAtMs = time.monotonicMs();
   let live = new Map<string, LiveRun>();
   let refusedUpTo = new Map<string, number>();
-  let ended: poolWorker.EndedRun[] = [];
+  let ended: EndedRecord[] = [];
   let sequence = 0;
   let fence = 0;
   let acknowledgedUpTo = 0;
@@ -125,7 +134,8 @@
     live.delete(record.task);
     refusedUpTo.set(record.task, Math.max(record.run, refusedUpTo.get(record.task) ?? 0));
     sequence += 1;
-    ended.push({ sequence, task: record.task, run: record.run, how, saved: '' });
+    const { task, run } = record;
+    ended.push({ listed: { sequence, task, run, how, saved: '' }, record });
     board.members.get(gangKeyOf(record))?.delete(it);
     wakeAll();
   };
@@ -187,6 +197,7 @@
       startedAtMs: time.monotonicMs(),
       endedAtMs: undefined,
       how: undefined,
+      isAcknowledged: false,
     };
     runs.push(record);
     const it: LiveRun = { record, timer: undefined };
@@ -239,7 +250,9 @@
     if (request.fence < fence) return { outcome: 'refused', reason: 'fence' };
     fence = request.fence;
     acknowledgedUpTo = Math.max(acknowledgedUpTo, request.seenUpTo);
-    ended = ended.filter((it) => it.sequence > request.seenUpTo);
+    const isForgotten = (it: EndedRecord): boolean => it.listed.sequence <= request.seenUpTo;
+    for (const it of ended.filter(isForgotten)) it.record.isAcknowledged = true;
+    ended = ended.filter((it) => !isForgotten(it));
     if (request.leaseUntilMs > 0) {
       const cappedMs = Math.min(request.leaseUntilMs, clockMs() + options.maxLeaseMs);
       leaseUntilMs = Math.max(leaseUntilMs, cappedMs);
@@ -262,7 +275,12 @@
     const { incarnationMs } = info;
     return {
       outcome: 'view',
-      view: { incarnationMs, clockMs: clockMs(), running, ended: [...ended] },
+      view: {
+        incarnationMs,
+        clockMs: clockMs(),
+        running,
+        ended: ended.map(({ listed }) => listed),
+      },
     };
   };
 
@@ -277,6 +295,9 @@
     runs,
     info: () => info,
     acknowledgedUpTo: () => acknowledgedUpTo,
+    drain: (remainingMs) => {
+      info = { ...info, state: 'draining', remainingMs };
+    },
     crash: (workerId = info.workerId) => {
       for (const it of live.values()) {
         void it.timer?.dispose();
@@ -293,7 +314,8 @@
       acknowledgedUpTo = 0;
       leaseUntilMs = 0;
       bornAtMs = time.monotonicMs();
-      info = { ...info, workerId, incarnationMs: info.incarnationMs + 1 + Math.floor(bornAtMs) };
+      const incarnationMs = info.incarnationMs + 1 + Math.floor(bornAtMs);
+      info = { ...options.info, workerId, incarnationMs };
       keys.forEach((key) => board.workers.forEach((tell) => tell(key, 'broken')));
       wakeAll();
     },
--- a/tools/houseRules.js
+++ b/tools/houseRules.js
@@ -15,6 +15,7 @@
   'standins',
   'programs',
   'dev',
+  'soak',
   'bench',
   'cli',
   'bin',
