Begin again elsewhere what a worker holds up, and refuse late orders in every new life

Cause 1: two of eleven workers turn slow for some seconds; what runs there is late, and their free room draws the next tasks. Change: the pace of a run against its declared work (runPace); runs that would be late where they are and in time elsewhere are begun again on a sound worker with room to spare (heldUpRuns); slow workers are suspected. A new life got a higher fence only where runs were left. Now always; the test fails first.

--- a/src/bench/saturation/baselines.ts
+++ b/src/bench/saturation/baselines.ts
@@ -23,7 +23,7 @@
       starts.push(placement);
     }
   }
-  return { starts, evictions: new Map(), waits };
+  return { starts, evictions: new Map(), waits, moves: [] };
 };
 
 const arrivalOf = (unit: planTypes.PlanUnit): number => unit.unit.entry.job.acceptedAtMs;
--- /dev/null
+++ b/src/coordination/common/pool/heldUpRuns.ts
@@ -0,0 +1,140 @@
+/**
+ * Which running groups are better begun again elsewhere: those that a worker holds up, and whose callers
+ * still gain by it.
+ */
+import * as jobBook from './jobBook.js';
+import * as jobChain from './jobChain.js';
+import * as jobOutcome from './jobOutcome.js';
+import * as runPace from './runPace.js';
+import * as workerTable from './workerTable.js';
+
+/** A group that is held up. */
+export interface HeldUpGroup {
+  readonly groupKey: string;
+  readonly unit: jobBook.ReadyUnit;
+  /** Workers that have it now. */
+  readonly workerIds: ReadonlySet<string>;
+}
+
+/** To stop a run, store the next start and send it. */
+const MOVE_MS = 700;
+
+/** Workers that turn slow or stand still are mostly as before after about as long again. */
+const OUTLAST_MS = 5000;
+
+/** Moving must win this much against waiting: what is declared is off by about as much. */
+const MIN_GAIN = 1.3;
+
+/** A task is moved for this at most so often; after that its slowness is taken to be its own. */
+export const MAX_MOVES = 2;
+
+const estimateLeftMs = ({ step, percent }: workerTable.RunHolding): number =>
+  (step.estimatedMs * (100 - percent)) / 100;
+
+/** Time to its end where it is left alone. */
+const waitMsOf = (run: workerTable.RunHolding): number => {
+  const leftMs = estimateLeftMs(run);
+  const outlastedMs = OUTLAST_MS + leftMs;
+  const { speed = 1 } = run.pace;
+  return speed > 0 ? Math.min(outlastedMs, leftMs / speed) : outlastedMs;
+};
+
+/** Time to its end where it is begun again elsewhere. */
+const moveMsOf = (run: workerTable.RunHolding): number =>
+  MOVE_MS + (run.step.isCheckpointing ? estimateLeftMs(run) : run.step.estimatedMs);
+
+/** Declared work of the job that comes after the step. */
+const chainAfterMs = ({ entry, step }: workerTable.RunHolding): number =>
+  Math.max(0, jobChain.longestChainMs(entry.job) - step.estimatedMs);
+
+const isWorthMoving = (members: readonly workerTable.RunHolding[], wallMs: number): boolean => {
+  const [first] = members;
+  if (first === undefined || first.step.isLongRunning) return false;
+  const { job } = first.entry;
+  const endMs = jobOutcome.countedFromMs(job, first.task.occurrence) + jobChain.objectiveMs(job);
+  const slackMs = endMs - wallMs - chainAfterMs(first);
+  const waitMs = Math.max(...members.map(waitMsOf));
+  const moveMs = Math.max(...members.map(moveMsOf));
+  return waitMs > slackMs && moveMs <= slackMs && moveMs * MIN_GAIN < waitMs;
+};
+
+/** Away from its data a run takes a multiple of its time wherever it is not held up. */
+const isAway = (worker: workerTable.WorkerEntry, { step }: workerTable.RunHolding): boolean =>
+  step.preferredRack !== undefined && step.preferredRack !== worker.info?.rack;
+
+/** A gang gets on as its slowest member does: only one that is wholly on a worker speaks of it. */
+const isWhollyThere = (worker: workerTable.WorkerEntry, run: workerTable.RunHolding): boolean => {
+  const size = jobBook.groupOf(run.entry, run.task).length;
+  const here = [...worker.runs.values()].filter((it) => it.groupKey === run.groupKey);
+  return here.length === size;
+};
+
+/** Jobs that have to be held up before a worker is taken to be slow, where none is held up badly. */
+const JOBS_THAT_TELL = 2;
+
+/**
+ * @param worker - a worker with its runs
+ * @returns whether it holds up what it runs
+ */
+export const isSlow = (worker: workerTable.WorkerEntry): boolean => {
+  const telling = [...worker.runs.values()].filter(
+    (run) =>
+      run.phase === workerTable.RunPhase.present &&
+      runPace.isHeldUp(run.pace) &&
+      !isAway(worker, run) &&
+      isWhollyThere(worker, run),
+  );
+  const jobs = new Set(telling.map((run) => run.entry.job.jobId));
+  return jobs.size >= JOBS_THAT_TELL || telling.some((run) => runPace.isVeryHeldUp(run.pace));
+};
+
+const canBeMoved = (run: workerTable.RunHolding): boolean =>
+  run.phase === workerTable.RunPhase.present && run.task.moves < MAX_MOVES;
+
+/** Members of one group with the workers that have them. */
+interface Placed {
+  readonly worker: workerTable.WorkerEntry;
+  readonly run: workerTable.RunHolding;
+}
+
+/** A gang that spans racks though it should not takes a multiple of its time as well. */
+const isSpread = (members: readonly Placed[]): boolean =>
+  members.some(({ run }) => run.step.isSameRack) &&
+  new Set(members.map(({ worker }) => worker.info?.rack)).size > 1;
+
+const isHeldUp = (members: readonly Placed[]): boolean =>
+  members.some(({ run }) => runPace.isHeldUp(run.pace)) &&
+  !members.some(({ worker, run }) => isAway(worker, run)) &&
+  !isSpread(members);
+
+const groupRuns = (workers: Iterable<workerTable.WorkerEntry>): Map<string, Placed[]> => {
+  const groups = new Map<string, Placed[]>();
+  for (const worker of workers) {
+    for (const run of worker.runs.values()) {
+      const members = groups.get(run.groupKey);
+      if (members === undefined) groups.set(run.groupKey, [{ worker, run }]);
+      else members.push({ worker, run });
+    }
+  }
+  return groups;
+};
+
+/**
+ * @param workers - workers with their runs
+ * @param wallMs - Unix milliseconds now
+ * @returns groups that would be late where they are, and in time elsewhere
+ */
+export const findHeldUp = (
+  workers: Iterable<workerTable.WorkerEntry>,
+  wallMs: number,
+): HeldUpGroup[] =>
+  [...groupRuns(workers)].flatMap(([groupKey, members]) => {
+    const runs = members.map(({ run }) => run);
+    const [first] = runs;
+    if (first === undefined || !isHeldUp(members) || !runs.every(canBeMoved)) return [];
+    const { entry, step, task } = first;
+    const tasks = jobBook.groupOf(entry, task);
+    if (tasks.length !== runs.length || !isWorthMoving(runs, wallMs)) return [];
+    const unit = { entry, step, stepIndex: task.step, occurrence: task.occurrence, tasks };
+    return [{ groupKey, unit, workerIds: new Set(tasks.map((it) => it.workerId)) }];
+  });
--- a/src/coordination/common/pool/jobBook.ts
+++ b/src/coordination/common/pool/jobBook.ts
@@ -23,8 +23,10 @@
   refusals: number;
   /** Leader's clock before which it is not started again. */
   notBeforeMs: number;
-  /** Workers on which it failed or stood still; the next run goes elsewhere where it can. */
+  /** Workers on which it failed, stood still or was held up; the next run goes elsewhere where it can. */
   avoid: string[];
+  /** How often it was begun again elsewhere because a worker held it up. */
+  moves: number;
 }
 
 /** One job with its tasks; occurrences of a schedule are added as they fall due. */
@@ -68,6 +70,7 @@
   refusals: 0,
   notBeforeMs: 0,
   avoid: [],
+  moves: 0,
 });
 
 const newOccurrence = (job: poolJob.PoolJob, occurrence: number): TaskEntry[][] =>
@@ -216,6 +219,18 @@
   task.refusals += 1;
 };
 
+/**
+ * Notes that tasks are begun again elsewhere because a worker holds them up.
+ *
+ * @param tasks - a gang, or one task
+ */
+export const noteMove = (tasks: readonly TaskEntry[]): void => {
+  for (const task of tasks) {
+    task.moves += 1;
+    task.avoid.push(task.workerId);
+  }
+};
+
 /**
  * @param entry - a job
  * @returns what of it may start now, were there room
--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -35,6 +35,8 @@
   readonly nowMs: number;
   readonly workers: readonly planTypes.PlanWorker[];
   readonly units: readonly planTypes.PlanUnit[];
+  /** Running groups that would be late where they are, and in time elsewhere. */
+  readonly heldUp: readonly planTypes.HeldUpUnit[];
   readonly guarantees: planTypes.Guarantees;
 }
 
@@ -193,5 +195,17 @@
       waits.push({ unit, reason: future === undefined ? 'no room' : 'room is kept for it' });
     }
   }
-  return { starts, evictions, waits };
+  // After everything that waits: a move costs what its run has done, so it takes only room to spare.
+  const moves: planTypes.PlanUnit[] = [];
+  for (const { unit, workerIds } of input.heldUp) {
+    const elsewhere = input.workers.filter((it) => !workerIds.has(it.workerId));
+    const groups = gangPlacement.candidateGroups(elsewhere, unit);
+    const placement = gangPlacement.placeNow(groups, unit);
+    const isSound = placement?.workers.every((it) => !it.isSuspect) === true;
+    if (placement !== undefined && isSound) {
+      gangPlacement.takeRoom(placement);
+      moves.push(unit);
+    }
+  }
+  return { starts, evictions, waits, moves };
 };
--- a/src/coordination/common/pool/planTypes.ts
+++ b/src/coordination/common/pool/planTypes.ts
@@ -79,12 +79,21 @@
   readonly reason: string;
 }
 
+/** A running group that is held up, as it would be started elsewhere. */
+export interface HeldUpUnit {
+  readonly unit: PlanUnit;
+  /** Workers that have it now. */
+  readonly workerIds: ReadonlySet<string>;
+}
+
 /** What a round decided. */
 export interface RoundPlan {
   readonly starts: readonly Placement[];
   /** Group keys of what is stopped so that a guarantee can be honoured, with its beneficiary. */
   readonly evictions: ReadonlyMap<string, PlanUnit>;
   readonly waits: readonly Wait[];
+  /** What is stopped to be begun again on a worker that does not hold it up. */
+  readonly moves: readonly PlanUnit[];
 }
 
 /** Accelerators that belong to each customer's jobs of priority 0. */
--- a/src/coordination/common/pool/readyQueue.ts
+++ b/src/coordination/common/pool/readyQueue.ts
@@ -21,6 +21,17 @@
     nowMs: number,
     wallMs: number,
   ) => planTypes.PlanUnit[];
+  /**
+   * @param unit - what runs
+   * @param nowMs - the leader's clock
+   * @param wallMs - Unix milliseconds now
+   * @returns the unit as it would be planned, were it to start again now
+   */
+  readonly toPlanUnit: (
+    unit: jobBook.ReadyUnit,
+    nowMs: number,
+    wallMs: number,
+  ) => planTypes.PlanUnit;
 }
 
 interface JobTiming {
@@ -68,6 +79,7 @@
   };
 
   return {
+    toPlanUnit: (unit, nowMs, wallMs) => toPlanUnit(unit, timingOf(unit.entry.job), nowMs, wallMs),
     units: (entries, nowMs, wallMs) => {
       const sinceMs = new Map<string, number>();
       const units: planTypes.PlanUnit[] = [];
--- /dev/null
+++ b/src/coordination/common/pool/test/heldUpRuns.test.ts
@@ -0,0 +1,182 @@
+/**
+ * Runs that a worker holds up: when that is seen, whom it speaks against, and what is begun again.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import type * as poolJob from '../../../../state/common/pool/poolJob.js';
+import * as heldUpRuns from '../heldUpRuns.js';
+import * as jobBook from '../jobBook.js';
+import * as runPace from '../runPace.js';
+import * as workerTable from '../workerTable.js';
+import * as fixtures from './poolFixtures.js';
+
+const createWorker = (index: number, rack = 'r1'): workerTable.WorkerEntry => {
+  const worker = workerTable.createWorkerEntry(`agent-${index}`, '', 1, 0, 0);
+  worker.isReachable = true;
+  worker.info = {
+    workerId: `w${index}`,
+    incarnationMs: 1,
+    service: 'service',
+    zone: 'z',
+    state: 'ready',
+    capacity: { cpuMillicores: 64_000, memoryMb: 64_000, accelerators: 8 },
+    labels: [],
+    rack,
+  };
+  return worker;
+};
+
+/** Starts a job's first step, one task a worker in turn, and lets it get on at a speed. */
+const startJob = (
+  workers: readonly workerTable.WorkerEntry[],
+  step: Partial<poolJob.Step>,
+  speed: number,
+  jobId = 'job',
+): void => {
+  const entry = jobBook.createEntry(fixtures.makeJob([step], { jobId, acceptedAtMs: 0 }), 0);
+  const tasks = jobBook.tasksOf(entry);
+  const homes = tasks.map((_, index) => workers[index % workers.length] as workerTable.WorkerEntry);
+  jobBook.assign(
+    entry,
+    tasks.map((task, index) => ({
+      task,
+      workerId: homes[index]?.info?.workerId ?? '',
+      incarnationMs: 1,
+      agentId: homes[index]?.agentId ?? '',
+    })),
+  );
+  tasks.forEach((task, index) => {
+    const run = workerTable.createRun(entry, task, workerTable.RunPhase.present, 0);
+    const percent = (100 * 1000 * speed) / run.step.estimatedMs;
+    runPace.noteProgress(run.pace, 0, 0, run.step.estimatedMs);
+    runPace.noteProgress(run.pace, 1000, percent, run.step.estimatedMs);
+    run.percent = percent;
+    homes[index]?.runs.set(workerTable.runKey(run.name, run.run), run);
+  });
+};
+
+interface Case {
+  readonly name: string;
+  readonly step: Partial<poolJob.Step>;
+  readonly speed: number;
+  readonly racks?: readonly string[];
+  readonly nowMs?: number;
+  /** Whether the first worker is taken to be slow. */
+  readonly isSlow: boolean;
+  /** Whether the job's group is to be begun again elsewhere. */
+  readonly isMoved: boolean;
+}
+
+/** In time within 3 × 4 s + 1 s. */
+const FOUR_SECONDS = { estimatedMs: 4000 };
+
+const CASES: readonly Case[] = [
+  { name: 'as declared', step: FOUR_SECONDS, speed: 1, isSlow: false, isMoved: false },
+  {
+    name: 'twice as long as declared',
+    step: FOUR_SECONDS,
+    speed: 0.5,
+    nowMs: 8000,
+    isSlow: false,
+    isMoved: false,
+  },
+  {
+    // A worker turns slow under a task that has just the time left to be done again elsewhere.
+    name: 'eight times as long, with just the time left',
+    step: FOUR_SECONDS,
+    speed: 0.125,
+    nowMs: 8000,
+    isSlow: true,
+    isMoved: true,
+  },
+  {
+    name: 'eight times as long, with time to wait',
+    step: FOUR_SECONDS,
+    speed: 0.125,
+    nowMs: 1000,
+    isSlow: true,
+    isMoved: false,
+  },
+  {
+    name: 'eight times as long, and late wherever it goes',
+    step: FOUR_SECONDS,
+    speed: 0.125,
+    nowMs: 10_000,
+    isSlow: true,
+    isMoved: false,
+  },
+  {
+    name: 'a third of the speed, away from its data',
+    step: { ...FOUR_SECONDS, preferredRack: 'r2' },
+    speed: 0.33,
+    nowMs: 8000,
+    isSlow: false,
+    isMoved: false,
+  },
+  {
+    name: 'a third of the speed, a gang over two racks',
+    step: { ...FOUR_SECONDS, count: 2, isGang: true, isSameRack: true },
+    speed: 0.33,
+    racks: ['r1', 'r2'],
+    nowMs: 8000,
+    isSlow: false,
+    isMoved: false,
+  },
+  {
+    // One of its workers holds up a whole gang; which one, the gang does not tell.
+    name: 'a gang over two workers, with just the time left',
+    step: { ...FOUR_SECONDS, count: 2, isGang: true },
+    speed: 0,
+    racks: ['r1', 'r1'],
+    nowMs: 8000,
+    isSlow: false,
+    isMoved: true,
+  },
+  {
+    name: 'a task that lasts',
+    step: { ...FOUR_SECONDS, isLongRunning: true },
+    speed: 0,
+    nowMs: 8000,
+    isSlow: true,
+    isMoved: false,
+  },
+];
+
+test.describe('a run that gets on', () => {
+  for (const it of CASES) {
+    test.it(it.name, () => {
+      const workers = (it.racks ?? ['r1']).map((rack, index) => createWorker(index, rack));
+      startJob(workers, it.step, it.speed);
+      const [first] = workers;
+      assert.ok(first);
+      assert.equal(heldUpRuns.isSlow(first), it.isSlow);
+      const moved = heldUpRuns.findHeldUp(workers, it.nowMs ?? 0);
+      assert.equal(moved.length, it.isMoved ? 1 : 0);
+    });
+  }
+
+  test.it('two jobs that are held up a little speak against their worker, one does not', () => {
+    const worker = createWorker(0);
+    startJob([worker], FOUR_SECONDS, 0.3, 'a');
+    assert.equal(heldUpRuns.isSlow(worker), false);
+    startJob([worker], FOUR_SECONDS, 0.3, 'b');
+    assert.equal(heldUpRuns.isSlow(worker), true);
+  });
+
+  test.it('is moved twice at most', () => {
+    const worker = createWorker(0);
+    startJob([worker], FOUR_SECONDS, 0);
+    for (const run of worker.runs.values()) run.task.moves = heldUpRuns.MAX_MOVES;
+    assert.deepEqual(heldUpRuns.findHeldUp([worker], 8000), []);
+  });
+
+  test.it('is judged by spans that tell, not by lists that come close together', () => {
+    const pace = runPace.createRunPace();
+    runPace.noteProgress(pace, 0, 0, 10_000);
+    runPace.noteProgress(pace, 100, 0, 10_000);
+    assert.equal(pace.speed, undefined);
+    runPace.noteProgress(pace, 1000, 10, 10_000);
+    assert.equal(pace.speed, 1);
+  });
+});
--- a/src/coordination/common/pool/test/planRound.test.ts
+++ b/src/coordination/common/pool/test/planRound.test.ts
@@ -23,6 +23,9 @@
   /** Group keys that start, each with its workers. */
   readonly starts: Readonly<Record<string, readonly string[]>>;
   readonly evictions?: readonly string[];
+  /** Jobs whose first unit runs and is held up, with the workers that have it. */
+  readonly heldUp?: readonly { readonly job: poolJob.PoolJob; readonly on: readonly string[] }[];
+  readonly moves?: readonly string[];
 }
 
 const guaranteed8: planTypes.Guarantees = new Map([['customer', 8]]);
@@ -128,6 +131,45 @@
     ],
     starts: { 'small.0.0.0': ['w1'] },
   },
+  {
+    name: 'what is held up is begun again where a sound worker has room to spare',
+    workers: () => [fixtures.makeWorker('w1'), fixtures.makeWorker('w2')],
+    jobs: [],
+    heldUp: [{ job: fixtures.makeJob([needing(8)], { jobId: 'slow' }), on: ['w1'] }],
+    starts: {},
+    moves: ['slow.0.0.0'],
+  },
+  {
+    // Moved with no room elsewhere a run loses what it has done, and waits besides.
+    name: 'it stays where nobody else has room',
+    workers: () => [
+      fixtures.makeWorker('w1'),
+      fixtures.makeWorker('w2', { holdings: [fixtures.makeHolding('a', 4)] }),
+    ],
+    jobs: [],
+    heldUp: [{ job: fixtures.makeJob([needing(8)], { jobId: 'slow' }), on: ['w1'] }],
+    starts: {},
+    moves: [],
+  },
+  {
+    name: 'it stays where what waits takes the room',
+    workers: () => [
+      fixtures.makeWorker('w1', { holdings: [fixtures.makeHolding('slow', 8)] }),
+      fixtures.makeWorker('w2'),
+    ],
+    jobs: [fixtures.makeJob([needing(8)], { jobId: 'waits' })],
+    heldUp: [{ job: fixtures.makeJob([needing(8)], { jobId: 'slow' }), on: ['w1'] }],
+    starts: { 'waits.0.0.0': ['w2'] },
+    moves: [],
+  },
+  {
+    name: 'it is not moved to a worker that is suspected',
+    workers: () => [fixtures.makeWorker('w1'), fixtures.makeWorker('w2', { isSuspect: true })],
+    jobs: [],
+    heldUp: [{ job: fixtures.makeJob([needing(8)], { jobId: 'slow' }), on: ['w1'] }],
+    starts: {},
+    moves: [],
+  },
   {
     name: 'a required label is kept to',
     workers: () => [fixtures.makeWorker('w1'), fixtures.makeWorker('w2', { labels: ['b'] })],
@@ -149,6 +191,9 @@
         nowMs: it.waitedMs ?? 0,
         workers: it.workers(),
         units: fixtures.makeUnits(it.jobs, it.waitedMs),
+        heldUp: (it.heldUp ?? []).flatMap(({ job, on }) =>
+          fixtures.makeUnits([job]).map((unit) => ({ unit, workerIds: new Set(on) })),
+        ),
         guarantees: it.guarantees ?? new Map(),
       });
       const starts = Object.fromEntries(
@@ -159,6 +204,10 @@
       );
       assert.deepEqual(starts, it.starts);
       assert.deepEqual([...plan.evictions.keys()], it.evictions ?? []);
+      assert.deepEqual(
+        plan.moves.map((unit) => unit.groupKey),
+        it.moves ?? [],
+      );
     });
   }
 });
--- a/src/coordination/common/pool/viewIntake.ts
+++ b/src/coordination/common/pool/viewIntake.ts
@@ -3,6 +3,7 @@
  * leader acts on them.
  */
 import type * as poolWorker from '../../../state/common/pool/poolWorker.js';
+import * as runPace from './runPace.js';
 import * as workerTable from './workerTable.js';
 
 /** A worker's list with the circumstances under which it was made. */
@@ -29,6 +30,7 @@
 const noteRunning = (
   run: workerTable.RunHolding,
   listed: poolWorker.RunningTask,
+  clockMs: number,
   nowMs: number,
 ): boolean => {
   if (run.phase === workerTable.RunPhase.ordering || run.phase === workerTable.RunPhase.closing) {
@@ -36,6 +38,7 @@
   }
   if (listed.percent > run.percent) run.movedAtMs = nowMs;
   run.percent = listed.percent;
+  runPace.noteProgress(run.pace, clockMs, listed.percent, run.step.estimatedMs);
   if (listed.saved === '' || listed.saved === run.saved) return false;
   run.saved = listed.saved;
   return true;
@@ -72,7 +75,7 @@
     listed.add(key);
     const run = worker.runs.get(key);
     if (run === undefined) strays.push(running);
-    else if (noteRunning(run, running, nowMs)) saved.push(run);
+    else if (noteRunning(run, running, view.clockMs, nowMs)) saved.push(run);
   }
   const gone: workerTable.RunHolding[] = [];
   const vanished: workerTable.RunHolding[] = [];
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -7,6 +7,7 @@
 import type * as jobBook from './jobBook.js';
 import type * as leaseClock from './leaseClock.js';
 import type * as planTypes from './planTypes.js';
+import * as runPace from './runPace.js';
 import * as workerBlame from './workerBlame.js';
 
 /** Where a run is between its order and its listed end. */
@@ -46,6 +47,8 @@
   saved: string;
   /** Leader's clock when {@link percent} last rose. */
   movedAtMs: number;
+  /** How fast it gets on. */
+  readonly pace: runPace.RunPace;
   /** Leader's clock of the last stop order. */
   stopSentAtMs: number;
 }
@@ -169,6 +172,7 @@
     percent: 0,
     saved: task.saved,
     movedAtMs: nowMs,
+    pace: runPace.createRunPace(),
     stopSentAtMs: 0,
   };
 };
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -7,6 +7,7 @@
 import type * as metrics from '../../../base/common/metrics.js';
 import type * as poolConfiguration from '../../../state/common/pool/poolConfiguration.js';
 import * as gangPlacement from '../../common/pool/gangPlacement.js';
+import * as heldUpRuns from '../../common/pool/heldUpRuns.js';
 import * as jobBook from '../../common/pool/jobBook.js';
 import type * as jobRegistry from '../../common/pool/jobRegistry.js';
 import * as planRound from '../../common/pool/planRound.js';
@@ -130,14 +131,12 @@
   const evict = (groupKey: string, beneficiary: planTypes.PlanUnit): void => {
     const victim = registry.get(groupKey.split('.')[0] ?? '');
     if (victim !== undefined) victim.preemptions += 1;
-    for (const worker of workers.values()) {
-      for (const run of worker.runs.values()) {
-        const isVictim = run.groupKey === groupKey && run.phase === workerTable.RunPhase.present;
-        if (isVictim) {
-          options.control().stopRun(worker, run, `reclaimedFor ${beneficiary.groupKey}`);
-        }
-      }
-    }
+    options.control().stopGroup(groupKey, `reclaimedFor ${beneficiary.groupKey}`);
+  };
+
+  const move = ({ unit, groupKey }: planTypes.PlanUnit): void => {
+    jobBook.noteMove(unit.tasks);
+    options.control().stopGroup(groupKey, 'heldUp');
   };
 
   const noteWait = ({ unit, reason }: planTypes.Wait): void => {
@@ -186,7 +185,8 @@
     const wallMs = time.wallMs();
     addDueOccurrences(wallMs);
     const units = queue.units(registry.all(), startedAtMs, wallMs);
-    if (units.length === 0) return;
+    const heldUp = heldUpRuns.findHeldUp(workers.values(), wallMs);
+    if (units.length === 0 && heldUp.length === 0) return;
     const planWorkers = [...workers.values()]
       .map((it) => workerTable.toPlanWorker(it, startedAtMs))
       .filter((it) => it !== undefined);
@@ -194,11 +194,16 @@
       nowMs: startedAtMs,
       workers: planWorkers,
       units: withTickets(units, planWorkers),
+      heldUp: heldUp.map(({ unit, workerIds }) => ({
+        unit: queue.toPlanUnit(unit, startedAtMs, wallMs),
+        workerIds,
+      })),
       guarantees: guarantees(),
     });
     metrics.time('auburnlift_plan_round_ms', nowMs() - startedAtMs);
     round.starts.forEach(begin);
     round.evictions.forEach((unit, groupKey) => evict(groupKey, unit));
+    round.moves.forEach(move);
     round.waits.forEach(noteWait);
   };
 
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -62,6 +62,8 @@
     run: workerTable.RunHolding,
     cause: string,
   ) => void;
+  /** Stops what runs of a group. */
+  readonly stopGroup: (groupKey: string, cause: string) => void;
   /** Stops what is left of a job that has ended, and of gangs that lost a member. */
   readonly stopUnwanted: (entry: jobBook.JobEntry, cause: string) => void;
   /** Ends a run of which nothing is left to wait for. */
@@ -114,6 +116,15 @@
     options.desk().stop(worker, run);
   };
 
+  const stopGroup = (groupKey: string, cause: string): void => {
+    for (const worker of options.workers.values()) {
+      for (const run of worker.runs.values()) {
+        const isMember = run.groupKey === groupKey && run.phase === workerTable.RunPhase.present;
+        if (isMember) stopRun(worker, run, cause);
+      }
+    }
+  };
+
   const stopUnwanted = (entry: jobBook.JobEntry, cause: string): void => {
     for (const worker of options.workers.values()) {
       for (const run of worker.runs.values()) {
@@ -253,8 +264,9 @@
     worker.leasesLapseAtMs = 0;
     worker.leavesAtMs = Infinity;
     worker.blame = workerBlame.createWorkerBlame();
-    // The former life ended with all it ran, but an order to it may still reach the new one.
-    if (worker.runs.size > 0) worker.fence += 1;
+    // The former life ended with all it ran, but an order to it may still reach the new one, also one
+    // whose second copy was carried out long ago.
+    worker.fence += 1;
     for (const run of worker.runs.values()) {
       run.phase = workerTable.RunPhase.closing;
       run.closeFence = worker.fence;
@@ -392,12 +404,14 @@
     workers: options.workers,
     isWanted,
     stopRun,
+    stopGroup,
   });
 
   return {
     isWanted,
     inspect,
     stopRun,
+    stopGroup,
     stopUnwanted,
     noteLost,
     takeNews,
--- a/src/coordination/node/pool/runInspection.ts
+++ b/src/coordination/node/pool/runInspection.ts
@@ -2,6 +2,7 @@
  * Looks at runs that would end with their worker or stand still.
  */
 import type * as clock from '../../../base/common/clock.js';
+import * as heldUpRuns from '../../common/pool/heldUpRuns.js';
 import * as workerBlame from '../../common/pool/workerBlame.js';
 import * as workerTable from '../../common/pool/workerTable.js';
 
@@ -15,6 +16,8 @@
     run: workerTable.RunHolding,
     cause: string,
   ) => void;
+  /** Stops what runs of a group. */
+  readonly stopGroup: (groupKey: string, cause: string) => void;
 }
 
 /** Looks at runs. */
@@ -45,23 +48,12 @@
 export const createRunInspection = (options: RunInspectionOptions): RunInspection => {
   const nowMs = (): number => options.clock.monotonicMs();
 
-  const stopGroup = (run: workerTable.RunHolding, cause: string): void => {
-    for (const worker of options.workers.values()) {
-      for (const it of worker.runs.values()) {
-        const isMember = it.groupKey === run.groupKey && it.run === run.run;
-        if (isMember && it.phase === workerTable.RunPhase.present) {
-          options.stopRun(worker, it, cause);
-        }
-      }
-    }
-  };
-
   const inspectRun = (worker: workerTable.WorkerEntry, run: workerTable.RunHolding): void => {
     if (run.phase !== workerTable.RunPhase.present || !options.isWanted(run)) return;
     const { estimatedMs, isLongRunning } = run.step;
     if (nowMs() + workerTable.remainingMsOf(run, nowMs()) > worker.leavesAtMs - EVACUATION_MS) {
       // It would end with its worker; stopped now it can go on elsewhere, and from a checkpoint.
-      stopGroup(run, 'workerLeaves');
+      options.stopGroup(run.groupKey, 'workerLeaves');
       return;
     }
     if (isLongRunning) return;
@@ -71,7 +63,7 @@
     }
     if (stillMs > STALL.moveMs + STALL.moveShare * estimatedMs) {
       run.task.avoid.push(worker.info?.workerId ?? '');
-      stopGroup(run, 'standsStill');
+      options.stopGroup(run.groupKey, 'standsStill');
     }
   };
 
@@ -79,6 +71,7 @@
     inspect: () => {
       for (const worker of options.workers.values()) {
         if (worker.isReachable) {
+          if (heldUpRuns.isSlow(worker)) workerBlame.noteStall(worker.blame, nowMs());
           for (const run of [...worker.runs.values()]) inspectRun(worker, run);
         }
       }
--- a/src/soak/lineProxy.ts
+++ b/src/soak/lineProxy.ts
@@ -38,6 +38,15 @@
 /** Longer than a process waits between two renewals of a leadership, shorter than any time-out. */
 const DELAY_MS = 180;
 
+/**
+ * A socket that is closing can't be reset any more: its handle would stay open for good, and with it the
+ * process of the soak.
+ */
+const resetSocket = (socket: net.Socket): void => {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+};
+
 interface Flow {
   readonly from: net.Socket;
   readonly to: net.Socket;
@@ -83,13 +92,13 @@
     from.on('end', () => pass(() => to.end()));
     // A partition hides the end of a connection as well; its other side finds out by a time-out.
     from.on('close', () => pass(() => to.destroySoon()));
-    from.on('error', () => pass(() => to.resetAndDestroy()));
+    from.on('error', () => pass(() => resetSocket(to)));
   };
 
   const server = net.createServer({ allowHalfOpen: true }, (caller) => {
     if (fault === LineFault.refuse) {
       caller.on('error', () => undefined);
-      caller.resetAndDestroy();
+      resetSocket(caller);
       return;
     }
     const target = net.connect({ port: targetPort, host: '127.0.0.1', allowHalfOpen: true });
@@ -109,7 +118,7 @@
   });
 
   const reset = (): void => {
-    for (const { sockets } of connections) sockets.forEach((it) => it.resetAndDestroy());
+    for (const { sockets } of connections) sockets.forEach(resetSocket);
   };
   return {
     port: (server.address() as net.AddressInfo).port,
--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -6,11 +6,11 @@
 import * as clock from '../base/common/clock.js';
 import * as random from '../base/common/random.js';
 import * as systemClock from '../base/node/systemClock.js';
+import * as portBlock from '../standins/test/portBlock.js';
 import * as poolWorker from '../state/common/pool/poolWorker.js';
 import * as callers from './callers.js';
 import type * as evidence from './evidence.js';
 import * as faults from './faults.js';
-import * as portBlock from './portBlock.js';
 import * as promises from './promises.js';
 import * as soakSite from './soakSite.js';
 
--- a/src/standins/memoryPoolWorker.ts
+++ b/src/standins/memoryPoolWorker.ts
@@ -18,6 +18,8 @@
   failsAll: boolean;
   /** Tasks stand still. */
   isStalled: boolean;
+  /** Tasks that start now take this many times as long. */
+  slowFactor: number;
 }
 
 /** One run, from its start to its end. */
@@ -106,6 +108,7 @@
     lateByMs: 3000,
     failsAll: false,
     isStalled: false,
+    slowFactor: 1,
   };
   const waiters = new Set<() => void>();
   let { info } = options;
@@ -155,7 +158,7 @@
       endWithGang(it, 'failed');
       return;
     }
-    it.timer = time.after(options.workMs(it.record.task), () => {
+    it.timer = time.after(options.workMs(it.record.task) * faults.slowFactor, () => {
       if (faults.isStalled) work(it);
       else endWithGang(it, 'done');
     });
@@ -269,7 +272,8 @@
     if (faults.isSilent) return { outcome: 'unknown', reason: 'silence' };
     const running = [...live.values()].map(({ record }) => {
       const workedMs = time.monotonicMs() - record.startedAtMs;
-      const percent = Math.min(99, Math.floor((100 * workedMs) / options.workMs(record.task)));
+      const wholeMs = options.workMs(record.task) * faults.slowFactor;
+      const percent = Math.min(99, Math.floor((100 * workedMs) / wholeMs));
       return { task: record.task, run: record.run, saved: '', percent };
     });
     const { incarnationMs } = info;
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -60,6 +60,12 @@
     'leasesLapseAtMs: formerLapseAtMs',
     'leasesLapseAtMs: 0',
   ],
+  [
+    'a new life of a worker gets a higher fence',
+    `${NODE_POOL}/runControl.js`,
+    'worker.fence += 1;\n        for (const run',
+    'for (const run',
+  ],
   [
     'a process ends the leadership of its own former life only',
     `${NODE_POOL}/poolLeadership.js`,
