Believe a queue's declared work only after what it took has been seen

Change: estimateBook remembers declared against taken time of the last 30 tasks of a queue; held up is only what belongs to a queue whose tasks nearly all took at most twice what was declared.

--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -3,6 +3,7 @@
  * planning round decide; only workers, their clocks and the callers are made up.
  */
 import * as random from '../../base/common/random.js';
+import * as estimateBook from '../../coordination/common/pool/estimateBook.js';
 import * as heldUpRuns from '../../coordination/common/pool/heldUpRuns.js';
 import * as jobBook from '../../coordination/common/pool/jobBook.js';
 import type * as planRound from '../../coordination/common/pool/planRound.js';
@@ -96,6 +97,7 @@
   const arrivalOf = new Map(arrivals.map((it) => [it.job.jobId, it]));
   const groups = new Set<Group>();
   const savedMs = new Map<string, number>();
+  const estimates = estimateBook.createEstimateBook();
   const guarantees: planTypes.Guarantees = new Map(
     Array.from({ length: mix.customers }, (_, index) => [
       `customer-${index}`,
@@ -174,7 +176,10 @@
     if (how === 'stopped' && run.step.isCheckpointing) {
       savedMs.set(run.name, group.savedMs + group.doneMs);
     }
-    const { jobId } = run.entry.job;
+    const { jobId, policy } = run.entry.job;
+    if (how === 'done' && !workerBlame.isSuspect(worker.blame, events.nowMs())) {
+      estimateBook.noteDone(estimates, policy.queue, run.step, heldMs);
+    }
     if (how === 'done') workerBlame.noteSuccess(worker.blame);
     if (how === 'failed') workerBlame.noteFailure(worker.blame, jobId, events.nowMs());
     const wallMs = events.nowMs();
@@ -286,10 +291,10 @@
     isDue = false;
     const nowMs = events.nowMs();
     for (const worker of workers) {
-      if (heldUpRuns.isSlow(worker)) workerBlame.noteStall(worker.blame, nowMs);
+      if (heldUpRuns.isSlow(worker, estimates)) workerBlame.noteStall(worker.blame, nowMs);
     }
     const units = queue.units(entries.values(), nowMs, nowMs);
-    const heldUp = heldUpRuns.findHeldUp(workers, nowMs);
+    const heldUp = heldUpRuns.findHeldUp(workers, estimates, nowMs);
     if (units.length === 0 && heldUp.length === 0) return;
     const planWorkers = workers
       .map((it) => workerTable.toPlanWorker(it, nowMs))
--- a/src/coordination/common/pool/heldUpRuns.ts
+++ b/src/coordination/common/pool/heldUpRuns.ts
@@ -2,6 +2,7 @@
  * Which running groups are better begun again elsewhere: those that a worker holds up, and whose callers
  * still gain by it.
  */
+import * as estimateBook from './estimateBook.js';
 import * as jobBook from './jobBook.js';
 import * as jobChain from './jobChain.js';
 import * as jobOutcome from './jobOutcome.js';
@@ -58,6 +59,9 @@
   return waitMs > slackMs && moveMs <= slackMs && moveMs * MIN_GAIN < waitMs;
 };
 
+const isBelieved = (book: estimateBook.EstimateBook, { entry }: workerTable.RunHolding): boolean =>
+  estimateBook.isReliable(book, entry.job.policy.queue);
+
 /** Away from its data a run takes a multiple of its time wherever it is not held up. */
 const isAway = (worker: workerTable.WorkerEntry, { step }: workerTable.RunHolding): boolean =>
   step.preferredRack !== undefined && step.preferredRack !== worker.info?.rack;
@@ -74,13 +78,18 @@
 
 /**
  * @param worker - a worker with its runs
+ * @param book - whose declared work can be believed
  * @returns whether it holds up what it runs
  */
-export const isSlow = (worker: workerTable.WorkerEntry): boolean => {
+export const isSlow = (
+  worker: workerTable.WorkerEntry,
+  book: estimateBook.EstimateBook,
+): boolean => {
   const telling = [...worker.runs.values()].filter(
     (run) =>
       run.phase === workerTable.RunPhase.present &&
       runPace.isHeldUp(run.pace) &&
+      isBelieved(book, run) &&
       !isAway(worker, run) &&
       isWhollyThere(worker, run),
   );
@@ -102,8 +111,8 @@
   members.some(({ run }) => run.step.isSameRack) &&
   new Set(members.map(({ worker }) => worker.info?.rack)).size > 1;
 
-const isHeldUp = (members: readonly Placed[]): boolean =>
-  members.some(({ run }) => runPace.isHeldUp(run.pace)) &&
+const isHeldUp = (members: readonly Placed[], book: estimateBook.EstimateBook): boolean =>
+  members.some(({ run }) => runPace.isHeldUp(run.pace) && isBelieved(book, run)) &&
   !members.some(({ worker, run }) => isAway(worker, run)) &&
   !isSpread(members);
 
@@ -121,17 +130,19 @@
 
 /**
  * @param workers - workers with their runs
+ * @param book - whose declared work can be believed
  * @param wallMs - Unix milliseconds now
  * @returns groups that would be late where they are, and in time elsewhere
  */
 export const findHeldUp = (
   workers: Iterable<workerTable.WorkerEntry>,
+  book: estimateBook.EstimateBook,
   wallMs: number,
 ): HeldUpGroup[] =>
   [...groupRuns(workers)].flatMap(([groupKey, members]) => {
     const runs = members.map(({ run }) => run);
     const [first] = runs;
-    if (first === undefined || !isHeldUp(members) || !runs.every(canBeMoved)) return [];
+    if (first === undefined || !isHeldUp(members, book) || !runs.every(canBeMoved)) return [];
     const { entry, step, task } = first;
     const tasks = jobBook.groupOf(entry, task);
     if (tasks.length !== runs.length || !isWorthMoving(runs, wallMs)) return [];
--- a/src/coordination/common/pool/viewIntake.ts
+++ b/src/coordination/common/pool/viewIntake.ts
@@ -17,6 +17,8 @@
 export interface ViewFacts {
   /** Ends not seen before, in their order. */
   readonly ends: readonly poolWorker.EndedRun[];
+  /** Runs of the leader's that ended as done, among the ends. */
+  readonly done: readonly workerTable.RunHolding[];
   /** Runs that the worker has and the leader does not know. */
   readonly strays: readonly poolWorker.RunningTask[];
   /** Runs that are certainly gone without a listed end. */
@@ -60,10 +62,14 @@
 ): ViewFacts => {
   const { view, viewFence } = numbered;
   const ends: poolWorker.EndedRun[] = [];
+  const done: workerTable.RunHolding[] = [];
   for (const end of view.ended) {
     if (end.sequence > worker.appliedUpTo) {
       ends.push(end);
-      worker.runs.delete(workerTable.runKey(end.task, end.run));
+      const key = workerTable.runKey(end.task, end.run);
+      const run = worker.runs.get(key);
+      if (run !== undefined && end.how === 'done') done.push(run);
+      worker.runs.delete(key);
       worker.appliedUpTo = end.sequence;
     }
   }
@@ -87,5 +93,5 @@
     }
   }
   gone.forEach((run) => worker.runs.delete(workerTable.runKey(run.name, run.run)));
-  return { ends, strays, gone, vanished, saved };
+  return { ends, done, strays, gone, vanished, saved };
 };
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -6,6 +6,7 @@
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
 import type * as poolConfiguration from '../../../state/common/pool/poolConfiguration.js';
+import type * as estimateBook from '../../common/pool/estimateBook.js';
 import * as gangPlacement from '../../common/pool/gangPlacement.js';
 import * as heldUpRuns from '../../common/pool/heldUpRuns.js';
 import * as jobBook from '../../common/pool/jobBook.js';
@@ -28,6 +29,8 @@
   readonly term: poolLeadership.Term;
   readonly registry: jobRegistry.JobRegistry;
   readonly workers: ReadonlyMap<string, workerTable.WorkerEntry>;
+  /** Whose declared work can be believed. */
+  readonly estimates: estimateBook.EstimateBook;
   readonly control: () => runControl.RunControl;
   readonly desk: () => orderDesk.OrderDesk;
   /** Stores a job's progress; settled once it is stored. */
@@ -185,7 +188,7 @@
     const wallMs = time.wallMs();
     addDueOccurrences(wallMs);
     const units = queue.units(registry.all(), startedAtMs, wallMs);
-    const heldUp = heldUpRuns.findHeldUp(workers.values(), wallMs);
+    const heldUp = heldUpRuns.findHeldUp(workers.values(), options.estimates, wallMs);
     if (units.length === 0 && heldUp.length === 0) return;
     const planWorkers = [...workers.values()]
       .map((it) => workerTable.toPlanWorker(it, startedAtMs))
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -12,6 +12,7 @@
 import * as progressRecord from '../../../state/common/pool/progressRecord.js';
 import type * as recordStore from '../../../state/common/pool/recordStore.js';
 import type * as store from '../../../state/common/store.js';
+import * as estimateBook from '../../common/pool/estimateBook.js';
 import * as jobBook from '../../common/pool/jobBook.js';
 import * as jobRegistry from '../../common/pool/jobRegistry.js';
 import * as leaseClock from '../../common/pool/leaseClock.js';
@@ -88,6 +89,7 @@
   const sessions = new Map<string, disposable.Disposable>();
   const listedAgents = new Set<string>();
   const savedJobs = new Set<string>();
+  const estimates = estimateBook.createEstimateBook();
   const startedAtMs = time.monotonicMs();
   const formerLapseAtMs = startedAtMs + leaseClock.formerLeasesLapseMs(options.limits.maxLeaseMs);
   let isLoaded = false;
@@ -121,6 +123,7 @@
     registry,
     workers,
     desk: () => desk,
+    estimates,
     save: writer.save,
     whenStored: writer.whenStored,
     onDidSave: (jobId) => savedJobs.add(jobId),
@@ -140,6 +143,7 @@
     term,
     registry,
     workers,
+    estimates,
     control: () => control,
     desk: () => desk,
     save: writer.save,
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -14,6 +14,7 @@
 import * as agentContract from '../../../state/common/pool/agentContract.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as endLedger from '../../common/pool/endLedger.js';
+import * as estimateBook from '../../common/pool/estimateBook.js';
 import * as jobBook from '../../common/pool/jobBook.js';
 import * as jobOutcome from '../../common/pool/jobOutcome.js';
 import type * as jobRegistry from '../../common/pool/jobRegistry.js';
@@ -32,6 +33,8 @@
   readonly registry: jobRegistry.JobRegistry;
   readonly workers: ReadonlyMap<string, workerTable.WorkerEntry>;
   readonly desk: () => orderDesk.OrderDesk;
+  /** Whose declared work can be believed; learns from what is done. */
+  readonly estimates: estimateBook.EstimateBook;
   /** Stores a job's progress; settled once it is stored. */
   readonly save: (jobId: string) => Promise<void>;
   /** Settled once nothing of a job waits to be stored any more. */
@@ -313,6 +316,11 @@
     );
   };
 
+  const learn = ({ entry, step, sinceMs }: workerTable.RunHolding): void => {
+    const { queue } = entry.job.policy;
+    estimateBook.noteDone(options.estimates, queue, step, nowMs() - sinceMs);
+  };
+
   const takeView = (
     worker: workerTable.WorkerEntry,
     news: agentContract.WorkerNews,
@@ -330,6 +338,7 @@
     };
     const facts = viewIntake.takeView(worker, { view, viewFence }, nowMs());
     facts.saved.forEach(noteSaved);
+    if (!workerBlame.isSuspect(worker.blame, nowMs())) facts.done.forEach(learn);
     const stored = acknowledge(worker, facts.ends);
     facts.gone.forEach((run) => noteLost(run, 'notOnWorker'));
     facts.vanished.forEach((run) => close(worker, run));
@@ -402,6 +411,7 @@
   const { inspect, repeatStops } = runInspection.createRunInspection({
     clock: time,
     workers: options.workers,
+    estimates: options.estimates,
     isWanted,
     stopRun,
     stopGroup,
