--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -160,6 +160,19 @@
 const leftoverOf = (group: readonly planTypes.PlanWorker[]): number =>
   group.reduce((sum, it) => sum + it.free.accelerators / Math.max(1, it.capacity.accelerators), 0);
 
+/**
+ * @param placement - a placement
+ * @returns how many of its tasks are away from their data, or from the rack that their gang wants
+ */
+export const tasksAway = ({ unit, workers }: planTypes.Placement): number => {
+  const { preferredRack, isSameRack, isGang } = unit.unit.step;
+  if (preferredRack !== undefined) {
+    return workers.filter((it) => it.rack !== preferredRack).length;
+  }
+  const isSpread = new Set(workers.map((it) => it.rack)).size > 1;
+  return isSameRack && isGang && isSpread ? workers.length : 0;
+};
+
 /**
  * Takes the room of a placement.
  *
--- a/src/coordination/common/pool/test/planRound.test.ts
+++ b/src/coordination/common/pool/test/planRound.test.ts
@@ -6,6 +6,7 @@
 
 import type * as poolJob from '../../../../state/common/pool/poolJob.js';
 import type * as planTypes from '../planTypes.js';
+import * as gangPlacement from '../gangPlacement.js';
 import * as planRound from '../planRound.js';
 import * as fixtures from './poolFixtures.js';
 
@@ -184,6 +185,27 @@
   },
 ];
 
+// On call one sees a gang take three times its time and has to know whether it is away from its data.
+const AWAY: readonly [name: string, step: Partial<poolJob.Step>, racks: string[], away: number][] =
+  [
+    ['without a wish', { count: 2 }, ['r1', 'r2'], 0],
+    ['near their data', { count: 2, preferredRack: 'r1' }, ['r1', 'r1'], 0],
+    ['one of them away from it', { count: 2, preferredRack: 'r1' }, ['r1', 'r2'], 1],
+    ['a gang on its rack', { count: 2, isGang: true, isSameRack: true }, ['r1', 'r1'], 0],
+    ['a gang over two racks', { count: 2, isGang: true, isSameRack: true }, ['r1', 'r2'], 2],
+  ];
+
+test.describe('tasks away from where they want to be', () => {
+  for (const [name, step, racks, away] of AWAY) {
+    test.it(name, () => {
+      const [unit] = fixtures.makeUnits([fixtures.makeJob([step])]);
+      assert.ok(unit);
+      const workers = racks.map((rack, index) => fixtures.makeWorker(`w${index}`, { rack }));
+      assert.equal(gangPlacement.tasksAway({ unit, workers }), away);
+    });
+  }
+});
+
 test.describe('planRound', () => {
   for (const it of CASES) {
     test.it(it.name, () => {
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -122,6 +122,7 @@
       run: tasks[0]?.run,
       workers: tasks.map((it) => it.workerId).join(','),
       waitedMs: Math.round(unit.waitedMs),
+      away: gangPlacement.tasksAway(placement),
       configVersion: options.configuration()?.version,
     });
     void options.save(entry.job.jobId).then(() =>
