Take a job that gets on alike everywhere as declared wrong, not as held up

Change: jobs, not tasks, speak for a queue; a run of a job that has runs on other workers is held up only where it gets half of what the best of them gets.

--- a/src/coordination/common/pool/heldUpRuns.ts
+++ b/src/coordination/common/pool/heldUpRuns.ts
@@ -59,8 +59,50 @@
   return waitMs > slackMs && moveMs <= slackMs && moveMs * MIN_GAIN < waitMs;
 };
 
-const isBelieved = (book: estimateBook.EstimateBook, { entry }: workerTable.RunHolding): boolean =>
-  estimateBook.isReliable(book, entry.job.policy.queue);
+/** A sound worker's share of what the same job gets elsewhere; below it the worker is at fault. */
+const SIBLING_SHARE = 0.5;
+
+/**
+ * Whose speeds can be believed: those of queues that declare what their tasks take, and where the job has
+ * runs on other workers, those that get on much worse than they.
+ */
+interface Belief {
+  readonly book: estimateBook.EstimateBook;
+  /** Speeds of the runs of each step, with their workers. */
+  readonly speeds: ReadonlyMap<string, readonly SpeedAt[]>;
+}
+
+interface SpeedAt {
+  readonly worker: workerTable.WorkerEntry;
+  readonly speed: number;
+}
+
+const collectSpeeds = (
+  workers: Iterable<workerTable.WorkerEntry>,
+): ReadonlyMap<string, readonly SpeedAt[]> => {
+  const speeds = new Map<string, SpeedAt[]>();
+  for (const worker of workers) {
+    for (const { stepKey, pace } of worker.runs.values()) {
+      if (pace.speed !== undefined) {
+        speeds.set(stepKey, [...(speeds.get(stepKey) ?? []), { worker, speed: pace.speed }]);
+      }
+    }
+  }
+  return speeds;
+};
+
+const isBelieved = (
+  belief: Belief,
+  worker: workerTable.WorkerEntry,
+  { entry, pace, step, stepKey }: workerTable.RunHolding,
+): boolean => {
+  if (!estimateBook.isReliable(belief.book, entry.job.policy.queue)) return false;
+  // A gang gets on alike everywhere, whoever holds it up.
+  if (step.isGang) return true;
+  const elsewhere = (belief.speeds.get(stepKey) ?? []).filter((it) => it.worker !== worker);
+  const best = Math.max(...elsewhere.map((it) => it.speed));
+  return elsewhere.length === 0 || (pace.speed ?? 0) < SIBLING_SHARE * best;
+};
 
 /** Away from its data a run takes a multiple of its time wherever it is not held up. */
 const isAway = (worker: workerTable.WorkerEntry, { step }: workerTable.RunHolding): boolean =>
@@ -76,20 +118,12 @@
 /** Jobs that have to be held up before a worker is taken to be slow, where none is held up badly. */
 const JOBS_THAT_TELL = 2;
 
-/**
- * @param worker - a worker with its runs
- * @param book - whose declared work can be believed
- * @returns whether it holds up what it runs
- */
-export const isSlow = (
-  worker: workerTable.WorkerEntry,
-  book: estimateBook.EstimateBook,
-): boolean => {
+const isSlow = (worker: workerTable.WorkerEntry, belief: Belief): boolean => {
   const telling = [...worker.runs.values()].filter(
     (run) =>
       run.phase === workerTable.RunPhase.present &&
       runPace.isHeldUp(run.pace) &&
-      isBelieved(book, run) &&
+      isBelieved(belief, worker, run) &&
       !isAway(worker, run) &&
       isWhollyThere(worker, run),
   );
@@ -97,6 +131,19 @@
   return jobs.size >= JOBS_THAT_TELL || telling.some((run) => runPace.isVeryHeldUp(run.pace));
 };
 
+/**
+ * @param workers - workers with their runs
+ * @param book - whose declared work can be believed
+ * @returns workers that hold up what they run
+ */
+export const findSlow = (
+  workers: readonly workerTable.WorkerEntry[],
+  book: estimateBook.EstimateBook,
+): workerTable.WorkerEntry[] => {
+  const belief = { book, speeds: collectSpeeds(workers) };
+  return workers.filter((worker) => isSlow(worker, belief));
+};
+
 const canBeMoved = (run: workerTable.RunHolding): boolean =>
   run.phase === workerTable.RunPhase.present && run.task.moves < MAX_MOVES;
 
@@ -111,8 +158,10 @@
   members.some(({ run }) => run.step.isSameRack) &&
   new Set(members.map(({ worker }) => worker.info?.rack)).size > 1;
 
-const isHeldUp = (members: readonly Placed[], book: estimateBook.EstimateBook): boolean =>
-  members.some(({ run }) => runPace.isHeldUp(run.pace) && isBelieved(book, run)) &&
+const isHeldUp = (members: readonly Placed[], belief: Belief): boolean =>
+  members.some(
+    ({ worker, run }) => runPace.isHeldUp(run.pace) && isBelieved(belief, worker, run),
+  ) &&
   !members.some(({ worker, run }) => isAway(worker, run)) &&
   !isSpread(members);
 
@@ -135,17 +184,19 @@
  * @returns groups that would be late where they are, and in time elsewhere
  */
 export const findHeldUp = (
-  workers: Iterable<workerTable.WorkerEntry>,
+  workers: readonly workerTable.WorkerEntry[],
   book: estimateBook.EstimateBook,
   wallMs: number,
-): HeldUpGroup[] =>
-  [...groupRuns(workers)].flatMap(([groupKey, members]) => {
+): HeldUpGroup[] => {
+  const belief = { book, speeds: collectSpeeds(workers) };
+  return [...groupRuns(workers)].flatMap(([groupKey, members]) => {
     const runs = members.map(({ run }) => run);
     const [first] = runs;
-    if (first === undefined || !isHeldUp(members, book) || !runs.every(canBeMoved)) return [];
+    if (first === undefined || !isHeldUp(members, belief) || !runs.every(canBeMoved)) return [];
     const { entry, step, task } = first;
     const tasks = jobBook.groupOf(entry, task);
     if (tasks.length !== runs.length || !isWorthMoving(runs, wallMs)) return [];
     const unit = { entry, step, stepIndex: task.step, occurrence: task.occurrence, tasks };
     return [{ groupKey, unit, workerIds: new Set(tasks.map((it) => it.workerId)) }];
   });
+};
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -189,7 +189,7 @@
     const wallMs = time.wallMs();
     addDueOccurrences(wallMs);
     const units = queue.units(registry.all(), startedAtMs, wallMs);
-    const heldUp = heldUpRuns.findHeldUp(workers.values(), options.estimates, wallMs);
+    const heldUp = heldUpRuns.findHeldUp([...workers.values()], options.estimates, wallMs);
     if (units.length === 0 && heldUp.length === 0) return;
     const planWorkers = [...workers.values()]
       .map((it) => workerTable.toPlanWorker(it, startedAtMs))
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -317,8 +317,7 @@
   };
 
   const learn = ({ entry, step, sinceMs }: workerTable.RunHolding): void => {
-    const { queue } = entry.job.policy;
-    estimateBook.noteDone(options.estimates, queue, step, nowMs() - sinceMs);
+    estimateBook.noteDone(options.estimates, entry.job, step, nowMs() - sinceMs);
   };
 
   const takeView = (
--- a/src/coordination/node/pool/runInspection.ts
+++ b/src/coordination/node/pool/runInspection.ts
@@ -72,11 +72,12 @@
 
   return {
     inspect: () => {
+      const reachable = [...options.workers.values()].filter((it) => it.isReachable);
+      for (const worker of heldUpRuns.findSlow(reachable, options.estimates)) {
+        workerBlame.noteStall(worker.blame, nowMs());
+      }
       for (const worker of options.workers.values()) {
         if (worker.isReachable) {
-          if (heldUpRuns.isSlow(worker, options.estimates)) {
-            workerBlame.noteStall(worker.blame, nowMs());
-          }
           for (const run of [...worker.runs.values()]) inspectRun(worker, run);
         }
       }
