--- /dev/null
+++ b/src/coordination/common/pool/runNeed.ts
@@ -0,0 +1,22 @@
+/**
+ * Whether a run is still of use to its job.
+ */
+import * as jobBook from './jobBook.js';
+import type * as workerTable from './workerTable.js';
+
+/**
+ * @param run - a run
+ * @returns whether it has ended as done as far as its job is concerned; its worker will list the end
+ */
+export const isDone = (run: workerTable.RunHolding): boolean =>
+  run.task.phase === 'done' && run.task.run === run.run;
+
+/**
+ * @param run - a run
+ * @returns whether its job goes on and every member of its group runs under the same number
+ */
+export const isWanted = (run: workerTable.RunHolding): boolean => {
+  const { entry, task } = run;
+  if (entry.isCancelled || jobBook.isEnded(entry)) return false;
+  return jobBook.groupOf(entry, task).every((it) => it.phase === 'assigned' && it.run === run.run);
+};
--- /dev/null
+++ b/src/coordination/node/pool/endNotes.ts
@@ -0,0 +1,83 @@
+/**
+ * What the leader tells and learns from the ends of runs and jobs: lines and counters for operators, whose
+ * fault a failure is, and whose declared work can be believed.
+ */
+import type * as clock from '../../../base/common/clock.js';
+import type * as logging from '../../../base/common/logging.js';
+import type * as metrics from '../../../base/common/metrics.js';
+import * as poolWorker from '../../../state/common/pool/poolWorker.js';
+import * as estimateBook from '../../common/pool/estimateBook.js';
+import type * as jobBook from '../../common/pool/jobBook.js';
+import * as jobOutcome from '../../common/pool/jobOutcome.js';
+import * as workerBlame from '../../common/pool/workerBlame.js';
+import type * as workerTable from '../../common/pool/workerTable.js';
+
+/** What the notes need. */
+export interface EndNotesOptions {
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  readonly metrics: metrics.Metrics;
+  /** Whose declared work can be believed; learns from what is done. */
+  readonly estimates: estimateBook.EstimateBook;
+}
+
+/** Takes note of ends. */
+export interface EndNotes {
+  readonly noteJobEnd: (entry: jobBook.JobEntry) => void;
+  readonly noteBlame: (
+    worker: workerTable.WorkerEntry,
+    end: poolWorker.EndedRun,
+    jobId: string,
+  ) => void;
+  /** @param done - runs that the worker has ended as done */
+  readonly learn: (
+    worker: workerTable.WorkerEntry,
+    done: readonly workerTable.RunHolding[],
+  ) => void;
+}
+
+/**
+ * @param options - what the notes need
+ * @returns the notes
+ */
+export const createEndNotes = (options: EndNotesOptions): EndNotes => {
+  const { clock: time, log, metrics } = options;
+  const nowMs = (): number => time.monotonicMs();
+  return {
+    noteJobEnd: (entry) => {
+      const outcome = jobOutcome.outcomeOf(entry);
+      const { queue } = entry.job.policy;
+      metrics.count('auburnlift_jobs_ended_total', {
+        queue,
+        state: entry.state,
+        timeliness: outcome.timeliness,
+      });
+      log('info', 'jobEnded', {
+        job: entry.job.jobId,
+        queue,
+        customer: entry.job.customerId,
+        state: entry.state,
+        ...outcome,
+      });
+    },
+    noteBlame: (worker, end, jobId) => {
+      if (end.how === poolWorker.EndKind.done) workerBlame.noteSuccess(worker.blame);
+      if (end.how !== poolWorker.EndKind.failed) return;
+      if (!workerBlame.noteFailure(worker.blame, jobId, nowMs())) return;
+      metrics.count('auburnlift_workers_suspected_total');
+      log('warn', 'workerSuspected', {
+        agent: worker.agentId,
+        worker: worker.info?.workerId,
+        forMs: Math.round(worker.blame.suspectUntilMs - nowMs()),
+        suspicions: worker.blame.suspicions,
+      });
+    },
+    learn: (worker, done) => {
+      // What a suspected worker took says more of the worker than of the declaration.
+      if (workerBlame.isSuspect(worker.blame, nowMs())) return;
+      for (const { entry, step, sinceMs } of done) {
+        estimateBook.noteDone(options.estimates, entry.job, step, nowMs() - sinceMs);
+      }
+    },
+  };
+};
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -14,14 +14,15 @@
 import * as agentContract from '../../../state/common/pool/agentContract.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as endLedger from '../../common/pool/endLedger.js';
-import * as estimateBook from '../../common/pool/estimateBook.js';
+import type * as estimateBook from '../../common/pool/estimateBook.js';
 import * as jobBook from '../../common/pool/jobBook.js';
-import * as jobOutcome from '../../common/pool/jobOutcome.js';
 import type * as jobRegistry from '../../common/pool/jobRegistry.js';
+import * as runNeed from '../../common/pool/runNeed.js';
 import * as viewIntake from '../../common/pool/viewIntake.js';
 import * as workerBlame from '../../common/pool/workerBlame.js';
 import * as workerTable from '../../common/pool/workerTable.js';
 
+import * as endNotes from './endNotes.js';
 import type * as orderDesk from './orderDesk.js';
 import * as runInspection from './runInspection.js';
 
@@ -89,16 +90,6 @@
 /** A worker that said it ends and has not answered since is taken to be gone after this time. */
 const DEPARTED_MS = 1200;
 
-/** It has ended as far as the job is concerned; the worker will list it. */
-const isDone = (run: workerTable.RunHolding): boolean =>
-  run.task.phase === 'done' && run.task.run === run.run;
-
-const isWanted = (run: workerTable.RunHolding): boolean => {
-  const { entry, task } = run;
-  if (entry.isCancelled || jobBook.isEnded(entry)) return false;
-  return jobBook.groupOf(entry, task).every((it) => it.phase === 'assigned' && it.run === run.run);
-};
-
 /**
  * @param options - what run control needs
  * @returns run control
@@ -106,6 +97,7 @@
 export const createRunControl = (options: RunControlOptions): RunControl => {
   const { clock: time, log, metrics } = options;
   const nowMs = (): number => time.monotonicMs();
+  const notes = endNotes.createEndNotes(options);
 
   const stopRun = (
     worker: workerTable.WorkerEntry,
@@ -132,7 +124,7 @@
     for (const worker of options.workers.values()) {
       for (const run of worker.runs.values()) {
         const isOurs = run.entry === entry && run.phase === workerTable.RunPhase.present;
-        if (isOurs && !isWanted(run) && !isDone(run)) stopRun(worker, run, cause);
+        if (isOurs && !runNeed.isWanted(run) && !runNeed.isDone(run)) stopRun(worker, run, cause);
       }
     }
   };
@@ -144,23 +136,6 @@
     run.closeFence = worker.fence;
   };
 
-  const noteJobEnd = (entry: jobBook.JobEntry): void => {
-    const outcome = jobOutcome.outcomeOf(entry);
-    const { queue } = entry.job.policy;
-    metrics.count('auburnlift_jobs_ended_total', {
-      queue,
-      state: entry.state,
-      timeliness: outcome.timeliness,
-    });
-    log('info', 'jobEnded', {
-      job: entry.job.jobId,
-      queue,
-      customer: entry.job.customerId,
-      state: entry.state,
-      ...outcome,
-    });
-  };
-
   const endRun = (
     entry: jobBook.JobEntry,
     task: jobBook.TaskEntry,
@@ -182,7 +157,7 @@
       state: entry.state,
     });
     const hasEnded = jobBook.isEnded(entry);
-    if (hasEnded && !hadEnded) noteJobEnd(entry);
+    if (hasEnded && !hadEnded) notes.noteJobEnd(entry);
     stopUnwanted(entry, hasEnded ? 'jobEnded' : 'gangBroken');
     options.onDidChange();
     return options.save(jobId);
@@ -194,23 +169,6 @@
     void endRun(run.entry, run.task, outcome);
   };
 
-  const noteBlame = (
-    worker: workerTable.WorkerEntry,
-    end: poolWorker.EndedRun,
-    jobId: string,
-  ): void => {
-    if (end.how === poolWorker.EndKind.done) workerBlame.noteSuccess(worker.blame);
-    if (end.how !== poolWorker.EndKind.failed) return;
-    if (!workerBlame.noteFailure(worker.blame, jobId, nowMs())) return;
-    metrics.count('auburnlift_workers_suspected_total');
-    log('warn', 'workerSuspected', {
-      agent: worker.agentId,
-      worker: worker.info?.workerId,
-      forMs: Math.round(worker.blame.suspectUntilMs - nowMs()),
-      suspicions: worker.blame.suspicions,
-    });
-  };
-
   /** The job and task of a run's name, where the leader knows them. */
   const lookUp = (
     text: string,
@@ -227,7 +185,7 @@
     end: poolWorker.EndedRun,
   ): Promise<void> | undefined => {
     const known = lookUp(end.task);
-    noteBlame(worker, end, known?.entry.job.jobId ?? '');
+    notes.noteBlame(worker, end, known?.entry.job.jobId ?? '');
     if (known === undefined) {
       log('warn', 'endOfUnknownRun', { task: end.task, run: end.run, agent: worker.agentId });
       return undefined;
@@ -248,11 +206,11 @@
       saved: listed.saved,
     };
     worker.runs.set(workerTable.runKey(run.name, run.run), run);
-    if (!isWanted(run)) stopRun(worker, run, 'notWanted');
+    if (!runNeed.isWanted(run)) stopRun(worker, run, 'notWanted');
   };
 
   const noteSaved = (run: workerTable.RunHolding): void => {
-    if (!isWanted(run)) return;
+    if (!runNeed.isWanted(run)) return;
     for (const member of jobBook.groupOf(run.entry, run.task)) member.saved = run.saved;
     options.onDidSave(run.entry.job.jobId);
   };
@@ -316,10 +274,6 @@
     );
   };
 
-  const learn = ({ entry, step, sinceMs }: workerTable.RunHolding): void => {
-    estimateBook.noteDone(options.estimates, entry.job, step, nowMs() - sinceMs);
-  };
-
   const takeView = (
     worker: workerTable.WorkerEntry,
     news: agentContract.WorkerNews,
@@ -337,13 +291,16 @@
     };
     const facts = viewIntake.takeView(worker, { view, viewFence }, nowMs());
     facts.saved.forEach(noteSaved);
-    if (!workerBlame.isSuspect(worker.blame, nowMs())) facts.done.forEach(learn);
+    notes.learn(worker, facts.done);
     const stored = acknowledge(worker, facts.ends);
     facts.gone.forEach((run) => noteLost(run, 'notOnWorker'));
     facts.vanished.forEach((run) => close(worker, run));
     facts.strays.forEach((listed) => takeStray(worker, listed));
     for (const run of worker.runs.values()) {
-      const isStale = run.phase === workerTable.RunPhase.present && !isWanted(run) && !isDone(run);
+      const isStale =
+        run.phase === workerTable.RunPhase.present &&
+        !runNeed.isWanted(run) &&
+        !runNeed.isDone(run);
       if (isStale) stopRun(worker, run, 'notWanted');
     }
     if (facts.ends.length + facts.gone.length > 0) options.onDidChange();
@@ -378,7 +335,7 @@
     if (outcome === agentContract.OrderOutcome.accepted) {
       if (run.phase === workerTable.RunPhase.ordering) run.phase = workerTable.RunPhase.present;
       run.task.refusals = 0;
-      if (!isWanted(run)) stopRun(worker, run, 'notWanted');
+      if (!runNeed.isWanted(run)) stopRun(worker, run, 'notWanted');
       return;
     }
     log('warn', 'startNotTaken', {
@@ -411,13 +368,13 @@
     clock: time,
     workers: options.workers,
     estimates: options.estimates,
-    isWanted,
+    isWanted: runNeed.isWanted,
     stopRun,
     stopGroup,
   });
 
   return {
-    isWanted,
+    isWanted: runNeed.isWanted,
     inspect,
     stopRun,
     stopGroup,
--- a/src/standins/test/poolFaults.test.ts
+++ b/src/standins/test/poolFaults.test.ts
@@ -1,32 +1,13 @@
 /**
- * A whole pool under single faults: what callers see, and that no task runs twice.
+ * A whole pool whose workers are at fault: what callers see, and that no task runs twice.
  */
 import * as assert from 'node:assert/strict';
-import * as test from 'node:test';
 
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
-import * as poolKeys from '../../state/common/pool/poolKeys.js';
+import * as poolCases from './poolCases.js';
 import * as poolKit from './poolKit.js';
 
-interface Case {
-  readonly name: string;
-  readonly options: poolKit.PoolOptions;
-  /** Jobs that are there at the start. */
-  readonly jobs: Parameters<typeof fixtures.makeJob>[];
-  /** What happens, and when. */
-  readonly act: (pool: poolKit.Pool, first: poolKit.Candidate) => Promise<void>;
-  /** State of each job in the end. */
-  readonly states: Readonly<Record<string, string>>;
-  /** Number of runs in the end, where it is certain. */
-  readonly runs?: number;
-  /** A known fault that stands in `KNOWN-RED.txt`: the test runs, is told, and does not fail the run. */
-  readonly todo?: string;
-}
-
-/** Long enough for any lease to lapse and the work to be done again. */
-const SETTLE_MS = 30_000;
-
-const CASES: readonly Case[] = [
+const CASES: readonly poolCases.Case[] = [
   {
     name: 'steps run in their order',
     options: { workers: 2 },
@@ -80,41 +61,6 @@
     },
     states: { a: 'complete' },
   },
-  {
-    // The leader is killed while a task works. The next one finds it in the agents' lists and must not
-    // start it again.
-    name: 'a task outlives its leader',
-    options: { workers: 2, workMs: () => 6000 },
-    jobs: [[[{ count: 2 }], { jobId: 'a' }]],
-    act: async (pool, first) => {
-      await pool.clock.advance(1500);
-      first.kill();
-      pool.addCandidate();
-      await pool.clock.advance(1000);
-    },
-    states: { a: 'complete' },
-    runs: 2,
-  },
-  {
-    // The leader's process is killed and comes back within a second. It found its own record in the
-    // store and waited for that lease to lapse, and urgent work of a second came late.
-    name: 'a leader that comes back at once leads at once',
-    options: { workers: 1, workMs: () => 500 },
-    jobs: [],
-    act: async (pool, first) => {
-      const place = { holderId: 'scheduler-1', url: 'http://scheduler-1:1' };
-      first.kill();
-      const former = pool.addCandidate(place);
-      await pool.clock.advance(3000);
-      former.kill();
-      await pool.submit(fixtures.makeJob([{}], { jobId: 'a' }));
-      pool.addCandidate(place);
-      await pool.clock.advance(1200);
-      assert.equal((await pool.progress('a'))?.state, 'complete');
-    },
-    states: { a: 'complete' },
-    runs: 1,
-  },
   {
     // The worker crashes and comes back under the same id with nothing in it, while an order to its
     // former life is still on the way.
@@ -196,63 +142,6 @@
     states: { a: 'complete' },
     runs: 2,
   },
-  {
-    // The leader is killed while a worker that it served is cut off. The next leader knows nothing of
-    // the leases that stand there, and may start the task elsewhere only after the longest of them.
-    name: 'a new leader waits for the leases of the former',
-    options: { workers: 2, workMs: () => 20_000 },
-    jobs: [[[{}], { jobId: 'a' }]],
-    act: async (pool, first) => {
-      await pool.clock.advance(1000);
-      const busy = pool.sites.find(({ worker }) => worker.runs.length > 0);
-      assert.ok(busy);
-      busy.isCut = true;
-      first.kill();
-      pool.addCandidate();
-      await pool.clock.advance(4500);
-      assert.equal(pool.runs().length, 1);
-      await pool.clock.advance(6000);
-      assert.equal(pool.runs().length, 2);
-    },
-    states: { a: 'complete' },
-    runs: 2,
-  },
-  {
-    // A new leader hears of a worker once, and the line is cut before it has granted anything there.
-    // The former leader's leases still stand: taken as lapsed, the task would run on two workers.
-    name: 'a new leader waits for the former leases of a worker that it has heard of',
-    options: { workers: 2, workMs: () => 20_000 },
-    jobs: [[[{}], { jobId: 'a' }]],
-    act: async (pool, first) => {
-      await pool.clock.advance(1000);
-      const busy = pool.sites.find(({ worker }) => worker.runs.length > 0);
-      assert.ok(busy);
-      first.kill();
-      busy.answersLeft = 1;
-      pool.addCandidate();
-      await pool.clock.advance(4500);
-      assert.ok(busy.isCut);
-      assert.equal(pool.runs().length, 1);
-    },
-    states: { a: 'complete' },
-    runs: 2,
-  },
-  {
-    // A scheduler that starts takes the leading one for its own former life and ends its leadership.
-    name: 'a process that starts leaves the leading one alone',
-    options: { workers: 1 },
-    jobs: [[[{}], { jobId: 'a' }]],
-    act: async (pool, first) => {
-      await pool.clock.advance(500);
-      const second = pool.addCandidate();
-      await pool.clock.advance(3000);
-      assert.notEqual(first.leader(), undefined);
-      assert.equal((await pool.store.get(poolKeys.EPOCH))?.value, '1');
-      assert.equal(second.leader(), undefined);
-    },
-    states: { a: 'complete' },
-    runs: 1,
-  },
   {
     // The policy service consents to one worker only, and refuses the first call.
     name: 'a step that needs consent runs where the policy service allows it',
@@ -291,74 +180,6 @@
     states: { a: 'complete' },
     runs: 1,
   },
-  {
-    // The store does the writes and loses the answers: the leader sends them again.
-    name: 'lost answers of the store lose no start and no end',
-    options: { workers: 1 },
-    jobs: [[[{ count: 3 }], { jobId: 'a' }]],
-    act: async (pool) => {
-      pool.store.faults.loseWriteAnswers = 6;
-      await pool.clock.advance(3000);
-    },
-    states: { a: 'complete' },
-    runs: 3,
-  },
-  {
-    // A write of progress takes effect two seconds later than a newer one. Conditional on leadership
-    // alone it would put the older progress back.
-    name: 'a write that takes effect late overwrites nothing newer',
-    options: { workers: 1, workMs: () => 500 },
-    jobs: [[[{ count: 1 }, { count: 1, after: [0] }], { jobId: 'a' }]],
-    act: async (pool) => {
-      await pool.clock.advance(300);
-      pool.store.faults.delayTransactions = 1;
-      await pool.clock.advance(6000);
-    },
-    states: { a: 'complete' },
-    runs: 2,
-  },
-  {
-    // A gang ends as done while the store is down, then everything loses power, and the gang runs
-    // again: the end of its second member had been acknowledged, and so forgotten by the worker,
-    // because the first member's end had already made the whole gang done in the leader's memory.
-    name: 'no end of a gang is acknowledged before the job is stored',
-    options: { workers: 2, workMs: () => 2000 },
-    jobs: [
-      [
-        [{ count: 2, isGang: true, resources: { cpuMillicores: 1, memoryMb: 1, accelerators: 8 } }],
-        { jobId: 'a' },
-      ],
-    ],
-    act: async (pool) => {
-      await pool.clock.advance(1500);
-      pool.store.faults.isDown = true;
-      await pool.clock.advance(3500);
-      assert.deepEqual(
-        pool.runs().map((it) => it.how),
-        ['done', 'done'],
-      );
-      assert.deepEqual(
-        pool.sites.map(({ worker }) => worker.acknowledgedUpTo()),
-        [0, 0],
-      );
-      pool.store.faults.isDown = false;
-    },
-    states: { a: 'complete' },
-    runs: 2,
-  },
-  {
-    name: 'tasks live through an outage of the store that is shorter than their lease',
-    options: { workers: 1, workMs: () => 8000 },
-    jobs: [[[{}], { jobId: 'a' }]],
-    act: async (pool) => {
-      await pool.clock.advance(1500);
-      pool.store.faults.isDown = true;
-      await pool.clock.advance(5000);
-      pool.store.faults.isDown = false;
-    },
-    states: { a: 'complete' },
-    runs: 1,
-  },
   {
     // Every task fails on one worker whose health looks good. It must not eat the attempts of all.
     name: 'a worker that fails everything is left alone',
@@ -431,20 +252,4 @@
   },
 ];
 
-test.describe('a pool under a fault', () => {
-  for (const it of CASES) {
-    test.it(it.name, { todo: it.todo }, async () => {
-      const pool = poolKit.createPool(it.options);
-      for (const job of it.jobs) await pool.submit(fixtures.makeJob(...job));
-      const first = pool.addCandidate();
-      await it.act(pool, first);
-      await pool.clock.advance(SETTLE_MS);
-      for (const [jobId, state] of Object.entries(it.states)) {
-        assert.equal((await pool.progress(jobId))?.state, state, jobId);
-      }
-      poolKit.assertAtMostOnce(pool.runs());
-      if (it.runs !== undefined) assert.equal(pool.runs().length, it.runs);
-      pool.dispose();
-    });
-  }
-});
+poolCases.describeCases('a pool under a fault of workers', CASES);
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -11,6 +11,7 @@
 
 const TESTS = [
   'standins/test/poolFaults.test.js',
+  'standins/test/poolLeaderFaults.test.js',
   'standins/test/poolParts.test.js',
   'standins/test/jobDesk.test.js',
   'standins/test/poolExploration.test.js',
