Write an agent's record conditional on what it overwrites

An agent's first write of its address got no answer and was written again under another lease; the first copy took effect later and put its own lease back, which nobody renewed. The record lapsed while the agent renewed the other lease and believed that it stood; no later leader heard of the agent or its worker. Ruled out: lapsed leases (no presenceLapsed line), the reclaim of room. Change: the write is conditional on the revision that it overwrites, so that a late copy changes nothing.

--- a/src/bin/auburnliftSoak.ts
+++ b/src/bin/auburnliftSoak.ts
@@ -1,11 +1,13 @@
 #!/usr/bin/env node
 /**
  * `npm run soak -- [FIRST_SEED] [SEEDS] [SECONDS] [AT_ONCE]`: random faults on real processes, one soak a
- * seed. Logs of a seed that failed stay in `target/soak/SEED`.
+ * seed; `npm run soak -- kept`: every seed that once showed a fault. Logs of a seed that failed stay in
+ * `target/soak/SEED`.
  */
 import * as fs from 'node:fs';
 import * as path from 'node:path';
 
+import * as keptSeeds from '../soak/keptSeeds.js';
 import * as soakRun from '../soak/soakRun.js';
 
 const [firstSeed = Date.now() % 1_000_000, seeds = 1, seconds = 20, atOnce = 2] = process.argv
@@ -19,17 +21,22 @@
 const EXIT_LISTENERS = 400;
 process.setMaxListeners(EXIT_LISTENERS);
 
+/** What is played, the next one first. */
+const plan: { readonly seed: number; readonly seconds: number }[] =
+  process.argv[2] === 'kept'
+    ? [...keptSeeds.KEPT_SEEDS]
+    : Array.from({ length: seeds }, (_, index) => ({ seed: firstSeed + index, seconds }));
+const total = plan.length;
 let failed = 0;
-let nextSeed = firstSeed;
 
 const say = (line: string): void => {
   process.stdout.write(`${line}\n`);
 };
 
-const soakOne = async (seed: number): Promise<void> => {
+const soakOne = async (seed: number, faultsMs: number): Promise<void> => {
   const folder = path.join('target', 'soak', String(seed));
   fs.rmSync(folder, { recursive: true, force: true });
-  const report = await soakRun.runSoak({ seed, faultsMs: seconds * 1000, sizes: SIZES, folder });
+  const report = await soakRun.runSoak({ seed, faultsMs, sizes: SIZES, folder });
   const { broken, jobs, calls, runs } = report;
   say(
     `seed ${seed}: ${broken.length} broken; ${jobs} jobs, ${calls} calls, ${runs} runs, ${report.faults.length} faults`,
@@ -44,13 +51,11 @@
 };
 
 const work = async (): Promise<void> => {
-  while (nextSeed < firstSeed + seeds) {
-    const seed = nextSeed;
-    nextSeed += 1;
-    await soakOne(seed);
+  for (let next = plan.shift(); next !== undefined; next = plan.shift()) {
+    await soakOne(next.seed, next.seconds * 1000);
   }
 };
 
 await Promise.all(Array.from({ length: atOnce }, work));
-say(`${seeds - failed} of ${seeds} seeds kept every promise`);
+say(`${total - failed} of ${total} seeds kept every promise`);
 process.exit(failed === 0 ? 0 : 1);
--- a/src/coordination/node/pool/leasedRecord.ts
+++ b/src/coordination/node/pool/leasedRecord.ts
@@ -2,13 +2,17 @@
  * Keeps a leased record in the store by which a process is found.
  *
  * Guards against a lease that lapses while the store is away: the record is written anew with the first
- * renewal that says so, within a second of the store's return.
+ * renewal that says so, within a second of the store's return. And against a copy of an unanswered write
+ * that takes effect after its repetition: it would put back a lease that nobody renews, and the record would
+ * go away with that lease while its holder believes that it stands. Each write is conditional on what it
+ * overwrites, so the late copy changes nothing.
  */
 import * as clock from '../../../base/common/clock.js';
 import type * as disposable from '../../../base/common/disposable.js';
 import * as errors from '../../../base/common/errors.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as recordStore from '../../../state/common/pool/recordStore.js';
+import * as store from '../../../state/common/store.js';
 
 /** What the record needs. */
 export interface LeasedRecordOptions {
@@ -23,6 +27,10 @@
 /** Renewals in one lease: two may fail before it lapses. */
 const RENEWALS_PER_LEASE = 3;
 
+/** Thrown where another copy of a write came first; the next attempt overwrites it. */
+const unsettled = (key: string): errors.AuburnliftError =>
+  errors.fail('storeUnavailable', `the record ${key} changed while it was written`);
+
 /** Pause after a failed call: short, so that the record is back soon after an outage. */
 const RETRY_MS = 400;
 
@@ -31,21 +39,25 @@
  * @returns the record, kept until it is disposed, which takes it away
  */
 export const keepLeasedRecord = (options: LeasedRecordOptions): disposable.Disposable => {
-  const { store, clock: time, log, key } = options;
+  const { clock: time, log, key } = options;
   let isDisposed = false;
   let leaseId: string | undefined;
 
   const publish = async (): Promise<void> => {
-    const granted = await store.grantLease(options.leaseMs);
-    const put = { key, value: options.value, leaseId: granted };
-    const result = await store.transact({ conditions: [], puts: [put], removes: [] });
-    if (!result.isCommitted) return;
+    const current = await options.store.get(key);
+    const granted = await options.store.grantLease(options.leaseMs);
+    const result = await options.store.transact({
+      conditions: [{ key, revision: current?.revision ?? store.ABSENT_REVISION }],
+      puts: [{ key, value: options.value, leaseId: granted }],
+      removes: [],
+    });
+    if (!result.isCommitted) throw unsettled(key);
     leaseId = granted;
     log('info', 'presenceWritten', { key, revision: result.revision });
   };
   const keep = async (): Promise<void> => {
     if (leaseId === undefined) await publish();
-    else if (!(await store.renewLease(leaseId))) {
+    else if (!(await options.store.renewLease(leaseId))) {
       log('warn', 'presenceLapsed', { key });
       leaseId = undefined;
       await publish();
@@ -75,7 +87,7 @@
       isDisposed = true;
       if (leaseId === undefined) return;
       try {
-        await store.revokeLease(leaseId);
+        await options.store.revokeLease(leaseId);
       } catch (thrown) {
         log('warn', 'presenceNotRemoved', { key, reason: errors.normalize(thrown).message });
       }
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -12,6 +12,7 @@
 const TESTS = [
   'standins/test/poolFaults.test.js',
   'standins/test/poolLeaderFaults.test.js',
+  'standins/test/leasedRecord.test.js',
   'standins/test/poolParts.test.js',
   'standins/test/jobDesk.test.js',
   'standins/test/poolExploration.test.js',
@@ -61,6 +62,12 @@
     'leasesLapseAtMs: formerLapseAtMs',
     'leasesLapseAtMs: 0',
   ],
+  [
+    'a leased record is written conditional on what it overwrites',
+    `${NODE_POOL}/leasedRecord.js`,
+    'conditions: [{ key, revision: current?.revision ?? store.ABSENT_REVISION }]',
+    'conditions: []',
+  ],
   [
     'a new life of a worker gets a higher fence',
     `${NODE_POOL}/runControl.js`,
