--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -127,10 +127,11 @@
     setTimeout(end, lastsMs);
   };
 
+  const gaps = random.createRandom(options.seed + 2);
   const press = async (act: () => Promise<void>, share: number): Promise<void> => {
     while (isPressing) {
       await act();
-      await clock.sleep(time, (Math.random() * MAX_CALL_GAP_MS) / share);
+      await clock.sleep(time, (gaps() * MAX_CALL_GAP_MS) / share);
     }
   };
 
