Suspect no worker for slow runs: sound ones were left empty

Workers on which runs got on slowly were suspected and got nothing new; on a full pool of which some jobs declare their work wrong that takes sound room away.

--- a/src/coordination/common/pool/heldUpRuns.ts
+++ b/src/coordination/common/pool/heldUpRuns.ts
@@ -108,42 +108,6 @@
 const isAway = (worker: workerTable.WorkerEntry, { step }: workerTable.RunHolding): boolean =>
   step.preferredRack !== undefined && step.preferredRack !== worker.info?.rack;
 
-/** A gang gets on as its slowest member does: only one that is wholly on a worker speaks of it. */
-const isWhollyThere = (worker: workerTable.WorkerEntry, run: workerTable.RunHolding): boolean => {
-  const size = jobBook.groupOf(run.entry, run.task).length;
-  const here = [...worker.runs.values()].filter((it) => it.groupKey === run.groupKey);
-  return here.length === size;
-};
-
-/** Jobs that have to be held up before a worker is taken to be slow, where none is held up badly. */
-const JOBS_THAT_TELL = 2;
-
-const isSlow = (worker: workerTable.WorkerEntry, belief: Belief): boolean => {
-  const telling = [...worker.runs.values()].filter(
-    (run) =>
-      run.phase === workerTable.RunPhase.present &&
-      runPace.isHeldUp(run.pace) &&
-      isBelieved(belief, worker, run) &&
-      !isAway(worker, run) &&
-      isWhollyThere(worker, run),
-  );
-  const jobs = new Set(telling.map((run) => run.entry.job.jobId));
-  return jobs.size >= JOBS_THAT_TELL || telling.some((run) => runPace.isVeryHeldUp(run.pace));
-};
-
-/**
- * @param workers - workers with their runs
- * @param book - whose declared work can be believed
- * @returns workers that hold up what they run
- */
-export const findSlow = (
-  workers: readonly workerTable.WorkerEntry[],
-  book: estimateBook.EstimateBook,
-): workerTable.WorkerEntry[] => {
-  const belief = { book, speeds: collectSpeeds(workers) };
-  return workers.filter((worker) => isSlow(worker, belief));
-};
-
 const canBeMoved = (run: workerTable.RunHolding): boolean =>
   run.phase === workerTable.RunPhase.present && run.task.moves < MAX_MOVES;
 
--- a/src/coordination/common/pool/runPace.ts
+++ b/src/coordination/common/pool/runPace.ts
@@ -57,19 +57,9 @@
   pace.sampledPercent = percent;
 };
 
-/** Below it a single run speaks against its worker: no estimate is off by a factor of five. */
-const VERY_SLOW_SPEED = 0.2;
-
 /**
  * @param pace - a run's pace
  * @returns whether the run is held up, as far as one knows
  */
 export const isHeldUp = (pace: RunPace): boolean =>
   pace.speed !== undefined && pace.speed < SLOW_SPEED;
-
-/**
- * @param pace - a run's pace
- * @returns whether the run alone shows that its worker holds it up
- */
-export const isVeryHeldUp = (pace: RunPace): boolean =>
-  pace.speed !== undefined && pace.speed < VERY_SLOW_SPEED;
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -367,7 +367,6 @@
   const { inspect, repeatStops } = runInspection.createRunInspection({
     clock: time,
     workers: options.workers,
-    estimates: options.estimates,
     isWanted: runNeed.isWanted,
     stopRun,
     stopGroup,
--- a/src/coordination/node/pool/runInspection.ts
+++ b/src/coordination/node/pool/runInspection.ts
@@ -2,8 +2,6 @@
  * Looks at runs that would end with their worker or stand still.
  */
 import type * as clock from '../../../base/common/clock.js';
-import type * as estimateBook from '../../common/pool/estimateBook.js';
-import * as heldUpRuns from '../../common/pool/heldUpRuns.js';
 import * as workerBlame from '../../common/pool/workerBlame.js';
 import * as workerTable from '../../common/pool/workerTable.js';
 
@@ -11,8 +9,6 @@
 export interface RunInspectionOptions {
   readonly clock: clock.Clock;
   readonly workers: ReadonlyMap<string, workerTable.WorkerEntry>;
-  /** Whose declared work can be believed. */
-  readonly estimates: estimateBook.EstimateBook;
   readonly isWanted: (run: workerTable.RunHolding) => boolean;
   readonly stopRun: (
     worker: workerTable.WorkerEntry,
@@ -72,10 +68,6 @@
 
   return {
     inspect: () => {
-      const reachable = [...options.workers.values()].filter((it) => it.isReachable);
-      for (const worker of heldUpRuns.findSlow(reachable, options.estimates)) {
-        workerBlame.noteStall(worker.blame, nowMs());
-      }
       for (const worker of options.workers.values()) {
         if (worker.isReachable) {
           for (const run of [...worker.runs.values()]) inspectRun(worker, run);
