Let the replay and the planner use one copy of what a placement says

Read again: the replay had its own weight in cores, loss by a stop, multiple of the objective, assignments of a placement and way to plan held-up groups beside the planner's; distance from data or rack stood in gangPlacement and in heldUpRuns. Each has one copy now. Callers of the soak sleep by the clock's own function. Held-up groups are looked for among all runs only where a run is slow at all: before, each round sorted every run by group and collected every speed, with a copy of the list for each run of a step. Behaviour as before, but for the order in which several held-up groups of one round are tried, which was that of their first member and is that of their first slow one. Assertions unchanged; the table of tasksAway calls it by step and racks.

--- a/src/bench/saturation/outcomes.ts
+++ b/src/bench/saturation/outcomes.ts
@@ -2,6 +2,7 @@
  * What callers had of a load: shares of what their jobs were worth, in whole and by kind, size and
  * customer.
  */
+import * as jobOutcome from '../../coordination/common/pool/jobOutcome.js';
 import type * as mixes from './mixes.js';
 import type * as poolReplay from './poolReplay.js';
 
@@ -26,9 +27,6 @@
 const BASE_SHARE = 0.3;
 const MAX_MULTIPLE = 4;
 
-/** A job is of some use up to this multiple of its objective. */
-const LATE_MULTIPLE = 3;
-
 const LARGEST_SHARE = 0.1;
 const SPAN_MS = 2000;
 
@@ -48,7 +46,7 @@
   const runs = isPoison ? kind.attempts : 1;
   const objectiveMs = kind.stretch * longestMs(job) * runs + kind.objectiveMs;
   if (job.durationMs <= objectiveMs) return 1;
-  return job.durationMs <= LATE_MULTIPLE * objectiveMs ? kind.lateWorth / kind.worth : 0;
+  return job.durationMs <= jobOutcome.LATE_MULTIPLE * objectiveMs ? kind.lateWorth / kind.worth : 0;
 };
 
 const shareOf = (credits: readonly Credit[]): number => {
--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -4,9 +4,10 @@
  */
 import * as random from '../../base/common/random.js';
 import * as estimateBook from '../../coordination/common/pool/estimateBook.js';
+import * as gangPlacement from '../../coordination/common/pool/gangPlacement.js';
 import * as heldUpRuns from '../../coordination/common/pool/heldUpRuns.js';
 import * as jobBook from '../../coordination/common/pool/jobBook.js';
-import type * as planRound from '../../coordination/common/pool/planRound.js';
+import * as planRound from '../../coordination/common/pool/planRound.js';
 import type * as planTypes from '../../coordination/common/pool/planTypes.js';
 import * as readyQueue from '../../coordination/common/pool/readyQueue.js';
 import * as runPace from '../../coordination/common/pool/runPace.js';
@@ -49,7 +50,6 @@
 const FAILING = { fromMs: 10_000, untilMs: 16_000 } as const;
 
 const FAILS_AFTER_MS = 900;
-const CORES_PER_ACCELERATOR = 8;
 
 interface Live {
   readonly worker: workerTable.WorkerEntry;
@@ -72,9 +72,6 @@
   isEnded: boolean;
 }
 
-const coresOf = ({ cpuMillicores, accelerators }: workerTable.RunHolding['room']): number =>
-  cpuMillicores / 1000 + CORES_PER_ACCELERATOR * accelerators;
-
 /**
  * @param mix - the user's load
  * @param strain - what comes with it
@@ -168,10 +165,10 @@
     const { run, worker, group } = live;
     worker.runs.delete(workerTable.runKey(run.name, run.run));
     const heldMs = events.nowMs() - live.startedAtMs;
-    usedCoreMs += heldMs * coresOf(run.step.resources);
+    usedCoreMs += heldMs * planRound.weightInCores(run.step.resources);
     if (isLost) {
-      const lostMs = run.step.isCheckpointing ? Math.min(heldMs, 250) : heldMs;
-      wastedCoreMs += lostMs * coresOf(run.step.resources);
+      const lostMs = workerTable.lostByStopMs(run.step, heldMs);
+      wastedCoreMs += lostMs * planRound.weightInCores(run.step.resources);
     }
     if (how === 'stopped' && run.step.isCheckpointing) {
       savedMs.set(run.name, group.savedMs + group.doneMs);
@@ -235,17 +232,9 @@
   const begin = (placement: planTypes.Placement): void => {
     const { unit } = placement.unit;
     const { entry, tasks, step } = unit;
-    jobBook.assign(
-      entry,
-      tasks.map((task, index) => {
-        const { workerId, incarnationMs, agentId } = placement.workers[
-          index
-        ] as planTypes.PlanWorker;
-        return { task, workerId, incarnationMs, agentId };
-      }),
-    );
+    jobBook.assign(entry, gangPlacement.assignmentsOf(placement));
     const arrival = arrivalOf.get(entry.job.jobId);
-    const racks = new Set(placement.workers.map((it) => it.rack));
+    const racks = placement.workers.map((it) => it.rack);
     const [firstTask] = tasks;
     const whole = arrival?.workMs[unit.stepIndex]?.[firstTask?.index ?? 0] ?? 0;
     const names = tasks.map((task) => workerTable.keysOf(entry, task).name);
@@ -256,7 +245,7 @@
       workMs: Math.max(1, whole - saved),
       savedMs: saved,
       doneMs: 0,
-      factor: step.isSameRack && racks.size > 1 ? mix.farFactor : 1,
+      factor: gangPlacement.tasksAway(step, racks) > 0 ? mix.farFactor : 1,
       movedAtMs: nowMs + START_MS,
       isEnded: false,
     };
@@ -272,19 +261,21 @@
     events.at(nowMs + firstLookMs, () => watchGroup(group));
   };
 
-  const evict = (groupKey: string): void => {
-    const victim = entries.get(groupKey.split('.')[0] ?? '');
-    if (victim !== undefined) victim.preemptions += 1;
+  const stopByKey = (groupKey: string): void => {
     for (const group of groups) {
       if (group.members[0]?.run.groupKey === groupKey) stopGroup(group);
     }
   };
 
+  const evict = (groupKey: string): void => {
+    const victim = entries.get(groupKey.split('.')[0] ?? '');
+    if (victim !== undefined) victim.preemptions += 1;
+    stopByKey(groupKey);
+  };
+
   const move = ({ unit, groupKey }: planTypes.PlanUnit): void => {
     jobBook.noteMove(unit.tasks);
-    for (const group of groups) {
-      if (group.members[0]?.run.groupKey === groupKey) stopGroup(group);
-    }
+    stopByKey(groupKey);
   };
 
   const plan = (): void => {
@@ -300,10 +291,7 @@
       nowMs,
       workers: planWorkers,
       units,
-      heldUp: heldUp.map(({ unit, workerIds }) => ({
-        unit: queue.toPlanUnit(unit, nowMs, nowMs),
-        workerIds,
-      })),
+      heldUp: queue.heldUpUnits(heldUp, nowMs, nowMs),
       guarantees,
     });
     round.starts.forEach(begin);
--- a/src/bench/saturation/workload.ts
+++ b/src/bench/saturation/workload.ts
@@ -3,6 +3,7 @@
  */
 import type * as random from '../../base/common/random.js';
 import * as randoms from '../../base/common/random.js';
+import * as planRound from '../../coordination/common/pool/planRound.js';
 import type * as poolJob from '../../state/common/pool/poolJob.js';
 import type * as mixes from './mixes.js';
 
@@ -27,8 +28,6 @@
 /** A burst of urgent work. */
 const BURST = { fromMs: 8000, untilMs: 14_000 } as const;
 
-const CORES_PER_ACCELERATOR = 8;
-
 /** A normal variate by the sum of uniform ones: near enough for sizes. */
 const normal = (next: random.Random): number => {
   let sum = 0;
@@ -80,10 +79,13 @@
 };
 
 const coreMsOf = (steps: readonly poolJob.Step[], workMs: readonly (readonly number[])[]): number =>
-  steps.reduce((sum, { resources }, index) => {
-    const cores = resources.cpuMillicores / 1000 + CORES_PER_ACCELERATOR * resources.accelerators;
-    return sum + cores * (workMs[index] ?? []).reduce((total, it) => total + it, 0);
-  }, 0);
+  steps.reduce(
+    (sum, { resources }, index) =>
+      sum +
+      planRound.weightInCores(resources) *
+        (workMs[index] ?? []).reduce((total, it) => total + it, 0),
+    0,
+  );
 
 const isInBurst = (kind: mixes.JobKind, atMs: number): boolean =>
   kind.priority === 0 && atMs >= BURST.fromMs && atMs < BURST.untilMs;
--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -6,6 +6,7 @@
  * the small ones leave no whole worker, and the large wait for the last of them to end.
  */
 import * as poolJob from '../../../state/common/pool/poolJob.js';
+import type * as jobBook from './jobBook.js';
 import type * as planTypes from './planTypes.js';
 
 /**
@@ -161,18 +162,28 @@
   group.reduce((sum, it) => sum + it.free.accelerators / Math.max(1, it.capacity.accelerators), 0);
 
 /**
- * @param placement - a placement
- * @returns how many of its tasks are away from their data, or from the rack that their gang wants
+ * Tasks that run there take a multiple of their time.
+ *
+ * @param step - step of the tasks that start together
+ * @param racks - the rack of each of them
+ * @returns how many of them are away from their data, or from the rack that their gang wants
  */
-export const tasksAway = ({ unit, workers }: planTypes.Placement): number => {
-  const { preferredRack, isSameRack, isGang } = unit.unit.step;
-  if (preferredRack !== undefined) {
-    return workers.filter((it) => it.rack !== preferredRack).length;
-  }
-  const isSpread = new Set(workers.map((it) => it.rack)).size > 1;
-  return isSameRack && isGang && isSpread ? workers.length : 0;
+export const tasksAway = (step: poolJob.Step, racks: readonly (string | undefined)[]): number => {
+  const { preferredRack, isSameRack, isGang } = step;
+  if (preferredRack !== undefined) return racks.filter((it) => it !== preferredRack).length;
+  return isSameRack && isGang && new Set(racks).size > 1 ? racks.length : 0;
 };
 
+/**
+ * @param placement - a placement
+ * @returns where each task of its unit goes
+ */
+export const assignmentsOf = ({ unit, workers }: planTypes.Placement): jobBook.Assignment[] =>
+  unit.unit.tasks.map((task, index) => {
+    const { workerId, incarnationMs, agentId } = workers[index] as planTypes.PlanWorker;
+    return { task, workerId, incarnationMs, agentId };
+  });
+
 /**
  * Takes the room of a placement.
  *
--- a/src/coordination/common/pool/heldUpRuns.ts
+++ b/src/coordination/common/pool/heldUpRuns.ts
@@ -3,6 +3,7 @@
  * still gain by it.
  */
 import * as estimateBook from './estimateBook.js';
+import * as gangPlacement from './gangPlacement.js';
 import * as jobBook from './jobBook.js';
 import * as jobChain from './jobChain.js';
 import * as jobOutcome from './jobOutcome.js';
@@ -62,52 +63,24 @@
 /** A sound worker's share of what the same job gets elsewhere; below it the worker is at fault. */
 const SIBLING_SHARE = 0.5;
 
-/**
- * Whose speeds can be believed: those of queues that declare what their tasks take, and where the job has
- * runs on other workers, those that get on much worse than they.
- */
-interface Belief {
-  readonly book: estimateBook.EstimateBook;
-  /** Speeds of the runs of each step, with their workers. */
-  readonly speeds: ReadonlyMap<string, readonly SpeedAt[]>;
-}
-
-interface SpeedAt {
+/** A run with the worker that has it. */
+interface Placed {
   readonly worker: workerTable.WorkerEntry;
-  readonly speed: number;
+  readonly run: workerTable.RunHolding;
 }
 
-const collectSpeeds = (
-  workers: Iterable<workerTable.WorkerEntry>,
-): ReadonlyMap<string, readonly SpeedAt[]> => {
-  const speeds = new Map<string, SpeedAt[]>();
-  for (const worker of workers) {
-    for (const { stepKey, pace } of worker.runs.values()) {
-      if (pace.speed !== undefined) {
-        speeds.set(stepKey, [...(speeds.get(stepKey) ?? []), { worker, speed: pace.speed }]);
-      }
-    }
-  }
-  return speeds;
-};
-
-const isBelieved = (
-  belief: Belief,
-  worker: workerTable.WorkerEntry,
-  { entry, pace, step, stepKey }: workerTable.RunHolding,
-): boolean => {
-  if (!estimateBook.isReliable(belief.book, entry.job.policy.queue)) return false;
-  // A gang gets on alike everywhere, whoever holds it up.
-  if (step.isGang) return true;
-  const elsewhere = (belief.speeds.get(stepKey) ?? []).filter((it) => it.worker !== worker);
-  const best = Math.max(...elsewhere.map((it) => it.speed));
-  return elsewhere.length === 0 || (pace.speed ?? 0) < SIBLING_SHARE * best;
+/**
+ * A job that gets on as slowly on other workers is declared wrong. A gang gets on alike everywhere,
+ * whoever holds it up, and says nothing of that.
+ */
+const isSlowElsewhere = (all: readonly Placed[], { worker, run }: Placed): boolean => {
+  if (run.step.isGang) return false;
+  const speeds = all
+    .filter((it) => it.run.stepKey === run.stepKey && it.worker !== worker)
+    .flatMap((it) => it.run.pace.speed ?? []);
+  return speeds.length > 0 && (run.pace.speed ?? 0) >= SIBLING_SHARE * Math.max(...speeds);
 };
 
-/** Away from its data a run takes a multiple of its time wherever it is not held up. */
-const isAway = (worker: workerTable.WorkerEntry, { step }: workerTable.RunHolding): boolean =>
-  step.preferredRack !== undefined && step.preferredRack !== worker.info?.rack;
-
 const canBeMoved = (run: workerTable.RunHolding): boolean =>
   run.phase === workerTable.RunPhase.present && run.task.moves < MAX_MOVES;
 
@@ -117,30 +90,6 @@
   readonly run: workerTable.RunHolding;
 }
 
-/** A gang that spans racks though it should not takes a multiple of its time as well. */
-const isSpread = (members: readonly Placed[]): boolean =>
-  members.some(({ run }) => run.step.isSameRack) &&
-  new Set(members.map(({ worker }) => worker.info?.rack)).size > 1;
-
-const isHeldUp = (members: readonly Placed[], belief: Belief): boolean =>
-  members.some(
-    ({ worker, run }) => runPace.isHeldUp(run.pace) && isBelieved(belief, worker, run),
-  ) &&
-  !members.some(({ worker, run }) => isAway(worker, run)) &&
-  !isSpread(members);
-
-const groupRuns = (workers: Iterable<workerTable.WorkerEntry>): Map<string, Placed[]> => {
-  const groups = new Map<string, Placed[]>();
-  for (const worker of workers) {
-    for (const run of worker.runs.values()) {
-      const members = groups.get(run.groupKey);
-      if (members === undefined) groups.set(run.groupKey, [{ worker, run }]);
-      else members.push({ worker, run });
-    }
-  }
-  return groups;
-};
-
 /**
  * @param workers - workers with their runs
  * @param book - whose declared work can be believed
@@ -152,14 +101,26 @@
   book: estimateBook.EstimateBook,
   wallMs: number,
 ): HeldUpGroup[] => {
-  const belief = { book, speeds: collectSpeeds(workers) };
-  return [...groupRuns(workers)].flatMap(([groupKey, members]) => {
+  const all = workers.flatMap((worker) =>
+    [...worker.runs.values()].map((run): Placed => ({ worker, run })),
+  );
+  const slow = all.filter(
+    (it) =>
+      runPace.isHeldUp(it.run.pace) &&
+      estimateBook.isReliable(book, it.run.entry.job.policy.queue) &&
+      !isSlowElsewhere(all, it),
+  );
+  return [...new Set(slow.map(({ run }) => run.groupKey))].flatMap((groupKey) => {
+    const members = all.filter(({ run }) => run.groupKey === groupKey);
     const runs = members.map(({ run }) => run);
     const [first] = runs;
-    if (first === undefined || !isHeldUp(members, belief) || !runs.every(canBeMoved)) return [];
+    if (first === undefined || !runs.every(canBeMoved)) return [];
     const { entry, step, task } = first;
+    const racks = members.map(({ worker }) => worker.info?.rack);
     const tasks = jobBook.groupOf(entry, task);
-    if (tasks.length !== runs.length || !isWorthMoving(runs, wallMs)) return [];
+    const isWhole = tasks.length === runs.length;
+    const isAway = gangPlacement.tasksAway(step, racks) > 0;
+    if (!isWhole || isAway || !isWorthMoving(runs, wallMs)) return [];
     const unit = { entry, step, stepIndex: task.step, occurrence: task.occurrence, tasks };
     return [{ groupKey, unit, workerIds: new Set(tasks.map((it) => it.workerId)) }];
   });
--- a/src/coordination/common/pool/readyQueue.ts
+++ b/src/coordination/common/pool/readyQueue.ts
@@ -2,6 +2,7 @@
  * What stands ready to start, with what a planning round wants to know of it.
  */
 import * as poolJob from '../../../state/common/pool/poolJob.js';
+import type * as heldUpRuns from './heldUpRuns.js';
 import * as jobBook from './jobBook.js';
 import * as jobChain from './jobChain.js';
 import * as jobOutcome from './jobOutcome.js';
@@ -22,16 +23,16 @@
     wallMs: number,
   ) => planTypes.PlanUnit[];
   /**
-   * @param unit - what runs
+   * @param groups - running groups that are held up
    * @param nowMs - the leader's clock
    * @param wallMs - Unix milliseconds now
-   * @returns the unit as it would be planned, were it to start again now
+   * @returns the groups as they would be planned, were they to start again now
    */
-  readonly toPlanUnit: (
-    unit: jobBook.ReadyUnit,
+  readonly heldUpUnits: (
+    groups: readonly heldUpRuns.HeldUpGroup[],
     nowMs: number,
     wallMs: number,
-  ) => planTypes.PlanUnit;
+  ) => planTypes.HeldUpUnit[];
 }
 
 interface JobTiming {
@@ -79,7 +80,11 @@
   };
 
   return {
-    toPlanUnit: (unit, nowMs, wallMs) => toPlanUnit(unit, timingOf(unit.entry.job), nowMs, wallMs),
+    heldUpUnits: (groups, nowMs, wallMs) =>
+      groups.map(({ unit, workerIds }) => ({
+        unit: toPlanUnit(unit, timingOf(unit.entry.job), nowMs, wallMs),
+        workerIds,
+      })),
     units: (entries, nowMs, wallMs) => {
       const sinceMs = new Map<string, number>();
       const units: planTypes.PlanUnit[] = [];
--- a/src/coordination/common/pool/test/planRound.test.ts
+++ b/src/coordination/common/pool/test/planRound.test.ts
@@ -198,10 +198,7 @@
 test.describe('tasks away from where they want to be', () => {
   for (const [name, step, racks, away] of AWAY) {
     test.it(name, () => {
-      const [unit] = fixtures.makeUnits([fixtures.makeJob([step])]);
-      assert.ok(unit);
-      const workers = racks.map((rack, index) => fixtures.makeWorker(`w${index}`, { rack }));
-      assert.equal(gangPlacement.tasksAway({ unit, workers }), away);
+      assert.equal(gangPlacement.tasksAway(fixtures.makeStep(step), racks), away);
     });
   }
 });
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -199,6 +199,14 @@
   return Math.max(run.step.estimatedMs - elapsedMs, run.step.estimatedMs / 4);
 };
 
+/**
+ * @param step - step of a run
+ * @param heldMs - how long it has run
+ * @returns work that a stop loses
+ */
+export const lostByStopMs = (step: poolJob.Step, heldMs: number): number =>
+  step.isCheckpointing ? Math.min(RESTORE_MS, heldMs) : heldMs;
+
 const toHolding = (run: RunHolding, nowMs: number): planTypes.Holding => ({
   jobId: run.entry.job.jobId,
   task: run.name,
@@ -211,9 +219,7 @@
   isLeaving: run.phase === RunPhase.stopping || run.phase === RunPhase.closing,
   isProtected: run.step.maxUnavailable !== undefined,
   preemptions: run.entry.preemptions,
-  unsavedMs: run.step.isCheckpointing
-    ? Math.min(RESTORE_MS, nowMs - run.sinceMs)
-    : nowMs - run.sinceMs,
+  unsavedMs: lostByStopMs(run.step, nowMs - run.sinceMs),
   remainingMs: remainingMsOf(run, nowMs),
 });
 
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -102,11 +102,7 @@
   const begin = (placement: planTypes.Placement): void => {
     const { unit } = placement;
     const { entry, tasks } = unit.unit;
-    const assignments = tasks.map((task, index) => {
-      const { workerId, incarnationMs, agentId } = placement.workers[index] as planTypes.PlanWorker;
-      return { task, workerId, incarnationMs, agentId };
-    });
-    jobBook.assign(entry, assignments);
+    jobBook.assign(entry, gangPlacement.assignmentsOf(placement));
     const runs = tasks.flatMap((task) => {
       const worker = workers.get(task.agentId);
       if (worker === undefined) return [];
@@ -122,7 +118,10 @@
       run: tasks[0]?.run,
       workers: tasks.map((it) => it.workerId).join(','),
       waitedMs: Math.round(unit.waitedMs),
-      away: gangPlacement.tasksAway(placement),
+      away: gangPlacement.tasksAway(
+        unit.unit.step,
+        placement.workers.map((it) => it.rack),
+      ),
       configVersion: options.configuration()?.version,
     });
     void options.save(entry.job.jobId).then(() =>
@@ -198,10 +197,7 @@
       nowMs: startedAtMs,
       workers: planWorkers,
       units: withTickets(units, planWorkers),
-      heldUp: heldUp.map(({ unit, workerIds }) => ({
-        unit: queue.toPlanUnit(unit, startedAtMs, wallMs),
-        workerIds,
-      })),
+      heldUp: queue.heldUpUnits(heldUp, startedAtMs, wallMs),
       guarantees: guarantees(),
     });
     metrics.time('auburnlift_plan_round_ms', nowMs() - startedAtMs);
--- a/src/soak/callers.ts
+++ b/src/soak/callers.ts
@@ -4,7 +4,7 @@
  */
 import * as http from 'node:http';
 
-import type * as clock from '../base/common/clock.js';
+import * as clock from '../base/common/clock.js';
 import * as random from '../base/common/random.js';
 import * as evidence from './evidence.js';
 
@@ -175,9 +175,7 @@
         const { status } = await call('POST', jobId, wireOf(job));
         if (status === 200) accepted.add(jobId);
         if (status === 200 || status === 400 || status === 404) return;
-        await new Promise((resolve) => {
-          setTimeout(resolve, RETRY_MS);
-        });
+        await clock.sleep(time, RETRY_MS);
       }
     },
     askAny: async () => {
@@ -191,9 +189,7 @@
     askUntilEnded: async (untilMs) => {
       const askOne = async (jobId: string): Promise<void> => {
         while (time.monotonicMs() < untilMs && !(await ask(jobId))) {
-          await new Promise((resolve) => {
-            setTimeout(resolve, ASK_AGAIN_MS);
-          });
+          await clock.sleep(time, ASK_AGAIN_MS);
         }
       };
       await Promise.all([...accepted].map(askOne));
