--- a/src/coordination/node/pool/configurationFeed.ts
+++ b/src/coordination/node/pool/configurationFeed.ts
@@ -11,6 +11,8 @@
 import type * as recordStore from '../../../state/common/pool/recordStore.js';
 import type * as store from '../../../state/common/store.js';
 
+import * as viewAge from './viewAge.js';
+
 /** What the feed needs. */
 export interface ConfigurationFeedOptions {
   readonly store: recordStore.RecordStore;
@@ -51,14 +53,9 @@
   const aborter = new AbortController();
   let isDisposed = false;
   let held: poolConfiguration.HeldConfiguration | undefined;
-  let provenAtMs = -Infinity;
-  let provenAtWallMs = -Infinity;
+  const age = viewAge.createViewAge(time);
   let isConnected = false;
 
-  /** The clock that went further tells: in a suspension the monotonic one stands still. */
-  const ageMs = (): number =>
-    Math.max(time.monotonicMs() - provenAtMs, time.wallMs() - provenAtWallMs);
-
   const take = (record: store.StoreEntry): void => {
     if (record.key !== options.key) return;
     let configuration: poolConfiguration.PoolConfiguration;
@@ -83,36 +80,29 @@
     changes.fire(held);
   };
 
-  const prove = (atMs: number, atWallMs: number): void => {
-    if (atMs >= provenAtMs) {
-      provenAtMs = atMs;
-      provenAtWallMs = atWallMs;
-    }
+  const noteAnswer = (): void => {
     if (!isConnected) log('info', 'configurationStoreAnswers', {});
     isConnected = true;
   };
 
   const read = async (): Promise<number> => {
-    const sentAtMs = time.monotonicMs();
-    const sentAtWallMs = time.wallMs();
+    const sentAt = age.now();
     const { entries, revision } = await options.store.list(options.key);
     entries.forEach(take);
-    prove(sentAtMs, sentAtWallMs);
+    age.prove(sentAt);
+    noteAnswer();
     return revision;
   };
 
   const follow = async (afterRevision: number): Promise<void> => {
     let revision = afterRevision;
     while (!isDisposed) {
-      const sentAtMs = time.monotonicMs();
-      const sentAtWallMs = time.wallMs();
+      const sentAt = age.now();
       const seen = await options.store.watch(options.key, revision, WATCH_MS, aborter.signal);
       if (seen.isGap) return;
       seen.entries.forEach(take);
-      // A watch that saw nothing was answered when its wait was over, one with events at any time.
-      const waitedMs = seen.entries.length === 0 ? WATCH_MS : 0;
-      const elapsedMs = Math.min(waitedMs, time.monotonicMs() - sentAtMs);
-      prove(sentAtMs + elapsedMs, sentAtWallMs + elapsedMs);
+      age.proveByWatch(sentAt, WATCH_MS, seen);
+      noteAnswer();
       revision = seen.revision;
     }
   };
@@ -134,7 +124,7 @@
   void run();
   return {
     current: () => held,
-    ageMs,
+    ageMs: age.ageMs,
     refresh: async () => {
       await read();
     },
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -37,6 +37,8 @@
   readonly save: (jobId: string) => Promise<void>;
   readonly configuration: () => poolConfiguration.PoolConfiguration | undefined;
   readonly askAdvice: adviceDesk.AdviceDeskOptions['ask'];
+  /** How long ago every job and cancellation that was written had certainly been learnt. */
+  readonly recordsAgeMs: () => number;
   /** Whether all jobs are known and the term goes on. */
   readonly isReady: () => boolean;
 }
@@ -111,6 +113,8 @@
       return [{ worker, run }];
     });
     waitReasons.delete(unit.groupKey);
+    const recordsAgeMs = options.recordsAgeMs();
+    metrics.time('auburnlift_records_age_ms', recordsAgeMs);
     metrics.time('auburnlift_ready_to_start_ms', unit.waitedMs);
     log('info', 'placed', {
       job: entry.job.jobId,
@@ -123,6 +127,7 @@
         placement.workers.map((it) => it.rack),
       ),
       configVersion: options.configuration()?.version,
+      recordsAgeMs: Math.round(recordsAgeMs),
     });
     void options.save(entry.job.jobId).then(() =>
       runs.forEach(({ worker, run }) => {
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -149,6 +149,7 @@
     save: writer.save,
     configuration: options.configuration,
     askAdvice: options.askAdvice,
+    recordsAgeMs: () => feed.ageMs(),
     isReady: () => isLoaded && !owned.isDisposed(),
   });
 
@@ -223,6 +224,7 @@
     log('info', effect === 'submitted' ? 'jobLearnt' : 'cancelLearnt', {
       job: jobId,
       revision: record.revision,
+      recordsAgeMs: Math.round(feed.ageMs()),
     });
     settleCancel(registry.get(jobId));
     driver.schedule();
@@ -332,7 +334,7 @@
       });
     },
   });
-  owned.add(
+  const feed: recordFeed.RecordFeed = owned.add(
     recordFeed.startRecordFeed({
       store: options.store,
       clock: time,
