Store a start once more where it had to wait for the leadership

What callers could see: a task of a cancelled job starts just after an outage of the store. The leader's write of the start is answered first, its lease is renewed up to 0.85 s later, and the cancellation is stored between the two, while the leader's watch is still lost. The write proved the job wanted only when it was made. Change: a start that had to wait for a certain leadership is stored again before it is sent; the write shows a cancellation. The stand-in of the store can let leases pause in an outage. Before: the second step of the test starts after the cancellation; after: it does not.

--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -2,7 +2,7 @@
  * Runs planning rounds and carries them out: stores each start, sends it once it is stored, and stops
  * what a claim needs the room of.
  */
-import type * as clock from '../../../base/common/clock.js';
+import * as clock from '../../../base/common/clock.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
 import type * as poolConfiguration from '../../../state/common/pool/poolConfiguration.js';
@@ -81,7 +81,19 @@
     onDidAdvise: schedule,
   });
 
-  /** Sends a stored start, as soon as the leadership is certain. */
+  /**
+   * Stores starts and waits until the leadership is certain. A job may be cancelled during that wait,
+   * unheard while the store is away: it is then stored once more, which shows a cancellation.
+   */
+  const storeUntilCertain = async (jobId: string): Promise<void> => {
+    for (;;) {
+      await options.save(jobId);
+      if (!options.isReady() || options.term.isCertain()) return;
+      while (options.isReady() && !options.term.isCertain()) await clock.sleep(time, RECHECK_MS);
+    }
+  };
+
+  /** Sends a stored start. */
   const sendStart = (
     worker: workerTable.WorkerEntry,
     run: workerTable.RunHolding,
@@ -94,10 +106,6 @@
       schedule();
       return;
     }
-    if (!options.term.isCertain()) {
-      time.after(RECHECK_MS, () => sendStart(worker, run, ticket));
-      return;
-    }
     options.desk().start(worker, { run, ticket });
   };
 
@@ -129,7 +137,7 @@
       configVersion: options.configuration()?.version,
       recordsAgeMs: Math.round(recordsAgeMs),
     });
-    void options.save(entry.job.jobId).then(() =>
+    void storeUntilCertain(entry.job.jobId).then(() =>
       runs.forEach(({ worker, run }) => {
         sendStart(worker, run, unit.ticketsByWorker?.get(run.task.workerId));
       }),
--- a/src/standins/memoryStore.ts
+++ b/src/standins/memoryStore.ts
@@ -10,6 +10,8 @@
 export interface StoreFaults {
   /** Nothing is read or written. */
   isDown: boolean;
+  /** Leases do not run while nothing is read or written. */
+  pausesLeases: boolean;
   /** Each call takes this much longer. */
   delayMs: number;
   /** So many of the next writes take effect and lose their answers. */
@@ -70,6 +72,7 @@
   const waiters = new Set<() => void>();
   const faults: StoreFaults = {
     isDown: false,
+    pausesLeases: false,
     delayMs: 0,
     loseWriteAnswers: 0,
     delayTransactions: 0,
@@ -81,6 +84,7 @@
   let revision = 0;
   let leaseCount = 0;
   let forgottenRevision = 0;
+  let leasesSeenAtMs = timeSource.monotonicMs();
 
   const sleep = (durationMs: number): Promise<void> =>
     new Promise((resolve) => {
@@ -106,13 +110,16 @@
   };
   const expireLeases = (): void => {
     const nowMs = timeSource.monotonicMs();
+    const pausedMs = faults.isDown && faults.pausesLeases ? nowMs - leasesSeenAtMs : 0;
+    leasesSeenAtMs = nowMs;
+    for (const lease of leases.values()) lease.untilMs += pausedMs;
     for (const [leaseId, lease] of [...leases]) if (lease.untilMs <= nowMs) dropLease(leaseId);
   };
   const enter = async (operation: string): Promise<void> => {
     counts[operation] = (counts[operation] ?? 0) + 1;
     if (faults.delayMs > 0) await sleep(faults.delayMs);
-    if (faults.isDown) throw errors.fail('storeUnavailable', 'the stand-in is down');
     expireLeases();
+    if (faults.isDown) throw errors.fail('storeUnavailable', 'the stand-in is down');
   };
   const entryOf = (key: string): store.StoreEntry | undefined => {
     const stored = values.get(key);
--- a/src/standins/test/poolCancelFaults.test.ts
+++ b/src/standins/test/poolCancelFaults.test.ts
@@ -12,6 +12,14 @@
 /** Callers are promised that nothing of a cancelled job runs after this time, but for the stop itself. */
 const CANCEL_MS = 3000;
 
+/** Ends between a renewal of the leadership and a write that the leader repeats. */
+const OUTAGE_MS = 4050;
+
+const isSecondStepStored = async (pool: poolKit.Pool): Promise<boolean> => {
+  const progress = await pool.progress('a');
+  return progress?.tasks.some((it) => it.step === 1 && it.phase === 'assigned') === true;
+};
+
 const loseWatches = async (pool: poolKit.Pool): Promise<void> => {
   await pool.clock.advance(1000);
   pool.store.faults.areWatchesLost = true;
@@ -59,6 +67,28 @@
     states: { a: 'cancelled' },
     runs: 2,
   },
+  {
+    // The store has been away and is back, leases stand as before. The leader stores the start of a
+    // second step, and may send it only once its own lease is renewed; the caller cancels between the two.
+    name: 'a start that waits for the leadership is not sent after a cancellation',
+    options: { workers: 1, workMs: () => 2000 },
+    jobs: [[[{}, { after: [0] }], { jobId: 'a' }]],
+    act: async (pool) => {
+      const { faults } = pool.store;
+      faults.pausesLeases = true;
+      await pool.clock.advance(1000);
+      faults.isDown = true;
+      await pool.clock.advance(OUTAGE_MS);
+      faults.areWatchesLost = true;
+      faults.isDown = false;
+      while (!(await isSecondStepStored(pool))) await pool.clock.advance(1);
+      assert.equal(pool.runs().length, 1);
+      await pool.cancel('a');
+      await pool.clock.advance(CANCEL_MS);
+    },
+    states: { a: 'cancelled' },
+    runs: 1,
+  },
 ];
 
 poolCases.describeCases('a pool whose leader does not hear of what callers ask for', CASES);
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -40,6 +40,12 @@
     'cancelKey === undefined ? []',
     'true ? []',
   ],
+  [
+    'a start that waited for the leadership is stored once more',
+    `${NODE_POOL}/planDriver.js`,
+    'for (;;) {\n            await options.save(jobId);',
+    'await options.save(jobId);\n        for (;;) {',
+  ],
   [
     'a progress write is conditional on the leadership',
     `${COMMON_POOL}/progressBatch.js`,
@@ -103,8 +109,8 @@
   [
     'a start is stored before it is sent',
     `${NODE_POOL}/planDriver.js`,
-    'options.save(entry.job.jobId).then',
-    'Promise.resolve(options.save(entry.job.jobId) && undefined).then',
+    'await options.save(jobId);',
+    'void options.save(jobId);',
   ],
   [
     'a refusal after an unanswered attempt settles nothing',
