Explore lost watches, and check that nothing starts long after a cancellation

The exploration cancelled jobs and never asked whether they were started again; and the stand-in's store refused a watch in an outage at once, where a real one leaves it without an answer, so no seed could show it. Seeds go on with the acts that they had; a second round adds lost watches and cancellations.

--- a/src/standins/memoryPoolWorker.ts
+++ b/src/standins/memoryPoolWorker.ts
@@ -32,6 +32,8 @@
   how: poolWorker.EndKind | 'crashed' | undefined;
   /** The worker was told that its end is stored, and forgot it. */
   isAcknowledged: boolean;
+  /** Carried out seconds after its order, by a fault of the worker. */
+  readonly isLate: boolean;
 }
 
 /** What tests see and do besides the contract. */
@@ -181,7 +183,7 @@
     }
     work(it);
   };
-  const start = (order: agentContract.WorkerStart): agentContract.WorkerAnswer => {
+  const start = (order: agentContract.WorkerStart, isLate: boolean): agentContract.WorkerAnswer => {
     const refuse = (reason: string): agentContract.WorkerAnswer => ({ outcome: 'refused', reason });
     if (order.fence < fence) return refuse('fence');
     fence = order.fence;
@@ -201,6 +203,7 @@
       endedAtMs: undefined,
       how: undefined,
       isAcknowledged: false,
+      isLate,
     };
     runs.push(record);
     const it: LiveRun = { record, timer: undefined };
@@ -219,18 +222,18 @@
 
   const carryOut = (
     workerId: string,
-    deed: () => agentContract.WorkerAnswer,
+    deed: (isLate: boolean) => agentContract.WorkerAnswer,
   ): Promise<agentContract.WorkerAnswer> => {
     if (faults.isSilent) return Promise.resolve(NO_ANSWER);
     if (faults.delayOrders > 0) {
       faults.delayOrders -= 1;
       time.after(faults.lateByMs, () => {
-        if (workerId === info.workerId) deed();
+        if (workerId === info.workerId) deed(true);
       });
       return Promise.resolve(NO_ANSWER);
     }
     if (workerId !== info.workerId) return Promise.resolve({ outcome: 'refused', reason: '421' });
-    return Promise.resolve(deed());
+    return Promise.resolve(deed(false));
   };
 
   const lapse = (): void => {
@@ -290,7 +293,7 @@
 
   return {
     link: {
-      start: (workerId, order) => carryOut(workerId, () => start(order)),
+      start: (workerId, order) => carryOut(workerId, (isLate) => start(order, isLate)),
       stop: (workerId, order) => carryOut(workerId, () => stop(order)),
       pace: (workerId) => carryOut(workerId, () => ACCEPTED),
       view,
--- a/src/standins/test/poolExploration.test.ts
+++ b/src/standins/test/poolExploration.test.ts
@@ -10,8 +10,12 @@
 
 const FIRST_SEED = Number(process.env.POOL_FIRST_SEED ?? 1);
 
-test.describe('a pool under random faults', () => {
+const explore = (losesWatches: boolean): void => {
   for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) {
-    test.it(`seed ${seed}`, () => poolExploration.explore(seed));
+    test.it(`seed ${seed}`, () => poolExploration.explore({ seed, losesWatches }));
   }
-});
+};
+
+test.describe('a pool under random faults', () => explore(false));
+
+test.describe('a pool under random faults that loses watches', () => explore(true));
--- a/src/standins/test/poolExploration.ts
+++ b/src/standins/test/poolExploration.ts
@@ -17,7 +17,17 @@
 /** Time without faults in which everything has to come to its end. */
 const SETTLE_MS = 90_000;
 
-type Act = (pool: poolKit.Pool, next: random.Random) => Promise<void> | void;
+/** Nothing of a job is started later than this after its cancellation was stored. */
+const CANCEL_MS = 3000;
+
+/** When each job's cancellation was stored. */
+type Cancellations = Map<string, number>;
+
+type Act = (
+  pool: poolKit.Pool,
+  next: random.Random,
+  cancelled: Cancellations,
+) => Promise<void> | void;
 
 const siteOf = (pool: poolKit.Pool, next: random.Random): poolKit.Site =>
   pool.sites[random.integerBelow(next, pool.sites.length)] as poolKit.Site;
@@ -41,8 +51,14 @@
     attempts: 3,
   });
 
-const addLeader: Act = (pool) => {
-  pool.addCandidate();
+const cancelAny: Act = async (pool, next, cancelled) => {
+  const jobId = `j${random.integerBelow(next, JOBS)}`;
+  try {
+    await pool.cancel(jobId);
+    if (!cancelled.has(jobId)) cancelled.set(jobId, pool.clock.monotonicMs());
+  } catch {
+    // Nobody was told that the job is cancelled: the store is down or its answer was lost.
+  }
 };
 
 const ACTS: readonly Act[] = [
@@ -76,13 +92,23 @@
   (pool) => {
     pool.store.faults.skipNextWatch = true;
   },
-  (pool, next) => pool.cancel(`j${random.integerBelow(next, JOBS)}`).catch(() => undefined),
+  cancelAny,
+];
+
+/** Beside the others: watches that are never answered, and more cancellations to be missed by them. */
+const WATCH_ACTS: readonly Act[] = [
+  ...ACTS,
+  (pool) => {
+    pool.store.faults.areWatchesLost = !pool.store.faults.areWatchesLost;
+  },
+  cancelAny,
 ];
 
 const heal = (pool: poolKit.Pool): void => {
   pool.store.faults.isDown = false;
   pool.store.faults.loseWriteAnswers = 0;
   pool.store.faults.delayTransactions = 0;
+  pool.store.faults.areWatchesLost = false;
   for (const site of pool.sites) {
     site.isCut = false;
     site.worker.faults.isSilent = false;
@@ -108,6 +134,17 @@
   }
 };
 
+/** Orders that a worker carries out late are its own. */
+const assertNoneAfterCancel = (pool: poolKit.Pool, cancelled: Cancellations): void => {
+  for (const run of pool.runs().filter((it) => !it.isLate)) {
+    const cancelledAtMs = cancelled.get(run.task.split('.')[0] ?? '') ?? Infinity;
+    assert.ok(
+      run.startedAtMs <= cancelledAtMs + CANCEL_MS,
+      `${run.task}#${run.run} began ${run.startedAtMs - cancelledAtMs} ms after the cancellation`,
+    );
+  }
+};
+
 /** What is shown as complete has been done, every task of it. */
 const assertDone = (pool: poolKit.Pool, job: poolJob.PoolJob): void => {
   job.steps.forEach((step, stepIndex) => {
@@ -119,10 +156,19 @@
   });
 };
 
+/** One exploration. */
+export interface Exploration {
+  /** Decides the jobs, the faults and their order. */
+  readonly seed: number;
+  /** Whether watches of the store are lost as well. */
+  readonly losesWatches: boolean;
+}
+
 /**
- * @param seed - decides the jobs, the faults and their order
+ * @param exploration - what is explored
  */
-export const explore = async (seed: number): Promise<void> => {
+export const explore = async ({ seed, losesWatches }: Exploration): Promise<void> => {
+  const acts = losesWatches ? WATCH_ACTS : ACTS;
   const next = random.createRandom(seed);
   const pool = poolKit.createPool({
     workers: WORKERS,
@@ -134,6 +180,7 @@
   await pool.ready;
   let leader = pool.addCandidate();
   const submitted: poolJob.PoolJob[] = [];
+  const cancelled: Cancellations = new Map();
   for (let step = 0; step < STEPS; step += 1) {
     const job = jobs[submitted.length];
     if (job !== undefined && !pool.store.faults.isDown && next() < 0.4) {
@@ -145,16 +192,17 @@
     if (next() < 0.1) {
       leader.kill();
       leader = pool.addCandidate();
-      if (next() < 0.5) await addLeader(pool, next);
+      if (next() < 0.5) pool.addCandidate();
     }
-    const act = ACTS[random.integerBelow(next, ACTS.length)];
-    await act?.(pool, next);
+    const act = acts[random.integerBelow(next, acts.length)];
+    await act?.(pool, next, cancelled);
     await pool.clock.advance(next() * MAX_PAUSE_MS);
   }
   heal(pool);
   await pool.clock.advance(SETTLE_MS);
   poolKit.assertAtMostOnce(pool.runs());
   assertWithinCapacity(pool, submitted);
+  assertNoneAfterCancel(pool, cancelled);
   for (const job of submitted) {
     const state = (await pool.progress(job.jobId))?.state;
     assert.ok(
