Keep a leader's process alive when its watch tells that it leads no more

What callers saw: after an outage in which leases lapse, the leader's process ended with exit code 1, and nobody led until another took over. Cause: the watch's answer ends the term, which withdraws the following while the answer is dealt with; one more watch was sent with the withdrawn signal. The HTTP client made that request and destroyed it before it listened to errors. Change: following ends where what it saw has ended it; a call that is withdrawn before it is sent is refused without a request. The stand-in of the store refuses such a watch as well.

--- a/src/coordination/node/pool/prefixWatch.ts
+++ b/src/coordination/node/pool/prefixWatch.ts
@@ -40,6 +40,8 @@
     const seen = await options.store.watch(options.prefix, revision, waitMs, signal);
     if (signal.aborted || seen.isGap) return;
     options.onDidSee(seen);
+    // What was seen may have ended this very following: a leader that reads that another one leads.
+    if (signal.aborted) return;
     age.proveByWatch(sentAt, waitMs, seen);
     revision = seen.revision;
   }
--- a/src/standins/memoryStore.ts
+++ b/src/standins/memoryStore.ts
@@ -276,6 +276,7 @@
     },
     watch: async (prefix, afterRevision, waitMs, signal) => {
       await enter('watch');
+      if (signal.aborted) throw errors.fail('storeUnavailable', 'the watch was withdrawn');
       return watch(prefix, afterRevision, waitMs, signal);
     },
   };
--- a/src/transport/node/httpClient.ts
+++ b/src/transport/node/httpClient.ts
@@ -88,6 +88,11 @@
   request: http.HttpRequest,
 ): Promise<http.HttpReply> =>
   new Promise((resolve, reject) => {
+    if (request.signal?.aborted === true) {
+      // A request that is made and destroyed at once fails where nobody listens yet, which ends the process.
+      reject(new http.HttpCallError(http.HttpFailure.aborted, 'withdrawn'));
+      return;
+    }
     let isConnected = false;
     const outgoing = nodeHttp.request({
       agent,
@@ -106,10 +111,6 @@
       fail(http.HttpFailure.timeout, `no whole answer within ${request.timeoutMs} ms`),
     );
     const onAbort = (): void => fail(http.HttpFailure.aborted, 'withdrawn');
-    if (request.signal?.aborted === true) {
-      onAbort();
-      return;
-    }
     request.signal?.addEventListener('abort', onAbort, { once: true });
     const cut = (message: string): void =>
       fail(isConnected ? http.HttpFailure.lost : http.HttpFailure.notSent, message);
--- a/src/transport/node/test/connections.test.ts
+++ b/src/transport/node/test/connections.test.ts
@@ -200,3 +200,24 @@
   await open;
   await client.dispose();
 });
+
+// A process ended with exit code 1 because it sent a call that was withdrawn already: the request was
+// made and destroyed, and its error came where nobody listened yet.
+test.test('a call that is withdrawn before it is sent fails, and nothing else', async () => {
+  const server = await serve(() => Promise.reject(new Error('nothing may arrive')));
+  const client = httpClient.createHttpClient({ ...LIMITS, clock: systemClock.systemClock });
+  const unheard: Error[] = [];
+  const note = (error: Error): void => {
+    unheard.push(error);
+  };
+  process.on('uncaughtException', note);
+  const call = { ...requestTo(server.address), signal: AbortSignal.abort() };
+  await assert.rejects(client.call(call), { failure: 'aborted' });
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  process.off('uncaughtException', note);
+  assert.deepEqual(unheard, []);
+  await client.dispose();
+  await server.dispose();
+});
