Check at every moment of an outage's end that news reach the leader in time

The tests of lost watches checked one moment each, and some longer waits passed them by their phase. Loops and assertions that could pass for want of a leader are tightened.

--- a/src/standins/test/poolCancelFaults.test.ts
+++ b/src/standins/test/poolCancelFaults.test.ts
@@ -7,7 +7,7 @@
 import * as poolCases from './poolCases.js';
 import type * as poolKit from './poolKit.js';
 
-/** Longer than any watch waits: what is open then was sent under the fault. */
+/** Every watch that is open after this time was sent under the fault. */
 const WATCH_OVER_MS = 5500;
 
 /** Callers are promised that nothing of a cancelled job runs after this time, but for the stop itself. */
@@ -104,7 +104,9 @@
       await pool.clock.advance(OUTAGE_MS);
       faults.areWatchesLost = true;
       faults.isDown = false;
-      while (!(await isSecondStepStored(pool))) await pool.clock.advance(1);
+      for (let ms = 0; ms < 1000 && !(await isSecondStepStored(pool)); ms += 1) {
+        await pool.clock.advance(1);
+      }
       assert.equal(pool.runs().length, 1);
       await pool.cancel('a');
       await pool.clock.advance(CANCEL_MS);
@@ -143,7 +145,9 @@
       assert.deepEqual(first.leader()?.pendingByQueue(), {});
       await loseWatches(pool);
       await pool.submit(fixtures.makeJob([{}], { jobId: 'a' }));
-      assert.equal(first.leader()?.pendingByQueue(), undefined);
+      const leader = first.leader();
+      assert.ok(leader);
+      assert.equal(leader.pendingByQueue(), undefined);
       pool.store.faults.areWatchesLost = false;
       await pool.clock.advance(RECLAIM_MS);
       assert.deepEqual(first.leader()?.pendingByQueue(), {});
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -13,6 +13,7 @@
   'standins/test/poolFaults.test.js',
   'standins/test/poolLeaderFaults.test.js',
   'standins/test/poolCancelFaults.test.js',
+  'standins/test/poolLostWatches.test.js',
   'standins/test/leasedRecord.test.js',
   'standins/test/poolParts.test.js',
   'standins/test/jobDesk.test.js',
@@ -106,6 +107,18 @@
     'if (nowMs() < formerLapseAtMs)',
     'if (false)',
   ],
+  [
+    'a lost watch of records is followed soon',
+    `${NODE_POOL}/recordFeed.js`,
+    'const WATCH_MS = 800;',
+    'const WATCH_MS = 1900;',
+  ],
+  [
+    'a lost watch of the leadership is followed soon',
+    `${NODE_POOL}/poolLeadership.js`,
+    'const WATCH_MS = 1200;',
+    'const WATCH_MS = 2000;',
+  ],
   [
     'old knowledge of waiting jobs is not told',
     `${NODE_POOL}/poolLeader.js`,
