Judge whether a run gets on from when its start was sent

What callers could see: after an outage of nine seconds sound work is stopped a fifth of a second after it began, and its worker avoided. Its time counts from the sending of the start now. Before: three runs in the test, one of them stopped as standing still; after: two.

--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -39,7 +39,7 @@
   readonly stepKey: string;
   readonly groupKey: string;
   /** Leader's clock when the run was ordered, or first seen. */
-  readonly sinceMs: number;
+  sinceMs: number;
   phase: RunPhase;
   /** Fence under which the worker must have answered before the run counts as gone. */
   closeFence: number;
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -106,6 +106,9 @@
       schedule();
       return;
     }
+    // The store may have kept it waiting; judged from its placement a sound run would stand still at once.
+    run.sinceMs = nowMs();
+    run.movedAtMs = nowMs();
     options.desk().start(worker, { run, ticket });
   };
 
--- a/src/standins/test/poolLeaderFaults.test.ts
+++ b/src/standins/test/poolLeaderFaults.test.ts
@@ -168,6 +168,22 @@
     states: { a: 'complete' },
     runs: 1,
   },
+  {
+    // Sound work is stopped just after it began, and its worker avoided. Its start had waited nine seconds
+    // for the store, and it was taken to stand still since it had been placed.
+    name: 'a start that waited for the store is not taken to stand still',
+    options: { workers: 2, workMs: (task) => (task === 'a.0.0.0' ? 1500 : 10_000) },
+    jobs: [[[{ estimatedMs: 1500 }, { after: [0], estimatedMs: 10_000 }], { jobId: 'a' }]],
+    act: async (pool) => {
+      pool.store.faults.pausesLeases = true;
+      await pool.clock.advance(1000);
+      pool.store.faults.isDown = true;
+      await pool.clock.advance(9000);
+      pool.store.faults.isDown = false;
+    },
+    states: { a: 'complete' },
+    runs: 2,
+  },
 ];
 
 poolCases.describeCases('a pool under a fault of its leader or the store', CASES);
