Let a swallowed call to the policy service hold up the others for three seconds

What callers could see: nothing that needs the service's consent starts for fifteen seconds after one call got no answer. The service takes a second or so, and the first wait is three now, doubled after each failure for a service that thinks longer. Before: the two jobs of the test have not begun after 5 s; after: both have. No deployment at hand has such a queue; shown in virtual time only.

--- a/src/coordination/node/pool/adviceDesk.ts
+++ b/src/coordination/node/pool/adviceDesk.ts
@@ -22,7 +22,11 @@
   readonly log: logging.Log;
   readonly metrics: metrics.Metrics;
   /** Asks the policy service; throws where it does not answer. */
-  readonly ask: (stepKey: string, workerIds: readonly string[]) => Promise<Advice>;
+  readonly ask: (
+    stepKey: string,
+    workerIds: readonly string[],
+    timeoutMs: number,
+  ) => Promise<Advice>;
   readonly onDidAdvise: () => void;
 }
 
@@ -50,6 +54,13 @@
 /** Pause before the service is asked again after a refusal or silence. */
 const RETRY_MS = 500;
 
+/**
+ * Wait for an answer: a call that is never answered holds up every other step for no longer than this. A
+ * service that thinks longer is given twice the time after each failure, up to the longest.
+ */
+const FIRST_TIMEOUT_MS = 3000;
+const MAX_TIMEOUT_MS = 15_000;
+
 interface KnownStep {
   /** Workers that the service has been asked about. */
   readonly asked: Set<string>;
@@ -58,6 +69,7 @@
   validUntilMs: number;
   isWaiting: boolean;
   notBeforeMs: number;
+  timeoutMs: number;
 }
 
 /**
@@ -79,6 +91,7 @@
       validUntilMs: 0,
       isWaiting: false,
       notBeforeMs: 0,
+      timeoutMs: FIRST_TIMEOUT_MS,
     };
     steps.set(stepKey, created);
     return created;
@@ -101,7 +114,7 @@
   ): Promise<void> => {
     const startedAtMs = time.monotonicMs();
     try {
-      const advice = await options.ask(stepKey, workerIds);
+      const advice = await options.ask(stepKey, workerIds, step.timeoutMs);
       take(step, workerIds, advice);
       log('info', 'advised', {
         step: stepKey,
@@ -110,6 +123,7 @@
         validMs: advice.validMs,
       });
     } catch (thrown) {
+      step.timeoutMs = Math.min(2 * step.timeoutMs, MAX_TIMEOUT_MS);
       step.notBeforeMs = time.monotonicMs() + RETRY_MS;
       log('warn', 'adviceFailed', { step: stepKey, reason: errors.normalize(thrown).message });
     }
--- a/src/platform/adviceClient.ts
+++ b/src/platform/adviceClient.ts
@@ -21,9 +21,6 @@
   valid_ms: Schema.optionalKey(Schema.Number),
 });
 
-/** The service thinks for a while, longer for each worker that is named, and calls wait in turn. */
-const TIMEOUT_MS = 15_000;
-
 /** Validity of a ticket whose answer names none. */
 const DEFAULT_VALID_MS = 1000;
 
@@ -35,7 +32,7 @@
  */
 export const createAdviceClient =
   (options: AdviceClientOptions): adviceDesk.AdviceDeskOptions['ask'] =>
-  async (stepKey, workerIds) => {
+  async (stepKey, workerIds, timeoutMs) => {
     const address = options.address();
     if (address === undefined) {
       throw errors.fail('notFound', 'the deployment names no policy service', { field: 'hint' });
@@ -46,7 +43,7 @@
       path: '/-/advise',
       headers: { 'content-type': 'application/json' },
       body: Buffer.from(JSON.stringify({ step: stepKey, workers: workerIds })),
-      timeoutMs: TIMEOUT_MS,
+      timeoutMs,
     });
     if (reply.status !== OK) {
       throw errors.fail('overloaded', `the policy service answered ${reply.status}`);
--- a/src/standins/test/poolFaults.test.ts
+++ b/src/standins/test/poolFaults.test.ts
@@ -3,6 +3,7 @@
  */
 import * as assert from 'node:assert/strict';
 
+import * as clock from '../../base/common/clock.js';
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
 import * as poolCases from './poolCases.js';
 import * as poolKit from './poolKit.js';
@@ -250,6 +251,35 @@
     },
     states: { claim: 'complete', low: 'complete' },
   },
+  {
+    // The first call to the policy service is swallowed. Every step that needs consent waited fifteen seconds
+    // behind it. The service takes a second or so for an answer.
+    name: 'a call for consent that is never answered does not hold up the others',
+    options: {
+      workers: 2,
+      askAdvice: (() => {
+        let calls = 0;
+        return (_step, workerIds, timeoutMs, time) => {
+          calls += 1;
+          if (calls === 1) {
+            return clock.sleep(time, timeoutMs).then(() => Promise.reject(new Error('silence')));
+          }
+          const ticketsByWorker = new Map(workerIds.map((it) => [it, `ticket-${it}`]));
+          return Promise.resolve({ ticketsByWorker, validMs: 3000 });
+        };
+      })(),
+    },
+    jobs: [
+      [[{}], { jobId: 'a', needsAdvice: true }],
+      [[{}], { jobId: 'b', needsAdvice: true }],
+    ],
+    act: async (pool) => {
+      await pool.clock.advance(5000);
+      assert.equal(pool.runs().length, 2);
+    },
+    states: { a: 'complete', b: 'complete' },
+    runs: 2,
+  },
 ];
 
 poolCases.describeCases('a pool under a fault of workers', CASES);
--- a/src/standins/test/poolKit.ts
+++ b/src/standins/test/poolKit.ts
@@ -79,7 +79,10 @@
   readonly jobs?: readonly poolJob.PoolJob[];
   readonly log?: logging.Log;
   readonly seed?: number;
-  readonly askAdvice?: adviceDesk.AdviceDeskOptions['ask'];
+  /** Answers for the policy service, on the clock of the pool. */
+  readonly askAdvice?: (
+    ...asked: [...Parameters<adviceDesk.AdviceDeskOptions['ask']>, clock.Clock]
+  ) => ReturnType<adviceDesk.AdviceDeskOptions['ask']>;
 }
 
 const HEARTBEAT_MS = 500;
@@ -252,7 +255,8 @@
           term,
           limits: { maxLeaseMs: MAX_LEASE_MS, statusMs: 120_000 },
           configuration: () => configuration,
-          askAdvice: options.askAdvice ?? (() => Promise.reject(new Error('nobody is asked'))),
+          askAdvice: (...asked) =>
+            options.askAdvice?.(...asked, time) ?? Promise.reject(new Error('nobody is asked')),
           onDidConflict: (reason) => leadership.abandon(reason),
         });
       },
