--- a/src/standins/test/poolKit.ts
+++ b/src/standins/test/poolKit.ts
@@ -316,7 +316,8 @@
   const byTask = new Map<string, memoryPoolWorker.RecordedRun[]>();
   for (const run of runs) byTask.set(run.task, [...(byTask.get(run.task) ?? []), run]);
   for (const [task, its] of byTask) {
-    const ordered = [...its].sort((a, b) => a.startedAtMs - b.startedAtMs);
+    // A run that fails at once and the next one may begin at the same moment.
+    const ordered = [...its].sort((a, b) => a.startedAtMs - b.startedAtMs || a.run - b.run);
     ordered.forEach((run, index) => {
       const next = ordered[index + 1];
       if (next === undefined) return;
