Keep the promised bounds, the healing of a pool and picking at random in one place each

The tests of cancellations wrote the promised times in four files, two explorations took faults back by twin functions and found a run's job by splitting its name beside poolWorker.parseTaskName, and picking one of several items stood in the soak and twice in the explorations.

--- a/src/base/common/random.ts
+++ b/src/base/common/random.ts
@@ -34,6 +34,14 @@
  */
 export const integerBelow = (random: Random, below: number): number => Math.floor(random() * below);
 
+/**
+ * @param random - source of randomness
+ * @param items - at least one
+ * @returns one of them
+ */
+export const pick = <T>(random: Random, items: readonly T[]): T =>
+  items[integerBelow(random, items.length)] as T;
+
 /**
  * @param random - source of randomness
  * @param valueMs - the mean of the result
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -28,8 +28,7 @@
 
 const NOTHING = (): void => undefined;
 
-const pick = <T>(scene: FaultScene, items: readonly T[]): T =>
-  items[random.integerBelow(scene.random, items.length)] as T;
+const pick = <T>(scene: FaultScene, items: readonly T[]): T => random.pick(scene.random, items);
 
 const allNodes = ({ site }: FaultScene): readonly soakSite.SoakNode[] => [
   ...site.entries,
--- a/src/standins/test/poolCancelExploration.ts
+++ b/src/standins/test/poolCancelExploration.ts
@@ -8,6 +8,7 @@
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
 import type * as poolJob from '../../state/common/pool/poolJob.js';
 import * as poolKit from './poolKit.js';
+import * as poolPromises from './poolPromises.js';
 
 const WORKERS = 4;
 const MIN_JOBS = 6;
@@ -22,15 +23,6 @@
 /** Everything that was cancelled has ended by then. */
 const SETTLE_MS = 12_000;
 
-/** Nothing of a job is started later than this after its cancellation was stored. */
-const CANCEL_MS = 3000;
-
-/** Longest time that a stop may take. */
-const STOP_MS = 400;
-
-/** A process keeps the promise on starts from this long after the last fault. */
-const STABLE_MS = 4000;
-
 /** Short first steps are followed by others while the faults last. */
 const SHORT_MS = 1500;
 const LONG_MS = 60_000;
@@ -44,9 +36,6 @@
   readonly cancelledAtMs: Map<string, number>;
 }
 
-const pick = <T>(next: random.Random, items: readonly T[]): T =>
-  items[random.integerBelow(next, items.length)] as T;
-
 const makeJob = (jobId: string, next: random.Random): poolJob.PoolJob =>
   fixtures.makeJob(
     [
@@ -57,7 +46,7 @@
   );
 
 const cancelAny = async ({ pool, next, jobIds, cancelledAtMs }: Scene): Promise<void> => {
-  const jobId = pick(next, jobIds);
+  const jobId = random.pick(next, jobIds);
   const { faults } = pool.store;
   const { loseWriteAnswers, delayTransactions } = faults;
   // The faults of answers are for the leader's writes.
@@ -71,7 +60,7 @@
   Object.assign(faults, { loseWriteAnswers, delayTransactions });
 };
 
-const crashAny = ({ pool, next }: Scene): void => pick(next, pool.sites).worker.crash();
+const crashAny = ({ pool, next }: Scene): void => random.pick(next, pool.sites).worker.crash();
 
 const FAULTS: readonly ((scene: Scene) => void)[] = [
   ({ pool: { store } }) => {
@@ -91,7 +80,7 @@
   },
   crashAny,
   ({ pool, next }) => {
-    const { faults } = pick(next, pool.sites).worker;
+    const { faults } = random.pick(next, pool.sites).worker;
     faults.failsAll = !faults.failsAll;
   },
 ];
@@ -100,7 +89,7 @@
   const { pool, next } = scene;
   pool.store.faults.pausesLeases = next() < 0.5;
   for (let step = 0; step < FAULT_STEPS; step += 1) {
-    pick(next, FAULTS)(scene);
+    random.pick(next, FAULTS)(scene);
     if (next() < 0.6) await cancelAny(scene);
     await pool.clock.advance(next() * MAX_PAUSE_MS);
   }
@@ -109,19 +98,6 @@
   await pool.clock.advance(next() * 2 * MAX_PAUSE_MS);
 };
 
-const heal = ({ pool }: Scene): void => {
-  Object.assign(pool.store.faults, {
-    isDown: false,
-    areWatchesLost: false,
-    loseWriteAnswers: 0,
-    delayTransactions: 0,
-    skipNextWatch: false,
-  });
-  pool.sites.forEach(({ worker }) => {
-    worker.faults.failsAll = false;
-  });
-};
-
 const goOn = async (scene: Scene): Promise<void> => {
   for (let step = 0; step < CALM_STEPS; step += 1) {
     if (scene.next() < 0.4) await cancelAny(scene);
@@ -134,12 +110,15 @@
 
 const assertCancelled = ({ pool, cancelledAtMs }: Scene, healedAtMs: number): void => {
   for (const run of pool.runs().filter((it) => !it.isLate)) {
-    const atMs = cancelledAtMs.get(run.task.split('.')[0] ?? '') ?? Infinity;
+    const atMs = cancelledAtMs.get(poolKit.jobIdOf(run)) ?? Infinity;
     const name = `${run.task}#${run.run}`;
-    const lastStartMs = Math.max(atMs + CANCEL_MS, healedAtMs + STABLE_MS);
+    const lastStartMs = Math.max(
+      atMs + poolPromises.CANCEL_MS,
+      healedAtMs + poolPromises.STABLE_MS,
+    );
     assert.ok(run.startedAtMs <= lastStartMs, `${name} began ${run.startedAtMs - atMs} ms after`);
     const endedAtMs = run.endedAtMs ?? pool.clock.monotonicMs();
-    const lastEndMs = Math.max(atMs, healedAtMs) + CANCEL_MS + STOP_MS;
+    const lastEndMs = Math.max(atMs, healedAtMs) + poolPromises.CANCEL_MS + poolPromises.STOP_MS;
     assert.ok(endedAtMs <= lastEndMs, `${name} worked until ${endedAtMs - atMs} ms after`);
   }
 };
@@ -163,7 +142,8 @@
   const scene = { pool, next, jobIds, cancelledAtMs: new Map<string, number>() };
   await pool.clock.advance(1000 + next() * 2 * MAX_PAUSE_MS);
   await makeFaults(scene);
-  heal(scene);
+  poolKit.heal(pool);
+  pool.store.faults.skipNextWatch = false;
   const healedAtMs = pool.clock.monotonicMs();
   await goOn(scene);
   assertCancelled(scene, healedAtMs);
--- a/src/standins/test/poolCancelFaults.test.ts
+++ b/src/standins/test/poolCancelFaults.test.ts
@@ -6,20 +6,12 @@
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
 import * as poolKeys from '../../state/common/pool/poolKeys.js';
 import * as poolCases from './poolCases.js';
-import type * as poolKit from './poolKit.js';
+import * as poolKit from './poolKit.js';
+import * as poolPromises from './poolPromises.js';
 
 /** Every watch that is open after this time was sent under the fault. */
 const WATCH_OVER_MS = 5500;
 
-/** Callers are promised that nothing of a cancelled job runs after this time, but for the stop itself. */
-const CANCEL_MS = 3000;
-
-/** An urgent job of a customer with a guarantee has begun after this time. */
-const RECLAIM_MS = 2900;
-
-/** The leases of the leaders of a test. */
-const LEADER_LEASE_MS = 2000;
-
 /** Ends between a renewal of the leadership and a write that the leader repeats. */
 const OUTAGE_MS = 4050;
 
@@ -48,7 +40,7 @@
     act: async (pool) => {
       await loseWatches(pool);
       await pool.cancel('a');
-      await pool.clock.advance(CANCEL_MS);
+      await pool.clock.advance(poolPromises.CANCEL_MS);
       pool.sites.forEach(({ worker }) => worker.crash());
       await pool.clock.advance(2000);
       pool.store.faults.areWatchesLost = false;
@@ -67,7 +59,7 @@
       await loseWatches(pool);
       pool.store.faults.areWatchesLost = false;
       await pool.cancel('a');
-      await pool.clock.advance(CANCEL_MS);
+      await pool.clock.advance(poolPromises.CANCEL_MS);
       assert.deepEqual(
         pool.runs().map((it) => it.how),
         ['stopped', 'stopped'],
@@ -85,7 +77,7 @@
       await loseWatches(pool);
       pool.store.faults.areWatchesLost = false;
       await pool.submit(fixtures.makeJob([{}], { jobId: 'a' }));
-      await pool.clock.advance(RECLAIM_MS);
+      await pool.clock.advance(poolPromises.RECLAIM_MS);
       assert.equal(pool.runs().length, 1);
     },
     states: { a: 'complete' },
@@ -110,7 +102,7 @@
       }
       assert.equal(pool.runs().length, 1);
       await pool.cancel('a');
-      await pool.clock.advance(CANCEL_MS);
+      await pool.clock.advance(poolPromises.CANCEL_MS);
     },
     states: { a: 'cancelled' },
     runs: 1,
@@ -126,10 +118,10 @@
       await loseWatches(pool);
       await pool.clock.advance(WATCH_OVER_MS);
       first.kill();
-      await pool.clock.advance(LEADER_LEASE_MS);
+      await pool.clock.advance(poolKit.LEADER_LEASE_MS);
       pool.store.faults.areWatchesLost = false;
       await pool.submit(fixtures.makeJob([{}], { jobId: 'a' }));
-      await pool.clock.advance(RECLAIM_MS);
+      await pool.clock.advance(poolPromises.RECLAIM_MS);
       assert.equal(pool.runs().length, 1);
     },
     states: { a: 'complete' },
@@ -150,7 +142,7 @@
       assert.ok(leader);
       assert.equal(leader.pendingByQueue(), undefined);
       pool.store.faults.areWatchesLost = false;
-      await pool.clock.advance(RECLAIM_MS);
+      await pool.clock.advance(poolPromises.RECLAIM_MS);
       assert.deepEqual(first.leader()?.pendingByQueue(), {});
     },
     states: { a: 'complete' },
@@ -167,7 +159,7 @@
       const puts = [{ key: poolKeys.agentKey('other'), value: '{' }];
       await pool.store.transact({ conditions: [], puts, removes: [] });
       await pool.submit(fixtures.makeJob([{}], { jobId: 'a' }));
-      await pool.clock.advance(RECLAIM_MS);
+      await pool.clock.advance(poolPromises.RECLAIM_MS);
       assert.equal(pool.runs().length, 1);
     },
     states: { a: 'complete' },
--- a/src/standins/test/poolExploration.ts
+++ b/src/standins/test/poolExploration.ts
@@ -8,6 +8,7 @@
 import type * as poolJob from '../../state/common/pool/poolJob.js';
 import type * as memoryPoolWorker from '../memoryPoolWorker.js';
 import * as poolKit from './poolKit.js';
+import * as poolPromises from './poolPromises.js';
 
 const WORKERS = 4;
 const JOBS = 10;
@@ -17,9 +18,6 @@
 /** Time without faults in which everything has to come to its end. */
 const SETTLE_MS = 90_000;
 
-/** Nothing of a job is started later than this after its cancellation was stored. */
-const CANCEL_MS = 3000;
-
 /** When each job's cancellation was stored. */
 type Cancellations = Map<string, number>;
 
@@ -29,9 +27,6 @@
   cancelled: Cancellations,
 ) => Promise<void> | void;
 
-const siteOf = (pool: poolKit.Pool, next: random.Random): poolKit.Site =>
-  pool.sites[random.integerBelow(next, pool.sites.length)] as poolKit.Site;
-
 const makeSteps = (next: random.Random): Partial<poolJob.Step>[] => {
   const accelerators = [1, 2, 4, 8][random.integerBelow(next, 4)] ?? 1;
   const step = {
@@ -62,11 +57,11 @@
 };
 
 const ACTS: readonly Act[] = [
-  (pool, next) => siteOf(pool, next).worker.crash(),
-  (pool, next) => siteOf(pool, next).worker.crash(`w-${Math.floor(next() * 1e9)}`),
-  (pool, next) => siteOf(pool, next).restartAgent(),
+  (pool, next) => random.pick(next, pool.sites).worker.crash(),
+  (pool, next) => random.pick(next, pool.sites).worker.crash(`w-${Math.floor(next() * 1e9)}`),
+  (pool, next) => random.pick(next, pool.sites).restartAgent(),
   (pool, next) => {
-    siteOf(pool, next).isCut = true;
+    random.pick(next, pool.sites).isCut = true;
   },
   (pool) => {
     pool.sites.forEach((it) => {
@@ -74,10 +69,10 @@
     });
   },
   (pool, next) => {
-    siteOf(pool, next).worker.faults.delayOrders += 1 + random.integerBelow(next, 4);
+    random.pick(next, pool.sites).worker.faults.delayOrders += 1 + random.integerBelow(next, 4);
   },
   (pool, next) => {
-    const { faults } = siteOf(pool, next).worker;
+    const { faults } = random.pick(next, pool.sites).worker;
     faults.isSilent = !faults.isSilent;
   },
   (pool, next) => {
@@ -104,18 +99,6 @@
   cancelAny,
 ];
 
-const heal = (pool: poolKit.Pool): void => {
-  pool.store.faults.isDown = false;
-  pool.store.faults.loseWriteAnswers = 0;
-  pool.store.faults.delayTransactions = 0;
-  pool.store.faults.areWatchesLost = false;
-  for (const site of pool.sites) {
-    site.isCut = false;
-    site.worker.faults.isSilent = false;
-    site.worker.faults.delayOrders = 0;
-  }
-};
-
 /** No worker ever ran more than it has accelerators for. */
 const assertWithinCapacity = (pool: poolKit.Pool, jobs: readonly poolJob.PoolJob[]): void => {
   const neededBy = new Map(jobs.map((it) => [it.jobId, it]));
@@ -137,9 +120,9 @@
 /** Orders that a worker carries out late are its own. */
 const assertNoneAfterCancel = (pool: poolKit.Pool, cancelled: Cancellations): void => {
   for (const run of pool.runs().filter((it) => !it.isLate)) {
-    const cancelledAtMs = cancelled.get(run.task.split('.')[0] ?? '') ?? Infinity;
+    const cancelledAtMs = cancelled.get(poolKit.jobIdOf(run)) ?? Infinity;
     assert.ok(
-      run.startedAtMs <= cancelledAtMs + CANCEL_MS,
+      run.startedAtMs <= cancelledAtMs + poolPromises.CANCEL_MS,
       `${run.task}#${run.run} began ${run.startedAtMs - cancelledAtMs} ms after the cancellation`,
     );
   }
@@ -194,11 +177,11 @@
       leader = pool.addCandidate();
       if (next() < 0.5) pool.addCandidate();
     }
-    const act = acts[random.integerBelow(next, acts.length)];
-    await act?.(pool, next, cancelled);
+    const act = random.pick(next, acts);
+    await act(pool, next, cancelled);
     await pool.clock.advance(next() * MAX_PAUSE_MS);
   }
-  heal(pool);
+  poolKit.heal(pool);
   await pool.clock.advance(SETTLE_MS);
   poolKit.assertAtMostOnce(pool.runs());
   assertWithinCapacity(pool, submitted);
--- a/src/standins/test/poolKit.ts
+++ b/src/standins/test/poolKit.ts
@@ -29,6 +29,9 @@
 /** Longest lease that the workers of a test grant. */
 export const MAX_LEASE_MS = 6000;
 
+/** Lease of the leadership in a test. */
+export const LEADER_LEASE_MS = 2000;
+
 /** A worker with its agent and the line between leader and agent. */
 export interface Site {
   readonly worker: memoryPoolWorker.MemoryPoolWorker;
@@ -243,7 +246,7 @@
       holderId: place.holderId,
       url: place.url,
       bootId: newId(),
-      leaseMs: 2000,
+      leaseMs: LEADER_LEASE_MS,
       onDidGain: (term) => {
         if (isKilled) return;
         leader = poolLeader.startPoolLeader({
@@ -307,6 +310,32 @@
   };
 };
 
+/**
+ * Takes back the faults of store, workers and lines that last.
+ *
+ * @param pool - the pool
+ */
+export const heal = (pool: Pool): void => {
+  const { faults } = pool.store;
+  faults.isDown = false;
+  faults.areWatchesLost = false;
+  faults.loseWriteAnswers = 0;
+  faults.delayTransactions = 0;
+  for (const site of pool.sites) {
+    site.isCut = false;
+    site.worker.faults.isSilent = false;
+    site.worker.faults.delayOrders = 0;
+    site.worker.faults.failsAll = false;
+  }
+};
+
+/**
+ * @param run - a run on any worker
+ * @returns the job that it belongs to
+ */
+export const jobIdOf = (run: memoryPoolWorker.RecordedRun): string =>
+  poolWorker.parseTaskName(run.task)?.jobId ?? '';
+
 /**
  * Asserts that no task ran twice at once, and none again after it was done in sound order.
  *
--- a/src/standins/test/poolLostWatches.test.ts
+++ b/src/standins/test/poolLostWatches.test.ts
@@ -9,29 +9,18 @@
 
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
 import * as poolKit from './poolKit.js';
+import * as poolPromises from './poolPromises.js';
 
 /** Ends of the outage, over more than the longest time that a lost watch may be open. */
 const ENDS_MS = Array.from({ length: 35 }, (_, index) => 6500 + index * 170);
 
-/** An urgent job of a customer with a guarantee has begun after this time. */
-const BEGIN_MS = 2900;
-
-/** Nothing of a cancelled job works after this time. */
-const CANCEL_MS = 3000;
-
-/** Longest time that a stop may take. */
-const STOP_MS = 400;
-
-/** Leases of the leadership in a pool of tests. */
-const LEADER_LEASE_MS = 2000;
-
 const loseWatchesFor = async (pool: poolKit.Pool, durationMs: number): Promise<void> => {
   pool.store.faults.areWatchesLost = true;
   await pool.clock.advance(durationMs);
 };
 
 const runsOf = (pool: poolKit.Pool, jobId: string) =>
-  pool.runs().filter((it) => it.task.startsWith(`${jobId}.`));
+  pool.runs().filter((it) => poolKit.jobIdOf(it) === jobId);
 
 const checkNews = async (endMs: number): Promise<void> => {
   const pool = poolKit.createPool({ workers: 2, workMs: () => 60_000 });
@@ -42,9 +31,9 @@
   pool.store.faults.areWatchesLost = false;
   await pool.cancel('a');
   await pool.submit(fixtures.makeJob([{}], { jobId: 'b' }));
-  await pool.clock.advance(BEGIN_MS);
+  await pool.clock.advance(poolPromises.RECLAIM_MS);
   assert.equal(runsOf(pool, 'b').length, 1, `the new job has not begun, end ${endMs}`);
-  await pool.clock.advance(CANCEL_MS + STOP_MS - BEGIN_MS);
+  await pool.clock.advance(poolPromises.CANCEL_MS + poolPromises.STOP_MS - poolPromises.RECLAIM_MS);
   const ends = runsOf(pool, 'a').map((it) => it.how);
   assert.deepEqual(ends, ['stopped', 'stopped'], `the cancelled job works on, end ${endMs}`);
   pool.dispose();
@@ -56,12 +45,12 @@
   const first = pool.addCandidate();
   pool.addCandidate();
   await pool.clock.advance(1000);
-  await loseWatchesFor(pool, endMs - LEADER_LEASE_MS);
+  await loseWatchesFor(pool, endMs - poolKit.LEADER_LEASE_MS);
   first.kill();
-  await pool.clock.advance(LEADER_LEASE_MS);
+  await pool.clock.advance(poolKit.LEADER_LEASE_MS);
   pool.store.faults.areWatchesLost = false;
   await pool.submit(fixtures.makeJob([{}], { jobId: 'a' }));
-  await pool.clock.advance(BEGIN_MS);
+  await pool.clock.advance(poolPromises.RECLAIM_MS);
   assert.equal(pool.runs().length, 1, `nobody leads, end ${endMs}`);
   pool.dispose();
 };
