Tell one job's life and what was lost by which cause from the collected logs

An engineer on call could grep the lines of a job; why jobs were late, in sum, nobody could say. 'auburnlift trace JOB FILE' tells one life with the cause of each wait, 'auburnlift losses FILE' lists each job that was late or lost with its time split by cause, sums by kind and customer, and the work that was thrown away by what ended it. Both need no entry.

--- a/src/cli/commandDefinition.ts
+++ b/src/cli/commandDefinition.ts
@@ -43,6 +43,8 @@
   readonly flags?: oclif.Interfaces.FlagInput;
   /** Whether it may be repeated with `--watch`. */
   readonly canWatch?: boolean;
+  /** Works without an entry: it takes no address and its client refuses every call. */
+  readonly isOffline?: boolean;
   /** @throws AuburnliftError, which decides the exit code */
   readonly run: (input: CommandInput) => Promise<CommandResult>;
 }
--- a/src/cli/commandShell.ts
+++ b/src/cli/commandShell.ts
@@ -8,6 +8,7 @@
 
 import * as errorKinds from '../base/common/errorKinds.js';
 import * as errors from '../base/common/errors.js';
+import type * as http from '../base/common/http.js';
 import * as systemClock from '../base/node/systemClock.js';
 import * as httpClient from '../transport/node/httpClient.js';
 
@@ -18,6 +19,8 @@
 const MAX_REPLY_BYTES = 268_435_456;
 const STDIN = 0;
 
+const JSON_FLAG = { json: oclif.Flags.boolean({ summary: 'Print JSON for programs.' }) };
+
 const CONNECTION_FLAGS = {
   url: oclif.Flags.string({
     summary: "Operators' address of an entry, http://host:port.",
@@ -31,7 +34,6 @@
     noCacheDefault: true,
     helpGroup: 'CONNECTION',
   }),
-  json: oclif.Flags.boolean({ summary: 'Print JSON for programs.' }),
 };
 
 const WATCH_FLAG = {
@@ -47,6 +49,17 @@
   throw errors.fail('invalidRequest', `give --${name} or set ${variable}`, { field: name });
 };
 
+const connect = (
+  call: http.HttpCall,
+  flags: Readonly<Record<string, unknown>>,
+): operatorClient.OperatorClient =>
+  operatorClient.createOperatorClient({
+    call,
+    url: required(flags.url as string | undefined, 'url', 'AUBURNLIFT_URL'),
+    token: required(flags.token as string | undefined, 'token', 'AUBURNLIFT_TOKEN'),
+    timeoutMs: TIMEOUT_MS,
+  });
+
 const readText = (file: string): string => {
   try {
     return fs.readFileSync(file === '-' ? STDIN : file, 'utf8');
@@ -66,6 +79,16 @@
     }),
   );
 
+/** The client of a command that asks nobody. */
+const refuseCall = (): never => {
+  throw errors.fail('internal', 'this command has no connection to an entry');
+};
+
+const OFFLINE_CLIENT: operatorClient.OperatorClient = {
+  get: refuseCall,
+  send: refuseCall,
+};
+
 const sleep = (durationMs: number): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, durationMs);
@@ -101,7 +124,8 @@
     static override readonly args = argsOf(definition);
 
     static override readonly flags = {
-      ...CONNECTION_FLAGS,
+      ...JSON_FLAG,
+      ...(definition.isOffline === true ? {} : CONNECTION_FLAGS),
       ...(definition.canWatch === true ? WATCH_FLAG : {}),
       ...definition.flags,
     };
@@ -110,7 +134,7 @@
       const parsed = await this.parse(DefinedCommand);
       const flags = parsed.flags as Readonly<Record<string, unknown>>;
       const isJson = flags.json === true;
-      const http = httpClient.createHttpClient({
+      const connections = httpClient.createHttpClient({
         clock: systemClock.systemClock,
         maxConnections: 4,
         maxIdleMs: 20_000,
@@ -118,18 +142,14 @@
       });
       let exitCode = 0;
       try {
-        const client = operatorClient.createOperatorClient({
-          call: http.call,
-          url: required(flags.url as string | undefined, 'url', 'AUBURNLIFT_URL'),
-          token: required(flags.token as string | undefined, 'token', 'AUBURNLIFT_TOKEN'),
-          timeoutMs: TIMEOUT_MS,
-        });
+        const client =
+          definition.isOffline === true ? OFFLINE_CLIENT : connect(connections.call, flags);
         exitCode = await this.repeat(client, parsed.argv as readonly string[], flags);
       } catch (thrown) {
         this.logToStderr(formatError(thrown, isJson));
         exitCode = errorKinds.ERROR_TABLE[errors.normalize(thrown).kind].exitCode;
       } finally {
-        await http.dispose();
+        await connections.dispose();
       }
       this.exit(exitCode);
     }
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -9,12 +9,14 @@
 import * as devCommand from './devCommand.js';
 import * as jobCommands from './jobCommands.js';
 import * as ledgerCommand from './ledgerCommand.js';
+import * as logCommands from './logCommands.js';
 
 /** What each command that talks to an entry is; `:` stands for the blank that is typed. */
 export const DEFINITIONS: Readonly<Record<string, commandDefinition.CommandDefinition>> = {
   ...configCommands.CONFIG_COMMANDS,
   ...jobCommands.JOB_COMMANDS,
   ...cellCommands.CELL_COMMANDS,
+  ...logCommands.LOG_COMMANDS,
   ledger: ledgerCommand.LEDGER,
   burn: burnCommand.BURN,
 };
--- /dev/null
+++ b/src/cli/logCommands.ts
@@ -0,0 +1,138 @@
+/**
+ * `trace` and `losses`: what an engineer on call asks of the collected logs. They need no entry.
+ */
+import * as oclif from '@oclif/core';
+
+import * as errors from '../base/common/errors.js';
+
+import type * as commandDefinition from './commandDefinition.js';
+import * as jobHistory from './logs/jobHistory.js';
+import * as lossReport from './logs/lossReport.js';
+import * as logLines from './logs/logLines.js';
+import * as timeSplit from './logs/timeSplit.js';
+import * as textTable from './textTable.js';
+
+interface Collected {
+  readonly histories: jobHistory.Histories;
+  readonly skipped: logLines.CollectedLogs['skipped'];
+}
+
+const collect = (input: commandDefinition.CommandInput, file: string): Collected => {
+  const logs = logLines.readLogs(input.readText(file));
+  if (logs.events.length === 0) {
+    throw errors.fail('invalidRequest', `${file}: no line of a process's log`, { field: 'file' });
+  }
+  return { histories: jobHistory.collectHistories(logs), skipped: logs.skipped };
+};
+
+const skippedLine = ({ foreign, cut, tooLong }: Collected['skipped']): string =>
+  `passed over: ${foreign} lines of other programs, ${cut} cut, ${tooLong} too long`;
+
+const seconds = (ms: number): string => (ms / 1000).toFixed(3);
+
+const eventText = ({ event, fields }: logLines.LogEvent): string => {
+  const hidden = new Set(['at', 'event', 'role', 'node', 'level', 'job']);
+  const pairs = [...fields].filter(([name]) => !hidden.has(name));
+  return [event, ...pairs.map(([name, value]) => `${name}=${value}`)].join(' ');
+};
+
+const TRACE: commandDefinition.CommandDefinition = {
+  summary: "Tell one job's life from the collected logs, with the cause of each wait.",
+  description:
+    'FILE holds the lines of all processes in any order; - is standard input. Times count from the ' +
+    "job's acceptance, by the clocks of the machines that wrote the lines.",
+  examples: ['trace 5c0e7a21d94b36f8 all.log', 'trace 5c0e7a21d94b36f8 - --json'],
+  words: ['job', 'file'],
+  isOffline: true,
+  run: (input) => {
+    const [jobId = '', file = '-'] = input.args;
+    const { histories, skipped } = collect(input, file);
+    const job = histories.jobs.get(jobId);
+    if (job === undefined) throw errors.fail('notFound', `no line names the job ${jobId}`);
+    const segments = timeSplit.splitTime(job, histories);
+    const zeroMs = job.acceptedAtMs ?? job.events[0]?.atMs ?? 0;
+    const rows = job.events.map((it) => [seconds(it.atMs - zeroMs), it.node, eventText(it)]);
+    const spans = segments.map((it) => [
+      seconds(it.fromMs - zeroMs),
+      Math.round(it.untilMs - it.fromMs),
+      it.cause,
+      it.detail,
+    ]);
+    return Promise.resolve({
+      value: { job: jobId, end: job.end, segments, skipped },
+      lines: [
+        ...textTable.formatTable({ columns: ['after s', 'where', 'what'], rows }),
+        '',
+        ...textTable.formatTable({ columns: ['from s', 'ms', 'cause', 'detail'], rows: spans }),
+        skippedLine(skipped),
+      ],
+    });
+  },
+};
+
+const lossRows = (losses: readonly lossReport.Loss[], causes: readonly timeSplit.Cause[]) => ({
+  columns: ['job', 'queue', 'customer', 'end', 'took ms', 'objective ms', ...causes],
+  rows: losses.map((it) => [
+    it.jobId,
+    it.queue,
+    it.customer,
+    it.end,
+    it.tookMs,
+    it.objectiveMs,
+    ...causes.map((cause) => it.byCause[cause] ?? 0),
+  ]),
+});
+
+const sumRows = (sums: readonly lossReport.Sum[], causes: readonly timeSplit.Cause[]) => ({
+  columns: ['of', 'name', 'jobs', 'in time', 'late', 'lost', ...causes],
+  rows: sums.map((it) => [
+    it.of,
+    it.name,
+    it.jobs,
+    it.inTime,
+    it.late,
+    it.lost,
+    ...causes.map((cause) => it.byCause[cause] ?? 0),
+  ]),
+});
+
+const thrownAwayRows = (rows: readonly lossReport.ThrownAway[]) => ({
+  columns: ['work thrown away by', 'runs', 'core-seconds'],
+  rows: rows.map((it) => [it.cause, it.runs, Math.round(it.coreSeconds)]),
+});
+
+const LOSSES: commandDefinition.CommandDefinition = {
+  summary: 'List the jobs that were late or lost, with their time split by cause.',
+  description:
+    'FILE holds the lines of all processes in any order; - is standard input. Times by cause are in ' +
+    'milliseconds along the chain of runs that decided the end of the job. Sums count late and lost ' +
+    'jobs only. Cancelled jobs are left out.',
+  examples: ['losses all.log', 'losses - --all', 'losses all.log --json'],
+  words: ['file'],
+  isOffline: true,
+  flags: { all: oclif.Flags.boolean({ summary: 'List the jobs that were in time as well.' }) },
+  run: (input) => {
+    const { histories, skipped } = collect(input, input.args[0] ?? '-');
+    const jobs = lossReport.judgeJobs(histories);
+    const listed = jobs.filter((it) => input.flags.all === true || it.isLoss);
+    const sums = lossReport.sumLosses(jobs);
+    const thrownAway = lossReport.sumThrownAway(histories);
+    const causes = Object.values(timeSplit.Cause);
+    const leaderlessMs = histories.leaderless.reduce((sum, it) => sum + it.untilMs - it.fromMs, 0);
+    return Promise.resolve({
+      value: { jobs: listed, sums, thrownAway, leaderlessMs, skipped },
+      lines: [
+        ...textTable.formatTable(lossRows(listed, causes)),
+        '',
+        ...textTable.formatTable(sumRows(sums, causes)),
+        '',
+        ...textTable.formatTable(thrownAwayRows(thrownAway)),
+        `nobody led for ${seconds(leaderlessMs)} s`,
+        skippedLine(skipped),
+      ],
+    });
+  },
+};
+
+/** The commands on collected logs. */
+export const LOG_COMMANDS = { trace: TRACE, losses: LOSSES } as const;
--- /dev/null
+++ b/src/cli/logs/logLines.ts
@@ -0,0 +1,102 @@
+/**
+ * Reads the collected logs of the processes: `key=value` pairs, one event a line. Lines of other programs
+ * stand around them, and a line may have anything before its first pair.
+ */
+
+/** One event of a process. */
+export interface LogEvent {
+  /** Unix milliseconds by the clock of the machine that wrote it. */
+  readonly atMs: number;
+  readonly event: string;
+  readonly role: string;
+  readonly node: string;
+  readonly fields: ReadonlyMap<string, string>;
+}
+
+/** What was read. */
+export interface CollectedLogs {
+  /** In the order of their times. */
+  readonly events: readonly LogEvent[];
+  /** Lines that were passed over, by reason. */
+  readonly skipped: Readonly<Record<SkipReason, number>>;
+}
+
+/** Why a line is passed over. */
+export const SkipReason = {
+  /** Another program's. */
+  foreign: 'foreign',
+  /** One of ours that ends in the middle. */
+  cut: 'cut',
+  tooLong: 'tooLong',
+} as const;
+
+/** One of the values of {@link SkipReason}. */
+export type SkipReason = (typeof SkipReason)[keyof typeof SkipReason];
+
+/** Above every line that the processes write. */
+const MAX_LINE_CHARACTERS = 16_384;
+
+/** Every line of ours begins with its time and its event. */
+const BEGINNING = /(?:^|\s)(at=\S+ event=)/;
+
+/** A pair with a plain or a quoted value, then the end or a blank. */
+const PAIR = /([A-Za-z][A-Za-z0-9_]*)=("(?:[^"\\]|\\.)*"|[^\s"=]+)(?:\s+|$)/y;
+
+const unquote = (text: string): string | undefined => {
+  if (!text.startsWith('"')) return text;
+  try {
+    return JSON.parse(text) as string;
+  } catch {
+    // An escape that JSON does not know: not one of ours, or damaged.
+    return undefined;
+  }
+};
+
+const parsePairs = (text: string): Map<string, string> | undefined => {
+  const fields = new Map<string, string>();
+  PAIR.lastIndex = 0;
+  while (PAIR.lastIndex < text.length) {
+    const match = PAIR.exec(text);
+    const value = match?.[2] === undefined ? undefined : unquote(match[2]);
+    if (match?.[1] === undefined || value === undefined) return undefined;
+    fields.set(match[1], value);
+  }
+  return fields;
+};
+
+/**
+ * @param line - one line of a log
+ * @returns its event, or why it is passed over
+ */
+export const parseLine = (line: string): LogEvent | SkipReason => {
+  if (line.length > MAX_LINE_CHARACTERS) return SkipReason.tooLong;
+  const beginning = BEGINNING.exec(line);
+  if (beginning?.[1] === undefined) return SkipReason.foreign;
+  const start = beginning.index + beginning[0].length - beginning[1].length;
+  const fields = parsePairs(line.slice(start).trimEnd());
+  const atMs = Date.parse(fields?.get('at') ?? '');
+  const event = fields?.get('event');
+  const role = fields?.get('role');
+  const node = fields?.get('node');
+  const isWhole = event !== undefined && role !== undefined && node !== undefined;
+  if (fields === undefined || Number.isNaN(atMs) || !isWhole) return SkipReason.cut;
+  return { atMs, event, role, node, fields };
+};
+
+/**
+ * @param text - collected logs of any number of processes
+ * @returns their events in the order of time
+ */
+export const readLogs = (text: string): CollectedLogs => {
+  const events: LogEvent[] = [];
+  const skipped = { foreign: 0, cut: 0, tooLong: 0 };
+  for (const line of text.split('\n')) {
+    if (line.trim() !== '') {
+      const parsed = parseLine(line);
+      if (typeof parsed === 'string') skipped[parsed] += 1;
+      else events.push(parsed);
+    }
+  }
+  events.sort((a, b) => a.atMs - b.atMs);
+  return { events, skipped };
+};
--- /dev/null
+++ b/src/cli/logs/test/logLines.test.ts
@@ -0,0 +1,56 @@
+/**
+ * Lines of collected logs: which are ours, and which are passed over.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as logLines from '../logLines.js';
+
+const LINE = 'at=2026-05-18T14:33:42.001Z event=waits role=scheduler node=edge-1 level=info';
+
+const ACCEPTED: readonly [name: string, line: string, fields: Readonly<Record<string, string>>][] =
+  [
+    ['a plain line', `${LINE} job=a1 group=a1.0.0`, { job: 'a1', group: 'a1.0.0' }],
+    ['something before it', `  -11.9989 edge-1/scheduler ${LINE} job=a1`, { job: 'a1' }],
+    ['a quoted value', `${LINE} reason="no \\"room\\" = none"`, { reason: 'no "room" = none' }],
+    ['an empty value', `${LINE} reason="" job=a1`, { reason: '', job: 'a1' }],
+    ['a carriage return at its end', `${LINE} job=a1\r`, { job: 'a1' }],
+  ];
+
+const PASSED_OVER: readonly [name: string, line: string, reason: logLines.SkipReason][] = [
+  ['another program', 'kernel: link is up, state=forwarding', 'foreign'],
+  ['a report', 'worth 0.797 = whole day 0.928', 'foreign'],
+  ['cut within a quoted value', `${LINE} reason="no ro`, 'cut'],
+  ['cut before a value', `${LINE} job=`, 'cut'],
+  ['cut before the node', LINE.slice(0, LINE.indexOf(' node')), 'cut'],
+  ['an escape that is none', `${LINE} reason="\\q"`, 'cut'],
+  ['a time that is none', LINE.replace('2026-05-18T14:33:42.001Z', 'yesterday'), 'cut'],
+  ['a line of a megabyte', `${LINE} reason=${'x'.repeat(1_000_000)}`, 'tooLong'],
+];
+
+test.describe('logLines', () => {
+  for (const [name, line, fields] of ACCEPTED) {
+    test.it(`reads ${name}`, () => {
+      const parsed = logLines.parseLine(line);
+      assert.ok(typeof parsed === 'object');
+      assert.equal(parsed.event, 'waits');
+      assert.equal(parsed.atMs, Date.parse('2026-05-18T14:33:42.001Z'));
+      for (const [field, value] of Object.entries(fields)) {
+        assert.equal(parsed.fields.get(field), value);
+      }
+    });
+  }
+  for (const [name, line, reason] of PASSED_OVER) {
+    test.it(`passes over ${name}`, () => assert.equal(logLines.parseLine(line), reason));
+  }
+
+  test.it('orders events by time, counts the rest and takes no notice of empty lines', () => {
+    const later = LINE.replace('42.001', '43.000');
+    const logs = logLines.readLogs([later, '', 'foreign', LINE, `${LINE} job=`, ''].join('\n'));
+    assert.deepEqual(
+      logs.events.map(({ atMs }) => new Date(atMs).toISOString()),
+      ['2026-05-18T14:33:42.001Z', '2026-05-18T14:33:43.000Z'],
+    );
+    assert.deepEqual(logs.skipped, { foreign: 1, cut: 1, tooLong: 0 });
+  });
+});
--- /dev/null
+++ b/src/cli/logs/test/timeSplit.test.ts
@@ -0,0 +1,236 @@
+/**
+ * A job's time by cause, from the lines of its life.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as jobHistory from '../jobHistory.js';
+import * as logLines from '../logLines.js';
+import * as lossReport from '../lossReport.js';
+import * as timeSplit from '../timeSplit.js';
+
+const START_MS = Date.parse('2026-05-18T14:00:00.000Z');
+
+interface Line {
+  readonly atMs: number;
+  readonly event: string;
+  readonly node?: string;
+  readonly text?: string;
+}
+
+const ROLES: Readonly<Record<string, string>> = {
+  jobAccepted: 'entry',
+  startGiven: 'agent',
+  endListed: 'agent',
+};
+
+const format = ({ atMs, event, node = 'edge-1', text = '' }: Line): string =>
+  `at=${new Date(START_MS + atMs).toISOString()} event=${event} ` +
+  `role=${ROLES[event] ?? 'scheduler'} node=${node} level=info ${text}`;
+
+const historiesOf = (lines: readonly Line[]): jobHistory.Histories =>
+  jobHistory.collectHistories(logLines.readLogs(lines.map(format).join('\n')));
+
+const at = (atMs: number, event: string, text = '', node = 'edge-1'): Line => ({
+  atMs,
+  event,
+  text,
+  node,
+});
+
+const accepted = at(0, 'jobAccepted', 'job=j queue=q customer=c');
+const learnt = at(5, 'jobLearnt', 'job=j');
+const placed = (atMs: number, run: number, away = 0): Line =>
+  at(atMs, 'placed', `job=j group=j.0.0.0 run=${run} workers=w1 waitedMs=0 away=${away}`);
+const taken = (atMs: number, run: number): Line =>
+  at(atMs, 'startGiven', `task=j.0.0.0 run=${run} outcome=accepted`);
+const ended = (atMs: number, run: number, how: string): Line =>
+  at(
+    atMs,
+    'runEnded',
+    `job=j group=j.0.0.0 step=0 index=0 run=${run} how=${how} heldMs=1000 cores=8 checkpointing=false`,
+  );
+const jobEnded = (atMs: number, timeliness = 'late'): Line =>
+  at(
+    atMs,
+    'jobEnded',
+    `job=j queue=q customer=c state=complete durationMs=${atMs} objectiveMs=900 timeliness=${timeliness}`,
+  );
+
+interface Case {
+  readonly name: string;
+  readonly lines: readonly Line[];
+  readonly split: Readonly<Partial<Record<timeSplit.Cause, number>>>;
+}
+
+const CASES: readonly Case[] = [
+  {
+    name: 'a run without a wait',
+    lines: [accepted, learnt, placed(5, 1), taken(30, 1), ended(1030, 1, 'done'), jobEnded(1030)],
+    split: { learnt: 5, store: 25, running: 1000 },
+  },
+  {
+    name: 'a wait for room, then for others to leave',
+    lines: [
+      accepted,
+      learnt,
+      at(5, 'waits', 'job=j group=j.0.0.0 reason="no room"'),
+      at(105, 'waits', 'job=j group=j.0.0.0 reason="waits for 2 groups to leave"'),
+      placed(505, 1),
+      taken(505, 1),
+      ended(1505, 1, 'done'),
+      jobEnded(1505),
+    ],
+    split: { learnt: 5, room: 100, othersLeave: 400, running: 1000 },
+  },
+  {
+    name: 'a run that was stopped and begun again away from its data',
+    lines: [
+      accepted,
+      learnt,
+      placed(5, 1),
+      taken(5, 1),
+      at(605, 'runStopped', 'task=j.0.0.0 run=1 cause="reclaimedFor k.0.0"'),
+      ended(1005, 1, 'stopped'),
+      placed(1005, 2, 1),
+      taken(1005, 2),
+      ended(4005, 2, 'done'),
+      jobEnded(4005),
+    ],
+    split: { learnt: 5, begunAgain: 1000, runningAway: 3000 },
+  },
+  {
+    name: 'an end that was listed long before it was noted',
+    lines: [
+      accepted,
+      learnt,
+      placed(5, 1),
+      taken(5, 1),
+      at(1005, 'endListed', 'task=j.0.0.0 run=1 how=done'),
+      ended(1805, 1, 'done'),
+      jobEnded(1805),
+    ],
+    split: { learnt: 5, running: 1000, endNotNoted: 800 },
+  },
+  {
+    name: 'a wait while nobody leads',
+    lines: [
+      at(-100, 'loaded'),
+      accepted,
+      learnt,
+      at(5, 'waits', 'job=j group=j.0.0.0 reason="no room"'),
+      at(105, 'leadershipLost', 'reason=lapsed'),
+      at(1105, 'loaded', '', 'edge-2'),
+      at(1205, 'placed', 'job=j group=j.0.0.0 run=1 workers=w1 waitedMs=0 away=0', 'edge-2'),
+      taken(1205, 1),
+    ],
+    split: { learnt: 5, room: 200, leader: 1000 },
+  },
+  {
+    name: 'what a leader tells that was replaced without its knowledge',
+    lines: [
+      at(-100, 'loaded'),
+      accepted,
+      learnt,
+      placed(5, 1),
+      taken(5, 1),
+      at(500, 'loaded', '', 'edge-2'),
+      ended(700, 1, 'lost'),
+      at(1005, 'runEnded', 'group=j.0.0.0 run=1 how=done', 'edge-2'),
+      { ...jobEnded(1005), node: 'edge-2' },
+    ],
+    split: { learnt: 5, running: 1000 },
+  },
+  {
+    name: 'a task that waits untold behind the others of its step',
+    lines: [accepted, learnt, placed(905, 1), taken(905, 1), ended(1905, 1, 'done')],
+    split: { learnt: 5, room: 900, running: 1000 },
+  },
+  {
+    name: 'a job that is never planned',
+    lines: [accepted, at(4000, 'loaded')],
+    split: { learnt: 4000 },
+  },
+];
+
+test.describe('timeSplit', () => {
+  for (const { name, lines, split } of CASES) {
+    test.it(name, () => {
+      const histories = historiesOf(lines);
+      const job = histories.jobs.get('j');
+      assert.ok(job !== undefined);
+      const sums = timeSplit.sumByCause(timeSplit.splitTime(job, histories));
+      assert.deepEqual(Object.fromEntries(sums), split);
+    });
+  }
+
+  test.it('a step that waited for another is counted from that one on', () => {
+    const second = [
+      at(1005, 'placed', 'job=j group=j.0.1.0 run=1 workers=w1 waitedMs=0 away=0'),
+      at(1005, 'startGiven', 'task=j.0.1.0 run=1 outcome=accepted'),
+      at(3005, 'runEnded', 'group=j.0.1.0 run=1 how=done'),
+    ];
+    const first = [accepted, learnt, placed(5, 1), taken(5, 1), ended(1005, 1, 'done')];
+    const histories = historiesOf([...first, ...second, jobEnded(3005)]);
+    const job = histories.jobs.get('j');
+    assert.ok(job !== undefined);
+    const sums = timeSplit.sumByCause(timeSplit.splitTime(job, histories));
+    assert.deepEqual(Object.fromEntries(sums), { learnt: 5, running: 3000 });
+  });
+});
+
+test.describe('lossReport', () => {
+  const lines = [
+    accepted,
+    learnt,
+    placed(5, 1),
+    taken(5, 1),
+    ended(1005, 1, 'failed'),
+    placed(1005, 2),
+    taken(1005, 2),
+    ended(2005, 2, 'done'),
+    jobEnded(2005),
+    at(0, 'jobAccepted', 'job=k queue=q2 customer=c'),
+    at(2005, 'jobEnded', 'job=k queue=q2 customer=c state=complete timeliness=inTime'),
+    at(0, 'jobAccepted', 'job=gone queue=q2 customer=c'),
+    at(10, 'jobCancelled', 'job=gone'),
+    at(0, 'jobAccepted', 'job=open queue=q2 customer=d'),
+  ];
+
+  test.it('lists each job that was not cancelled, and sums by all, kind and customer', () => {
+    const jobs = lossReport.judgeJobs(historiesOf(lines));
+    assert.deepEqual(
+      jobs.map(({ jobId, end, isLoss }) => [jobId, end, isLoss]),
+      [
+        ['j', 'late', true],
+        ['k', 'inTime', false],
+        ['open', 'open', true],
+      ],
+    );
+    const sums = lossReport.sumLosses(jobs);
+    assert.deepEqual(
+      sums.map(({ of, name, jobs: count, inTime, late, lost }) => [
+        of,
+        name,
+        count,
+        inTime,
+        late,
+        lost,
+      ]),
+      [
+        ['all', 'all', 3, 1, 1, 1],
+        ['queue', 'q', 1, 0, 1, 0],
+        ['queue', 'q2', 2, 1, 0, 1],
+        ['customer', 'c', 2, 1, 1, 0],
+        ['customer', 'd', 1, 0, 0, 1],
+      ],
+    );
+    assert.deepEqual(sums[1]?.byCause, { learnt: 5, running: 1000, begunAgain: 1000 });
+  });
+
+  test.it('counts work that was not done and not saved, by what ended it', () => {
+    assert.deepEqual(lossReport.sumThrownAway(historiesOf(lines)), [
+      { cause: 'failed', runs: 1, coreSeconds: 8 },
+    ]);
+  });
+});
