--- a/src/bench/planningBench.ts
+++ b/src/bench/planningBench.ts
@@ -2,6 +2,7 @@
  * `npm run bench -- planning`: processor time of one planning round of a pool, by its size.
  */
 import * as systemClock from '../base/node/systemClock.js';
+import * as estimateBook from '../coordination/common/pool/estimateBook.js';
 import * as jobBook from '../coordination/common/pool/jobBook.js';
 import * as planRound from '../coordination/common/pool/planRound.js';
 import type * as planTypes from '../coordination/common/pool/planTypes.js';
@@ -85,6 +86,7 @@
       isLeaving: false,
       isProtected: false,
       preemptions: 0,
+      isCheckpointing: false,
       unsavedMs: 1000 + 17 * run,
       remainingMs: 4000 + 31 * run,
     };
@@ -108,7 +110,7 @@
   const workers = Array.from({ length: size.workers }, (_, index) =>
     makeWorker(index, size.runsPerWorker),
   );
-  const queue = readyQueue.createReadyQueue();
+  const queue = readyQueue.createReadyQueue(estimateBook.createEstimateBook());
   const entries = Array.from({ length: size.waiting }, (_, index) =>
     jobBook.createEntry(makeJob(index), 0),
   );
@@ -116,7 +118,7 @@
   const units = queue.units(entries, WAITED_MS, WAITED_MS);
   const guarantees = new Map(Array.from({ length: 52 }, (_, index) => [`customer-${index}`, 4]));
   const startedAtMs = systemClock.systemClock.monotonicMs();
-  planRound.planRound({ nowMs: WAITED_MS, workers, units, heldUp: [], guarantees });
+  planRound.planRound({ nowMs: WAITED_MS, workers, units, heldUp: [], guarantees, farFactor: 3 });
   return systemClock.systemClock.monotonicMs() - startedAtMs;
 };
 
--- a/src/bench/saturation/mixes.ts
+++ b/src/bench/saturation/mixes.ts
@@ -25,6 +25,8 @@
   /** Share of steps of several tasks that are gangs, and of gangs that need one rack. */
   readonly gangShare: number;
   readonly sameRackShare: number;
+  /** Wider steps, or tasks of more accelerators, are no gangs; absent where any may be one. */
+  readonly gangLimit?: { readonly tasks: number; readonly accelerators: number };
   readonly checkpointShare: number;
   /** Chance that a sound task fails once. */
   readonly failShare: number;
@@ -211,8 +213,83 @@
   ],
 };
 
+const fjordhavn: Mix = {
+  ...vanuaPaws,
+  name: 'fjordhavn',
+  checkpointMs: 2000,
+  kinds: [
+    {
+      name: 'tank-reconcile',
+      priority: 1,
+      worth: 3,
+      lateWorth: 1.5,
+      stretch: 3,
+      objectiveMs: 1200,
+      attempts: 3,
+      jobsPerSecond: 0.285,
+      secondStepShare: 0,
+      tasks: { mean: 1.8, spread: 0.8, max: 9 },
+      workMs: { mean: 12_143, spread: 0.3, max: 15_700 },
+      cpuMillicores: 52_000,
+      memoryMb: 270_000,
+      accelerators: MIXED_ACCELERATORS,
+      gangShare: 0,
+      sameRackShare: 0,
+      checkpointShare: 0.45,
+      failShare: 0.02,
+      cancelShare: 0.05,
+      estimateFactor: 4.7,
+    },
+    {
+      name: 'berth-invoice',
+      priority: 0,
+      worth: 4,
+      lateWorth: 0.8,
+      stretch: 1.5,
+      objectiveMs: 500,
+      attempts: 4,
+      jobsPerSecond: 0.262,
+      secondStepShare: 0,
+      tasks: { mean: 3.4, spread: 0.8, max: 21 },
+      workMs: { mean: 3571, spread: 0.5, max: 11_400 },
+      cpuMillicores: 15_000,
+      memoryMb: 61_000,
+      accelerators: MIXED_ACCELERATORS,
+      gangShare: 1,
+      sameRackShare: 0.8,
+      gangLimit: { tasks: 4, accelerators: 4 },
+      checkpointShare: 0,
+      failShare: 0.02,
+      cancelShare: 0,
+      estimateFactor: 4.7,
+    },
+    {
+      name: 'meter-rollup',
+      priority: 2,
+      worth: 1,
+      lateWorth: 0.5,
+      stretch: 3,
+      objectiveMs: 3000,
+      attempts: 3,
+      jobsPerSecond: 0.11,
+      secondStepShare: 0.3,
+      tasks: { mean: 9.2, spread: 0.8, max: 55 },
+      workMs: { mean: 13_571, spread: 0.3, max: 15_700 },
+      cpuMillicores: 11_000,
+      memoryMb: 59_000,
+      accelerators: [1],
+      gangShare: 0,
+      sameRackShare: 0,
+      checkpointShare: 0.45,
+      failShare: 0.005,
+      cancelShare: 0.15,
+      estimateFactor: 2.4,
+    },
+  ],
+};
+
 /** The users' loads. */
-export const MIXES: readonly Mix[] = [kamarvaki, vanuaPaws];
+export const MIXES: readonly Mix[] = [kamarvaki, vanuaPaws, fjordhavn];
 
 /** Trouble that comes with a load. */
 export interface Strain {
--- a/src/bench/saturation/outcomes.ts
+++ b/src/bench/saturation/outcomes.ts
@@ -2,7 +2,9 @@
  * What callers had of a load: shares of what their jobs were worth, in whole and by kind, size and
  * customer.
  */
+import * as jobChain from '../../coordination/common/pool/jobChain.js';
 import * as jobOutcome from '../../coordination/common/pool/jobOutcome.js';
+import * as poolJob from '../../state/common/pool/poolJob.js';
 import type * as mixes from './mixes.js';
 import type * as poolReplay from './poolReplay.js';
 
@@ -36,15 +38,23 @@
   readonly earned: number;
 }
 
-const longestMs = ({ arrival }: poolReplay.ReplayedJob): number =>
-  arrival.workMs.reduce((sum, tasks) => sum + Math.max(...tasks), 0);
+const owedChainMs = ({ arrival }: poolReplay.ReplayedJob, mix: mixes.Mix): number => {
+  const slotsOf: jobChain.SlotsOf = (_, step) =>
+    mix.workers * poolJob.timesThatFit(mix.capacity, poolJob.roomOf(step));
+  return arrival.job.steps.reduce(
+    (sum, step, index) =>
+      sum +
+      Math.max(...(arrival.workMs[index] ?? [])) * jobChain.wavesOf(arrival.job, step, slotsOf),
+    0,
+  );
+};
 
-const earnedShare = (job: poolReplay.ReplayedJob): number => {
+const earnedShare = (job: poolReplay.ReplayedJob, mix: mixes.Mix): number => {
   const { kind, isPoison } = job.arrival;
   const isServed = job.state === 'complete' || (isPoison && job.state === 'failed');
   if (!isServed) return 0;
   const runs = isPoison ? kind.attempts : 1;
-  const objectiveMs = kind.stretch * longestMs(job) * runs + kind.objectiveMs;
+  const objectiveMs = kind.stretch * owedChainMs(job, mix) * runs + kind.objectiveMs;
   if (job.durationMs <= objectiveMs) return 1;
   return job.durationMs <= jobOutcome.LATE_MULTIPLE * objectiveMs ? kind.lateWorth / kind.worth : 0;
 };
@@ -73,7 +83,7 @@
     return its.map((job) => {
       const size = BASE_SHARE + (1 - BASE_SHARE) * (job.arrival.coreMs / meanMs);
       const owed = kind.worth * Math.min(MAX_MULTIPLE, size);
-      return { job, owed, earned: owed * earnedShare(job) };
+      return { job, owed, earned: owed * earnedShare(job, mix) };
     });
   });
 
--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -89,12 +89,12 @@
 ): ReplayResult => {
   const next = random.createRandom(seed);
   const events = eventQueue.createEventQueue();
-  const queue = readyQueue.createReadyQueue();
   const entries = new Map<string, jobBook.JobEntry>();
   const arrivalOf = new Map(arrivals.map((it) => [it.job.jobId, it]));
   const groups = new Set<Group>();
   const savedMs = new Map<string, number>();
   const estimates = estimateBook.createEstimateBook();
+  const queue = readyQueue.createReadyQueue(estimates);
   const guarantees: planTypes.Guarantees = new Map(
     Array.from({ length: mix.customers }, (_, index) => [
       `customer-${index}`,
@@ -175,7 +175,8 @@
     }
     const { jobId } = run.entry.job;
     if (how === 'done' && !workerBlame.isSuspect(worker.blame, events.nowMs())) {
-      estimateBook.noteDone(estimates, run.entry.job, run.step, heldMs);
+      const workMs = workerTable.observedWorkMs(run, events.nowMs());
+      estimateBook.noteDone(estimates, run.entry.job, run.step, workMs);
     }
     if (how === 'done') workerBlame.noteSuccess(worker.blame);
     if (how === 'failed') workerBlame.noteFailure(worker.blame, jobId, events.nowMs());
@@ -232,7 +233,6 @@
   const begin = (placement: planTypes.Placement): void => {
     const { unit } = placement.unit;
     const { entry, tasks, step } = unit;
-    jobBook.assign(entry, gangPlacement.assignmentsOf(placement));
     const arrival = arrivalOf.get(entry.job.jobId);
     const racks = placement.workers.map((it) => it.rack);
     const [firstTask] = tasks;
@@ -240,18 +240,22 @@
     const names = tasks.map((task) => workerTable.keysOf(entry, task).name);
     const saved = Math.max(0, ...names.map((name) => savedMs.get(name) ?? 0));
     const nowMs = events.nowMs();
+    const distanceFactor = gangPlacement.tasksAway(step, racks) > 0 ? mix.farFactor : 1;
+    const beginning = { wallMs: nowMs, distanceFactor };
+    jobBook.assign(entry, gangPlacement.assignmentsOf(placement), beginning);
     const group: Group = {
       members: [],
       workMs: Math.max(1, whole - saved),
       savedMs: saved,
       doneMs: 0,
-      factor: gangPlacement.tasksAway(step, racks) > 0 ? mix.farFactor : 1,
+      factor: distanceFactor,
       movedAtMs: nowMs + START_MS,
       isEnded: false,
     };
     for (const task of tasks) {
       const worker = workerAt(task.agentId);
       const run = workerTable.createRun(entry, task, workerTable.RunPhase.present, nowMs);
+      run.expectedMs = placement.unit.expectedMs * group.factor;
       worker.runs.set(workerTable.runKey(run.name, run.run), run);
       group.members.push({ worker, run, group, startedAtMs: nowMs });
     }
@@ -281,7 +285,7 @@
   const plan = (): void => {
     isDue = false;
     const nowMs = events.nowMs();
-    const units = queue.units(entries.values(), nowMs, nowMs);
+    const units = queue.units(entries.values(), nowMs, nowMs, workerTable.createSlotCount(workers));
     const heldUp = heldUpRuns.findHeldUp(workers, estimates, nowMs);
     if (units.length === 0 && heldUp.length === 0) return;
     const planWorkers = workers
@@ -293,6 +297,7 @@
       units,
       heldUp: queue.heldUpUnits(heldUp, nowMs, nowMs),
       guarantees,
+      farFactor: mix.farFactor,
     });
     round.starts.forEach(begin);
     for (const groupKey of round.evictions.keys()) evict(groupKey);
--- a/src/bench/saturation/workload.ts
+++ b/src/bench/saturation/workload.ts
@@ -45,14 +45,16 @@
   const stepCount = next() < kind.secondStepShare ? 2 : 1;
   const accelerators = kind.accelerators[randoms.integerBelow(next, kind.accelerators.length)] ?? 1;
   const isCheckpointing = next() < kind.checkpointShare;
-  const isGang = next() < kind.gangShare;
+  const { gangLimit } = kind;
+  const isGang =
+    next() < kind.gangShare && accelerators <= (gangLimit?.accelerators ?? accelerators);
   const isSameRack = next() < kind.sameRackShare;
   const steps: poolJob.Step[] = [];
   const workMs: number[][] = [];
   for (let index = 0; index < stepCount; index += 1) {
     const count = Math.max(1, Math.round(drawSize(next, kind.tasks)));
     const stepMs = drawSize(next, kind.workMs);
-    const isWhole = isGang && count > 1;
+    const isWhole = isGang && count > 1 && count <= (gangLimit?.tasks ?? count);
     const eachMs = Array.from({ length: count }, () => stepMs * (0.85 + 0.3 * next()));
     const longestMs = Math.max(...eachMs);
     workMs.push(isWhole ? eachMs.map(() => longestMs) : eachMs);
--- a/src/bench/saturationBench.ts
+++ b/src/bench/saturationBench.ts
@@ -54,7 +54,8 @@
   print: (line: string) => void,
 ): Promise<void> => {
   const seeds = Number(args[0] ?? DEFAULT_SEEDS);
-  for (const mix of mixes.MIXES) {
+  const only = args[1];
+  for (const mix of mixes.MIXES.filter((it) => only === undefined || it.name === only)) {
     for (const strain of mixes.STRAINS) {
       print(`\n${mix.name}, ${strain.name} (shares of worth in per cent, ${seeds} seeds)`);
       print(HEADER);
--- a/src/cli/logs/timeSplit.ts
+++ b/src/cli/logs/timeSplit.ts
@@ -45,7 +45,7 @@
 /** Cuts out of a span the times at which nobody led, since nothing could be decided then. */
 const cutLeaderless = (segment: Segment, leaderless: readonly jobHistory.Span[]): Segment[] => {
   const parts: Segment[] = [];
-  let fromMs = segment.fromMs;
+  let { fromMs } = segment;
   for (const gap of leaderless) {
     const gapFromMs = Math.max(gap.fromMs, fromMs);
     const gapUntilMs = Math.min(gap.untilMs, segment.untilMs);
--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -9,13 +9,6 @@
 import type * as jobBook from './jobBook.js';
 import type * as planTypes from './planTypes.js';
 
-/**
- * A unit waits near its data up to this multiple of its run time before it goes elsewhere. A task far
- * from its data takes three times as long, two run times more; waiting one and a half is still
- * cheaper than that.
- */
-const PATIENCE_RUNS = 1.5;
-
 /** Room left on a worker as a share of its capacity, summed over the kinds of resources. */
 const leftoverShare = (worker: planTypes.PlanWorker, room: poolJob.Resources, times: number) => {
   const left = poolJob.addResources(worker.free, room, -times);
@@ -77,9 +70,17 @@
     .slice(0, wanted);
 };
 
-/** Workers to be tried together, the best first. */
+/** Workers to be tried together. */
 export type CandidateGroups = readonly (readonly planTypes.PlanWorker[])[];
 
+/** Where a unit may go. */
+export interface Candidates {
+  /** Near its data, and for a gang that wants it on one rack; all there is where neither is asked for. */
+  readonly near: CandidateGroups;
+  /** Where it takes several times as long; empty where distance does not matter. */
+  readonly far: CandidateGroups;
+}
+
 const byRack = (workers: readonly planTypes.PlanWorker[]): Map<string, planTypes.PlanWorker[]> => {
   const racks = new Map<string, planTypes.PlanWorker[]>();
   for (const worker of workers) {
@@ -103,12 +104,12 @@
 /**
  * @param workers - all workers that take tasks
  * @param unit - a unit
- * @returns the groups of workers within which it may be placed now
+ * @returns the groups of workers within which it may be placed
  */
 export const candidateGroups = (
   workers: readonly planTypes.PlanWorker[],
   unit: planTypes.PlanUnit,
-): CandidateGroups => {
+): Candidates => {
   const { step, tasks } = unit.unit;
   const suitable = workers.filter((worker) => isSuitable(worker, unit));
   const avoided = new Set(tasks.flatMap((task) => task.avoid));
@@ -126,11 +127,9 @@
     })
     .map(([, its]) => its);
   const isPicky = needsOneRack || step.preferredRack !== undefined;
-  if (!isPicky) return [usable];
-  const isPatient = near.length > 0 && unit.waitedMs < PATIENCE_RUNS * unit.expectedMs;
-  if (isPatient) return near;
+  if (!isPicky) return { near: [usable], far: [] };
   const oneRack = needsOneRack ? racks.map(([, its]) => its) : [];
-  return [...near, ...oneRack, usable];
+  return { near, far: [...oneRack, usable] };
 };
 
 /**
--- a/src/coordination/common/pool/jobBook.ts
+++ b/src/coordination/common/pool/jobBook.ts
@@ -27,6 +27,12 @@
   avoid: string[];
   /** How often it was begun again elsewhere because a worker held it up. */
   moves: number;
+  /** Unix milliseconds at which its run was given; 0 where that is not known. */
+  startedAtWallMs: number;
+  /** How much longer its run takes where it is than near its data; 0 where that is not known. */
+  distanceFactor: number;
+  /** Its work near its data, seen when it was done; 0 where that is not known. */
+  workMs: number;
 }
 
 /** One job with its tasks; occurrences of a schedule are added as they fall due. */
@@ -71,6 +77,9 @@
   notBeforeMs: 0,
   avoid: [],
   moves: 0,
+  startedAtWallMs: 0,
+  distanceFactor: 0,
+  workMs: 0,
 });
 
 const newOccurrence = (job: poolJob.PoolJob, occurrence: number): TaskEntry[][] =>
@@ -263,14 +272,27 @@
   readonly agentId: string;
 }
 
+/** How a run begins; zeros where that is not known. */
+export interface Beginning {
+  /** Unix milliseconds. */
+  readonly wallMs: number;
+  /** How much longer it takes where it is than near its data. */
+  readonly distanceFactor: number;
+}
+
 /**
  * Gives the tasks of a unit to workers, under one run number that no member had before. A gang goes
  * on from one common checkpoint.
  *
  * @param entry - the job
  * @param assignments - one for each task of the unit
+ * @param beginning - when and how far from their data they begin
  */
-export const assign = (entry: JobEntry, assignments: readonly Assignment[]): void => {
+export const assign = (
+  entry: JobEntry,
+  assignments: readonly Assignment[],
+  beginning: Beginning = { wallMs: 0, distanceFactor: 0 },
+): void => {
   const run = 1 + Math.max(...assignments.map(({ task }) => task.run));
   const saved = assignments.map(({ task }) => task.saved).find((it) => it !== '') ?? '';
   for (const { task, workerId, incarnationMs, agentId } of assignments) {
@@ -280,6 +302,8 @@
     task.incarnationMs = incarnationMs;
     task.agentId = agentId;
     task.saved = saved;
+    task.startedAtWallMs = beginning.wallMs;
+    task.distanceFactor = beginning.distanceFactor;
   }
   if (entry.state === poolJob.PoolJobState.queued) entry.state = poolJob.PoolJobState.running;
 };
--- a/src/coordination/common/pool/jobOutcome.ts
+++ b/src/coordination/common/pool/jobOutcome.ts
@@ -21,6 +21,8 @@
 export interface JobOutcome {
   /** From its acceptance, or the due time of its last occurrence, to its end. */
   readonly durationMs: number;
+  /** Longest chain of the work that its tasks turned out to be, near their data and in waves. */
+  readonly chainMs: number;
   /** Within this time it was in time. */
   readonly objectiveMs: number;
   readonly timeliness: Timeliness;
@@ -44,16 +46,32 @@
   return durationMs <= LATE_MULTIPLE * objectiveMs ? Timeliness.late : Timeliness.tooLate;
 };
 
+/** Its caller is owed by the true work; what was declared stands in where none was seen. */
+const observedWork =
+  (entry: jobBook.JobEntry, occurrence: number): jobChain.WorkOf =>
+  (step, index) => {
+    const tasks = entry.occurrences[occurrence]?.[index] ?? [];
+    const longestMs = Math.max(0, ...tasks.map((it) => it.workMs));
+    return longestMs > 0 ? longestMs : step.estimatedMs;
+  };
+
 /**
  * @param entry - a job that has ended
+ * @param slotsOf - the pool's room
  * @returns how it served its caller
  */
-export const outcomeOf = (entry: jobBook.JobEntry): JobOutcome => {
+export const outcomeOf = (entry: jobBook.JobEntry, slotsOf: jobChain.SlotsOf): JobOutcome => {
   const { job } = entry;
-  const durationMs = entry.endedAtMs - countedFromMs(job, jobBook.occurrencesOf(job) - 1);
-  const objectiveMs = jobChain.objectiveMs(job);
+  const occurrence = jobBook.occurrencesOf(job) - 1;
+  const durationMs = entry.endedAtMs - countedFromMs(job, occurrence);
+  const workOf = observedWork(entry, occurrence);
+  const owedOf: jobChain.WorkOf = (step, index) =>
+    workOf(step, index) * jobChain.wavesOf(job, step, slotsOf);
+  const chainMs = Math.round(jobChain.longestChainMs(job, owedOf));
+  const objectiveMs = Math.round(jobChain.objectiveMs(job, chainMs));
   return {
     durationMs,
+    chainMs,
     objectiveMs,
     timeliness: timelinessOf(durationMs, objectiveMs),
     extraRuns: jobBook.tasksOf(entry).reduce((sum, task) => sum + Math.max(0, task.run - 1), 0),
--- a/src/coordination/common/pool/planTypes.ts
+++ b/src/coordination/common/pool/planTypes.ts
@@ -22,6 +22,7 @@
   readonly isProtected: boolean;
   /** How often its job was stopped for others that could not claim it as their guarantee. */
   readonly preemptions: number;
+  readonly isCheckpointing: boolean;
   /** Work that is lost where it is stopped now, in milliseconds of its run. */
   readonly unsavedMs: number;
   /** Expected time to its end. */
@@ -58,6 +59,8 @@
   readonly latestStartMs: number;
   /** Time by the leader's clock after which a start serves nobody any more. */
   readonly uselessAfterMs: number;
+  /** Time by the leader's clock from which its caller counts. */
+  readonly countedFromMs: number;
   /** How long it has been ready. */
   readonly waitedMs: number;
   /** Expected run time of one task near its data. */
--- a/src/coordination/common/pool/readyQueue.ts
+++ b/src/coordination/common/pool/readyQueue.ts
@@ -3,6 +3,7 @@
  */
 import * as poolJob from '../../../state/common/pool/poolJob.js';
 import type * as heldUpRuns from './heldUpRuns.js';
+import * as estimateBook from './estimateBook.js';
 import * as jobBook from './jobBook.js';
 import * as jobChain from './jobChain.js';
 import * as jobOutcome from './jobOutcome.js';
@@ -15,12 +16,14 @@
    * @param entries - the jobs
    * @param nowMs - the leader's clock
    * @param wallMs - Unix milliseconds now
+   * @param slotsOf - the pool's room
    * @returns what may start now
    */
   readonly units: (
     entries: Iterable<jobBook.JobEntry>,
     nowMs: number,
     wallMs: number,
+    slotsOf?: jobChain.SlotsOf,
   ) => planTypes.PlanUnit[];
   /**
    * @param groups - running groups that are held up
@@ -40,18 +43,31 @@
   readonly chainMs: number;
 }
 
-const timingOf = (job: poolJob.PoolJob): JobTiming => ({
-  objectiveMs: jobChain.objectiveMs(job),
-  chainMs: jobChain.longestChainMs(job),
-});
+const timingOf = (
+  job: poolJob.PoolJob,
+  book: estimateBook.EstimateBook,
+  slotsOf: jobChain.SlotsOf,
+): JobTiming => {
+  const { queue } = job.policy;
+  const workOf: jobChain.WorkOf = (step) =>
+    estimateBook.expectedWorkMs(book, queue, step.estimatedMs);
+  const owedOf: jobChain.WorkOf = (step, index) =>
+    workOf(step, index) * jobChain.wavesOf(job, step, slotsOf);
+  const owedChainMs = jobChain.longestChainMs(job, owedOf);
+  return {
+    chainMs: jobChain.longestChainMs(job, workOf),
+    objectiveMs: jobChain.objectiveMs(job, owedChainMs),
+  };
+};
 
 const isDue = (unit: jobBook.ReadyUnit, nowMs: number): boolean =>
   unit.tasks.every((task) => task.notBeforeMs <= nowMs);
 
 /**
+ * @param book - what tasks take
  * @returns a queue that has seen nothing yet
  */
-export const createReadyQueue = (): ReadyQueue => {
+export const createReadyQueue = (book: estimateBook.EstimateBook): ReadyQueue => {
   let readySinceMs = new Map<string, number>();
 
   const toPlanUnit = (
@@ -74,24 +90,25 @@
       room: poolJob.roomOf(unit.step),
       latestStartMs: startedAtMs + objectiveMs - chainMs,
       uselessAfterMs: startedAtMs + jobOutcome.LATE_MULTIPLE * objectiveMs - chainMs,
+      countedFromMs: startedAtMs,
       waitedMs: nowMs - (readySinceMs.get(groupKey) ?? nowMs),
-      expectedMs: unit.step.estimatedMs,
+      expectedMs: estimateBook.expectedWorkMs(book, job.policy.queue, unit.step.estimatedMs),
     };
   };
 
   return {
     heldUpUnits: (groups, nowMs, wallMs) =>
       groups.map(({ unit, workerIds }) => ({
-        unit: toPlanUnit(unit, timingOf(unit.entry.job), nowMs, wallMs),
+        unit: toPlanUnit(unit, timingOf(unit.entry.job, book, jobChain.endlessRoom), nowMs, wallMs),
         workerIds,
       })),
-    units: (entries, nowMs, wallMs) => {
+    units: (entries, nowMs, wallMs, slotsOf = jobChain.endlessRoom) => {
       const sinceMs = new Map<string, number>();
       const units: planTypes.PlanUnit[] = [];
       for (const entry of entries) {
         const ready = jobBook.readyUnits(entry).filter((it) => isDue(it, nowMs));
         if (ready.length === 0) continue;
-        const timing = timingOf(entry.job);
+        const timing = timingOf(entry.job, book, slotsOf);
         for (const it of ready) {
           const unit = toPlanUnit(it, timing, nowMs, wallMs);
           sinceMs.set(unit.groupKey, readySinceMs.get(unit.groupKey) ?? nowMs);
--- a/src/coordination/common/pool/roomToCome.ts
+++ b/src/coordination/common/pool/roomToCome.ts
@@ -6,6 +6,9 @@
 import * as gangPlacement from './gangPlacement.js';
 import type * as planTypes from './planTypes.js';
 
+/** What is being stopped is gone in about this time. */
+const LEAVING_MS = 400;
+
 /** What it costs that a run leaves; `undefined` where it must not. */
 export type CostOf = (holding: planTypes.Holding) => number | undefined;
 
@@ -85,6 +88,20 @@
   };
 };
 
+/**
+ * @param runs - all runs by group
+ * @param groupKeys - groups of which room is wanted
+ * @returns time until the last of them is expected to end by itself, in milliseconds
+ */
+export const longestWaitMs = (runs: RunsByGroup, groupKeys: ReadonlySet<string>): number =>
+  [...groupKeys]
+    .flatMap((it) => runs.get(it) ?? [])
+    .reduce(
+      (longest, { holding }) =>
+        Math.max(longest, holding.isLeaving ? LEAVING_MS : holding.remainingMs),
+      0,
+    );
+
 const victimsOn = (
   worker: planTypes.PlanWorker,
   unit: planTypes.PlanUnit,
--- a/src/coordination/common/pool/test/planRound.test.ts
+++ b/src/coordination/common/pool/test/planRound.test.ts
@@ -81,15 +81,84 @@
     name: 'a claim within the guarantee stops the cheapest lower work that frees its room',
     workers: () => [
       fixtures.makeWorker('w1', {
-        holdings: [fixtures.makeHolding('dear', 8, { unsavedMs: 9e3 })],
+        holdings: [fixtures.makeHolding('dear', 8, { unsavedMs: 9e3, remainingMs: 9e3 })],
+      }),
+      fixtures.makeWorker('w2', {
+        holdings: [fixtures.makeHolding('cheap', 8, { remainingMs: 9e3 })],
       }),
-      fixtures.makeWorker('w2', { holdings: [fixtures.makeHolding('cheap', 8)] }),
     ],
     jobs: [fixtures.makeJob([needing(8)], { priority: 0 })],
     guarantees: guaranteed8,
     starts: {},
     evictions: ['cheap'],
   },
+  {
+    // Guards against work that is thrown away moments before its end, for room that was to come anyway.
+    name: 'a claim waits for a run that ends by itself soon enough',
+    workers: () => [
+      fixtures.makeWorker('w1', { holdings: [fixtures.makeHolding('ends', 8)] }),
+      fixtures.makeWorker('w2', {
+        holdings: [fixtures.makeHolding('cheap', 8, { unsavedMs: 1, remainingMs: 9e3 })],
+      }),
+    ],
+    jobs: [fixtures.makeJob([needing(8)], { priority: 0 })],
+    guarantees: guaranteed8,
+    starts: {},
+    evictions: [],
+  },
+  {
+    name: 'a claim that has waited as long as it may stops what does not end in time',
+    workers: () => [fixtures.makeWorker('w1', { holdings: [fixtures.makeHolding('ends', 8)] })],
+    jobs: [fixtures.makeJob([needing(8)], { priority: 0 })],
+    waitedMs: 1400,
+    guarantees: guaranteed8,
+    starts: {},
+    evictions: ['ends'],
+  },
+  {
+    // Guards against a burst of lasting work that takes every worker: each claim then throws some away.
+    name: 'work that can wait and saves nothing leaves a worker in four for claims',
+    workers: () => ['w1', 'w2', 'w3', 'w4'].map((it) => fixtures.makeWorker(it)),
+    jobs: [fixtures.makeJob([{ count: 4, ...needing(8) }], { priority: 1 })],
+    starts: { 'job.0.0.0': ['w1'], 'job.0.0.1': ['w2'], 'job.0.0.2': ['w3'] },
+  },
+  {
+    name: 'work that saves itself takes every worker, since a claim costs it nothing',
+    workers: () => ['w1', 'w2', 'w3', 'w4'].map((it) => fixtures.makeWorker(it)),
+    jobs: [fixtures.makeJob([{ count: 4, isCheckpointing: true, ...needing(8) }], { priority: 1 })],
+    starts: {
+      'job.0.0.0': ['w1'],
+      'job.0.0.1': ['w2'],
+      'job.0.0.2': ['w3'],
+      'job.0.0.3': ['w4'],
+    },
+  },
+  {
+    // Guards against a tighter worker that is preferred although the task takes three times as long there.
+    name: 'room near its data goes before tighter room far from it',
+    workers: () => [
+      fixtures.makeWorker('w1', { rack: 'near' }),
+      fixtures.makeWorker('w2', {
+        rack: 'far',
+        holdings: [fixtures.makeHolding('a', 4, { remainingMs: 9e3 })],
+      }),
+    ],
+    jobs: [fixtures.makeJob([{ preferredRack: 'near', ...needing(4) }])],
+    waitedMs: 3000,
+    starts: { 'job.0.0.0': ['w1'] },
+  },
+  {
+    name: 'it goes far at once where the room near its data comes later than distance costs',
+    workers: () => [
+      fixtures.makeWorker('w1', {
+        rack: 'near',
+        holdings: [fixtures.makeHolding('a', 8, { remainingMs: 2500 })],
+      }),
+      fixtures.makeWorker('w2', { rack: 'far' }),
+    ],
+    jobs: [fixtures.makeJob([{ preferredRack: 'near', ...needing(4) }])],
+    starts: { 'job.0.0.0': ['w2'] },
+  },
   {
     name: 'a claim stops nothing while something is leaving that frees its room',
     workers: () => [
@@ -213,6 +282,7 @@
         heldUp: (it.heldUp ?? []).flatMap(({ job, on }) =>
           fixtures.makeUnits([job]).map((unit) => ({ unit, workerIds: new Set(on) })),
         ),
+        farFactor: 3,
         guarantees: it.guarantees ?? new Map(),
       });
       const starts = Object.fromEntries(
--- a/src/coordination/common/pool/test/poolFixtures.ts
+++ b/src/coordination/common/pool/test/poolFixtures.ts
@@ -2,6 +2,7 @@
  * Jobs and workers for the tests of pools.
  */
 import type * as poolJob from '../../../../state/common/pool/poolJob.js';
+import * as estimateBook from '../estimateBook.js';
 import * as jobBook from '../jobBook.js';
 import type * as planTypes from '../planTypes.js';
 import * as readyQueue from '../readyQueue.js';
@@ -103,6 +104,7 @@
   isLeaving: false,
   isProtected: false,
   preemptions: 0,
+  isCheckpointing: false,
   unsavedMs: 1000,
   remainingMs: 1000,
   ...changes,
@@ -110,7 +112,7 @@
 
 /** What of the jobs is ready, after a wait. */
 export const makeUnits = (jobs: readonly poolJob.PoolJob[], waitedMs = 0): planTypes.PlanUnit[] => {
-  const queue = readyQueue.createReadyQueue();
+  const queue = readyQueue.createReadyQueue(estimateBook.createEstimateBook());
   const entries = jobs.map((job) => jobBook.createEntry(job, 0));
   queue.units(entries, 0, 0);
   return queue.units(entries, waitedMs, waitedMs);
--- a/src/coordination/common/pool/test/workerTable.test.ts
+++ b/src/coordination/common/pool/test/workerTable.test.ts
@@ -5,6 +5,7 @@
 import * as test from 'node:test';
 
 import type * as poolJob from '../../../../state/common/pool/poolJob.js';
+import * as estimateBook from '../estimateBook.js';
 import * as jobBook from '../jobBook.js';
 import * as workerTable from '../workerTable.js';
 import * as fixtures from './poolFixtures.js';
@@ -63,6 +64,55 @@
     });
   });
 
+  // Guards against a claim that, right after a take-over, throws away what is nearly done.
+  test.it('a run of a former leader counts from its beginning', () => {
+    const entry = jobBook.createEntry(fixtures.makeJob([{}]), 0);
+    const tasks = jobBook.tasksOf(entry);
+    const assignments = tasks.map((task) => ({
+      task,
+      workerId: 'w',
+      incarnationMs: 1,
+      agentId: 'agent',
+    }));
+    jobBook.assign(entry, assignments, { wallMs: 500_000, distanceFactor: 3 });
+    const [task] = tasks;
+    assert.ok(task);
+    const run = workerTable.createRun(entry, task, workerTable.RunPhase.present, NOW_MS);
+    const book = estimateBook.createEstimateBook();
+    workerTable.countFromStart(run, book, { nowMs: NOW_MS, wallMs: 502_000 });
+    assert.equal(run.sinceMs, NOW_MS - 2000);
+    assert.equal(run.expectedMs, 3000);
+    assert.equal(workerTable.observedWorkMs(run, NOW_MS + 1000), 1000);
+  });
+
+  const REMAINING: readonly [
+    name: string,
+    run: { percent: number; saved?: string; first?: { percent: number; atMs: number } },
+    remainingMs: number,
+  ][] = [
+    ['by its progress', { percent: 50 }, NOW_MS],
+    ['by what is expected before that tells', { percent: 2 }, 250],
+    // Guards against a percentage of earlier runs that is taken for this one's speed.
+    ['of a resumed run before it has got on', { percent: 60, saved: 's' }, 400],
+    [
+      'of a resumed run by what it did itself',
+      { percent: 60, saved: 's', first: { percent: 50, atMs: NOW_MS - 1000 } },
+      4000,
+    ],
+  ];
+  for (const [name, { percent, saved = '', first }, remainingMs] of REMAINING) {
+    test.it(`what remains ${name}`, () => {
+      const entry = jobBook.createEntry(fixtures.makeJob([{}]), 0);
+      const [task] = jobBook.tasksOf(entry);
+      assert.ok(task);
+      task.saved = saved;
+      const run = workerTable.createRun(entry, task, workerTable.RunPhase.present, 0);
+      run.percent = percent;
+      run.first = first;
+      assert.equal(workerTable.remainingMsOf(run, NOW_MS), remainingMs);
+    });
+  }
+
   // A leader takes over and can't reach a worker that runs on under the former leader's leases. Given up
   // at once, its tasks start elsewhere and run twice.
   const LAPSES: readonly [name: string, isReachable: boolean, nowMs: number, isOver: boolean][] = [
--- a/src/coordination/common/pool/viewIntake.ts
+++ b/src/coordination/common/pool/viewIntake.ts
@@ -38,6 +38,7 @@
   if (run.phase === workerTable.RunPhase.ordering || run.phase === workerTable.RunPhase.closing) {
     run.phase = workerTable.RunPhase.present;
   }
+  run.first ??= { percent: listed.percent, atMs: nowMs };
   if (listed.percent > run.percent) run.movedAtMs = nowMs;
   run.percent = listed.percent;
   runPace.noteProgress(run.pace, clockMs, listed.percent, run.step.estimatedMs);
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -4,7 +4,9 @@
 import * as poolJob from '../../../state/common/pool/poolJob.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as endLedger from './endLedger.js';
+import * as estimateBook from './estimateBook.js';
 import type * as jobBook from './jobBook.js';
+import type * as jobChain from './jobChain.js';
 import type * as leaseClock from './leaseClock.js';
 import type * as planTypes from './planTypes.js';
 import * as runPace from './runPace.js';
@@ -40,11 +42,19 @@
   readonly groupKey: string;
   /** Leader's clock when the run was ordered, or first seen. */
   sinceMs: number;
+  /** What it takes where it is, from its beginning, before its own progress tells. */
+  expectedMs: number;
+  /** How much longer it takes where it is than near its data; 0 where that is not known. */
+  readonly distanceFactor: number;
+  /** The first progress that its worker listed, and the leader's clock then; undefined before. */
+  first: { readonly percent: number; readonly atMs: number } | undefined;
   phase: RunPhase;
   /** Fence under which the worker must have answered before the run counts as gone. */
   closeFence: number;
   percent: number;
   saved: string;
+  /** It goes on from a checkpoint of an earlier run. */
+  readonly isResumed: boolean;
   /** Leader's clock when {@link percent} last rose. */
   movedAtMs: number;
   /** How fast it gets on. */
@@ -167,10 +177,14 @@
     step,
     room: poolJob.roomOf(step),
     sinceMs: nowMs,
+    expectedMs: step.estimatedMs,
+    distanceFactor: task.distanceFactor,
+    first: undefined,
     phase,
     closeFence: 0,
     percent: 0,
     saved: task.saved,
+    isResumed: task.saved !== '',
     movedAtMs: nowMs,
     pace: runPace.createRunPace(),
     stopSentAtMs: 0,
@@ -186,6 +200,29 @@
 /** Below this percentage the progress says little about the whole. */
 const MIN_TELLING_PERCENT = 5;
 
+/** Beyond it what is left says little about the whole. */
+const MAX_TELLING_PERCENT = 90;
+
+/**
+ * Counts a run of a former leader from its beginning. Counted from the take-over it looked as if nothing
+ * were lost by stopping it, and a claim chose what was nearly done.
+ *
+ * @param run - a run that another leader gave
+ * @param book - what tasks take
+ * @param now - the leader's clock and Unix milliseconds
+ */
+export const countFromStart = (
+  run: RunHolding,
+  book: estimateBook.EstimateBook,
+  now: { readonly nowMs: number; readonly wallMs: number },
+): void => {
+  const { task, entry, step } = run;
+  const heldMs = task.startedAtWallMs === 0 ? 0 : Math.max(0, now.wallMs - task.startedAtWallMs);
+  run.sinceMs = now.nowMs - heldMs;
+  const workMs = estimateBook.expectedWorkMs(book, entry.job.policy.queue, step.estimatedMs);
+  run.expectedMs = workMs * Math.max(1, run.distanceFactor);
+};
+
 /**
  * @param run - a run
  * @param nowMs - the leader's clock
@@ -193,10 +230,29 @@
  */
 export const remainingMsOf = (run: RunHolding, nowMs: number): number => {
   const elapsedMs = nowMs - run.sinceMs;
-  if (run.percent >= MIN_TELLING_PERCENT) {
-    return (elapsedMs * (100 - run.percent)) / run.percent;
+  const { first, percent } = run;
+  if (run.isResumed) {
+    // Its percentage tells of earlier runs as well: its pace is what came since it was first listed.
+    const done = first === undefined ? 0 : percent - first.percent;
+    return first !== undefined && done >= MIN_TELLING_PERCENT
+      ? ((nowMs - first.atMs) * (100 - percent)) / done
+      : (run.expectedMs * (100 - percent)) / 100;
   }
-  return Math.max(run.step.estimatedMs - elapsedMs, run.step.estimatedMs / 4);
+  if (percent >= MIN_TELLING_PERCENT) return (elapsedMs * (100 - percent)) / percent;
+  return Math.max(run.expectedMs - elapsedMs, run.expectedMs / 4);
+};
+
+/**
+ * @param run - a run that is done
+ * @param nowMs - the leader's clock
+ * @returns its work near its data; 0 where its beginning or its distance was not seen
+ */
+export const observedWorkMs = (run: RunHolding, nowMs: number): number => {
+  const { distanceFactor, first } = run;
+  if (distanceFactor === 0) return 0;
+  if (!run.isResumed) return (nowMs - run.sinceMs) / distanceFactor;
+  if (first === undefined || first.percent > MAX_TELLING_PERCENT) return 0;
+  return ((nowMs - first.atMs) * 100) / (100 - first.percent) / distanceFactor;
 };
 
 /**
@@ -219,6 +275,7 @@
   isLeaving: run.phase === RunPhase.stopping || run.phase === RunPhase.closing,
   isProtected: run.step.maxUnavailable !== undefined,
   preemptions: run.entry.preemptions,
+  isCheckpointing: run.step.isCheckpointing,
   unsavedMs: lostByStopMs(run.step, nowMs - run.sinceMs),
   remainingMs: remainingMsOf(run, nowMs),
 });
@@ -242,6 +299,25 @@
   worker.info?.state === poolWorker.WorkerState.ready &&
   worker.sample?.incarnationMs === worker.info.incarnationMs;
 
+/**
+ * @param workers - agents with their workers
+ * @returns the room of all of them, each kind of task counted once
+ */
+export const createSlotCount = (workers: Iterable<WorkerEntry>): jobChain.SlotsOf => {
+  const infos = [...workers].flatMap(({ info }) => info ?? []);
+  const counts = new Map<string, number>();
+  return (service, step) => {
+    const room = poolJob.roomOf(step);
+    const key = `${service} ${room.cpuMillicores} ${room.memoryMb} ${room.accelerators}`;
+    const known = counts.get(key);
+    if (known !== undefined) return known;
+    const its = infos.filter((it) => it.service === service);
+    const count = its.reduce((sum, it) => sum + poolJob.timesThatFit(it.capacity, room), 0);
+    counts.set(key, count);
+    return count;
+  };
+};
+
 /**
  * Guards against a task that runs twice: what a silent worker runs goes on until its lease has lapsed,
  * also where a former leader granted it.
--- a/src/coordination/node/pool/endNotes.ts
+++ b/src/coordination/node/pool/endNotes.ts
@@ -10,13 +10,15 @@
 import type * as jobBook from '../../common/pool/jobBook.js';
 import * as jobOutcome from '../../common/pool/jobOutcome.js';
 import * as workerBlame from '../../common/pool/workerBlame.js';
-import type * as workerTable from '../../common/pool/workerTable.js';
+import * as workerTable from '../../common/pool/workerTable.js';
 
 /** What the notes need. */
 export interface EndNotesOptions {
   readonly clock: clock.Clock;
   readonly log: logging.Log;
   readonly metrics: metrics.Metrics;
+  /** The pool's workers by agent. */
+  readonly workers: ReadonlyMap<string, workerTable.WorkerEntry>;
   /** Whose declared work can be believed; learns from what is done. */
   readonly estimates: estimateBook.EstimateBook;
 }
@@ -45,7 +47,10 @@
   const nowMs = (): number => time.monotonicMs();
   return {
     noteJobEnd: (entry) => {
-      const outcome = jobOutcome.outcomeOf(entry);
+      const outcome = jobOutcome.outcomeOf(
+        entry,
+        workerTable.createSlotCount(options.workers.values()),
+      );
       const { queue } = entry.job.policy;
       metrics.count('auburnlift_jobs_ended_total', {
         queue,
@@ -73,10 +78,11 @@
       });
     },
     learn: (worker, done) => {
+      for (const run of done) run.task.workMs = workerTable.observedWorkMs(run, nowMs());
       // What a suspected worker took says more of the worker than of the declaration.
       if (workerBlame.isSuspect(worker.blame, nowMs())) return;
-      for (const { entry, step, sinceMs } of done) {
-        estimateBook.noteDone(options.estimates, entry.job, step, nowMs() - sinceMs);
+      for (const { entry, step, task } of done) {
+        estimateBook.noteDone(options.estimates, entry.job, step, task.workMs);
       }
     },
   };
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -31,6 +31,8 @@
   readonly workers: ReadonlyMap<string, workerTable.WorkerEntry>;
   /** Whose declared work can be believed. */
   readonly estimates: estimateBook.EstimateBook;
+  /** How much longer a task takes away from its data or its rack. */
+  readonly farFactor: number;
   readonly control: () => runControl.RunControl;
   readonly desk: () => orderDesk.OrderDesk;
   /** Stores a job's progress; settled once it is stored. */
@@ -61,7 +63,7 @@
  */
 export const createPlanDriver = (options: PlanDriverOptions): PlanDriver => {
   const { clock: time, log, metrics, registry, workers } = options;
-  const queue = readyQueue.createReadyQueue();
+  const queue = readyQueue.createReadyQueue(options.estimates);
   const waitReasons = new Map<string, string>();
   let isDue = false;
 
@@ -115,11 +117,16 @@
   const begin = (placement: planTypes.Placement): void => {
     const { unit } = placement;
     const { entry, tasks } = unit.unit;
-    jobBook.assign(entry, gangPlacement.assignmentsOf(placement));
+    const racks = placement.workers.map((it) => it.rack);
+    const away = gangPlacement.tasksAway(unit.unit.step, racks);
+    const distanceFactor = away > 0 ? options.farFactor : 1;
+    const beginning = { wallMs: time.wallMs(), distanceFactor };
+    jobBook.assign(entry, gangPlacement.assignmentsOf(placement), beginning);
     const runs = tasks.flatMap((task) => {
       const worker = workers.get(task.agentId);
       if (worker === undefined) return [];
       const run = workerTable.createRun(entry, task, workerTable.RunPhase.ordering, nowMs());
+      run.expectedMs = unit.expectedMs * distanceFactor;
       worker.runs.set(workerTable.runKey(run.name, run.run), run);
       return [{ worker, run }];
     });
@@ -133,10 +140,7 @@
       run: tasks[0]?.run,
       workers: tasks.map((it) => it.workerId).join(','),
       waitedMs: Math.round(unit.waitedMs),
-      away: gangPlacement.tasksAway(
-        unit.unit.step,
-        placement.workers.map((it) => it.rack),
-      ),
+      away,
       configVersion: options.configuration()?.version,
       recordsAgeMs: Math.round(recordsAgeMs),
     });
@@ -203,7 +207,12 @@
     const startedAtMs = nowMs();
     const wallMs = time.wallMs();
     addDueOccurrences(wallMs);
-    const units = queue.units(registry.all(), startedAtMs, wallMs);
+    const units = queue.units(
+      registry.all(),
+      startedAtMs,
+      wallMs,
+      workerTable.createSlotCount(workers.values()),
+    );
     const heldUp = heldUpRuns.findHeldUp([...workers.values()], options.estimates, wallMs);
     if (units.length === 0 && heldUp.length === 0) return;
     const planWorkers = [...workers.values()]
@@ -215,6 +224,7 @@
       units: withTickets(units, planWorkers),
       heldUp: queue.heldUpUnits(heldUp, startedAtMs, wallMs),
       guarantees: guarantees(),
+      farFactor: options.farFactor,
     });
     metrics.time('auburnlift_plan_round_ms', nowMs() - startedAtMs);
     round.starts.forEach(begin);
--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -82,6 +82,8 @@
   let fence = 0;
   let lease = { incarnationMs: 0, untilMs: 0 };
   let seen = { incarnationMs: 0, upTo: 0 };
+  /** Ends of the worker's present life that stand in the log. */
+  let told = { incarnationMs: 0, upTo: 0 };
   let version = 1;
   let isHolding = false;
   let onDidAcknowledge: () => void = () => undefined;
@@ -107,6 +109,15 @@
   const isPresentLife = (incarnationMs: number): boolean =>
     incarnationMs !== 0 && incarnationMs === (held?.view.incarnationMs ?? info?.incarnationMs);
 
+  /** One line for each end, so that the way from the worker's end to the job's can be timed. */
+  const tellEnds = ({ incarnationMs, ended }: poolWorker.WorkerView): void => {
+    const upTo = told.incarnationMs === incarnationMs ? told.upTo : 0;
+    for (const { sequence, task, run, how } of ended) {
+      if (sequence > upTo) log('info', 'endListed', { task, run, how });
+    }
+    told = { incarnationMs, upTo: Math.max(upTo, ended.at(-1)?.sequence ?? 0) };
+  };
+
   const takeView = (view: poolWorker.WorkerView, viewFence: number): void => {
     const isOlder =
       held !== undefined &&
@@ -119,7 +130,9 @@
       fence: Math.max(viewFence, held?.fence ?? 0),
       receivedAtMs: time.monotonicMs(),
     };
-    if (before !== describeRuns(view)) noteChange();
+    if (before === describeRuns(view)) return;
+    tellEnds(view);
+    noteChange();
   };
 
   /** @returns whether the worker gave its list */
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -2,8 +2,9 @@
  * The leader of the pools for one term: wires what it learns, plans, stores and orders, and gives up what
  * nobody can reach any more.
  */
-import type * as clock from '../../../base/common/clock.js';
+import * as clock from '../../../base/common/clock.js';
 import * as disposable from '../../../base/common/disposable.js';
+import * as errors from '../../../base/common/errors.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
 import type * as agentContract from '../../../state/common/pool/agentContract.js';
@@ -35,6 +36,8 @@
   readonly maxLeaseMs: number;
   /** A job's state is told at least this long after its end. */
   readonly statusMs: number;
+  /** How much longer a task takes away from its data or its rack. */
+  readonly farFactor: number;
 }
 
 /** What a leader needs. */
@@ -60,11 +63,16 @@
    * is known of them is too old to be told.
    */
   readonly pendingByQueue: () => Readonly<Record<string, number>> | undefined;
+  /** An entry has stored a record of a job; it is read where the watch has not told of it in a moment. */
+  readonly noteStored: (jobId: string, part: poolKeys.JobPart) => Promise<void>;
 }
 
 /** Below the longest lease, so that the worker shortens none. */
 const LEASE_SLACK_MS = 300;
 
+/** A watch that hears tells of a record within this time of the entry's own answer. */
+const WATCH_LAG_MS = 60;
+
 /** How often stops are repeated, lapsed leases looked for and due occurrences started. */
 const TICK_MS = 200;
 
@@ -154,6 +162,7 @@
     registry,
     workers,
     estimates,
+    farFactor: options.limits.farFactor,
     control: () => control,
     desk: () => desk,
     save: writer.save,
@@ -233,7 +242,7 @@
   };
 
   /** @param source - what showed the record to the leader */
-  const takeJobRecord = (record: store.StoreEntry, source: 'watch' | 'write'): void => {
+  const takeJobRecord = (record: store.StoreEntry, source: 'watch' | 'write' | 'entry'): void => {
     const effect = registry.takeRecord(record, nowMs());
     if (effect === jobRegistry.RecordEffect.none || !isLoaded) return;
     const jobId = poolKeys.parseJobKey(record.key)?.jobId ?? '';
@@ -247,6 +256,27 @@
     driver.schedule();
   };
 
+  const isHeardOf = (jobId: string, part: poolKeys.JobPart): boolean => {
+    const entry = registry.get(jobId);
+    return part === poolKeys.JobPart.spec ? entry !== undefined : entry?.isCancelled === true;
+  };
+
+  /**
+   * A watch may hear nothing for a second while all other calls are answered: urgent work of a second would be
+   * late by that alone.
+   */
+  const noteStored = async (jobId: string, part: poolKeys.JobPart): Promise<void> => {
+    if (isHeardOf(jobId, part)) return;
+    await clock.sleep(time, WATCH_LAG_MS);
+    if (!isLoaded || owned.isDisposed() || isHeardOf(jobId, part)) return;
+    try {
+      const { entries } = await options.store.list(poolKeys.jobPrefix(jobId));
+      if (!owned.isDisposed()) entries.forEach((it) => takeJobRecord(it, 'entry'));
+    } catch (thrown) {
+      log('warn', 'storedJobNotRead', { job: jobId, reason: errors.normalize(thrown).message });
+    }
+  };
+
   const takeRecord = (record: store.StoreEntry): void => {
     if (record.key === poolKeys.LEADER) {
       // A term ends the moment another one is seen.
@@ -265,7 +295,10 @@
 
   const noteLoaded = (revision: number): void => {
     isLoaded = true;
-    for (const entry of registry.all()) settleCancel(entry);
+    for (const entry of registry.all()) {
+      settleCancel(entry);
+      estimateBook.noteJob(estimates, entry.job, jobBook.tasksOf(entry));
+    }
     for (const worker of workers.values()) if (worker.info !== undefined) adoptRuns(worker);
     log('info', 'loaded', {
       epoch: term.epoch,
@@ -364,6 +397,7 @@
   );
   time.after(TICK_MS, tick);
   return {
+    noteStored,
     pendingByQueue: () =>
       isLoaded && feed.ageMs() <= MAX_TOLD_AGE_MS ? registry.pendingByQueue() : undefined,
     dispose: () => owned.dispose(),
--- a/src/platform/bootSettings.ts
+++ b/src/platform/bootSettings.ts
@@ -48,6 +48,8 @@
     grace_s: Positive,
     /** The longest lease of a task. */
     hold_max_ms: Positive,
+    /** A task away from its data, or a gang on several racks, takes this many times as long. */
+    far_x: Schema.optionalKey(Positive),
     status_s: Positive,
     revoke_ms: Positive,
     gang_ms: Positive,
@@ -96,6 +98,7 @@
   heartbeatMs: file.heartbeat_ms,
   graceMs: file.bounds.grace_s * MS_PER_S,
   maxLeaseMs: file.bounds.hold_max_ms,
+  farFactor: Math.max(1, file.bounds.far_x ?? 1),
   statusMs: file.bounds.status_s * MS_PER_S,
   revokeMs: file.bounds.revoke_ms,
   gangMs: file.bounds.gang_ms,
--- a/src/programs/poolScheduler.ts
+++ b/src/programs/poolScheduler.ts
@@ -97,7 +97,11 @@
           metrics: kit.metrics,
           link,
           term,
-          limits: { maxLeaseMs: settings.maxLeaseMs, statusMs: settings.statusMs },
+          limits: {
+            maxLeaseMs: settings.maxLeaseMs,
+            statusMs: settings.statusMs,
+            farFactor: settings.farFactor,
+          },
           configuration: () => feed.current()?.configuration,
           askAdvice: adviceClient.createAdviceClient({
             address: () => kit.settings().advice,
--- a/src/standins/test/poolKit.ts
+++ b/src/standins/test/poolKit.ts
@@ -256,7 +256,7 @@
           metrics: counters,
           link,
           term,
-          limits: { maxLeaseMs: MAX_LEASE_MS, statusMs: 120_000 },
+          limits: { maxLeaseMs: MAX_LEASE_MS, statusMs: 120_000, farFactor: 3 },
           configuration: () => configuration,
           askAdvice: (...asked) =>
             options.askAdvice?.(...asked, time) ?? Promise.reject(new Error('nobody is asked')),
--- a/src/standins/test/poolLostWatches.test.ts
+++ b/src/standins/test/poolLostWatches.test.ts
@@ -55,6 +55,26 @@
   pool.dispose();
 };
 
+/** Guards against a watch that hears nothing while all other calls are answered. */
+const checkTold = async (): Promise<void> => {
+  const pool = poolKit.createPool({ workers: 2, workMs: () => 60_000 });
+  await pool.ready;
+  const candidate = pool.addCandidate();
+  await pool.clock.advance(1000);
+  pool.store.faults.areWatchesLost = true;
+  await pool.submit(fixtures.makeJob([{}], { jobId: 'a' }));
+  void candidate.leader()?.noteStored('a', 'spec');
+  await pool.clock.advance(200);
+  assert.equal(pool.runs().length, 1, 'the job has not begun');
+  await pool.cancel('a');
+  void candidate.leader()?.noteStored('a', 'cancel');
+  await pool.clock.advance(200 + poolPromises.STOP_MS);
+  assert.equal(pool.runs()[0]?.how, 'stopped');
+  pool.dispose();
+};
+
+test.test('what an entry has stored begins, and stops, without the watch', checkTold);
+
 const CASES = [
   { name: 'a cancelled job stops and a new one begins', check: checkNews },
   { name: 'a leader that has ended is followed', check: checkVacancy },
--- a/src/state/common/pool/poolSettings.ts
+++ b/src/state/common/pool/poolSettings.ts
@@ -29,6 +29,8 @@
   /** A stopped process is killed after this time. */
   readonly graceMs: number;
   readonly maxLeaseMs: number;
+  /** How much longer a task takes away from its data or its rack. */
+  readonly farFactor: number;
   /** A job's state is told at least this long after its end. */
   readonly statusMs: number;
   /** A withdrawn credential must be refused this long after the withdrawal. */
--- a/src/state/common/pool/progressRecord.ts
+++ b/src/state/common/pool/progressRecord.ts
@@ -37,6 +37,12 @@
   readonly agentId: string;
   /** Checkpoint from which the next run goes on; empty where there is none. */
   readonly saved: string;
+  /** Unix milliseconds at which the last run was given; 0 where that is not known. */
+  readonly startedAtWallMs: number;
+  /** How much longer the last run takes where it is than near its data; 0 where that is not known. */
+  readonly distanceFactor: number;
+  /** Its work near its data, seen when it was done; 0 where that is not known. */
+  readonly workMs: number;
 }
 
 /** What lasts of a job besides its specification. */
@@ -59,6 +65,9 @@
   incarnationMs: number,
   agentId: string,
   saved: string,
+  startedAtWallMs?: number,
+  distanceFactor?: number,
+  workMs?: number,
 ];
 
 interface WireRecord {
@@ -79,6 +88,9 @@
   row.incarnationMs,
   row.agentId,
   row.saved,
+  row.startedAtWallMs,
+  row.distanceFactor,
+  row.workMs,
 ];
 
 const fromWireRow = (row: WireRow): TaskRow => ({
@@ -93,6 +105,9 @@
   incarnationMs: row[8],
   agentId: row[9],
   saved: row[10],
+  startedAtWallMs: row[11] ?? 0,
+  distanceFactor: row[12] ?? 0,
+  workMs: row[13] ?? 0,
 });
 
 /**
