Hand calls on to an entry with a way to the store, and tell schedulers of what is stored

Cause: an entry that the store turns away, or that is cut from it, sent callers away with 503 and a second to wait, two or three times over; urgent jobs with half a second of slack were late by that alone. And a watch hears nothing for a second while the store forgets its history: the leader learnt of jobs 1.0 to 1.3 s late. Change: such an entry hands the call on to another one, once, and stays silent on nothing: where that one gives no answer the outcome is open, never refused. Entries tell all schedulers of each record that they have stored; the leader reads it where its watch has not told within 60 ms. Entries and schedulers find each other by leased records outside of what the leader watches.

--- /dev/null
+++ b/src/coordination/node/pool/peerDirectory.ts
@@ -0,0 +1,85 @@
+/**
+ * Where the entries and schedulers of other machines answer, read from the store every few seconds and kept
+ * while the store is away: that is when a process needs its peers.
+ */
+import * as clock from '../../../base/common/clock.js';
+import type * as disposable from '../../../base/common/disposable.js';
+import * as errors from '../../../base/common/errors.js';
+import type * as logging from '../../../base/common/logging.js';
+import * as poolKeys from '../../../state/common/pool/poolKeys.js';
+import type * as recordStore from '../../../state/common/pool/recordStore.js';
+import * as agentRecord from '../../common/pool/agentRecord.js';
+
+/** What the directory needs. */
+export interface PeerDirectoryOptions {
+  readonly store: Pick<recordStore.RecordStore, 'list'>;
+  readonly clock: clock.Clock;
+  readonly log: logging.Log;
+  /** This process's own address, which is left out. */
+  readonly ownUrl: string;
+}
+
+/** Addresses of other processes. */
+export interface PeerDirectory extends disposable.Disposable {
+  readonly urls: (role: poolKeys.PeerRole) => readonly string[];
+}
+
+/** A machine that is added or replaced is known within it. */
+const PERIOD_MS = 5000;
+
+/** Until all processes of a start have written their entries. */
+const FIRST_PERIOD_MS = 1000;
+
+/** Looks at the shorter distance after a start. */
+const FIRST_LOOKS = 5;
+
+const RETRY_MS = 1000;
+
+/**
+ * @param options - what the directory needs
+ * @returns the directory, which looks until it is disposed
+ */
+export const startPeerDirectory = (options: PeerDirectoryOptions): PeerDirectory => {
+  let isDisposed = false;
+  let known = new Map<string, string>();
+  let looks = 0;
+
+  const look = async (): Promise<void> => {
+    const { entries } = await options.store.list(poolKeys.PEERS);
+    const next = new Map<string, string>();
+    for (const { key, value } of entries) {
+      const url = agentRecord.parseAgentUrl(value);
+      if (url !== undefined && url !== options.ownUrl) next.set(key, url);
+    }
+    known = next;
+    looks += 1;
+  };
+
+  const run = async (): Promise<void> => {
+    let isFailing = false;
+    while (!isDisposed) {
+      let waitMs = looks < FIRST_LOOKS ? FIRST_PERIOD_MS : PERIOD_MS;
+      try {
+        await look();
+        isFailing = false;
+      } catch (thrown) {
+        if (!isFailing) {
+          options.log('warn', 'peersNotRead', { reason: errors.normalize(thrown).message });
+        }
+        isFailing = true;
+        waitMs = RETRY_MS;
+      }
+      await clock.sleep(options.clock, waitMs);
+    }
+  };
+  void run();
+  return {
+    urls: (role) =>
+      [...known]
+        .filter(([key]) => key.startsWith(poolKeys.peerKey(role, '')))
+        .map(([, url]) => url),
+    dispose: () => {
+      isDisposed = true;
+    },
+  };
+};
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -7,8 +7,10 @@
 import type * as logging from '../base/common/logging.js';
 import type * as metrics from '../base/common/metrics.js';
 import * as schemaIssues from '../base/common/schemaIssues.js';
+import type * as handOn from '../coordination/node/pool/handOn.js';
 import type * as jobDesk from '../coordination/node/pool/jobDesk.js';
 import type * as poolJob from '../state/common/pool/poolJob.js';
+import * as poolKeys from '../state/common/pool/poolKeys.js';
 import * as httpServer from '../transport/node/httpServer.js';
 
 /** What the API needs. */
@@ -22,14 +24,20 @@
    * even after the balancer has taken it out of rotation.
    */
   readonly sendsAway: () => boolean;
+  /** Another entry's way to the store; absent for calls that were handed on already. */
+  readonly handOn?: handOn.HandOn;
+  /** A record of a job was stored. */
+  readonly onDidStore: (jobId: string, part: poolKeys.JobPart) => void;
   readonly newRequestId: () => string;
   readonly nowMs: () => number;
   readonly log: logging.Log;
   readonly metrics: metrics.Metrics;
 }
 
-const KEY_HEADER = 'auburnlift-key';
-const DEADLINE_HEADER = 'auburnlift-deadline-ms';
+/** Carries a client's credential. */
+export const KEY_HEADER = 'auburnlift-key';
+/** Carries how long a client waits. */
+export const DEADLINE_HEADER = 'auburnlift-deadline-ms';
 
 /** A caller that names no deadline waits about this long. */
 const DEFAULT_DEADLINE_MS = 3000;
@@ -184,17 +192,43 @@
           throw errors.fail('tooLarge', 'the body is too large; nothing ran', { field: 'body' });
         }
         await desk.submit(call, admitted, decodeDraft(request));
+        options.onDidStore(jobId, poolKeys.JobPart.spec);
         return httpServer.jsonReply({});
       case 'GET':
         return httpServer.jsonReply({ state: await desk.state(call, admitted) });
       case 'DELETE':
         await desk.cancel(call, admitted);
+        options.onDidStore(jobId, poolKeys.JobPart.cancel);
         return httpServer.jsonReply({});
       default:
         throw errors.fail('invalidRequest', `no method ${request.method} here; nothing ran`);
     }
   };
 
+  /** Offers a call to other entries that this one could not settle for want of the store. */
+  const answerElsewhere = async (
+    request: httpServer.ServerRequest,
+    call: jobDesk.Call,
+    thrown: unknown,
+  ): Promise<httpServer.ServerReply | undefined> => {
+    const { kind } = errors.normalize(thrown);
+    const isForWantOfStore = kind === 'storeUnavailable' || kind === 'outcomeUnknown';
+    if (options.handOn?.isPossible() !== true || !isForWantOfStore) return undefined;
+    const { method, body } = request;
+    const outcome = await options.handOn.send({ ...call, method, body });
+    if (outcome.answer !== undefined) {
+      const { status, body: text } = outcome.answer;
+      return { status, headers: { 'content-type': 'application/json' }, body: text };
+    }
+    const isOpen = outcome.isOpen && method !== 'GET' && kind === 'storeUnavailable';
+    // A refusal would say that nothing is stored; an entry that gave no answer may have stored it.
+    return isOpen
+      ? httpServer.errorReply(
+          errors.fail('outcomeUnknown', 'no entry answered; the outcome is open'),
+        )
+      : undefined;
+  };
+
   return async (request) => {
     const startedAtMs = options.nowMs();
     const call: jobDesk.Call = {
@@ -209,8 +243,8 @@
     try {
       reply = await answer(request, call);
     } catch (thrown) {
-      reply = httpServer.errorReply(thrown);
-      reason = errors.normalize(thrown).message;
+      reply = (await answerElsewhere(request, call, thrown)) ?? httpServer.errorReply(thrown);
+      if (reply.status >= 400) reason = errors.normalize(thrown).message;
     }
     const durationMs = options.nowMs() - startedAtMs;
     const { method } = request;
--- a/src/programs/poolEntry.ts
+++ b/src/programs/poolEntry.ts
@@ -4,14 +4,19 @@
  */
 import * as poolConfigurationFeed from '../coordination/node/pool/configurationFeed.js';
 import * as jobDesk from '../coordination/node/pool/jobDesk.js';
+import * as peerDirectory from '../coordination/node/pool/peerDirectory.js';
 import * as pendingCounts from '../coordination/node/pool/pendingCounts.js';
 import * as clock from '../base/common/clock.js';
 import * as errors from '../base/common/errors.js';
+import * as http from '../base/common/http.js';
 import * as jobApi from '../platform/jobApi.js';
 import * as operatorConfiguration from '../platform/operatorConfiguration.js';
+import * as poolRouters from '../protocol/node/poolRouters.js';
+import * as poolKeys from '../state/common/pool/poolKeys.js';
 import * as httpServer from '../transport/node/httpServer.js';
 import * as rpcClient from '../transport/node/rpcClient.js';
 
+import * as entryPeers from './entryPeers.js';
 import * as poolKit from './poolKit.js';
 
 /** Clients' connections; the platform gives a process some four thousand descriptors. */
@@ -65,7 +70,12 @@
       return answer.pendingByQueue;
     },
   });
-  const api = jobApi.createJobApi({
+  const ownUrl = http.formatAddress(settings.peers);
+  const directory = kit.owned.add(
+    peerDirectory.startPeerDirectory({ store: kit.store, clock: kit.clock, log: kit.log, ownUrl }),
+  );
+  const peers = entryPeers.createEntryPeers(kit, directory);
+  const apiWith = (canHandOn: () => boolean): jobApi.JobApiOptions => ({
     desk: jobDesk.createJobDesk({
       store: kit.store,
       clock: kit.clock,
@@ -74,15 +84,29 @@
       feed,
       configurationKey: operatorConfiguration.CONFIGURATION_KEY,
       revokeMs: settings.revokeMs,
+      canHandOn,
     }),
     pending: counts.ofQueue,
     maxBodyBytes: () => feed.current()?.configuration.maxBodyBytes ?? MAX_BODY_BYTES,
     sendsAway: () => notReadyReason() !== undefined,
+    onDidStore: peers.tellSchedulers,
     newRequestId: () => kit.newId().slice(0, 8),
     nowMs: kit.clock.monotonicMs,
     log: kit.log,
     metrics: kit.metrics,
   });
+  const api = jobApi.createJobApi({
+    ...apiWith(peers.handOn.isPossible),
+    handOn: peers.handOn,
+  });
+  /** Serves what another entry hands on; a call is handed on once only. */
+  const handedOn = jobApi.createJobApi(apiWith(() => false));
+  const router = poolRouters.createPoolEntryRouter({
+    handOn: async (message) => {
+      const { status, body } = await handedOn(entryPeers.toRequest(message));
+      return { from: kit.sender(), status, body: Buffer.from(body ?? '').toString('utf8') };
+    },
+  });
   const notReadyReason = (): string | undefined => {
     if (isLeaving) return 'leaving';
     if (feed.current() === undefined) return 'no configuration yet';
@@ -109,11 +133,13 @@
   );
   kit.owned.add(front);
   kit.owned.add(ready);
-  await poolKit.listenForPeers(kit, undefined, notReadyReason);
+  await poolKit.listenForPeers(kit, router, notReadyReason);
+  const presence = poolKit.keepPresence(kit, poolKeys.PeerRole.entry, ownUrl);
   return {
     shutdown: async () => {
       isLeaving = true;
       front.discourage();
+      await presence.dispose();
       await clock.sleep(kit.clock, LEAVE_MS);
       await front.drain(settings.graceMs - LEAVE_MS - EXIT_SLACK_MS);
       await kit.owned.dispose();
--- a/src/programs/poolKit.ts
+++ b/src/programs/poolKit.ts
@@ -13,9 +13,11 @@
 import * as random from '../base/common/random.js';
 import * as log from '../base/node/log.js';
 import * as systemClock from '../base/node/systemClock.js';
+import * as leasedRecord from '../coordination/node/pool/leasedRecord.js';
 import type * as bootSettings from '../platform/bootSettings.js';
 import * as platformStore from '../platform/platformStore.js';
 import type * as envelope from '../protocol/common/envelope.js';
+import * as poolKeys from '../state/common/pool/poolKeys.js';
 import type * as poolSettings from '../state/common/pool/poolSettings.js';
 import type * as recordStore from '../state/common/pool/recordStore.js';
 import * as healthApi from '../transport/node/healthApi.js';
@@ -107,6 +109,31 @@
   };
 };
 
+/** A machine that is gone is not called for long. */
+const PRESENCE_LEASE_MS = 6000;
+
+/**
+ * @param kit - the program's parts
+ * @param role - which program it is
+ * @param url - where it answers other processes
+ * @returns the leased entry by which they find it, kept until it is disposed
+ */
+export const keepPresence = (
+  kit: PoolKit,
+  role: poolKeys.PeerRole,
+  url: string,
+): disposable.Disposable => {
+  const { nodeId, minStoreLeaseMs } = kit.settings();
+  return leasedRecord.keepLeasedRecord({
+    store: kit.store,
+    clock: kit.clock,
+    log: kit.log,
+    key: poolKeys.peerKey(role, nodeId),
+    value: JSON.stringify({ url }),
+    leaseMs: Math.max(PRESENCE_LEASE_MS, minStoreLeaseMs),
+  });
+};
+
 /**
  * Serves the other processes of the system, and health and metrics at the same address.
  *
--- a/src/programs/poolScheduler.ts
+++ b/src/programs/poolScheduler.ts
@@ -10,6 +10,7 @@
 import * as poolRouters from '../protocol/node/poolRouters.js';
 import type * as agentContract from '../state/common/pool/agentContract.js';
 import * as http from '../base/common/http.js';
+import * as poolKeys from '../state/common/pool/poolKeys.js';
 import * as rpcClient from '../transport/node/rpcClient.js';
 
 import * as poolKit from './poolKit.js';
@@ -76,8 +77,14 @@
       }
       return Promise.resolve({ from: kit.sender(), pendingByQueue });
     },
+    jobChanged: ({ jobId, part }) => {
+      void leader?.noteStored(jobId, part);
+      return Promise.resolve({ from: kit.sender() });
+    },
   });
   const server = await poolKit.listenForPeers(kit, router, () => undefined);
+  const url = http.formatAddress(server.address);
+  const presence = poolKit.keepPresence(kit, poolKeys.PeerRole.scheduler, url);
   const leadership: poolLeadership.Leadership = kit.owned.add(
     poolLeadership.createLeadership({
       store: kit.store,
@@ -86,7 +93,7 @@
       log: kit.log,
       newId: kit.newId,
       holderId: kit.sender().processId,
-      url: http.formatAddress(server.address),
+      url,
       bootId: kit.newId(),
       leaseMs: Math.max(LEADER_LEASE_MS, settings.minStoreLeaseMs),
       onDidGain: (term) => {
@@ -117,6 +124,7 @@
     shutdown: async () => {
       endTerm();
       await leadership.release();
+      await presence.dispose();
       await kit.owned.dispose();
     },
   };
--- a/src/protocol/common/poolMessages.ts
+++ b/src/protocol/common/poolMessages.ts
@@ -37,6 +37,48 @@
   readonly reply: agentContract.OrderReply;
 }
 
+/** An entry tells the schedulers that it has stored a record of a job. */
+export const JobChangedMessage = Schema.Struct({
+  from: envelope.Sender,
+  jobId: units.CallerKey,
+  part: Schema.Literals(['spec', 'cancel']),
+});
+
+/** See {@link JobChangedMessage}. */
+export type JobChangedMessage = typeof JobChangedMessage.Type;
+
+/** The scheduler has heard of it. */
+export interface JobChangedAnswer {
+  readonly from: envelope.Sender;
+}
+
+/** A client's call that an entry without a way to the store hands on to another. */
+export const HandOnMessage = Schema.Struct({
+  from: envelope.Sender,
+  /** Names the call in the logs of both entries. */
+  requestId: Schema.String,
+  method: Schema.String,
+  host: Schema.String,
+  path: Schema.String,
+  apiKey: Schema.optionalKey(Schema.String),
+  /** How long the client still waits. */
+  deadlineMs: units.DurationMs,
+  body: Schema.String,
+});
+
+/** See {@link HandOnMessage}. */
+export type HandOnMessage = typeof HandOnMessage.Type;
+
+/** The other entry's answer to the client. */
+export const HandOnAnswer = Schema.Struct({
+  from: envelope.Sender,
+  status: units.Count,
+  body: Schema.String,
+});
+
+/** See {@link HandOnAnswer}. */
+export type HandOnAnswer = typeof HandOnAnswer.Type;
+
 /** An entry asks the leader how many jobs wait. */
 export const PendingMessage = Schema.Struct({ from: envelope.Sender });
 
--- a/src/protocol/node/poolRouters.ts
+++ b/src/protocol/node/poolRouters.ts
@@ -13,6 +13,15 @@
 /** Handlers of a scheduler; each throws `notLeader` where it does not lead. */
 export interface PoolSchedulerService {
   readonly pending: (message: poolMessages.PendingMessage) => Promise<poolMessages.PendingAnswer>;
+  /** Also taken where it does not lead: an entry does not know who does. */
+  readonly jobChanged: (
+    message: poolMessages.JobChangedMessage,
+  ) => Promise<poolMessages.JobChangedAnswer>;
+}
+
+/** Handlers of an entry. */
+export interface PoolEntryService {
+  readonly handOn: (message: poolMessages.HandOnMessage) => Promise<poolMessages.HandOnAnswer>;
 }
 
 /**
@@ -33,7 +42,20 @@
  * @returns the scheduler's router
  */
 export const createPoolSchedulerRouter = (service: PoolSchedulerService) =>
-  rpc.router({ pending: rpc.procedure(poolMessages.PendingMessage, service.pending) });
+  rpc.router({
+    pending: rpc.procedure(poolMessages.PendingMessage, service.pending),
+    jobChanged: rpc.procedure(poolMessages.JobChangedMessage, service.jobChanged),
+  });
+
+/**
+ * @param service - handlers
+ * @returns the entry's router
+ */
+export const createPoolEntryRouter = (service: PoolEntryService) =>
+  rpc.router({ handOn: rpc.procedure(poolMessages.HandOnMessage, service.handOn) });
+
+/** Type of the entry's router, for clients. */
+export type PoolEntryRouter = ReturnType<typeof createPoolEntryRouter>;
 
 /** Type of the scheduler's router, for clients. */
 export type PoolSchedulerRouter = ReturnType<typeof createPoolSchedulerRouter>;
--- a/src/state/common/pool/poolKeys.ts
+++ b/src/state/common/pool/poolKeys.ts
@@ -23,6 +23,22 @@
 /** Jobs' progress, written by the leader alone; outside of what it watches. */
 export const PROGRESS = 'auburnlift/progress/';
 
+/** Leased entries of entries and schedulers, for each other; outside of what the leader watches. */
+export const PEERS = 'auburnlift/peers/';
+
+/** Programs that others find by a leased entry. */
+export const PeerRole = { entry: 'entry', scheduler: 'scheduler' } as const;
+
+/** One of the values of {@link PeerRole}. */
+export type PeerRole = (typeof PeerRole)[keyof typeof PeerRole];
+
+/**
+ * @param role - which program
+ * @param nodeId - its machine
+ * @returns the key of its leased entry
+ */
+export const peerKey = (role: PeerRole, nodeId: string): string => `${PEERS}${role}/${nodeId}`;
+
 /** What a record of a job holds. */
 export const JobPart = { spec: 'spec', cancel: 'cancel' } as const;
 
--- a/src/transport/node/rpcClient.ts
+++ b/src/transport/node/rpcClient.ts
@@ -67,6 +67,10 @@
   if (thrown instanceof trpcClient.TRPCClientError) {
     const body = bodyOf(thrown);
     if (body !== undefined) return errors.fromBody(body);
+    const { cause } = thrown;
+    if (cause instanceof http.HttpCallError && cause.failure === http.HttpFailure.notSent) {
+      return errors.fail('noUpstream', `nothing was sent: ${thrown.message}`);
+    }
     return errors.fail('peerUnreachable', thrown.message);
   }
   return errors.normalize(thrown);
@@ -142,9 +146,17 @@
 const poolSchedulerClient = (options: RpcClientOptions, url: string) => {
   const client = create<poolRouters.PoolSchedulerRouter>(options, url);
   const wrap = wrapFor(options, url);
-  return { pending: wrap(client.pending) };
+  return { pending: wrap(client.pending), jobChanged: wrap(client.jobChanged) };
+};
+
+const poolEntryClient = (options: RpcClientOptions, url: string) => {
+  const client = create<poolRouters.PoolEntryRouter>(options, url);
+  return { handOn: wrapFor(options, url)(client.handOn) };
 };
 
+/** An entry of pools as other entries call it. */
+export type PoolEntryClient = ReturnType<typeof poolEntryClient>;
+
 /** An agent of a pool as the leader calls it. */
 export type PoolAgentClient = ReturnType<typeof poolAgentClient>;
 
@@ -167,6 +179,7 @@
   readonly scheduler: (url: string) => SchedulerClient;
   readonly poolAgent: (url: string) => PoolAgentClient;
   readonly poolScheduler: (url: string) => PoolSchedulerClient;
+  readonly poolEntry: (url: string) => PoolEntryClient;
 }
 
 const memoize = <T>(make: (url: string) => T): ((url: string) => T) => {
@@ -188,4 +201,5 @@
   scheduler: memoize((url) => schedulerClient(options, url)),
   poolAgent: memoize((url) => poolAgentClient(options, url)),
   poolScheduler: memoize((url) => poolSchedulerClient(options, url)),
+  poolEntry: memoize((url) => poolEntryClient(options, url)),
 });
