Relay calls of the store through entries in place of handing callers on

Cause: what hands a caller's call on helps entries only. A leader that the store turns away stores no end and starts nothing until its term has lapsed: an urgent job that was done at 24.66 s was shown as complete at 26.0 s, after another had taken over, and was late by that. Change: the way to the store itself goes through an entry that has one, for entries and schedulers alike. A write that may have been executed is never sent again by the relay; while the own way fails calls go by the others at once, and one read a second finds out whether it is back. Handing on is gone, the entry's desk is as it was.

--- a/src/coordination/node/pool/jobDesk.ts
+++ b/src/coordination/node/pool/jobDesk.ts
@@ -32,8 +32,6 @@
   readonly configurationKey: string;
   /** A withdrawn credential must be refused this long after the withdrawal. */
   readonly revokeMs: number;
-  /** Whether another entry may serve a call; it is then told of a silent store without a second attempt. */
-  readonly canHandOn: () => boolean;
 }
 
 /** What every call says of itself. */
@@ -97,9 +95,6 @@
 /** With an older proof the store counts as out of reach: a call is refused without being tried. */
 const STORE_LOST_MS = 2000;
 
-/** After a failed call the store counts as out of reach for this long where others may serve. */
-const FAILING_MS = 700;
-
 /** When a caller that was refused for the store's sake may come back; outages last seconds. */
 const RETRY_AFTER_MS = 1000;
 
@@ -117,13 +112,6 @@
  */
 export const createJobDesk = (options: JobDeskOptions): JobDesk => {
   const { clock: time, feed, log, metrics } = options;
-  /** When the store gave a call no answer; forgotten with the next answer. */
-  let failedAtMs = Number.NEGATIVE_INFINITY;
-
-  /** A call that can be handed on is not tried here again right after one that failed. */
-  const isLost = (): boolean =>
-    feed.ageMs() > STORE_LOST_MS ||
-    (options.canHandOn() && time.monotonicMs() - failedAtMs < FAILING_MS);
 
   const admit = (call: Call): AdmittedCall => {
     const held = feed.current();
@@ -156,19 +144,16 @@
     endMs: number,
     transaction: recordStore.Transaction,
   ): Promise<recordStore.TransactionResult> => {
-    if (isLost()) throw unavailable('the store is out of reach');
+    if (feed.ageMs() > STORE_LOST_MS) throw unavailable('the store is out of reach');
     let isOpen = false;
     for (;;) {
       try {
-        const result = await options.store.transact(transaction);
-        failedAtMs = Number.NEGATIVE_INFINITY;
-        return result;
+        return await options.store.transact(transaction);
       } catch (thrown) {
-        failedAtMs = time.monotonicMs();
         isOpen ||= thrown instanceof store.StoreOutcomeUnknown;
         const { message } = errors.normalize(thrown);
         log('warn', 'storeCallFailed', { request: call.requestId, isOpen, reason: message });
-        if (options.canHandOn() || time.monotonicMs() + MIN_ATTEMPT_MS >= endMs) {
+        if (time.monotonicMs() + MIN_ATTEMPT_MS >= endMs) {
           throw isOpen
             ? errors.fail('outcomeUnknown', 'the store did not answer; the outcome is open')
             : unavailable('the store refuses');
@@ -179,18 +164,14 @@
   };
 
   const read = async <T>(call: Call, endMs: number, attempt: () => Promise<T>): Promise<T> => {
-    if (options.canHandOn() && isLost()) throw unavailable('the store is out of reach');
     for (;;) {
       try {
-        const found = await attempt();
-        failedAtMs = Number.NEGATIVE_INFINITY;
-        return found;
+        return await attempt();
       } catch (thrown) {
-        failedAtMs = time.monotonicMs();
         const { message } = errors.normalize(thrown);
         log('warn', 'storeCallFailed', { request: call.requestId, isOpen: false, reason: message });
         const isLate = time.monotonicMs() + MIN_ATTEMPT_MS >= endMs;
-        if (isLate || options.canHandOn()) throw unavailable('the store does not answer');
+        if (isLate) throw unavailable('the store does not answer');
       }
       await clock.sleep(time, RETRY_MS);
     }
--- a/src/programs/poolEntry.ts
+++ b/src/programs/poolEntry.ts
@@ -16,8 +16,9 @@
 import * as httpServer from '../transport/node/httpServer.js';
 import * as rpcClient from '../transport/node/rpcClient.js';
 
-import * as entryPeers from './entryPeers.js';
 import * as poolKit from './poolKit.js';
+import * as relayRpc from './relayRpc.js';
+import * as schedulerNews from './schedulerNews.js';
 
 /** Clients' connections; the platform gives a process some four thousand descriptors. */
 const MAX_CONNECTIONS = 3000;
@@ -74,8 +75,8 @@
   const directory = kit.owned.add(
     peerDirectory.startPeerDirectory({ store: kit.store, clock: kit.clock, log: kit.log, ownUrl }),
   );
-  const peers = entryPeers.createEntryPeers(kit, directory);
-  const apiWith = (canHandOn: () => boolean): jobApi.JobApiOptions => ({
+  kit.usePeers(directory);
+  const api = jobApi.createJobApi({
     desk: jobDesk.createJobDesk({
       store: kit.store,
       clock: kit.clock,
@@ -84,28 +85,21 @@
       feed,
       configurationKey: operatorConfiguration.CONFIGURATION_KEY,
       revokeMs: settings.revokeMs,
-      canHandOn,
     }),
     pending: counts.ofQueue,
     maxBodyBytes: () => feed.current()?.configuration.maxBodyBytes ?? MAX_BODY_BYTES,
     sendsAway: () => notReadyReason() !== undefined,
-    onDidStore: peers.tellSchedulers,
+    onDidStore: schedulerNews.createSchedulerNews(kit, directory),
     newRequestId: () => kit.newId().slice(0, 8),
     nowMs: kit.clock.monotonicMs,
     log: kit.log,
     metrics: kit.metrics,
   });
-  const api = jobApi.createJobApi({
-    ...apiWith(peers.handOn.isPossible),
-    handOn: peers.handOn,
-  });
-  /** Serves what another entry hands on; a call is handed on once only. */
-  const handedOn = jobApi.createJobApi(apiWith(() => false));
   const router = poolRouters.createPoolEntryRouter({
-    handOn: async (message) => {
-      const { status, body } = await handedOn(entryPeers.toRequest(message));
-      return { from: kit.sender(), status, body: Buffer.from(body ?? '').toString('utf8') };
-    },
+    relay: async (message) => ({
+      from: kit.sender(),
+      ...(await relayRpc.serveRelay(message, kit.settings().store, kit.call)),
+    }),
   });
   const notReadyReason = (): string | undefined => {
     if (isLeaving) return 'leaving';
--- a/src/programs/poolKit.ts
+++ b/src/programs/poolKit.ts
@@ -14,6 +14,8 @@
 import * as log from '../base/node/log.js';
 import * as systemClock from '../base/node/systemClock.js';
 import * as leasedRecord from '../coordination/node/pool/leasedRecord.js';
+import type * as peerDirectory from '../coordination/node/pool/peerDirectory.js';
+import * as storeRelay from '../coordination/node/pool/storeRelay.js';
 import type * as bootSettings from '../platform/bootSettings.js';
 import * as platformStore from '../platform/platformStore.js';
 import type * as envelope from '../protocol/common/envelope.js';
@@ -23,8 +25,11 @@
 import * as healthApi from '../transport/node/healthApi.js';
 import * as httpClient from '../transport/node/httpClient.js';
 import * as httpServer from '../transport/node/httpServer.js';
+import * as rpcClient from '../transport/node/rpcClient.js';
 import * as rpcServer from '../transport/node/rpcServer.js';
 
+import * as relayRpc from './relayRpc.js';
+
 /** Parts that all programs of a pool share. */
 export interface PoolKit {
   readonly clock: clock.Clock;
@@ -38,6 +43,8 @@
   /** The settings in force; a reload replaces them. */
   readonly settings: () => poolSettings.PoolSettings;
   readonly sender: () => envelope.Sender;
+  /** From now on calls of the store go through these where the process has no way of its own. */
+  readonly usePeers: (directory: peerDirectory.PeerDirectory) => void;
 }
 
 /** A running program of a pool. */
@@ -70,6 +77,15 @@
  */
 const STORE_TIMEOUT_MS = { entry: 450, scheduler: 1000, agent: 1000 } as const;
 
+/** Another process and the store behind it answer within two regions' delays, or are out of reach. */
+const RELAY_TIMEOUT_MS = 700;
+
+/** The same for a watch, which waits for news for most of it. */
+const RELAYED_WATCH_TIMEOUT_MS = 2500;
+
+/** Calls that may take longer are watches. */
+const MAX_BRIEF_MS = 1000;
+
 /**
  * @param role - which program
  * @param settings - the settings in force
@@ -89,23 +105,43 @@
     }),
   );
   const counters = metrics.createMetrics();
+  const logger = log.createLog('info', { role, node: settings().nodeId });
+  const entriesWithin = (timeoutMs: number): rpcClient.RpcClients =>
+    rpcClient.createRpcClients({ call: client.call, timeoutMs, peerSecret: PEER_SECRET });
+  const brief = entriesWithin(RELAY_TIMEOUT_MS);
+  const waiting = entriesWithin(RELAYED_WATCH_TIMEOUT_MS);
+  let directory: peerDirectory.PeerDirectory | undefined;
+  const storeCall = storeRelay.createStoreRelay({
+    clock: systemClock.systemClock,
+    log: logger,
+    direct: client.call,
+    urls: () => directory?.urls(poolKeys.PeerRole.entry) ?? [],
+    ask: (url, request) => {
+      const entries = request.timeoutMs > MAX_BRIEF_MS ? waiting : brief;
+      return relayRpc.askRelay(entries.poolEntry(url), sender(), request);
+    },
+  });
+  const sender = (): envelope.Sender => ({ processId, role, configVersion: 0 });
   const processId = `${settings().nodeId}.${role}`;
   return {
     clock: systemClock.systemClock,
     random: random.createRandom(crypto.randomInt(2 ** 31)),
     newId: () => crypto.randomUUID(),
-    log: log.createLog('info', { role, node: settings().nodeId }),
+    log: logger,
     metrics: counters,
     owned,
     call: client.call,
     store: platformStore.createPlatformStore({
       address: () => settings().store,
-      call: client.call,
+      call: storeCall,
       metrics: counters,
       timeoutMs: STORE_TIMEOUT_MS[role],
     }),
     settings,
-    sender: () => ({ processId, role, configVersion: 0 }),
+    sender,
+    usePeers: (found) => {
+      directory = found;
+    },
   };
 };
 
--- a/src/protocol/common/poolMessages.ts
+++ b/src/protocol/common/poolMessages.ts
@@ -52,32 +52,26 @@
   readonly from: envelope.Sender;
 }
 
-/** A client's call that an entry without a way to the store hands on to another. */
-export const HandOnMessage = Schema.Struct({
+/** A call of the store that a process makes through an entry, as bytes that neither of them looks into. */
+export const RelayMessage = Schema.Struct({
   from: envelope.Sender,
-  /** Names the call in the logs of both entries. */
-  requestId: Schema.String,
   method: Schema.String,
-  host: Schema.String,
   path: Schema.String,
-  apiKey: Schema.optionalKey(Schema.String),
-  /** How long the client still waits. */
-  deadlineMs: units.DurationMs,
+  /** In base64. */
   body: Schema.String,
+  timeoutMs: units.DurationMs,
 });
 
-/** See {@link HandOnMessage}. */
-export type HandOnMessage = typeof HandOnMessage.Type;
+/** See {@link RelayMessage}. */
+export type RelayMessage = typeof RelayMessage.Type;
 
-/** The other entry's answer to the client. */
-export const HandOnAnswer = Schema.Struct({
-  from: envelope.Sender,
-  status: units.Count,
-  body: Schema.String,
-});
-
-/** See {@link HandOnAnswer}. */
-export type HandOnAnswer = typeof HandOnAnswer.Type;
+/** The store's answer. */
+export interface RelayAnswer {
+  readonly from: envelope.Sender;
+  readonly status: number;
+  /** In base64. */
+  readonly body: string;
+}
 
 /** An entry asks the leader how many jobs wait. */
 export const PendingMessage = Schema.Struct({ from: envelope.Sender });
--- a/src/protocol/node/poolRouters.ts
+++ b/src/protocol/node/poolRouters.ts
@@ -21,7 +21,8 @@
 
 /** Handlers of an entry. */
 export interface PoolEntryService {
-  readonly handOn: (message: poolMessages.HandOnMessage) => Promise<poolMessages.HandOnAnswer>;
+  /** @throws AuburnliftError `noUpstream` where nothing was sent to the store */
+  readonly relay: (message: poolMessages.RelayMessage) => Promise<poolMessages.RelayAnswer>;
 }
 
 /**
@@ -52,7 +53,7 @@
  * @returns the entry's router
  */
 export const createPoolEntryRouter = (service: PoolEntryService) =>
-  rpc.router({ handOn: rpc.procedure(poolMessages.HandOnMessage, service.handOn) });
+  rpc.router({ relay: rpc.procedure(poolMessages.RelayMessage, service.relay) });
 
 /** Type of the entry's router, for clients. */
 export type PoolEntryRouter = ReturnType<typeof createPoolEntryRouter>;
--- a/src/transport/node/rpcClient.ts
+++ b/src/transport/node/rpcClient.ts
@@ -151,7 +151,7 @@
 
 const poolEntryClient = (options: RpcClientOptions, url: string) => {
   const client = create<poolRouters.PoolEntryRouter>(options, url);
-  return { handOn: wrapFor(options, url)(client.handOn) };
+  return { relay: wrapFor(options, url)(client.relay) };
 };
 
 /** An entry of pools as other entries call it. */
