--- a/tools/guards.js
+++ b/tools/guards.js
@@ -17,6 +17,7 @@
   'standins/test/leasedRecord.test.js',
   'standins/test/poolParts.test.js',
   'standins/test/jobDesk.test.js',
+  'standins/test/storeRelay.test.js',
   'standins/test/poolExploration.test.js',
   `${COMMON_POOL}/test/jobBook.test.js`,
   `${COMMON_POOL}/test/poolGuards.test.js`,
@@ -29,6 +30,24 @@
 
 /** Each guard with the code that is it and the code without it. */
 const GUARDS = [
+  [
+    'a write that may have been executed is not relayed',
+    `${NODE_POOL}/storeRelay.js`,
+    'const isSafe = isRead(request) ||',
+    'const isSafe = true ||',
+  ],
+  [
+    'a write that another left open is not offered to a third',
+    `${NODE_POOL}/storeRelay.js`,
+    'if (!isRead(request) && !isSentInVain(thrown))',
+    'if (false)',
+  ],
+  [
+    'a run of a former leader counts from its beginning',
+    `${COMMON_POOL}/workerTable.js`,
+    'run.sinceMs = now.nowMs - heldMs;',
+    '',
+  ],
   [
     'a progress write is conditional on the record it overwrites',
     `${COMMON_POOL}/progressBatch.js`,
