Replay a leader's change, an outage of the store, workers that stand still and data that lies on one rack

While nobody leads or the store is away nothing is decided; a new leader counts runs by what is stored.

--- a/src/bench/saturation/mixes.ts
+++ b/src/bench/saturation/mixes.ts
@@ -28,6 +28,8 @@
   /** Wider steps, or tasks of more accelerators, are no gangs; absent where any may be one. */
   readonly gangLimit?: { readonly tasks: number; readonly accelerators: number };
   readonly checkpointShare: number;
+  /** Share of the steps whose data lies on one rack; absent where none does. */
+  readonly dataShare?: number;
   /** Chance that a sound task fails once. */
   readonly failShare: number;
   readonly cancelShare: number;
@@ -236,6 +238,7 @@
       gangShare: 0,
       sameRackShare: 0,
       checkpointShare: 0.45,
+      dataShare: 0.3,
       failShare: 0.02,
       cancelShare: 0.05,
       estimateFactor: 4.7,
@@ -281,6 +284,7 @@
       gangShare: 0,
       sameRackShare: 0,
       checkpointShare: 0.45,
+      dataShare: 0.12,
       failShare: 0.005,
       cancelShare: 0.15,
       estimateFactor: 2.4,
@@ -305,6 +309,16 @@
   readonly slowFactor: number;
   /** Share of the workers that fail all they start for six seconds. */
   readonly failingShare: number;
+  /** Times at which nothing is decided: nobody leads, or the store is away. */
+  readonly gaps: readonly DecisionGap[];
+}
+
+/** A time at which nothing is decided. */
+export interface DecisionGap {
+  readonly fromMs: number;
+  readonly untilMs: number;
+  /** Another leader follows, which knows of runs only what is stored. */
+  readonly isTakeOver: boolean;
 }
 
 const CALM: Strain = {
@@ -315,8 +329,20 @@
   slowShare: 0,
   slowFactor: 6,
   failingShare: 0,
+  gaps: [],
 };
 
+/** One that was killed, whose term had to lapse, and a planned one. */
+const LEADER_CHANGES: readonly DecisionGap[] = [
+  { fromMs: 11_000, untilMs: 12_500, isTakeOver: true },
+  { fromMs: 24_000, untilMs: 24_400, isTakeOver: true },
+];
+
+const STORE_AWAY: readonly DecisionGap[] = [{ fromMs: 10_000, untilMs: 14_500, isTakeOver: false }];
+
+/** A worker that stands still does next to nothing. */
+const STANDING_STILL = 1000;
+
 /** The loads that are replayed. */
 export const STRAINS: readonly Strain[] = [
   CALM,
@@ -326,4 +352,13 @@
   { ...CALM, name: 'poison', load: 1.2, poisonShare: 0.1 },
   { ...CALM, name: 'slow workers', load: 1, urgentBurst: 2, slowShare: 0.17 },
   { ...CALM, name: 'failing workers', load: 1, urgentBurst: 2, failingShare: 0.09 },
+  {
+    ...CALM,
+    name: 'workers standing still',
+    urgentBurst: 2,
+    slowShare: 0.1,
+    slowFactor: STANDING_STILL,
+  },
+  { ...CALM, name: 'leader changes', urgentBurst: 2, gaps: LEADER_CHANGES },
+  { ...CALM, name: 'store away', urgentBurst: 2, gaps: STORE_AWAY },
 ];
--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -282,9 +282,22 @@
     stopByKey(groupKey);
   };
 
+  const isGap = (nowMs: number): boolean =>
+    strain.gaps.some((it) => nowMs >= it.fromMs && nowMs < it.untilMs);
+
+  /** A new leader knows of a run when it was given, and hears of its progress. */
+  const takeOver = (): void => {
+    const nowMs = events.nowMs();
+    for (const { run } of [...groups].flatMap((it) => it.members)) {
+      run.sinceMs = nowMs;
+      workerTable.countFromStart(run, estimates, { nowMs, wallMs: nowMs });
+    }
+  };
+
   const plan = (): void => {
     isDue = false;
     const nowMs = events.nowMs();
+    if (isGap(nowMs)) return;
     const units = queue.units(entries.values(), nowMs, nowMs, workerTable.createSlotCount(workers));
     const heldUp = heldUpRuns.findHeldUp(workers, estimates, nowMs);
     if (units.length === 0 && heldUp.length === 0) return;
@@ -318,6 +331,12 @@
       });
     }
   }
+  for (const { untilMs, isTakeOver } of strain.gaps) {
+    events.at(untilMs, () => {
+      if (isTakeOver) takeOver();
+      schedule();
+    });
+  }
   const tick = (): void => {
     for (const group of groups) tell(group);
     schedule();
--- a/src/bench/saturation/test/saturation.test.ts
+++ b/src/bench/saturation/test/saturation.test.ts
@@ -31,6 +31,9 @@
   ['urgent burst', 0.05],
   ['1.5 times', 0.05],
   ['failing workers', 0.05],
+  ['workers standing still', 0.05],
+  ['leader changes', 0.05],
+  ['store away', 0.05],
 ];
 
 test.describe('callers at a pool that is full', () => {
--- a/src/bench/saturation/workload.ts
+++ b/src/bench/saturation/workload.ts
@@ -38,9 +38,21 @@
 const drawSize = (next: random.Random, { mean, spread, max }: mixes.JobKind['workMs']): number =>
   Math.min(max, mean * Math.exp(spread * normal(next) - (spread * spread) / 2));
 
+/** The rack where a step's data lies, where it lies on one. */
+const drawDataRack = (
+  next: random.Random,
+  kind: mixes.JobKind,
+  mix: mixes.Mix,
+): { readonly preferredRack?: string } => {
+  if (kind.dataShare === undefined || next() >= kind.dataShare) return {};
+  const racks = Math.ceil(mix.workers / mix.rackSize);
+  return { preferredRack: `rack-${randoms.integerBelow(next, racks)}` };
+};
+
 const drawSteps = (
   next: random.Random,
   kind: mixes.JobKind,
+  mix: mixes.Mix,
 ): { steps: poolJob.Step[]; workMs: number[][] } => {
   const stepCount = next() < kind.secondStepShare ? 2 : 1;
   const accelerators = kind.accelerators[randoms.integerBelow(next, kind.accelerators.length)] ?? 1;
@@ -70,6 +82,7 @@
       isCheckpointing,
       isGang: isWhole,
       isSameRack: isWhole && isSameRack,
+      ...drawDataRack(next, kind, mix),
       maxPerWorker: 0,
       isSpeculative: false,
       isLongRunning: false,
@@ -108,7 +121,7 @@
       atMs += -Math.log(1 - next()) * gapMs;
       const keptShare = (isInBurst(kind, atMs) ? strain.urgentBurst : 1) / peak;
       if (atMs >= ARRIVALS_MS || next() >= keptShare) continue;
-      const { steps, workMs } = drawSteps(next, kind);
+      const { steps, workMs } = drawSteps(next, kind, mix);
       const jobId = `${kind.name}-${arrivals.length}`;
       arrivals.push({
         atMs,
