Choose near or far, and leave room to claims, in modules of their own

planRound had grown past 300 lines, with the choice of a place and the room for claims between its rules.

--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -7,7 +7,9 @@
  * the workers that will have it soonest, since small tasks would otherwise take each gap for ever.
  */
 import * as poolJob from '../../../state/common/pool/poolJob.js';
+import * as claimHeadroom from './claimHeadroom.js';
 import * as gangPlacement from './gangPlacement.js';
+import * as placeChoice from './placeChoice.js';
 import type * as planTypes from './planTypes.js';
 import * as roomToCome from './roomToCome.js';
 
@@ -32,12 +34,6 @@
 /** A guarantee that is claimed waits no longer than this for runs that end by themselves. */
 const MAX_DEFERRED_MS = 1500;
 
-/** Workers that are left for claims by work that can wait. */
-const HEADROOM_SHARE = 0.25;
-
-/** Work that must begin within this time goes wherever there is room. */
-const HEADROOM_SLACK_MS = 2000;
-
 /** An accelerator weighs as much as so many cores in what is lost by stopping work. */
 const CORES_PER_ACCELERATOR = 8;
 
@@ -102,12 +98,6 @@
   return unit.priority + (nowMs > unit.latestStartMs ? LATE_RANK : 0);
 };
 
-const isCheaplyReclaimed = (worker: planTypes.PlanWorker): boolean => {
-  const held = worker.holdings.filter((it) => it.priority > 0 && it.isCheckpointing);
-  const room = held.reduce((sum, it) => sum + it.room.accelerators, worker.free.accelerators);
-  return room >= worker.capacity.accelerators && worker.capacity.accelerators > 0;
-};
-
 const splitClaims = (
   input: RoundInput,
 ): { claims: planTypes.PlanUnit[]; others: planTypes.PlanUnit[] } => {
@@ -145,75 +135,15 @@
     ),
   );
 
-  const knownCandidates = new Map<planTypes.PlanUnit, gangPlacement.Candidates>();
-  const candidatesFor = (unit: planTypes.PlanUnit): gangPlacement.Candidates => {
-    const known = knownCandidates.get(unit);
-    if (known !== undefined) return known;
-    const candidates = gangPlacement.candidateGroups(input.workers, unit);
-    knownCandidates.set(unit, candidates);
-    return candidates;
-  };
-
-  const judgeDistance = (unit: planTypes.PlanUnit): boolean => {
-    const { near, far } = candidatesFor(unit);
-    if (far.length === 0) return false;
-    const longerMs = (input.farFactor - 1) * unit.expectedMs;
-    if (near.length === 0 || unit.waitedMs >= longerMs) return true;
-    const future = roomToCome.findRoomToCome(runs, near, unit, waitCosts);
-    return future === undefined || roomToCome.longestWaitMs(runs, future.leaving) > longerMs;
-  };
-
-  const farUnits = new Map<planTypes.PlanUnit, boolean>();
-  /** Whether it ends earlier far from its data now than near it once there is room. */
-  const endsEarlierFar = (unit: planTypes.PlanUnit): boolean => {
-    const known = farUnits.get(unit) ?? judgeDistance(unit);
-    farUnits.set(unit, known);
-    return known;
-  };
-
-  const groupsFor = (unit: planTypes.PlanUnit): gangPlacement.CandidateGroups => {
-    const { near, far } = candidatesFor(unit);
-    return endsEarlierFar(unit) ? [...near, ...far] : near;
-  };
-
-  const findPlace = (unit: planTypes.PlanUnit): planTypes.Placement | undefined => {
-    const { near, far } = candidatesFor(unit);
-    const placement = gangPlacement.placeNow(near, unit);
-    if (placement !== undefined || !endsEarlierFar(unit)) return placement;
-    return gangPlacement.placeNow(far, unit);
-  };
-
-  /** Workers that a claim can have whole at no loss: nothing runs there, or only what saves itself. */
-  const cheapIds = new Set(
-    input.workers.filter(isCheaplyReclaimed).map(({ workerId }) => workerId),
-  );
-  const minCheap = Math.floor(HEADROOM_SHARE * input.workers.length);
-
-  /** Work that can wait leaves some workers for claims, which would else throw its runs away. */
-  const spareForClaims = (
-    unit: planTypes.PlanUnit,
-    placement: planTypes.Placement | undefined,
-  ): planTypes.Placement | undefined => {
-    const { step } = unit.unit;
-    const canWait =
-      unit.priority > 0 &&
-      !step.isCheckpointing &&
-      input.nowMs < unit.latestStartMs - HEADROOM_SLACK_MS;
-    if (!canWait || placement === undefined) return placement;
-    const taken = placement.workers.filter((it) => cheapIds.has(it.workerId));
-    if (taken.length === 0 || cheapIds.size - new Set(taken).size >= minCheap) return placement;
-    const groups = candidatesFor(unit).near.map((its) =>
-      its.filter((it) => !cheapIds.has(it.workerId)),
-    );
-    return gangPlacement.placeNow(groups, unit);
-  };
+  const { workers, farFactor, nowMs } = input;
+  const places = placeChoice.createPlaceChoice({ workers, runs, waitCosts, farFactor });
+  const headroom = claimHeadroom.createClaimHeadroom(workers, nowMs);
 
   const startNow = (unit: planTypes.PlanUnit): boolean => {
-    const placement = spareForClaims(unit, findPlace(unit));
+    const found = places.findNow(unit);
+    const placement = found === undefined ? undefined : headroom.spare(found, places.nearOf(unit));
     if (placement === undefined) return false;
-    if (!unit.unit.step.isCheckpointing) {
-      placement.workers.forEach(({ workerId }) => cheapIds.delete(workerId));
-    }
+    headroom.noteStart(placement);
     gangPlacement.takeRoom(placement);
     starts.push(placement);
     return true;
@@ -226,7 +156,7 @@
       unit.countedFromMs + MAX_DEFERRED_MS,
     );
     if (input.nowMs >= untilMs) return false;
-    const future = roomToCome.findRoomToCome(runs, groupsFor(unit), unit, waitCosts);
+    const future = roomToCome.findRoomToCome(runs, places.groupsOf(unit), unit, waitCosts);
     if (future === undefined) return false;
     const remainingMs = roomToCome.longestWaitMs(runs, future.leaving);
     if (input.nowMs + remainingMs > untilMs) return false;
@@ -237,7 +167,7 @@
 
   const claim = (unit: planTypes.PlanUnit): void => {
     if (waitForRoom(unit)) return;
-    const groups = groupsFor(unit);
+    const groups = places.groupsOf(unit);
     const anywhere = input.workers.filter((it) => gangPlacement.isSuitable(it, unit));
     const future =
       roomToCome.findRoomToCome(runs, groups, unit, claimCosts) ??
@@ -261,7 +191,7 @@
   const preempt = (unit: planTypes.PlanUnit): boolean => {
     if (unit.priority !== 0 || input.nowMs > unit.latestStartMs) return false;
     if (waitForRoom(unit)) return true;
-    const future = roomToCome.findRoomToCome(runs, groupsFor(unit), unit, preemptCosts);
+    const future = roomToCome.findRoomToCome(runs, places.groupsOf(unit), unit, preemptCosts);
     const ownWork = unit.expectedMs * weightInCores(unit.room) * unit.unit.tasks.length;
     if (future === undefined || future.cost > MAX_LOSS_SHARE * ownWork) return false;
     gangPlacement.takeRoom(future.placement);
@@ -279,7 +209,7 @@
       fullSteps.add(unit.stepKey);
       const isReserving = reservations < MAX_RESERVATIONS && unit.waitedMs >= RESERVE_AFTER_MS;
       const future = isReserving
-        ? roomToCome.findRoomToCome(runs, groupsFor(unit), unit, waitCosts)
+        ? roomToCome.findRoomToCome(runs, places.groupsOf(unit), unit, waitCosts)
         : undefined;
       if (future !== undefined) {
         gangPlacement.takeRoom(future.placement);
--- a/tools/ablation.js
+++ b/tools/ablation.js
@@ -33,7 +33,7 @@
   ],
   [
     'workers left for claims',
-    `${POOL}/planRound.js`,
+    `${POOL}/claimHeadroom.js`,
     'const HEADROOM_SHARE = 0.25',
     'const HEADROOM_SHARE = 0',
   ],
@@ -81,7 +81,7 @@
   ],
   [
     'far by expected end',
-    `${POOL}/planRound.js`,
+    `${POOL}/placeChoice.js`,
     'return future === undefined ||',
     'return false &&',
   ],
