Take an entry's address away beside the wait of its end, not before it

Cause, by reading: the record was taken away before the wait for the balancer, up to 0.5 s by the own way and more through others while the store is away; together with the time for the last answers that went beyond the grace of 6 s, and a request in flight could be cut off. Change: both at once.

--- a/src/programs/poolEntry.ts
+++ b/src/programs/poolEntry.ts
@@ -133,8 +133,8 @@
     shutdown: async () => {
       isLeaving = true;
       front.discourage();
-      await presence.dispose();
-      await clock.sleep(kit.clock, LEAVE_MS);
+      // Beside the wait: a store that is away must not take the time of the last answers.
+      await Promise.all([presence.dispose(), clock.sleep(kit.clock, LEAVE_MS)]);
       await front.drain(settings.graceMs - LEAVE_MS - EXIT_SLACK_MS);
       await kit.owned.dispose();
     },
