--- a/src/coordination/common/pool/placeChoice.ts
+++ b/src/coordination/common/pool/placeChoice.ts
@@ -10,8 +10,6 @@
 
 /** What the choice looks at. */
 export interface PlaceChoiceInput {
-  /** The leader's clock. */
-  readonly nowMs: number;
   readonly workers: readonly planTypes.PlanWorker[];
   readonly runs: roomToCome.RunsByGroup;
   /** What it costs to wait until a group has ended by itself. */
@@ -44,18 +42,14 @@
  * @returns the choice; it judges each unit once, by what was free then
  */
 export const createPlaceChoice = (input: PlaceChoiceInput): PlaceChoice => {
-  const { workers, runs, waitCosts, farFactor, nowMs } = input;
+  const { workers, runs, waitCosts, farFactor } = input;
   const candidatesOf = remember((unit) => gangPlacement.candidateGroups(workers, unit));
 
   const endsEarlierFar = remember((unit) => {
     const { near, far } = candidatesOf(unit);
     if (far.length === 0) return false;
-    if (near.length === 0) return true;
     const longerMs = (farFactor - 1) * unit.expectedMs;
-    // Far it would be late for certain; urgent work may be in time near, if need be by stopping others.
-    const isLateFarOnly = nowMs <= unit.latestStartMs && nowMs + longerMs > unit.latestStartMs;
-    if (unit.priority === 0 && isLateFarOnly) return false;
-    if (unit.waitedMs >= longerMs) return true;
+    if (near.length === 0 || unit.waitedMs >= longerMs) return true;
     const future = roomToCome.findRoomToCome(runs, near, unit, waitCosts);
     return future === undefined || roomToCome.longestWaitMs(runs, future.leaving) > longerMs;
   });
--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -136,13 +136,7 @@
   );
 
   const { workers, farFactor, nowMs } = input;
-  const places = placeChoice.createPlaceChoice({
-    nowMs,
-    workers,
-    runs,
-    waitCosts,
-    farFactor,
-  });
+  const places = placeChoice.createPlaceChoice({ workers, runs, waitCosts, farFactor });
   const headroom = claimHeadroom.createClaimHeadroom(workers, nowMs);
 
   const startNow = (unit: planTypes.PlanUnit): boolean => {
