Say the columns of causes and the sums by name once, and drop what the histories never read

losses built the cells of each cause twice and summed queues and customers by two copies of one loop; a run's workers and wait were kept and never read, and one condition of the outdated leader could not hold.

--- a/src/cli/logCommands.ts
+++ b/src/cli/logCommands.ts
@@ -70,8 +70,13 @@
   },
 };
 
-const lossRows = (losses: readonly lossReport.Loss[], causes: readonly timeSplit.Cause[]) => ({
-  columns: ['job', 'queue', 'customer', 'end', 'took ms', 'objective ms', ...causes],
+const CAUSES = Object.values(timeSplit.Cause);
+
+const cellsOf = (byCause: lossReport.ByCause): textTable.Cell[] =>
+  CAUSES.map((cause) => byCause[cause] ?? 0);
+
+const lossTable = (losses: readonly lossReport.Loss[]): textTable.Table => ({
+  columns: ['job', 'queue', 'customer', 'end', 'took ms', 'objective ms', ...CAUSES],
   rows: losses.map((it) => [
     it.jobId,
     it.queue,
@@ -79,12 +84,12 @@
     it.end,
     it.tookMs,
     it.objectiveMs,
-    ...causes.map((cause) => it.byCause[cause] ?? 0),
+    ...cellsOf(it.byCause),
   ]),
 });
 
-const sumRows = (sums: readonly lossReport.Sum[], causes: readonly timeSplit.Cause[]) => ({
-  columns: ['of', 'name', 'jobs', 'in time', 'late', 'lost', ...causes],
+const sumTable = (sums: readonly lossReport.Sum[]): textTable.Table => ({
+  columns: ['of', 'name', 'jobs', 'in time', 'late', 'lost', ...CAUSES],
   rows: sums.map((it) => [
     it.of,
     it.name,
@@ -92,11 +97,11 @@
     it.inTime,
     it.late,
     it.lost,
-    ...causes.map((cause) => it.byCause[cause] ?? 0),
+    ...cellsOf(it.byCause),
   ]),
 });
 
-const thrownAwayRows = (rows: readonly lossReport.ThrownAway[]) => ({
+const thrownAwayTable = (rows: readonly lossReport.ThrownAway[]): textTable.Table => ({
   columns: ['work thrown away by', 'runs', 'core-seconds'],
   rows: rows.map((it) => [it.cause, it.runs, Math.round(it.coreSeconds)]),
 });
@@ -117,16 +122,15 @@
     const listed = jobs.filter((it) => input.flags.all === true || it.isLoss);
     const sums = lossReport.sumLosses(jobs);
     const thrownAway = lossReport.sumThrownAway(histories);
-    const causes = Object.values(timeSplit.Cause);
     const leaderlessMs = histories.leaderless.reduce((sum, it) => sum + it.untilMs - it.fromMs, 0);
     return Promise.resolve({
       value: { jobs: listed, sums, thrownAway, leaderlessMs, skipped },
       lines: [
-        ...textTable.formatTable(lossRows(listed, causes)),
+        ...textTable.formatTable(lossTable(listed)),
         '',
-        ...textTable.formatTable(sumRows(sums, causes)),
+        ...textTable.formatTable(sumTable(sums)),
         '',
-        ...textTable.formatTable(thrownAwayRows(thrownAway)),
+        ...textTable.formatTable(thrownAwayTable(thrownAway)),
         `nobody led for ${seconds(leaderlessMs)} s`,
         skippedLine(skipped),
       ],
--- a/src/cli/logs/jobHistory.ts
+++ b/src/cli/logs/jobHistory.ts
@@ -13,10 +13,8 @@
 /** One run of a group. */
 export interface GroupRun {
   readonly run: number;
-  readonly workers: string;
   /** Tasks away from their data or their rack. */
   readonly awayTasks: number;
-  readonly waitedMs: number;
   readonly placedAtMs: number;
   /** Reasons told before it was placed. */
   readonly waits: readonly WaitReason[];
@@ -127,9 +125,7 @@
   const group = groupOf(job, textOf(event, 'group'));
   group.runs.push({
     run: numberOf(event, 'run'),
-    workers: textOf(event, 'workers'),
     awayTasks: numberOf(event, 'away'),
-    waitedMs: numberOf(event, 'waitedMs'),
     placedAtMs: event.atMs,
     waits: group.openWaits,
     startedAtMs: undefined,
@@ -207,8 +203,8 @@
   return {
     leaderless,
     /** One that leads no more, and has not heard of it, goes on telling what it believes. */
-    isOutdated: ({ role, node, event }: logLines.LogEvent): boolean =>
-      role === 'scheduler' && leader !== '' && node !== leader && event !== 'loaded',
+    isOutdated: ({ role, node }: logLines.LogEvent): boolean =>
+      role === 'scheduler' && leader !== '' && node !== leader,
     note: ({ atMs, event, role, node }: logLines.LogEvent): void => {
       if (role !== 'scheduler') return;
       if (event === 'loaded') {
--- a/src/cli/logs/lossReport.ts
+++ b/src/cli/logs/lossReport.ts
@@ -90,7 +90,13 @@
   };
 };
 
-const distinct = (values: readonly string[]): string[] => [...new Set(values)].sort();
+const sumsBy = (of: 'queue' | 'customer', jobs: readonly Loss[]): Sum[] => {
+  const names = [...new Set(jobs.map((it) => it[of]))].sort();
+  return names.map((name) => {
+    const its = jobs.filter((it) => it[of] === name);
+    return sumOf(of, name, its);
+  });
+};
 
 /**
  * @param jobs - judged jobs
@@ -98,20 +104,8 @@
  */
 export const sumLosses = (jobs: readonly Loss[]): Sum[] => [
   sumOf('all', 'all', jobs),
-  ...distinct(jobs.map((it) => it.queue)).map((queue) =>
-    sumOf(
-      'queue',
-      queue,
-      jobs.filter((it) => it.queue === queue),
-    ),
-  ),
-  ...distinct(jobs.map((it) => it.customer)).map((customer) =>
-    sumOf(
-      'customer',
-      customer,
-      jobs.filter((it) => it.customer === customer),
-    ),
-  ),
+  ...sumsBy('queue', jobs),
+  ...sumsBy('customer', jobs),
 ];
 
 /** Work that came to nothing, by what ended it. */
