Work out the owed chain, the expected work of a run and a stop for others in one place each

The chain in waves stood in the queue, the outcome and the replay; work times distance in the driver, the replay and the take-over; what a claim and a preemption do with the runs in their way twice in planRound; one interface twice in heldUpRuns. No decision changes.

--- a/src/bench/saturation/outcomes.ts
+++ b/src/bench/saturation/outcomes.ts
@@ -41,12 +41,8 @@
 const owedChainMs = ({ arrival }: poolReplay.ReplayedJob, mix: mixes.Mix): number => {
   const slotsOf: jobChain.SlotsOf = (_, step) =>
     mix.workers * poolJob.timesThatFit(mix.capacity, poolJob.roomOf(step));
-  return arrival.job.steps.reduce(
-    (sum, step, index) =>
-      sum +
-      Math.max(...(arrival.workMs[index] ?? [])) * jobChain.wavesOf(arrival.job, step, slotsOf),
-    0,
-  );
+  const workOf: jobChain.WorkOf = (_, index) => Math.max(...(arrival.workMs[index] ?? []));
+  return jobChain.owedChainMs(arrival.job, workOf, slotsOf);
 };
 
 const earnedShare = (job: poolReplay.ReplayedJob, mix: mixes.Mix): number => {
--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -255,7 +255,7 @@
     for (const task of tasks) {
       const worker = workerAt(task.agentId);
       const run = workerTable.createRun(entry, task, workerTable.RunPhase.present, nowMs);
-      run.expectedMs = placement.unit.expectedMs * group.factor;
+      workerTable.expectWork(run, placement.unit.expectedMs);
       worker.runs.set(workerTable.runKey(run.name, run.run), run);
       group.members.push({ worker, run, group, startedAtMs: nowMs });
     }
--- a/src/coordination/common/pool/estimateBook.ts
+++ b/src/coordination/common/pool/estimateBook.ts
@@ -25,7 +25,7 @@
 interface QueueBook {
   /** By job: tasks of one job are declared alike. */
   readonly seen: Map<string, SeenWork>;
-  summary: QueueSummary;
+  readonly summary: QueueSummary;
 }
 
 /** What is known of the queues' work. */
--- a/src/coordination/common/pool/heldUpRuns.ts
+++ b/src/coordination/common/pool/heldUpRuns.ts
@@ -84,12 +84,6 @@
 const canBeMoved = (run: workerTable.RunHolding): boolean =>
   run.phase === workerTable.RunPhase.present && run.task.moves < MAX_MOVES;
 
-/** Members of one group with the workers that have them. */
-interface Placed {
-  readonly worker: workerTable.WorkerEntry;
-  readonly run: workerTable.RunHolding;
-}
-
 /**
  * @param workers - workers with their runs
  * @param book - whose declared work can be believed
--- a/src/coordination/common/pool/jobChain.ts
+++ b/src/coordination/common/pool/jobChain.ts
@@ -43,6 +43,15 @@
   return Math.max(0, ...endsMs);
 };
 
+/**
+ * @param job - a job
+ * @param workOf - work of one task of each step
+ * @param slotsOf - the pool's room
+ * @returns the longest chain that its caller is owed the time of, each step in its waves
+ */
+export const owedChainMs = (job: poolJob.PoolJob, workOf: WorkOf, slotsOf: SlotsOf): number =>
+  longestChainMs(job, (step, index) => workOf(step, index) * wavesOf(job, step, slotsOf));
+
 /**
  * @param job - a job
  * @param chainMs - its longest chain of work
--- a/src/coordination/common/pool/jobOutcome.ts
+++ b/src/coordination/common/pool/jobOutcome.ts
@@ -65,9 +65,7 @@
   const occurrence = jobBook.occurrencesOf(job) - 1;
   const durationMs = entry.endedAtMs - countedFromMs(job, occurrence);
   const workOf = observedWork(entry, occurrence);
-  const owedOf: jobChain.WorkOf = (step, index) =>
-    workOf(step, index) * jobChain.wavesOf(job, step, slotsOf);
-  const chainMs = Math.round(jobChain.longestChainMs(job, owedOf));
+  const chainMs = Math.round(jobChain.owedChainMs(job, workOf, slotsOf));
   const objectiveMs = Math.round(jobChain.objectiveMs(job, chainMs));
   return {
     durationMs,
--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -121,21 +121,21 @@
  * @returns what to start, what to stop and what waits
  */
 export const planRound = (input: RoundInput): planTypes.RoundPlan => {
+  const { workers, farFactor, nowMs } = input;
   const starts: planTypes.Placement[] = [];
   const evictions = new Map<string, planTypes.PlanUnit>();
   const waits: planTypes.Wait[] = [];
   const { claims, others } = splitClaims(input);
-  const runs = roomToCome.indexRuns(input.workers);
+  const runs = roomToCome.indexRuns(workers);
   const claimCosts = roomToCome.createGroupCosts(runs, lossOf);
   const preemptCosts = roomToCome.createGroupCosts(runs, preemptLossOf);
   const waitCosts = roomToCome.createGroupCosts(runs, waitFor);
   const leaving = new Set(
-    input.workers.flatMap((it) =>
+    workers.flatMap((it) =>
       it.holdings.filter((holding) => holding.isLeaving).map((holding) => holding.groupKey),
     ),
   );
 
-  const { workers, farFactor, nowMs } = input;
   const places = placeChoice.createPlaceChoice({ workers, runs, waitCosts, farFactor });
   const headroom = claimHeadroom.createClaimHeadroom(workers, nowMs);
 
@@ -155,20 +155,27 @@
       unit.latestStartMs - STOP_AND_START_MS,
       unit.countedFromMs + MAX_DEFERRED_MS,
     );
-    if (input.nowMs >= untilMs) return false;
+    if (nowMs >= untilMs) return false;
     const future = roomToCome.findRoomToCome(runs, places.groupsOf(unit), unit, waitCosts);
     if (future === undefined) return false;
     const remainingMs = roomToCome.longestWaitMs(runs, future.leaving);
-    if (input.nowMs + remainingMs > untilMs) return false;
+    if (nowMs + remainingMs > untilMs) return false;
     gangPlacement.takeRoom(future.placement);
     waits.push({ unit, reason: 'room for it becomes free in time' });
     return true;
   };
 
+  /** Keeps the room, and stops what is not leaving it already. */
+  const stopFor = (unit: planTypes.PlanUnit, future: roomToCome.FuturePlacement): void => {
+    gangPlacement.takeRoom(future.placement);
+    for (const key of future.leaving) if (!leaving.has(key)) evictions.set(key, unit);
+    waits.push({ unit, reason: `waits for ${future.leaving.size} groups to leave` });
+  };
+
   const claim = (unit: planTypes.PlanUnit): void => {
     if (waitForRoom(unit)) return;
     const groups = places.groupsOf(unit);
-    const anywhere = input.workers.filter((it) => gangPlacement.isSuitable(it, unit));
+    const anywhere = workers.filter((it) => gangPlacement.isSuitable(it, unit));
     const future =
       roomToCome.findRoomToCome(runs, groups, unit, claimCosts) ??
       roomToCome.findRoomToCome(runs, [anywhere], unit, claimCosts);
@@ -176,27 +183,24 @@
       waits.push({ unit, reason: 'no room even after stopping what may be stopped' });
       return;
     }
-    gangPlacement.takeRoom(future.placement);
-    if (future.leaving.size === 0) {
-      starts.push(future.placement);
+    if (future.leaving.size > 0) {
+      stopFor(unit, future);
       return;
     }
-    for (const key of future.leaving) if (!leaving.has(key)) evictions.set(key, unit);
-    waits.push({ unit, reason: `waits for ${future.leaving.size} groups to leave` });
+    gangPlacement.takeRoom(future.placement);
+    starts.push(future.placement);
   };
 
   for (const unit of claims) if (!startNow(unit)) claim(unit);
 
   /** Urgent work that can still be in time may stop what loses less than itself by it. */
   const preempt = (unit: planTypes.PlanUnit): boolean => {
-    if (unit.priority !== 0 || input.nowMs > unit.latestStartMs) return false;
+    if (unit.priority !== 0 || nowMs > unit.latestStartMs) return false;
     if (waitForRoom(unit)) return true;
     const future = roomToCome.findRoomToCome(runs, places.groupsOf(unit), unit, preemptCosts);
     const ownWork = unit.expectedMs * weightInCores(unit.room) * unit.unit.tasks.length;
     if (future === undefined || future.cost > MAX_LOSS_SHARE * ownWork) return false;
-    gangPlacement.takeRoom(future.placement);
-    for (const key of future.leaving) if (!leaving.has(key)) evictions.set(key, unit);
-    waits.push({ unit, reason: `waits for ${future.leaving.size} groups to leave` });
+    stopFor(unit, future);
     return true;
   };
 
@@ -221,7 +225,7 @@
   // After everything that waits: a move costs what its run has done, so it takes only room to spare.
   const moves: planTypes.PlanUnit[] = [];
   for (const { unit, workerIds } of input.heldUp) {
-    const elsewhere = input.workers.filter((it) => !workerIds.has(it.workerId));
+    const elsewhere = workers.filter((it) => !workerIds.has(it.workerId));
     const { near } = gangPlacement.candidateGroups(elsewhere, unit);
     const placement = gangPlacement.placeNow(near, unit);
     const isSound = placement?.workers.every((it) => !it.isSuspect) === true;
--- a/src/coordination/common/pool/readyQueue.ts
+++ b/src/coordination/common/pool/readyQueue.ts
@@ -51,12 +51,9 @@
   const { queue } = job.policy;
   const workOf: jobChain.WorkOf = (step) =>
     estimateBook.expectedWorkMs(book, queue, step.estimatedMs);
-  const owedOf: jobChain.WorkOf = (step, index) =>
-    workOf(step, index) * jobChain.wavesOf(job, step, slotsOf);
-  const owedChainMs = jobChain.longestChainMs(job, owedOf);
   return {
     chainMs: jobChain.longestChainMs(job, workOf),
-    objectiveMs: jobChain.objectiveMs(job, owedChainMs),
+    objectiveMs: jobChain.objectiveMs(job, jobChain.owedChainMs(job, workOf, slotsOf)),
   };
 };
 
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -203,6 +203,14 @@
 /** Beyond it what is left says little about the whole. */
 const MAX_TELLING_PERCENT = 90;
 
+/**
+ * @param run - a run
+ * @param workMs - what its task is expected to take near its data
+ */
+export const expectWork = (run: RunHolding, workMs: number): void => {
+  run.expectedMs = workMs * Math.max(1, run.distanceFactor);
+};
+
 /**
  * Counts a run of a former leader from its beginning. Counted from the take-over it looked as if nothing
  * were lost by stopping it, and a claim chose what was nearly done.
@@ -219,8 +227,8 @@
   const { task, entry, step } = run;
   const heldMs = task.startedAtWallMs === 0 ? 0 : Math.max(0, now.wallMs - task.startedAtWallMs);
   run.sinceMs = now.nowMs - heldMs;
-  const workMs = estimateBook.expectedWorkMs(book, entry.job.policy.queue, step.estimatedMs);
-  run.expectedMs = workMs * Math.max(1, run.distanceFactor);
+  const { queue } = entry.job.policy;
+  expectWork(run, estimateBook.expectedWorkMs(book, queue, step.estimatedMs));
 };
 
 /**
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -126,7 +126,7 @@
       const worker = workers.get(task.agentId);
       if (worker === undefined) return [];
       const run = workerTable.createRun(entry, task, workerTable.RunPhase.ordering, nowMs());
-      run.expectedMs = unit.expectedMs * distanceFactor;
+      workerTable.expectWork(run, unit.expectedMs);
       worker.runs.set(workerTable.runKey(run.name, run.run), run);
       return [{ worker, run }];
     });
--- a/tools/ablation.js
+++ b/tools/ablation.js
@@ -22,8 +22,8 @@
   [
     'objective in waves',
     `${POOL}/readyQueue.js`,
-    'workOf(step, index) * jobChain.wavesOf(job, step, slotsOf)',
-    'workOf(step, index)',
+    'jobChain.owedChainMs(job, workOf, slotsOf)',
+    'jobChain.longestChainMs(job, workOf)',
   ],
   [
     'claims wait for runs that end',
