Keep one address record, one presence and one directory of peers, and split leader and run control

The record by which a process is found was written by hand in three places and kept by twin code in agent, entry and scheduler; both programs started a directory and handed it back to the kit, which kept it as state. The kit owns it now.

--- a/src/coordination/common/pool/addressRecord.ts
+++ b/src/coordination/common/pool/addressRecord.ts
@@ -1,12 +1,18 @@
 /**
- * The record by which an agent is found.
+ * The record by which a process is found.
  */
 
 /**
- * @param text - value of the record
- * @returns where the agent listens; undefined where the record can't be read
+ * @param url - where the process listens
+ * @returns value of its record
  */
-export const parseAgentUrl = (text: string): string | undefined => {
+export const formatAddressRecord = (url: string): string => JSON.stringify({ url });
+
+/**
+ * @param text - value of a record
+ * @returns where the process listens; undefined where the record can't be read
+ */
+export const parseAddressRecord = (text: string): string | undefined => {
   try {
     const { url } = JSON.parse(text) as { readonly url?: unknown };
     return typeof url === 'string' ? url : undefined;
--- a/src/coordination/node/pool/endNotes.ts
+++ b/src/coordination/node/pool/endNotes.ts
@@ -5,10 +5,12 @@
 import type * as clock from '../../../base/common/clock.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
+import type * as poolJob from '../../../state/common/pool/poolJob.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as estimateBook from '../../common/pool/estimateBook.js';
-import type * as jobBook from '../../common/pool/jobBook.js';
+import * as jobBook from '../../common/pool/jobBook.js';
 import * as jobOutcome from '../../common/pool/jobOutcome.js';
+import * as planRound from '../../common/pool/planRound.js';
 import * as workerBlame from '../../common/pool/workerBlame.js';
 import * as workerTable from '../../common/pool/workerTable.js';
 
@@ -26,6 +28,12 @@
 /** Takes note of ends. */
 export interface EndNotes {
   readonly noteJobEnd: (entry: jobBook.JobEntry) => void;
+  /** The end of a run, or of the gang that it stands for, has changed its job. */
+  readonly noteRunEnd: (
+    entry: jobBook.JobEntry,
+    task: jobBook.TaskEntry,
+    outcome: jobBook.RunOutcome,
+  ) => void;
   readonly noteBlame: (
     worker: workerTable.WorkerEntry,
     end: poolWorker.EndedRun,
@@ -65,6 +73,26 @@
         ...outcome,
       });
     },
+    noteRunEnd: (entry, task, { run, how }) => {
+      metrics.count('auburnlift_run_ends_total', { how });
+      const { jobId, steps } = entry.job;
+      const { resources, isCheckpointing } = steps[task.step] as poolJob.Step;
+      const { startedAtWallMs } = task;
+      log('info', 'runEnded', {
+        job: jobId,
+        group: workerTable.keysOf(entry, task).groupKey,
+        step: task.step,
+        index: task.index,
+        run,
+        how,
+        heldMs: startedAtWallMs === 0 ? undefined : time.wallMs() - startedAtWallMs,
+        cores: planRound.weightInCores(resources) * jobBook.groupOf(entry, task).length,
+        checkpointing: isCheckpointing,
+        worker: task.workerId,
+        failures: task.failures,
+        state: entry.state,
+      });
+    },
     noteBlame: (worker, end, jobId) => {
       if (end.how === poolWorker.EndKind.done) workerBlame.noteSuccess(worker.blame);
       if (end.how !== poolWorker.EndKind.failed) return;
--- a/src/coordination/node/pool/peerDirectory.ts
+++ b/src/coordination/node/pool/peerDirectory.ts
@@ -8,7 +8,7 @@
 import type * as logging from '../../../base/common/logging.js';
 import * as poolKeys from '../../../state/common/pool/poolKeys.js';
 import type * as recordStore from '../../../state/common/pool/recordStore.js';
-import * as agentRecord from '../../common/pool/agentRecord.js';
+import * as addressRecord from '../../common/pool/addressRecord.js';
 
 /** What the directory needs. */
 export interface PeerDirectoryOptions {
@@ -48,7 +48,7 @@
     const { entries } = await options.store.list(poolKeys.PEERS);
     const next = new Map<string, string>();
     for (const { key, value } of entries) {
-      const url = agentRecord.parseAgentUrl(value);
+      const url = addressRecord.parseAddressRecord(value);
       if (url !== undefined && url !== options.ownUrl) next.set(key, url);
     }
     known = next;
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -2,9 +2,8 @@
  * The leader of the pools for one term: wires what it learns, plans, stores and orders, and gives up what
  * nobody can reach any more.
  */
-import * as clock from '../../../base/common/clock.js';
+import type * as clock from '../../../base/common/clock.js';
 import * as disposable from '../../../base/common/disposable.js';
-import * as errors from '../../../base/common/errors.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
 import type * as agentContract from '../../../state/common/pool/agentContract.js';
@@ -13,7 +12,7 @@
 import * as progressRecord from '../../../state/common/pool/progressRecord.js';
 import type * as recordStore from '../../../state/common/pool/recordStore.js';
 import type * as store from '../../../state/common/store.js';
-import * as agentRecord from '../../common/pool/agentRecord.js';
+import * as addressRecord from '../../common/pool/addressRecord.js';
 import * as estimateBook from '../../common/pool/estimateBook.js';
 import * as jobBook from '../../common/pool/jobBook.js';
 import * as jobRegistry from '../../common/pool/jobRegistry.js';
@@ -29,6 +28,7 @@
 import * as progressWriter from './progressWriter.js';
 import * as recordFeed from './recordFeed.js';
 import * as runControl from './runControl.js';
+import * as storedNews from './storedNews.js';
 
 /** Figures of the deployment that the leader works by. */
 export interface PoolLimits {
@@ -70,9 +70,6 @@
 /** Below the longest lease, so that the worker shortens none. */
 const LEASE_SLACK_MS = 300;
 
-/** A watch that hears tells of a record within this time of the entry's own answer. */
-const WATCH_LAG_MS = 60;
-
 /** How often stops are repeated, lapsed leases looked for and due occurrences started. */
 const TICK_MS = 200;
 
@@ -110,6 +107,7 @@
   let checkpointedAtMs = startedAtMs;
 
   const nowMs = (): number => time.monotonicMs();
+  const isReady = (): boolean => isLoaded && !owned.isDisposed();
   const grantMs = (): number => (term.isCertain() ? options.limits.maxLeaseMs - LEASE_SLACK_MS : 0);
 
   const writer = progressWriter.createProgressWriter({
@@ -169,7 +167,7 @@
     configuration: options.configuration,
     askAdvice: options.askAdvice,
     recordsAgeMs: () => feed.ageMs(),
-    isReady: () => isLoaded && !owned.isDisposed(),
+    isReady,
   });
 
   const adoptRuns = (worker: workerTable.WorkerEntry): void => {
@@ -216,7 +214,7 @@
 
   const takeAgent = (record: store.StoreEntry): void => {
     const agentId = record.key.slice(poolKeys.AGENTS.length);
-    const url = agentRecord.parseAgentUrl(record.value);
+    const url = addressRecord.parseAddressRecord(record.value);
     if (url === undefined) {
       // Thrown out of the watch's answer, it would keep everything behind it from being heard, for good.
       log('error', 'recordUnreadable', { key: record.key, revision: record.revision });
@@ -256,27 +254,6 @@
     driver.schedule();
   };
 
-  const isHeardOf = (jobId: string, part: poolKeys.JobPart): boolean => {
-    const entry = registry.get(jobId);
-    return part === poolKeys.JobPart.spec ? entry !== undefined : entry?.isCancelled === true;
-  };
-
-  /**
-   * A watch may hear nothing for a second while all other calls are answered: urgent work of a second would be
-   * late by that alone.
-   */
-  const noteStored = async (jobId: string, part: poolKeys.JobPart): Promise<void> => {
-    if (isHeardOf(jobId, part)) return;
-    await clock.sleep(time, WATCH_LAG_MS);
-    if (!isLoaded || owned.isDisposed() || isHeardOf(jobId, part)) return;
-    try {
-      const { entries } = await options.store.list(poolKeys.jobPrefix(jobId));
-      if (!owned.isDisposed()) entries.forEach((it) => takeJobRecord(it, 'entry'));
-    } catch (thrown) {
-      log('warn', 'storedJobNotRead', { job: jobId, reason: errors.normalize(thrown).message });
-    }
-  };
-
   const takeRecord = (record: store.StoreEntry): void => {
     if (record.key === poolKeys.LEADER) {
       // A term ends the moment another one is seen.
@@ -397,7 +374,14 @@
   );
   time.after(TICK_MS, tick);
   return {
-    noteStored,
+    noteStored: storedNews.createStoredNews({
+      store: options.store,
+      clock: time,
+      log,
+      registry,
+      isReady,
+      onRecord: (record) => takeJobRecord(record, 'entry'),
+    }),
     pendingByQueue: () =>
       isLoaded && feed.ageMs() <= MAX_TOLD_AGE_MS ? registry.pendingByQueue() : undefined,
     dispose: () => owned.dispose(),
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -12,12 +12,10 @@
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
 import * as agentContract from '../../../state/common/pool/agentContract.js';
-import type * as poolJob from '../../../state/common/pool/poolJob.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as endLedger from '../../common/pool/endLedger.js';
 import type * as estimateBook from '../../common/pool/estimateBook.js';
 import * as jobBook from '../../common/pool/jobBook.js';
-import * as planRound from '../../common/pool/planRound.js';
 import type * as jobRegistry from '../../common/pool/jobRegistry.js';
 import * as runNeed from '../../common/pool/runNeed.js';
 import * as viewIntake from '../../common/pool/viewIntake.js';
@@ -144,27 +142,10 @@
     outcome: jobBook.RunOutcome,
   ): Promise<void> => {
     const { jobId } = entry.job;
-    const { startedAtWallMs } = task;
     const hadEnded = jobBook.isEnded(entry);
     // The end of another member may have changed the job already, and that may not be stored yet.
     if (!jobBook.noteEnd(entry, task, outcome, time.wallMs())) return options.whenStored(jobId);
-    metrics.count('auburnlift_run_ends_total', { how: outcome.how });
-    const step = entry.job.steps[task.step] as poolJob.Step;
-    const group = jobBook.groupOf(entry, task);
-    log('info', 'runEnded', {
-      job: jobId,
-      group: workerTable.keysOf(entry, task).groupKey,
-      step: task.step,
-      index: task.index,
-      run: outcome.run,
-      how: outcome.how,
-      heldMs: startedAtWallMs === 0 ? undefined : time.wallMs() - startedAtWallMs,
-      cores: planRound.weightInCores(step.resources) * group.length,
-      checkpointing: step.isCheckpointing,
-      worker: task.workerId,
-      failures: task.failures,
-      state: entry.state,
-    });
+    notes.noteRunEnd(entry, task, outcome);
     const hasEnded = jobBook.isEnded(entry);
     if (hasEnded && !hadEnded) notes.noteJobEnd(entry);
     stopUnwanted(entry, hasEnded ? 'jobEnded' : 'gangBroken');
--- a/src/programs/poolAgent.ts
+++ b/src/programs/poolAgent.ts
@@ -3,7 +3,6 @@
  */
 import * as errors from '../base/common/errors.js';
 import * as http from '../base/common/http.js';
-import * as leasedRecord from '../coordination/node/pool/leasedRecord.js';
 import * as poolAgent from '../coordination/node/pool/poolAgent.js';
 import * as heartbeatApi from '../platform/heartbeatApi.js';
 import * as workerClient from '../platform/workerClient.js';
@@ -13,9 +12,6 @@
 
 import * as poolKit from './poolKit.js';
 
-/** A restarted agent is back within it; one that is gone for good is forgotten soon after. */
-const PRESENCE_LEASE_MS = 6000;
-
 /** A worker's message is a few hundred bytes. */
 const MAX_HEARTBEAT_BYTES = 65_536;
 
@@ -63,14 +59,7 @@
     ),
   );
   const url = http.formatAddress(server.address);
-  const presence = leasedRecord.keepLeasedRecord({
-    store: kit.store,
-    clock: kit.clock,
-    log: kit.log,
-    key: poolKeys.agentKey(settings.nodeId),
-    value: JSON.stringify({ url }),
-    leaseMs: Math.max(PRESENCE_LEASE_MS, settings.minStoreLeaseMs),
-  });
+  const presence = poolKit.keepPresence(kit, poolKeys.agentKey(settings.nodeId), url);
   return {
     shutdown: async () => {
       await presence.dispose();
--- a/src/programs/poolEntry.ts
+++ b/src/programs/poolEntry.ts
@@ -4,7 +4,6 @@
  */
 import * as poolConfigurationFeed from '../coordination/node/pool/configurationFeed.js';
 import * as jobDesk from '../coordination/node/pool/jobDesk.js';
-import * as peerDirectory from '../coordination/node/pool/peerDirectory.js';
 import * as pendingCounts from '../coordination/node/pool/pendingCounts.js';
 import * as clock from '../base/common/clock.js';
 import * as errors from '../base/common/errors.js';
@@ -71,11 +70,6 @@
       return answer.pendingByQueue;
     },
   });
-  const ownUrl = http.formatAddress(settings.peers);
-  const directory = kit.owned.add(
-    peerDirectory.startPeerDirectory({ store: kit.store, clock: kit.clock, log: kit.log, ownUrl }),
-  );
-  kit.usePeers(directory);
   const api = jobApi.createJobApi({
     desk: jobDesk.createJobDesk({
       store: kit.store,
@@ -89,7 +83,7 @@
     pending: counts.ofQueue,
     maxBodyBytes: () => feed.current()?.configuration.maxBodyBytes ?? MAX_BODY_BYTES,
     sendsAway: () => notReadyReason() !== undefined,
-    onDidStore: schedulerNews.createSchedulerNews(kit, directory),
+    onDidStore: schedulerNews.createSchedulerNews(kit),
     newRequestId: () => kit.newId().slice(0, 8),
     nowMs: kit.clock.monotonicMs,
     log: kit.log,
@@ -127,8 +121,9 @@
   );
   kit.owned.add(front);
   kit.owned.add(ready);
-  await poolKit.listenForPeers(kit, router, notReadyReason);
-  const presence = poolKit.keepPresence(kit, poolKeys.PeerRole.entry, ownUrl);
+  const server = await poolKit.listenForPeers(kit, router, notReadyReason);
+  const key = poolKeys.peerKey(poolKeys.PeerRole.entry, settings.nodeId);
+  const presence = poolKit.keepPresence(kit, key, http.formatAddress(server.address));
   return {
     shutdown: async () => {
       isLeaving = true;
--- a/src/programs/poolKit.ts
+++ b/src/programs/poolKit.ts
@@ -7,14 +7,15 @@
 import type * as clock from '../base/common/clock.js';
 import * as disposable from '../base/common/disposable.js';
 import * as errors from '../base/common/errors.js';
-import type * as http from '../base/common/http.js';
+import * as http from '../base/common/http.js';
 import type * as logging from '../base/common/logging.js';
 import * as metrics from '../base/common/metrics.js';
 import * as random from '../base/common/random.js';
 import * as log from '../base/node/log.js';
 import * as systemClock from '../base/node/systemClock.js';
+import * as addressRecord from '../coordination/common/pool/addressRecord.js';
 import * as leasedRecord from '../coordination/node/pool/leasedRecord.js';
-import type * as peerDirectory from '../coordination/node/pool/peerDirectory.js';
+import * as peerDirectory from '../coordination/node/pool/peerDirectory.js';
 import * as storeRelay from '../coordination/node/pool/storeRelay.js';
 import type * as bootSettings from '../platform/bootSettings.js';
 import * as platformStore from '../platform/platformStore.js';
@@ -43,8 +44,8 @@
   /** The settings in force; a reload replaces them. */
   readonly settings: () => poolSettings.PoolSettings;
   readonly sender: () => envelope.Sender;
-  /** From now on calls of the store go through these where the process has no way of its own. */
-  readonly usePeers: (directory: peerDirectory.PeerDirectory) => void;
+  /** Where entries and schedulers of other machines answer; an agent knows none. */
+  readonly peerUrls: (role: poolKeys.PeerRole) => readonly string[];
 }
 
 /** A running program of a pool. */
@@ -110,19 +111,39 @@
     rpcClient.createRpcClients({ call: client.call, timeoutMs, peerSecret: PEER_SECRET });
   const brief = entriesWithin(RELAY_TIMEOUT_MS);
   const waiting = entriesWithin(RELAYED_WATCH_TIMEOUT_MS);
-  let directory: peerDirectory.PeerDirectory | undefined;
+  const sender = (): envelope.Sender => ({
+    processId: `${settings().nodeId}.${role}`,
+    role,
+    configVersion: 0,
+  });
   const storeCall = storeRelay.createStoreRelay({
     clock: systemClock.systemClock,
     log: logger,
     direct: client.call,
-    urls: () => directory?.urls(poolKeys.PeerRole.entry) ?? [],
+    urls: () => peerUrls(poolKeys.PeerRole.entry),
     ask: (url, request) => {
       const entries = request.timeoutMs > MAX_BRIEF_MS ? waiting : brief;
       return relayRpc.askRelay(entries.poolEntry(url), sender(), request);
     },
   });
-  const sender = (): envelope.Sender => ({ processId, role, configVersion: 0 });
-  const processId = `${settings().nodeId}.${role}`;
+  const store = platformStore.createPlatformStore({
+    address: () => settings().store,
+    call: storeCall,
+    metrics: counters,
+    timeoutMs: STORE_TIMEOUT_MS[role],
+  });
+  const directory =
+    role === 'agent'
+      ? undefined
+      : owned.add(
+          peerDirectory.startPeerDirectory({
+            store,
+            clock: systemClock.systemClock,
+            log: logger,
+            ownUrl: http.formatAddress(settings().peers),
+          }),
+        );
+  const peerUrls: PoolKit['peerUrls'] = (peerRole) => directory?.urls(peerRole) ?? [];
   return {
     clock: systemClock.systemClock,
     random: random.createRandom(crypto.randomInt(2 ** 31)),
@@ -131,44 +152,31 @@
     metrics: counters,
     owned,
     call: client.call,
-    store: platformStore.createPlatformStore({
-      address: () => settings().store,
-      call: storeCall,
-      metrics: counters,
-      timeoutMs: STORE_TIMEOUT_MS[role],
-    }),
+    store,
     settings,
     sender,
-    usePeers: (found) => {
-      directory = found;
-    },
+    peerUrls,
   };
 };
 
-/** A machine that is gone is not called for long. */
+/** A restarted process is back within it; one that is gone for good is forgotten soon after. */
 const PRESENCE_LEASE_MS = 6000;
 
 /**
  * @param kit - the program's parts
- * @param role - which program it is
+ * @param key - key of the process's record
  * @param url - where it answers other processes
- * @returns the leased entry by which they find it, kept until it is disposed
+ * @returns the leased record by which they find it, kept until it is disposed
  */
-export const keepPresence = (
-  kit: PoolKit,
-  role: poolKeys.PeerRole,
-  url: string,
-): disposable.Disposable => {
-  const { nodeId, minStoreLeaseMs } = kit.settings();
-  return leasedRecord.keepLeasedRecord({
+export const keepPresence = (kit: PoolKit, key: string, url: string): disposable.Disposable =>
+  leasedRecord.keepLeasedRecord({
     store: kit.store,
     clock: kit.clock,
     log: kit.log,
-    key: poolKeys.peerKey(role, nodeId),
-    value: JSON.stringify({ url }),
-    leaseMs: Math.max(PRESENCE_LEASE_MS, minStoreLeaseMs),
+    key,
+    value: addressRecord.formatAddressRecord(url),
+    leaseMs: Math.max(PRESENCE_LEASE_MS, kit.settings().minStoreLeaseMs),
   });
-};
 
 /**
  * Serves the other processes of the system, and health and metrics at the same address.
--- a/src/programs/poolScheduler.ts
+++ b/src/programs/poolScheduler.ts
@@ -3,7 +3,6 @@
  */
 import * as errors from '../base/common/errors.js';
 import * as configurationFeed from '../coordination/node/pool/configurationFeed.js';
-import * as peerDirectory from '../coordination/node/pool/peerDirectory.js';
 import * as poolLeader from '../coordination/node/pool/poolLeader.js';
 import * as poolLeadership from '../coordination/node/pool/poolLeadership.js';
 import * as adviceClient from '../platform/adviceClient.js';
@@ -85,17 +84,8 @@
   });
   const server = await poolKit.listenForPeers(kit, router, () => undefined);
   const url = http.formatAddress(server.address);
-  const presence = poolKit.keepPresence(kit, poolKeys.PeerRole.scheduler, url);
-  kit.usePeers(
-    kit.owned.add(
-      peerDirectory.startPeerDirectory({
-        store: kit.store,
-        clock: kit.clock,
-        log: kit.log,
-        ownUrl: url,
-      }),
-    ),
-  );
+  const key = poolKeys.peerKey(poolKeys.PeerRole.scheduler, settings.nodeId);
+  const presence = poolKit.keepPresence(kit, key, url);
   const leadership: poolLeadership.Leadership = kit.owned.add(
     poolLeadership.createLeadership({
       store: kit.store,
--- a/src/programs/schedulerNews.ts
+++ b/src/programs/schedulerNews.ts
@@ -5,7 +5,6 @@
  * Urgent work with half a second to spare would be late by the leader's not knowing of it.
  */
 import * as errors from '../base/common/errors.js';
-import type * as peerDirectory from '../coordination/node/pool/peerDirectory.js';
 import * as poolKeys from '../state/common/pool/poolKeys.js';
 import * as rpcClient from '../transport/node/rpcClient.js';
 
@@ -16,12 +15,10 @@
 
 /**
  * @param kit - the program's parts
- * @param directory - where schedulers answer
  * @returns tells all of them, since an entry does not know who leads; does not wait for any answer
  */
 export const createSchedulerNews = (
   kit: poolKit.PoolKit,
-  directory: peerDirectory.PeerDirectory,
 ): ((jobId: string, part: poolKeys.JobPart) => void) => {
   const clients = rpcClient.createRpcClients({
     call: kit.call,
@@ -37,6 +34,6 @@
     }
   };
   return (jobId, part) => {
-    for (const url of directory.urls(poolKeys.PeerRole.scheduler)) void tell(url, jobId, part);
+    for (const url of kit.peerUrls(poolKeys.PeerRole.scheduler)) void tell(url, jobId, part);
   };
 };
--- a/src/protocol/node/poolRouters.ts
+++ b/src/protocol/node/poolRouters.ts
@@ -48,6 +48,9 @@
     jobChanged: rpc.procedure(poolMessages.JobChangedMessage, service.jobChanged),
   });
 
+/** Type of the scheduler's router, for clients. */
+export type PoolSchedulerRouter = ReturnType<typeof createPoolSchedulerRouter>;
+
 /**
  * @param service - handlers
  * @returns the entry's router
@@ -57,6 +60,3 @@
 
 /** Type of the entry's router, for clients. */
 export type PoolEntryRouter = ReturnType<typeof createPoolEntryRouter>;
-
-/** Type of the scheduler's router, for clients. */
-export type PoolSchedulerRouter = ReturnType<typeof createPoolSchedulerRouter>;
--- a/src/soak/soakSite.ts
+++ b/src/soak/soakSite.ts
@@ -8,6 +8,7 @@
 import * as disposable from '../base/common/disposable.js';
 import * as errors from '../base/common/errors.js';
 import * as systemClock from '../base/node/systemClock.js';
+import * as addressRecord from '../coordination/common/pool/addressRecord.js';
 import * as operatorConfiguration from '../platform/operatorConfiguration.js';
 import * as bootFile from '../platform/test/bootFile.js';
 import * as storeServer from '../platform/test/storeServer.js';
@@ -127,7 +128,7 @@
   const redirect = (put: recordStore.Put): recordStore.Put => {
     if (!put.key.startsWith(poolKeys.AGENTS)) return put;
     const port = agentLinePorts.get(put.key.slice(poolKeys.AGENTS.length));
-    return { ...put, value: JSON.stringify({ url: `http://127.0.0.1:${String(port)}` }) };
+    return { ...put, value: addressRecord.formatAddressRecord(`http://127.0.0.1:${String(port)}`) };
   };
 
   /** The store as one process sees it. */
