Say how much of an answer came before it was given up, and how old and large a configuration is

Cause: from the logs of the incident nobody can tell an answer that is too long for its time from one that never came, nor see that a configuration was being read again and again.

Change: a call that is given up says what had come of its answer; the configuration's feed logs each whole read with its time, the size that was taken, the age of its proof where it was lost and how many calls had failed when it is back; a refusal for want of a proof says the age.

--- a/src/coordination/node/pool/configurationFeed.ts
+++ b/src/coordination/node/pool/configurationFeed.ts
@@ -56,6 +56,8 @@
   let held: poolConfiguration.HeldConfiguration | undefined;
   const age = viewAge.createViewAge(time);
   let isConnected = false;
+  /** Calls of the store that failed one after the other. */
+  let failures = 0;
 
   const take = (record: store.StoreEntry): void => {
     if (record.key !== options.key) return;
@@ -75,6 +77,7 @@
     log('info', 'configurationTaken', {
       configVersion: version,
       revision: record.revision,
+      bytes: record.value.length,
       queues: queues.length,
       customers: customers.length,
     });
@@ -82,13 +85,31 @@
   };
 
   const noteAnswer = (): void => {
-    if (!isConnected) log('info', 'configurationStoreAnswers', {});
+    if (!isConnected) {
+      log('info', 'configurationStoreAnswers', { failures, ageMs: Math.round(age.ageMs()) });
+    }
     isConnected = true;
+    failures = 0;
+  };
+
+  const noteFailure = (thrown: unknown): void => {
+    failures += 1;
+    if (isConnected) {
+      log('warn', 'configurationStoreLost', {
+        ageMs: Math.round(age.ageMs()),
+        reason: errors.normalize(thrown).message,
+      });
+    }
+    isConnected = false;
   };
 
   const read = async (): Promise<number> => {
     const sentAt = age.now();
     const { entries, revision } = await options.store.list(options.key);
+    log('info', 'configurationRead', {
+      revision,
+      tookMs: Math.round(time.monotonicMs() - sentAt.monotonicMs),
+    });
     entries.forEach(take);
     age.prove(sentAt);
     noteAnswer();
@@ -117,10 +138,7 @@
         await follow(await read());
       } catch (thrown) {
         if (isDisposed) return;
-        if (isConnected) {
-          log('warn', 'configurationStoreLost', { reason: errors.normalize(thrown).message });
-        }
-        isConnected = false;
+        noteFailure(thrown);
         await clock.sleep(time, RETRY_MS);
       }
     }
--- a/src/coordination/node/pool/jobDesk.ts
+++ b/src/coordination/node/pool/jobDesk.ts
@@ -113,6 +113,8 @@
 export const createJobDesk = (options: JobDeskOptions): JobDesk => {
   const { clock: time, feed, log, metrics } = options;
 
+  const ageText = (): string => `${Math.round(feed.ageMs())} ms`;
+
   const admit = (call: Call): AdmittedCall => {
     const held = feed.current();
     if (held === undefined) throw unavailable('no configuration is known yet');
@@ -126,7 +128,9 @@
     const base = { queue, jobId, configurationRevision: held.revision };
     if (queue.isPublic) return { ...base, customerId: '' };
     if (feed.ageMs() > options.revokeMs * FRESH_SHARE) {
-      throw unavailable('credentials can not be checked while the store is out of reach');
+      throw unavailable(
+        `credentials can not be checked: the configuration is ${ageText()} old, and the store is out of reach`,
+      );
     }
     const customer =
       call.apiKey === undefined
--- a/src/transport/node/httpClient.ts
+++ b/src/transport/node/httpClient.ts
@@ -57,17 +57,29 @@
     scheduling: 'lifo',
   });
 
+/** What has come of an answer. */
+interface Arrived {
+  status: number | undefined;
+  bytes: number;
+}
+
+const describeArrived = ({ status, bytes }: Arrived): string =>
+  status === undefined ? 'nothing came' : `status ${status} and ${bytes} bytes came`;
+
 /** Collects an answer; only one that arrived whole is given on. */
 const collect = (
   message: nodeHttp.IncomingMessage,
   maxBytes: number,
+  arrived: Arrived,
   onWhole: (reply: http.HttpReply) => void,
   onCut: (reason: string) => void,
 ): void => {
   const chunks: Buffer[] = [];
   let size = 0;
+  arrived.status = message.statusCode;
   message.on('data', (chunk: Buffer) => {
     size += chunk.length;
+    arrived.bytes = size;
     chunks.push(chunk);
     if (size > maxBytes) message.destroy(new Error(`answer above ${maxBytes} bytes`));
   });
@@ -94,6 +106,7 @@
       return;
     }
     let isConnected = false;
+    const arrived: Arrived = { status: undefined, bytes: 0 };
     const outgoing = nodeHttp.request({
       agent,
       host: request.address.host,
@@ -108,7 +121,10 @@
       outgoing.destroy();
     };
     const timer = options.clock.after(request.timeoutMs, () =>
-      fail(http.HttpFailure.timeout, `no whole answer within ${request.timeoutMs} ms`),
+      fail(
+        http.HttpFailure.timeout,
+        `no whole answer within ${request.timeoutMs} ms; ${describeArrived(arrived)}`,
+      ),
     );
     const onAbort = (): void => fail(http.HttpFailure.aborted, 'withdrawn');
     request.signal?.addEventListener('abort', onAbort, { once: true });
@@ -129,7 +145,7 @@
         timer.dispose();
         resolve(reply);
       };
-      collect(message, options.maxReplyBytes, onWhole, cut);
+      collect(message, options.maxReplyBytes, arrived, onWhole, cut);
     });
     outgoing.end(request.body);
   });
