--- a/src/soak/lineProxy.ts
+++ b/src/soak/lineProxy.ts
@@ -19,6 +19,8 @@
   cutRequests: 'cutRequests',
   /** Requests arrive; what is answered is lost. */
   cutAnswers: 'cutAnswers',
+  /** All connections share a line that carries {@link NARROW_BYTES_PER_S} each way. */
+  narrow: 'narrow',
 } as const;
 
 /** One of the values of {@link LineFault}. */
@@ -38,6 +40,9 @@
 /** Longer than a process waits between two renewals of a leadership, shorter than any time-out. */
 const DELAY_MS = 180;
 
+/** The narrowest line of a machine that a site has. */
+export const NARROW_BYTES_PER_S = 875_000;
+
 /**
  * A socket that is closing can't be reset any more: its handle would stay open for good, and with it the
  * process of the soak.
@@ -66,6 +71,19 @@
   silence: () => true,
   cutRequests: (flow) => flow.isRequest,
   cutAnswers: (flow) => !flow.isRequest,
+  narrow: () => false,
+};
+
+/** When the bytes that are sent now have passed a line, behind all that was sent before. */
+type Occupy = (bytes: number) => number;
+
+const createLineTime = (): Occupy => {
+  let freeAtMs = 0;
+  return (bytes) => {
+    const nowMs = performance.now();
+    freeAtMs = Math.max(freeAtMs, nowMs) + (bytes * 1000) / NARROW_BYTES_PER_S;
+    return freeAtMs - nowMs;
+  };
 };
 
 /**
@@ -75,6 +93,8 @@
  */
 export const openLine = async (targetPort: number, listenPort = 0): Promise<LineProxy> => {
   const connections = new Set<Connection>();
+  const occupyRequests = createLineTime();
+  const occupyAnswers = createLineTime();
   let fault: LineFault = LineFault.none;
 
   const carry = (connection: Connection, flow: Flow): void => {
@@ -88,7 +108,21 @@
       if (fault === LineFault.delay) setTimeout(deliver, DELAY_MS);
       else deliver();
     };
-    from.on('data', (chunk: Buffer) => pass(() => to.write(chunk)));
+    /** No more is taken from the sender before this has passed: a line holds little. */
+    const passNarrow = (chunk: Buffer): void => {
+      from.pause();
+      const occupy = flow.isRequest ? occupyRequests : occupyAnswers;
+      setTimeout(() => {
+        to.write(chunk);
+        from.resume();
+      }, occupy(chunk.length));
+    };
+    from.on('data', (chunk: Buffer) =>
+      pass(() => {
+        if (fault === LineFault.narrow) passNarrow(chunk);
+        else to.write(chunk);
+      }),
+    );
     from.on('end', () => pass(() => to.end()));
     // A partition hides the end of a connection as well; its other side finds out by a time-out.
     from.on('close', () => pass(() => to.destroySoon()));
