Wait for an answer as long as it is coming

Cause: a call of the store had a fixed time for its whole answer, 450 ms at an entry. An answer that is longer than the line carries in that time was cut with nothing kept and begun again 0.2 s later, for ever; the line stayed full of what was thrown away, so that small calls beside it failed as well. Class: a time limit on work whose size has no bound, and retries that keep nothing.

Change: the time counts until an answer begins, and then from piece to piece; all of it is bounded by eight seconds. Calls of the store and its relays use it; exchanges with workers and agents, whose answers are short, do not.

--- a/src/base/common/http.ts
+++ b/src/base/common/http.ts
@@ -16,8 +16,13 @@
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
-  /** From the first byte sent to the last byte received. */
+  /** From the first byte sent to the last byte received, or to the first one where the answer may be long. */
   readonly timeoutMs: number;
+  /**
+   * An answer that has begun may take this much longer, as long as it never pauses for {@link timeoutMs}.
+   * For answers whose length has no small bound.
+   */
+  readonly maxTransferMs?: number;
   readonly signal?: AbortSignal;
   /** Uses a connection that no exchange used before, and forgets the idle ones to that address. */
   readonly isFreshConnection?: boolean;
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -16,10 +16,16 @@
   readonly address: () => http.Address;
   readonly call: http.HttpCall;
   readonly metrics: metrics.Metrics;
-  /** Longest wait for an answer; a watch waits this much longer than it asked for. */
+  /** Longest wait for an answer to begin; a watch waits this much longer than it asked for. */
   readonly timeoutMs: number;
 }
 
+/**
+ * Longest time from the first byte of an answer to its last. A value of a megabyte takes 1.6 s on the narrowest
+ * line of a machine, and its two processes may read it at the same time.
+ */
+export const MAX_TRANSFER_MS = 8000;
+
 /** An item as the service writes it. */
 interface WireItem {
   readonly key: string;
@@ -105,6 +111,7 @@
       headers: body === undefined ? {} : { 'content-type': 'application/json' },
       body: body === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(body)),
       timeoutMs,
+      maxTransferMs: MAX_TRANSFER_MS,
       ...(signal === undefined ? {} : { signal }),
     });
   };
--- a/src/programs/poolKit.ts
+++ b/src/programs/poolKit.ts
@@ -72,7 +72,7 @@
 export const PEER_SECRET = '';
 
 /**
- * Longest wait for an answer of the store, which comes in 4 ms, 20 ms away, and up to 60 times slower
+ * Longest wait for an answer of the store to begin, which it does in 4 ms, 20 ms away, and up to 60 times slower
  * on bad days. A caller waits at the entry: it is better told soon, and comes back at another one; the
  * others have time.
  */
@@ -108,7 +108,12 @@
   const counters = metrics.createMetrics();
   const logger = log.createLog('info', { role, node: settings().nodeId });
   const entriesWithin = (timeoutMs: number): rpcClient.RpcClients =>
-    rpcClient.createRpcClients({ call: client.call, timeoutMs, peerSecret: PEER_SECRET });
+    rpcClient.createRpcClients({
+      call: client.call,
+      timeoutMs,
+      maxTransferMs: platformStore.MAX_TRANSFER_MS,
+      peerSecret: PEER_SECRET,
+    });
   const brief = entriesWithin(RELAY_TIMEOUT_MS);
   const waiting = entriesWithin(RELAYED_WATCH_TIMEOUT_MS);
   const sender = (): envelope.Sender => ({
--- a/src/programs/relayRpc.ts
+++ b/src/programs/relayRpc.ts
@@ -3,6 +3,7 @@
  */
 import * as errors from '../base/common/errors.js';
 import * as http from '../base/common/http.js';
+import * as platformStore from '../platform/platformStore.js';
 import type * as envelope from '../protocol/common/envelope.js';
 import type * as poolMessages from '../protocol/common/poolMessages.js';
 import type * as rpcClient from '../transport/node/rpcClient.js';
@@ -56,7 +57,8 @@
   const headers: Record<string, string> =
     body.length === 0 ? {} : { 'content-type': 'application/json' };
   try {
-    const reply = await call({ address, method, path, headers, body, timeoutMs });
+    const maxTransferMs = platformStore.MAX_TRANSFER_MS;
+    const reply = await call({ address, method, path, headers, body, timeoutMs, maxTransferMs });
     return { status: reply.status, body: Buffer.from(reply.body).toString('base64') };
   } catch (thrown) {
     const isNotSent =
--- a/src/transport/node/httpClient.ts
+++ b/src/transport/node/httpClient.ts
@@ -12,6 +12,8 @@
 import type * as disposable from '../../base/common/disposable.js';
 import * as http from '../../base/common/http.js';
 
+import * as answerTimeout from './answerTimeout.js';
+
 /** Limits of the pool. */
 export interface HttpClientOptions {
   /** Connections to one address, in use or idle. */
@@ -59,28 +61,35 @@
 
 /** What has come of an answer. */
 interface Arrived {
-  status: number | undefined;
-  bytes: number;
+  readonly status: number | undefined;
+  readonly bytes: number;
 }
 
 const describeArrived = ({ status, bytes }: Arrived): string =>
   status === undefined ? 'nothing came' : `status ${status} and ${bytes} bytes came`;
 
+/** Who hears of an answer. */
+interface Collector {
+  /** Its head or a piece of its body has come. */
+  readonly onArrival: (arrived: Arrived) => void;
+  readonly onWhole: (reply: http.HttpReply) => void;
+  readonly onCut: (reason: string) => void;
+}
+
 /** Collects an answer; only one that arrived whole is given on. */
 const collect = (
   message: nodeHttp.IncomingMessage,
   maxBytes: number,
-  arrived: Arrived,
-  onWhole: (reply: http.HttpReply) => void,
-  onCut: (reason: string) => void,
+  { onArrival, onWhole, onCut }: Collector,
 ): void => {
   const chunks: Buffer[] = [];
   let size = 0;
-  arrived.status = message.statusCode;
+  const note = (): void => onArrival({ status: message.statusCode, bytes: size });
+  note();
   message.on('data', (chunk: Buffer) => {
     size += chunk.length;
-    arrived.bytes = size;
     chunks.push(chunk);
+    note();
     if (size > maxBytes) message.destroy(new Error(`answer above ${maxBytes} bytes`));
   });
   message.on('error', (error) => onCut(error.message));
@@ -106,7 +115,7 @@
       return;
     }
     let isConnected = false;
-    const arrived: Arrived = { status: undefined, bytes: 0 };
+    let arrived: Arrived = { status: undefined, bytes: 0 };
     const outgoing = nodeHttp.request({
       agent,
       host: request.address.host,
@@ -116,11 +125,11 @@
       headers: { ...request.headers, 'content-length': String(request.body.byteLength) },
     });
     const fail = (failure: http.HttpFailure, message: string): void => {
-      timer.dispose();
+      void timer.dispose();
       reject(new http.HttpCallError(failure, message));
       outgoing.destroy();
     };
-    const timer = options.clock.after(request.timeoutMs, () =>
+    const timer = answerTimeout.startAnswerTimeout(options.clock, request, () =>
       fail(
         http.HttpFailure.timeout,
         `no whole answer within ${request.timeoutMs} ms; ${describeArrived(arrived)}`,
@@ -141,11 +150,17 @@
     outgoing.on('error', (error) => cut(error.message));
     outgoing.on('close', () => request.signal?.removeEventListener('abort', onAbort));
     outgoing.on('response', (message) => {
-      const onWhole = (reply: http.HttpReply): void => {
-        timer.dispose();
-        resolve(reply);
-      };
-      collect(message, options.maxReplyBytes, arrived, onWhole, cut);
+      collect(message, options.maxReplyBytes, {
+        onArrival: (seen) => {
+          arrived = seen;
+          timer.noteArrival();
+        },
+        onWhole: (reply) => {
+          void timer.dispose();
+          resolve(reply);
+        },
+        onCut: cut,
+      });
     });
     outgoing.end(request.body);
   });
--- a/src/transport/node/rpcClient.ts
+++ b/src/transport/node/rpcClient.ts
@@ -27,6 +27,8 @@
 export interface RpcClientOptions {
   readonly call: http.HttpCall;
   readonly timeoutMs: number;
+  /** An answer that has begun may take this much longer; see {@link http.HttpRequest}. */
+  readonly maxTransferMs?: number;
   /** Shared by the system's processes; never logged. */
   readonly peerSecret: string;
   /** Hears the configuration version of each answer, and who gave it. */
@@ -54,6 +56,7 @@
       },
       body: Buffer.from(String(init?.body ?? '')),
       timeoutMs: options.timeoutMs,
+      ...(options.maxTransferMs === undefined ? {} : { maxTransferMs: options.maxTransferMs }),
     });
     const text = Buffer.from(reply.body).toString('utf8');
     const parsed = (): Promise<unknown> => Promise.resolve(JSON.parse(text) as unknown);
