Read the configuration once a machine

What callers saw while a large configuration was on its way: calls given up or refused for two to three seconds after each change, since entry and scheduler of one VM read the same megabyte over one line of 7 Mbit/s.

Change: the scheduler asks the entry on its own machine, which tells the record as it has it, and reads the store itself where the entry does not answer or has no fresh proof.

--- a/src/coordination/node/pool/configurationFeed.ts
+++ b/src/coordination/node/pool/configurationFeed.ts
@@ -16,7 +16,7 @@
 
 /** What the feed needs. */
 export interface ConfigurationFeedOptions {
-  readonly store: recordStore.RecordStore;
+  readonly store: Pick<recordStore.RecordStore, 'list' | 'watch'>;
   readonly clock: clock.Clock;
   readonly log: logging.Log;
   /** Key of the record that holds the configuration. */
@@ -28,6 +28,10 @@
 /** The configuration as this process knows it. */
 export interface ConfigurationFeed extends disposable.Disposable {
   readonly current: () => poolConfiguration.HeldConfiguration | undefined;
+  /** The record that {@link current} was read from. */
+  readonly record: () => store.StoreEntry | undefined;
+  /** Revision of the store up to which all changes were seen. */
+  readonly seenRevision: () => number;
   /**
    * How long ago the store certainly had nothing later than {@link current}. A credential that was
    * withdrawn since then may still be accepted here.
@@ -61,6 +65,7 @@
   const aborter = new AbortController();
   let isDisposed = false;
   let held: poolConfiguration.HeldConfiguration | undefined;
+  let heldRecord: store.StoreEntry | undefined;
   const age = viewAge.createViewAge(time);
   let isConnected = false;
   /** Calls of the store that failed one after the other. */
@@ -81,6 +86,7 @@
     if (held !== undefined && configuration.version < held.configuration.version) return;
     const isNewer = configuration.version !== held?.configuration.version;
     held = { configuration, revision: Math.max(record.revision, held?.revision ?? 0) };
+    heldRecord = record;
     if (!isNewer) return;
     const { version, queues, customers } = configuration;
     log('info', 'configurationTaken', {
@@ -161,6 +167,8 @@
   void run();
   return {
     current: () => held,
+    record: () => heldRecord,
+    seenRevision: () => seenRevision ?? 0,
     ageMs: age.ageMs,
     onDidChange: changes.event,
     dispose: () => {
--- a/src/platform/bootSettings.ts
+++ b/src/platform/bootSettings.ts
@@ -83,11 +83,17 @@
     ? {}
     : ({ [name]: parseAddress(text) } as Record<TName, http.Address>);
 
+const peerAddress = (file: BootFile, program: PoolProgram): http.Address => ({
+  host: file.ip,
+  port: file.port_range[0] + PORT_OFFSETS[program],
+});
+
 const toSettings = (file: BootFile, program: PoolProgram): poolSettings.PoolSettings => ({
   nodeId: file.node,
   zone: file.zone,
   region: file.region,
-  peers: { host: file.ip, port: file.port_range[0] + PORT_OFFSETS[program] },
+  peers: peerAddress(file, program),
+  ...(program === 'scheduler' ? { ownEntry: peerAddress(file, 'entry') } : {}),
   ...optionalAddress('front', file.listen.front),
   ...optionalAddress('readiness', file.listen.ready),
   ...optionalAddress('heartbeats', file.listen.control),
--- a/src/programs/poolEntry.ts
+++ b/src/programs/poolEntry.ts
@@ -3,6 +3,7 @@
  * any of it.
  */
 import * as poolConfigurationFeed from '../coordination/node/pool/configurationFeed.js';
+import * as configurationShare from '../coordination/node/pool/configurationShare.js';
 import * as jobDesk from '../coordination/node/pool/jobDesk.js';
 import * as pendingCounts from '../coordination/node/pool/pendingCounts.js';
 import * as clock from '../base/common/clock.js';
@@ -91,7 +92,12 @@
     log: kit.log,
     metrics: kit.metrics,
   });
+  const share = configurationShare.shareConfiguration(feed, kit.clock);
   const router = poolRouters.createPoolEntryRouter({
+    configuration: async ({ afterRevision, waitMs }) => ({
+      from: kit.sender(),
+      ...(await share(afterRevision, waitMs)),
+    }),
     relay: async (message) => ({
       from: kit.sender(),
       ...(await relayRpc.serveRelay(message, kit.settings().store, kit.call)),
--- a/src/programs/poolScheduler.ts
+++ b/src/programs/poolScheduler.ts
@@ -2,6 +2,7 @@
  * The scheduler of pools: campaigns for the leadership and, while it has it, leads.
  */
 import * as errors from '../base/common/errors.js';
+import * as configurationShare from '../coordination/node/pool/configurationShare.js';
 import * as configurationFeed from '../coordination/node/pool/configurationFeed.js';
 import * as poolLeader from '../coordination/node/pool/poolLeader.js';
 import * as poolLeadership from '../coordination/node/pool/poolLeadership.js';
@@ -11,6 +12,7 @@
 import type * as agentContract from '../state/common/pool/agentContract.js';
 import * as http from '../base/common/http.js';
 import * as poolKeys from '../state/common/pool/poolKeys.js';
+import type * as recordStore from '../state/common/pool/recordStore.js';
 import * as rpcClient from '../transport/node/rpcClient.js';
 
 import * as poolKit from './poolKit.js';
@@ -21,6 +23,9 @@
 /** Orders are carried out within a few attempts of 0.6 s each. */
 const ORDER_TIMEOUT_MS = 2500;
 
+/** The entry on the same machine waits up to 1.5 s for news; past this it counts as silent. */
+const CONFIGURATION_TIMEOUT_MS = 2000;
+
 /**
  * Long enough that a store that answers sixty times slower, in a quarter of a second, costs no
  * leadership; short enough that a successor starts urgent work of two seconds in time, which bears
@@ -45,6 +50,28 @@
   };
 };
 
+/** The configuration's record by way of the entry on this machine. */
+const createConfigurationStore = (
+  kit: poolKit.PoolKit,
+): Pick<recordStore.RecordStore, 'list' | 'watch'> => {
+  const { ownEntry } = kit.settings();
+  if (ownEntry === undefined) return kit.store;
+  const clients = rpcClient.createRpcClients({
+    call: kit.call,
+    timeoutMs: CONFIGURATION_TIMEOUT_MS,
+    maxTransferMs: CONFIGURATION_TIMEOUT_MS,
+    peerSecret: poolKit.PEER_SECRET,
+  });
+  const entry = clients.poolEntry(http.formatAddress(ownEntry));
+  return configurationShare.createSharedStore({
+    ask: (afterRevision, waitMs) =>
+      entry.configuration({ from: kit.sender(), afterRevision, waitMs }),
+    store: kit.store,
+    key: operatorConfiguration.CONFIGURATION_KEY,
+    log: kit.log,
+  });
+};
+
 /**
  * @param kit - the program's parts
  * @returns the running scheduler
@@ -55,7 +82,7 @@
   let leader: poolLeader.PoolLeader | undefined;
   const feed = kit.owned.add(
     configurationFeed.startConfigurationFeed({
-      store: kit.store,
+      store: createConfigurationStore(kit),
       clock: kit.clock,
       log: kit.log,
       key: operatorConfiguration.CONFIGURATION_KEY,
--- a/src/protocol/common/poolMessages.ts
+++ b/src/protocol/common/poolMessages.ts
@@ -73,6 +73,26 @@
   readonly body: string;
 }
 
+/** A scheduler asks the entry on its machine for a configuration later than the one it has. */
+export const ConfigurationMessage = Schema.Struct({
+  from: envelope.Sender,
+  /** Everything up to this revision of the store is known. */
+  afterRevision: units.Count,
+  /** How long the entry waits for one. */
+  waitMs: units.DurationMs,
+});
+
+/** See {@link ConfigurationMessage}. */
+export type ConfigurationMessage = typeof ConfigurationMessage.Type;
+
+/** What the entry has; without a record where there is nothing later. */
+export interface ConfigurationAnswer {
+  readonly from: envelope.Sender;
+  /** Revision of the store up to which the entry has seen all changes. */
+  readonly seenRevision: number;
+  readonly record?: { readonly value: string; readonly revision: number };
+}
+
 /** An entry asks the leader how many jobs wait. */
 export const PendingMessage = Schema.Struct({ from: envelope.Sender });
 
--- a/src/protocol/node/poolRouters.ts
+++ b/src/protocol/node/poolRouters.ts
@@ -23,6 +23,10 @@
 export interface PoolEntryService {
   /** @throws AuburnliftError `noUpstream` where nothing was sent to the store */
   readonly relay: (message: poolMessages.RelayMessage) => Promise<poolMessages.RelayAnswer>;
+  /** @throws AuburnliftError `storeUnavailable` where the entry itself has no fresh proof */
+  readonly configuration: (
+    message: poolMessages.ConfigurationMessage,
+  ) => Promise<poolMessages.ConfigurationAnswer>;
 }
 
 /**
@@ -56,7 +60,10 @@
  * @returns the entry's router
  */
 export const createPoolEntryRouter = (service: PoolEntryService) =>
-  rpc.router({ relay: rpc.procedure(poolMessages.RelayMessage, service.relay) });
+  rpc.router({
+    relay: rpc.procedure(poolMessages.RelayMessage, service.relay),
+    configuration: rpc.procedure(poolMessages.ConfigurationMessage, service.configuration),
+  });
 
 /** Type of the entry's router, for clients. */
 export type PoolEntryRouter = ReturnType<typeof createPoolEntryRouter>;
--- a/src/soak/test/narrowLine.test.ts
+++ b/src/soak/test/narrowLine.test.ts
@@ -23,9 +23,6 @@
 const JOB_ID = '5c0e7a21d94b36f8';
 const JOB = JSON.stringify({ steps: [{ count: 1, gpu: 1, est_ms: 500 }] });
 
-/** Of both programs together. */
-const PORTS_PER_PROGRAM = 12;
-
 interface Route {
   readonly name: string;
   readonly prefix: string;
@@ -73,7 +70,6 @@
       maxReplyBytes: 65_536,
     }),
   );
-  const common = { storeAddress: `127.0.0.1:${String(line.port)}` };
   const run = (program: string, file: bootFile.BootFile): void => {
     const child = childProcess.spawn(process.execPath, [path.join(BIN, `${program}.js`)], {
       env: { ...process.env, ...bootFile.writeBootFile(folder, file) },
@@ -92,10 +88,10 @@
       await store.transact({ conditions: [], puts: [{ key, value }], removes: [] });
     },
     start: () => {
-      const [peerPort, schedulerPort] = [firstPort + 2, firstPort + 2 + PORTS_PER_PROGRAM];
+      const common = { peerPort: firstPort + 2, storeAddress: `127.0.0.1:${String(line.port)}` };
       const addresses = { front: firstPort, ready: firstPort + 1 };
-      run('poolEntry', { nodeId: 'edge-1', peerPort, ...addresses, ...common });
-      run('poolScheduler', { nodeId: 'edge-1s', peerPort: schedulerPort, ...common });
+      run('poolEntry', { nodeId: 'edge-1', ...addresses, ...common });
+      run('poolScheduler', { nodeId: 'edge-1s', ...common });
     },
     status: async (method, target, body = '') => {
       const reply = await client.call({
--- /dev/null
+++ b/src/standins/test/configurationShare.test.ts
@@ -0,0 +1,159 @@
+/**
+ * One read of the configuration for the two processes of a machine.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as clock from '../../base/common/clock.js';
+import * as logging from '../../base/common/logging.js';
+import * as configurationFeed from '../../coordination/node/pool/configurationFeed.js';
+import * as configurationShare from '../../coordination/node/pool/configurationShare.js';
+import type * as poolConfiguration from '../../state/common/pool/poolConfiguration.js';
+import * as memoryStore from '../memoryStore.js';
+
+const KEY = 'configuration';
+
+interface Rig {
+  readonly clock: clock.FakeClock;
+  readonly store: memoryStore.MemoryStore;
+  readonly entry: configurationFeed.ConfigurationFeed;
+  readonly scheduler: configurationFeed.ConfigurationFeed;
+  readonly configure: (version: number) => Promise<void>;
+  /** Whether the entry answers the scheduler. */
+  readonly entryAnswers: (answers: boolean) => void;
+  /** Questions to the entry, and calls of the store by the scheduler. */
+  readonly counts: { asks: number; storeCalls: number };
+}
+
+const createRig = async (): Promise<Rig> => {
+  const time = clock.createFakeClock(1_000_000);
+  const store = memoryStore.createMemoryStore(time);
+  const configure = async (version: number): Promise<void> => {
+    const value = JSON.stringify({ version, queues: [], services: [], customers: [] });
+    await store.transact({ conditions: [], puts: [{ key: KEY, value }], removes: [] });
+  };
+  await configure(1);
+  const counts = { asks: 0, storeCalls: 0 };
+  let isAnswering = true;
+  const common = {
+    clock: time,
+    log: logging.silentLog,
+    key: KEY,
+    decode: (text: string) => JSON.parse(text) as poolConfiguration.PoolConfiguration,
+  };
+  const entry = configurationFeed.startConfigurationFeed({ ...common, store });
+  const share = configurationShare.shareConfiguration(entry, time);
+  const shared = configurationShare.createSharedStore({
+    ask: (afterRevision, waitMs) => {
+      counts.asks += 1;
+      return isAnswering ? share(afterRevision, waitMs) : Promise.reject(new Error('silent'));
+    },
+    store: {
+      list: (prefix) => {
+        counts.storeCalls += 1;
+        return store.list(prefix);
+      },
+      watch: (...watched) => {
+        counts.storeCalls += 1;
+        return store.watch(...watched);
+      },
+    },
+    key: KEY,
+    log: logging.silentLog,
+  });
+  const scheduler = configurationFeed.startConfigurationFeed({ ...common, store: shared });
+  await time.advance(200);
+  const entryAnswers = (answers: boolean): void => {
+    isAnswering = answers;
+  };
+  return { clock: time, store, entry, scheduler, configure, entryAnswers, counts };
+};
+
+interface Case {
+  readonly name: string;
+  readonly act: (rig: Rig) => Promise<void>;
+  readonly version: number;
+  /** Whether the scheduler calls the store itself. */
+  readonly callsStore: boolean;
+}
+
+const CASES: readonly Case[] = [
+  {
+    name: 'a change reaches the scheduler by way of the entry',
+    act: async ({ clock: time, configure }) => {
+      await time.advance(3000);
+      await configure(2);
+      await time.advance(200);
+    },
+    version: 2,
+    callsStore: false,
+  },
+  {
+    name: 'an entry that does not answer is passed by',
+    act: async ({ clock: time, configure, entryAnswers }) => {
+      entryAnswers(false);
+      await configure(2);
+      await time.advance(3000);
+    },
+    version: 2,
+    callsStore: true,
+  },
+  {
+    name: 'an entry that answers again is asked again',
+    act: async ({ clock: time, configure, entryAnswers, counts }) => {
+      entryAnswers(false);
+      await time.advance(3000);
+      entryAnswers(true);
+      await time.advance(2000);
+      counts.storeCalls = 0;
+      await configure(2);
+      await time.advance(3000);
+    },
+    version: 2,
+    callsStore: false,
+  },
+  {
+    name: 'an entry without a fresh proof is passed by',
+    act: async ({ clock: time, store, configure }) => {
+      store.faults.isDown = true;
+      store.faults.areWatchesLost = true;
+      await time.advance(8000);
+      store.faults.isDown = false;
+      store.faults.areWatchesLost = false;
+      await configure(2);
+      await time.advance(3000);
+    },
+    version: 2,
+    callsStore: true,
+  },
+  {
+    name: 'an entry that lost the history tells no record twice',
+    act: async ({ clock: time, store, configure }) => {
+      store.faults.skipNextWatch = true;
+      await configure(2);
+      await time.advance(5000);
+    },
+    version: 2,
+    callsStore: false,
+  },
+];
+
+/** Questions of a quiet scheduler are long waits; more would be a loop. */
+const MAX_ASKS_PER_S = 4;
+
+// Guards against a line that carries a large configuration twice, and against a scheduler that depends on its entry.
+test.describe('a configuration shared on one machine', () => {
+  for (const { name, act, version, callsStore } of CASES) {
+    test.it(name, async () => {
+      const rig = await createRig();
+      const startedAtMs = rig.clock.monotonicMs();
+      await act(rig);
+      assert.equal(rig.scheduler.current()?.configuration.version, version);
+      assert.equal(rig.counts.storeCalls > 0, callsStore);
+      const seconds = (rig.clock.monotonicMs() - startedAtMs) / 1000;
+      assert.ok(rig.counts.asks <= 10 + seconds * MAX_ASKS_PER_S, `${rig.counts.asks} questions`);
+      await rig.scheduler.dispose();
+      await rig.entry.dispose();
+    });
+  }
+});
--- a/src/state/common/pool/poolSettings.ts
+++ b/src/state/common/pool/poolSettings.ts
@@ -11,6 +11,8 @@
   readonly region: string;
   /** Where other processes of the system reach this one. */
   readonly peers: http.Address;
+  /** Where a scheduler reaches the entry on its own machine; absent for other programs. */
+  readonly ownEntry?: http.Address;
   /** Where clients reach an entry; absent for other programs. */
   readonly front?: http.Address;
   /** Where an entry is asked whether it wants new connections. */
--- a/src/transport/node/rpcClient.ts
+++ b/src/transport/node/rpcClient.ts
@@ -154,7 +154,8 @@
 
 const poolEntryClient = (options: RpcClientOptions, url: string) => {
   const client = create<poolRouters.PoolEntryRouter>(options, url);
-  return { relay: wrapFor(options, url)(client.relay) };
+  const wrap = wrapFor(options, url);
+  return { relay: wrap(client.relay), configuration: wrap(client.configuration) };
 };
 
 /** An entry of pools as other entries call it. */
