Count waiting jobs once at a time, and tell callers in time where that takes long

Change: one count at a time, shared; a caller is held 0.9 s at most, and a count that is older than two seconds is not told.

--- a/src/coordination/node/pool/pendingCounts.ts
+++ b/src/coordination/node/pool/pendingCounts.ts
@@ -1,8 +1,11 @@
 /**
  * How many accepted jobs of a queue have not begun: asked of the leader, counted from the store where
  * no leader answers. A figure is used again for half a second.
+ *
+ * Guards against counts that pile up: while one takes long, as on a narrow line, callers share it and are told
+ * in time that there is none.
  */
-import type * as clock from '../../../base/common/clock.js';
+import * as clock from '../../../base/common/clock.js';
 import * as errors from '../../../base/common/errors.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as poolJob from '../../../state/common/pool/poolJob.js';
@@ -30,15 +33,33 @@
 /** A figure may be two seconds old when the caller has it; the leader's is up to one and a half. */
 const KEEP_MS = 500;
 
+/** A count that was begun longer ago is of no use to anybody. */
+const MAX_AGE_MS = 2000;
+
+/** Longest time that a caller is held for a count. */
+const MAX_HELD_MS = 900;
+
 type Counts = Readonly<Record<string, number>>;
 
+/** One count, shared by all who ask meanwhile. */
+interface Count {
+  readonly counts: Promise<Counts>;
+  readonly beganAtMs: number;
+  isOpen: boolean;
+}
+
+const tooLate = (): errors.AuburnliftError =>
+  errors.fail('storeUnavailable', 'counting the jobs that wait takes too long', {
+    retryAfterMs: MAX_HELD_MS,
+  });
+
 /**
  * @param options - what the counts need
  * @returns the counts
  */
 export const createPendingCounts = (options: PendingCountsOptions): PendingCounts => {
   const { store, clock: time } = options;
-  let kept: { readonly counts: Promise<Counts>; readonly atMs: number } | undefined;
+  let kept: Count | undefined;
 
   const fromLeader = async (): Promise<Counts | undefined> => {
     const record = await store.get(poolKeys.LEADER);
@@ -77,17 +98,31 @@
 
   const load = async (): Promise<Counts> => (await fromLeader()) ?? (await fromStore());
 
+  const begin = (): Count => {
+    const count: Count = { counts: load(), beganAtMs: time.monotonicMs(), isOpen: true };
+    const settle = (): void => {
+      count.isOpen = false;
+    };
+    count.counts.then(settle, settle);
+    return count;
+  };
+
+  const ageMs = ({ beganAtMs }: Count): number => time.monotonicMs() - beganAtMs;
+
+  const forget = (count: Count): void => {
+    if (kept === count) kept = undefined;
+  };
+
   return {
     ofQueue: async (queue) => {
-      const nowMs = time.monotonicMs();
-      if (kept === undefined || nowMs - kept.atMs > KEEP_MS) {
-        kept = { counts: load(), atMs: nowMs };
-      }
-      const { counts } = kept;
+      if (kept === undefined || (!kept.isOpen && ageMs(kept) > KEEP_MS)) kept = begin();
+      const count = kept;
       try {
-        return (await counts)[queue] ?? 0;
+        const counts = await Promise.race([count.counts, clock.sleep(time, MAX_HELD_MS)]);
+        if (counts === undefined || ageMs(count) > MAX_AGE_MS) throw tooLate();
+        return counts[queue] ?? 0;
       } catch (thrown) {
-        kept = undefined;
+        if (!count.isOpen) forget(count);
         throw thrown;
       }
     },
