Give long requests their time on the line too, and long answers longer pauses

Change: a request's body is given the time of a line of 100 KB/s, pauses within an answer may last two seconds and the whole 15 s, of the 20 s that the store remembers. A relayed call names the statuses whose bodies are of no use.

--- a/src/base/common/http.ts
+++ b/src/base/common/http.ts
@@ -9,6 +9,16 @@
   readonly port: number;
 }
 
+/** How long bodies may take on the line. */
+export interface TransferLimits {
+  /** From the first byte of an answer to its last. */
+  readonly maxMs: number;
+  /** Longest pause between two pieces of an answer. */
+  readonly maxPauseMs: number;
+  /** Slowest line that a request's body is given time for. */
+  readonly minBytesPerS: number;
+}
+
 /** A request with its whole body. */
 export interface HttpRequest {
   readonly address: Address;
@@ -16,15 +26,12 @@
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
-  /** From the first byte sent to the last byte received, or to the first one where the answer may be long. */
+  /** From the first byte sent to the last byte received; with {@link transfer}, to the first one. */
   readonly timeoutMs: number;
-  /**
-   * An answer that has begun may take this much longer, as long as it never pauses for {@link timeoutMs}.
-   * For answers whose length has no small bound.
-   */
-  readonly maxTransferMs?: number;
-  /** Whether the body of an answer with this status is of use; a long one that is not is left unread. */
-  readonly isBodyNeeded?: (status: number) => boolean;
+  /** For bodies whose length has no small bound: their time on the line counts apart. */
+  readonly transfer?: TransferLimits;
+  /** Statuses of answers whose body is of no use; a long one is left unread. */
+  readonly unreadStatuses?: readonly number[];
   /** Hears of each piece of the answer while it comes. */
   readonly onArrival?: (status: number) => void;
   readonly signal?: AbortSignal;
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -23,10 +23,14 @@
 }
 
 /**
- * Longest time from the first byte of an answer to its last. A value of a megabyte takes 1.6 s on the narrowest
- * line of a machine, and its two processes may read it at the same time.
+ * A value of a megabyte takes 1.6 s on a line of 7 Mbit/s, which all calls of a machine share; what the store
+ * remembers of changes reaches back 20 s.
  */
-export const MAX_TRANSFER_MS = 8000;
+export const TRANSFER: http.TransferLimits = {
+  maxMs: 15_000,
+  maxPauseMs: 2000,
+  minBytesPerS: 100_000,
+};
 
 /** An item as the service writes it. */
 interface WireItem {
@@ -56,7 +60,7 @@
   readonly body?: object;
   readonly timeoutMs?: number;
   readonly signal?: AbortSignal;
-  readonly isBodyNeeded?: (status: number) => boolean;
+  readonly unreadStatuses?: readonly number[];
 }
 
 const OK = 200;
@@ -123,7 +127,7 @@
       headers: body === undefined ? {} : { 'content-type': 'application/json' },
       body: body === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(body)),
       timeoutMs,
-      maxTransferMs: MAX_TRANSFER_MS,
+      transfer: TRANSFER,
       onArrival: noteArrival,
       ...rest,
     });
@@ -212,7 +216,7 @@
       };
       const reply = await write('transact', '/-/kv-txn', {
         body,
-        ...(omitsCurrent ? { isBodyNeeded: (status) => status !== CONDITION_FAILED } : {}),
+        ...(omitsCurrent ? { unreadStatuses: [CONDITION_FAILED] } : {}),
       });
       if (reply.status === OK) {
         return { isCommitted: true, revision: parse<{ rev: number }>(reply).rev };
--- a/src/programs/poolKit.ts
+++ b/src/programs/poolKit.ts
@@ -114,7 +114,7 @@
     rpcClient.createRpcClients({
       call: client.call,
       timeoutMs,
-      maxTransferMs: platformStore.MAX_TRANSFER_MS,
+      transfer: platformStore.TRANSFER,
       peerSecret: PEER_SECRET,
     });
   const brief = entriesWithin(RELAY_TIMEOUT_MS);
--- a/src/programs/poolScheduler.ts
+++ b/src/programs/poolScheduler.ts
@@ -8,6 +8,7 @@
 import * as poolLeadership from '../coordination/node/pool/poolLeadership.js';
 import * as adviceClient from '../platform/adviceClient.js';
 import * as operatorConfiguration from '../platform/operatorConfiguration.js';
+import * as platformStore from '../platform/platformStore.js';
 import * as poolRouters from '../protocol/node/poolRouters.js';
 import type * as agentContract from '../state/common/pool/agentContract.js';
 import * as http from '../base/common/http.js';
@@ -59,7 +60,7 @@
   const clients = rpcClient.createRpcClients({
     call: kit.call,
     timeoutMs: CONFIGURATION_TIMEOUT_MS,
-    maxTransferMs: CONFIGURATION_TIMEOUT_MS,
+    transfer: platformStore.TRANSFER,
     peerSecret: poolKit.PEER_SECRET,
   });
   const entry = clients.poolEntry(http.formatAddress(ownEntry));
--- a/src/programs/relayRpc.ts
+++ b/src/programs/relayRpc.ts
@@ -23,7 +23,7 @@
   from: envelope.Sender,
   request: http.HttpRequest,
 ): Promise<http.HttpReply> => {
-  const { method, path, timeoutMs } = request;
+  const { method, path, timeoutMs, unreadStatuses = [] } = request;
   try {
     const answer = await entry.relay({
       from,
@@ -31,6 +31,7 @@
       path,
       body: Buffer.from(request.body).toString('base64'),
       timeoutMs: Math.max(WAY_MS, Math.round(timeoutMs - WAY_MS)),
+      unreadStatuses,
     });
     return { status: answer.status, headers: {}, body: Buffer.from(answer.body, 'base64') };
   } catch (thrown) {
@@ -52,13 +53,21 @@
   address: http.Address,
   call: http.HttpCall,
 ): Promise<Omit<poolMessages.RelayAnswer, 'from'>> => {
-  const { method, path, timeoutMs } = message;
+  const { method, path, timeoutMs, unreadStatuses } = message;
   const body = Buffer.from(message.body, 'base64');
   const headers: Record<string, string> =
     body.length === 0 ? {} : { 'content-type': 'application/json' };
   try {
-    const maxTransferMs = platformStore.MAX_TRANSFER_MS;
-    const reply = await call({ address, method, path, headers, body, timeoutMs, maxTransferMs });
+    const reply = await call({
+      address,
+      method,
+      path,
+      headers,
+      body,
+      timeoutMs,
+      transfer: platformStore.TRANSFER,
+      unreadStatuses,
+    });
     return { status: reply.status, body: Buffer.from(reply.body).toString('base64') };
   } catch (thrown) {
     const isNotSent =
--- a/src/protocol/common/poolMessages.ts
+++ b/src/protocol/common/poolMessages.ts
@@ -60,6 +60,8 @@
   /** In base64. */
   body: Schema.String,
   timeoutMs: units.DurationMs,
+  /** Of answers whose body is of no use to the caller. */
+  unreadStatuses: Schema.Array(units.Count),
 });
 
 /** See {@link RelayMessage}. */
--- a/src/transport/node/answerTimeout.ts
+++ b/src/transport/node/answerTimeout.ts
@@ -14,27 +14,31 @@
   readonly noteArrival: () => void;
 }
 
+const MS_PER_S = 1000;
+
 /**
  * @param time - the clock
- * @param limits - how long the wait may be
+ * @param request - how long the wait may be, and what is sent before it
  * @param onExpire - called once where the wait is over, unless it was disposed before
  * @returns the wait, which has begun
  */
 export const startAnswerTimeout = (
   time: clock.Clock,
-  limits: Pick<http.HttpRequest, 'timeoutMs' | 'maxTransferMs'>,
+  request: Pick<http.HttpRequest, 'timeoutMs' | 'transfer' | 'body'>,
   onExpire: () => void,
 ): AnswerTimeout => {
-  const { timeoutMs, maxTransferMs } = limits;
-  let timer = time.after(timeoutMs, onExpire);
+  const { timeoutMs, transfer, body } = request;
+  const sendingMs =
+    transfer === undefined ? 0 : (body.byteLength * MS_PER_S) / transfer.minBytesPerS;
+  let timer = time.after(timeoutMs + sendingMs, onExpire);
   let endMs: number | undefined;
   return {
     noteArrival: () => {
-      if (maxTransferMs === undefined) return;
+      if (transfer === undefined) return;
       const nowMs = time.monotonicMs();
-      endMs ??= nowMs + maxTransferMs;
+      endMs ??= nowMs + transfer.maxMs;
       void timer.dispose();
-      timer = time.after(Math.min(timeoutMs, Math.max(0, endMs - nowMs)), onExpire);
+      timer = time.after(Math.min(transfer.maxPauseMs, Math.max(0, endMs - nowMs)), onExpire);
     },
     dispose: () => timer.dispose(),
   };
--- a/src/transport/node/httpClient.ts
+++ b/src/transport/node/httpClient.ts
@@ -72,9 +72,9 @@
 const SHORT_BODY_BYTES = 16_384;
 
 const isLeftUnread = (request: http.HttpRequest, message: nodeHttp.IncomingMessage): boolean => {
-  const isNeeded = request.isBodyNeeded?.(message.statusCode ?? 0) ?? true;
+  const isOfNoUse = request.unreadStatuses?.includes(message.statusCode ?? 0) ?? false;
   const length = Number(message.headers['content-length'] ?? Infinity);
-  return !isNeeded && length > SHORT_BODY_BYTES;
+  return isOfNoUse && length > SHORT_BODY_BYTES;
 };
 
 /** Who hears of an answer. */
--- a/src/transport/node/rpcClient.ts
+++ b/src/transport/node/rpcClient.ts
@@ -27,8 +27,8 @@
 export interface RpcClientOptions {
   readonly call: http.HttpCall;
   readonly timeoutMs: number;
-  /** An answer that has begun may take this much longer; see {@link http.HttpRequest}. */
-  readonly maxTransferMs?: number;
+  /** For messages whose length has no small bound; see {@link http.HttpRequest}. */
+  readonly transfer?: http.TransferLimits;
   /** Shared by the system's processes; never logged. */
   readonly peerSecret: string;
   /** Hears the configuration version of each answer, and who gave it. */
@@ -56,7 +56,7 @@
       },
       body: Buffer.from(String(init?.body ?? '')),
       timeoutMs: options.timeoutMs,
-      ...(options.maxTransferMs === undefined ? {} : { maxTransferMs: options.maxTransferMs }),
+      ...(options.transfer === undefined ? {} : { transfer: options.transfer }),
     });
     const text = Buffer.from(reply.body).toString('utf8');
     const parsed = (): Promise<unknown> => Promise.resolve(JSON.parse(text) as unknown);
--- a/src/transport/node/test/connections.test.ts
+++ b/src/transport/node/test/connections.test.ts
@@ -110,7 +110,7 @@
     for (let turn = 0; turn < 3; turn += 1) {
       const reply = await client.call({
         ...requestTo(server.address),
-        isBodyNeeded: (seen) => seen === 200,
+        unreadStatuses: [412],
       });
       assert.deepEqual([reply.status, reply.body.byteLength], [status, readBytes]);
     }
