Share the configuration only while the entry hears the store, and wait for its first read

Found by the review: an entry without a way to the store told its old record again and again to a scheduler whose own watch said that the history was gone, a loop without a pause (131 calls of the store in ten seconds, and the scheduler stayed on the old version); and at a cold start the scheduler gave up waiting after 1.5 s and read the megabyte beside its entry.

Change: an entry shares while it hears the store, whatever has come of the answer so far; a scheduler goes on asking an entry that is still reading.

--- a/src/coordination/node/pool/configurationShare.ts
+++ b/src/coordination/node/pool/configurationShare.ts
@@ -26,24 +26,37 @@
   waitMs: number,
 ) => Promise<SharedConfiguration>;
 
-/** An entry whose own proof is older is no better than the store itself. */
-const MAX_PROOF_AGE_MS = 3000;
+/** What an entry shares. */
+export interface ShareOptions {
+  /** The entry's own configuration. */
+  readonly feed: configurationFeed.ConfigurationFeed;
+  readonly clock: clock.Clock;
+  /** How long ago the entry last heard the store, also where all that came was a piece of an answer. */
+  readonly storeAgeMs: () => number;
+}
+
+/** An entry that has not heard the store for longer knows no better than the store itself. */
+const MAX_SILENCE_MS = 3000;
 
 /** How often a waiting entry looks. */
 const LOOK_MS = 50;
 
 /**
- * @param feed - the entry's own configuration
- * @param time - its clock
- * @returns answers the scheduler beside it; throws `storeUnavailable` without a fresh proof
+ * @param options - what the entry shares
+ * @returns answers the scheduler beside it; throws `storeUnavailable` while the entry does not hear the store
  */
-export const shareConfiguration =
-  (feed: configurationFeed.ConfigurationFeed, time: clock.Clock): AskConfiguration =>
-  async (afterRevision, waitMs) => {
+export const shareConfiguration = (options: ShareOptions): AskConfiguration => {
+  const { feed, clock: time } = options;
+  const checkHeard = (): void => {
+    if (options.storeAgeMs() <= MAX_SILENCE_MS) return;
+    throw errors.fail('storeUnavailable', 'this entry does not hear the store');
+  };
+  return async (afterRevision, waitMs) => {
     const untilMs = time.monotonicMs() + waitMs;
     for (;;) {
       const record = feed.record();
       if (record !== undefined && record.revision > afterRevision) {
+        checkHeard();
         const { value, revision } = record;
         const seenRevision = Math.max(revision, feed.seenRevision());
         return { seenRevision, record: { value, revision } };
@@ -51,11 +64,10 @@
       if (time.monotonicMs() >= untilMs) break;
       await clock.sleep(time, LOOK_MS);
     }
-    if (feed.record() === undefined || feed.ageMs() > MAX_PROOF_AGE_MS) {
-      throw errors.fail('storeUnavailable', 'this entry has no fresh configuration');
-    }
+    checkHeard();
     return { seenRevision: Math.max(afterRevision, feed.seenRevision()) };
   };
+};
 
 /** What asking needs. */
 export interface SharedStoreOptions {
@@ -67,8 +79,8 @@
   readonly log: logging.Log;
 }
 
-/** An entry that starts beside the scheduler has its first configuration within it. */
-const FIRST_WAIT_MS = 1500;
+/** Wait of a question while the entry beside the scheduler reads its first configuration. */
+const FIRST_WAIT_MS = 1000;
 
 /**
  * @param options - what asking needs
@@ -105,9 +117,13 @@
 
   return {
     list: async (prefix) => {
-      const told = await attempt(0, FIRST_WAIT_MS);
-      if (told?.record === undefined) return options.store.list(prefix);
-      return { entries: entriesOf(told), revision: told.seenRevision };
+      for (;;) {
+        const told = await attempt(0, FIRST_WAIT_MS);
+        if (told === undefined) return options.store.list(prefix);
+        if (told.record !== undefined) {
+          return { entries: entriesOf(told), revision: told.seenRevision };
+        }
+      }
     },
     watch: async (prefix, afterRevision, waitMs, signal) => {
       const told = await attempt(afterRevision, waitMs);
--- a/src/programs/poolEntry.ts
+++ b/src/programs/poolEntry.ts
@@ -92,7 +92,11 @@
     log: kit.log,
     metrics: kit.metrics,
   });
-  const share = configurationShare.shareConfiguration(feed, kit.clock);
+  const share = configurationShare.shareConfiguration({
+    feed,
+    clock: kit.clock,
+    storeAgeMs: kit.storeAgeMs,
+  });
   const router = poolRouters.createPoolEntryRouter({
     configuration: async ({ afterRevision, waitMs }) => ({
       from: kit.sender(),
--- a/src/standins/test/configurationShare.test.ts
+++ b/src/standins/test/configurationShare.test.ts
@@ -42,7 +42,11 @@
     decode: (text: string) => JSON.parse(text) as poolConfiguration.PoolConfiguration,
   };
   const entry = configurationFeed.startConfigurationFeed({ ...common, store });
-  const share = configurationShare.shareConfiguration(entry, time);
+  const share = configurationShare.shareConfiguration({
+    feed: entry,
+    clock: time,
+    storeAgeMs: entry.ageMs,
+  });
   const shared = configurationShare.createSharedStore({
     ask: (afterRevision, waitMs) => {
       counts.asks += 1;
@@ -113,7 +117,7 @@
     callsStore: false,
   },
   {
-    name: 'an entry without a fresh proof is passed by',
+    name: 'an entry without a way to the store is passed by',
     act: async ({ clock: time, store, configure }) => {
       store.faults.isDown = true;
       store.faults.areWatchesLost = true;
