Read whole only where watches time out, and never watch for ever

Found by the review: two quick refusals counted as lost watches, so that each outage ended with a whole read of a configuration that had not changed; and the leader's records had no such limit at all: changes that are too long for one answer were asked for without an end.

Change: a refusal counts for nothing; after four failed watches the leader reads its records anew.

--- a/src/coordination/node/pool/configurationFeed.ts
+++ b/src/coordination/node/pool/configurationFeed.ts
@@ -55,6 +55,9 @@
  */
 const MAX_FAILED_WATCHES = 2;
 
+/** A watch that fails sooner was refused, and tells nothing of what is on its way. */
+const REFUSED_MS = 300;
+
 /**
  * @param options - what the feed needs
  * @returns the feed, which follows until it is disposed
@@ -70,6 +73,9 @@
   let isConnected = false;
   /** Calls of the store that failed one after the other. */
   let failures = 0;
+  /** Of these, those that waited. */
+  let failedWatches = 0;
+  let attemptedAtMs = 0;
   /** Everything up to it has been seen. */
   let seenRevision: number | undefined;
 
@@ -105,10 +111,13 @@
     }
     isConnected = true;
     failures = 0;
+    failedWatches = 0;
+    attemptedAtMs = time.monotonicMs();
   };
 
   const noteFailure = (thrown: unknown): void => {
     failures += 1;
+    if (time.monotonicMs() - attemptedAtMs > REFUSED_MS) failedWatches += 1;
     if (isConnected) {
       log('warn', 'configurationStoreLost', {
         ageMs: Math.round(age.ageMs()),
@@ -154,8 +163,9 @@
 
   const run = async (): Promise<void> => {
     while (!isDisposed) {
+      attemptedAtMs = time.monotonicMs();
       try {
-        if (seenRevision === undefined || failures >= MAX_FAILED_WATCHES) await read();
+        if (seenRevision === undefined || failedWatches >= MAX_FAILED_WATCHES) await read();
         if (seenRevision !== undefined) await follow(seenRevision);
       } catch (thrown) {
         if (isDisposed) return;
--- a/src/coordination/node/pool/recordFeed.ts
+++ b/src/coordination/node/pool/recordFeed.ts
@@ -41,6 +41,12 @@
  */
 const WATCH_MS = 800;
 
+/**
+ * Watches that fail one after the other before all records are read anew: what has changed since then may be more
+ * than one answer carries.
+ */
+const MAX_FAILED_WATCHES = 4;
+
 /**
  * @param options - what the feed needs
  * @returns the feed, which goes on until it is disposed
@@ -54,6 +60,7 @@
   let isAnswered = true;
   let revision = 0;
   let watchSentAtMs = 0;
+  let failedWatches = 0;
 
   const take = (record: store.StoreEntry): void => {
     present.add(record.key);
@@ -91,11 +98,13 @@
   const noteAnswer = (): void => {
     if (!isAnswered) log('info', 'watchAnswers', { revision, ageMs: Math.round(age.ageMs()) });
     isAnswered = true;
+    failedWatches = 0;
     watchSentAtMs = time.monotonicMs();
   };
 
   const noteFailure = (thrown: unknown): void => {
     isAnswered = false;
+    failedWatches += 1;
     log('warn', 'watchFailed', {
       afterRevision: revision,
       waitedMs: Math.round(time.monotonicMs() - watchSentAtMs),
@@ -131,6 +140,7 @@
   const follow = async (): Promise<void> => {
     while (!isDisposed) {
       try {
+        if (failedWatches >= MAX_FAILED_WATCHES) await relist();
         await followOnce();
       } catch (thrown) {
         if (isDisposed) return;
