--- a/src/coordination/node/pool/jobDesk.ts
+++ b/src/coordination/node/pool/jobDesk.ts
@@ -81,6 +81,12 @@
  */
 const FRESH_SHARE = 0.7;
 
+/**
+ * With an older proof nobody is told that a queue or a credential does not exist: the next configuration, which may
+ * have it, has to be in force soon after.
+ */
+const DENY_MS = 2000;
+
 /** Kept of the caller's time for the way back of the answer. */
 const ANSWER_MS = 250;
 
@@ -108,8 +114,19 @@
 const unavailable = (message: string): errors.AuburnliftError =>
   errors.fail('storeUnavailable', `${message}; nothing ran`, { retryAfterMs: RETRY_AFTER_MS });
 
+const stillOpen = (): errors.AuburnliftError =>
+  errors.fail('outcomeUnknown', 'the store did not answer; the outcome is open');
+
 const gone = (): errors.AuburnliftError => errors.fail('gone', 'no such job', { field: 'jobId' });
 
+/** How long a call may take, by the monotonic clock. */
+interface Patience {
+  /** No attempt begins after it. */
+  readonly lastAttemptMs: number;
+  /** The caller has its answer by then. */
+  readonly endMs: number;
+}
+
 /**
  * @param options - what the desk needs
  * @returns the desk
@@ -118,14 +135,22 @@
   const { clock: time, feed, log, metrics } = options;
 
   const canCheckCredentials = (): boolean => feed.ageMs() <= options.revokeMs * FRESH_SHARE;
-  const ageText = (): string => `${Math.round(feed.ageMs())} ms`;
-  const storeText = (): string => `${Math.round(options.storeAgeMs())} ms`;
+  const agoText = (ageMs: number): string => `${Math.round(ageMs)} ms ago`;
+  const unproved = (what: string): errors.AuburnliftError =>
+    unavailable(
+      `${what} can not be checked: the configuration was proved ${agoText(feed.ageMs())}, ` +
+        `the store heard ${agoText(options.storeAgeMs())}`,
+    );
+  const checkLatest = (what: string): void => {
+    if (feed.ageMs() > DENY_MS) throw unproved(what);
+  };
 
   const admit = (call: Call): AdmittedCall => {
     const held = feed.current();
     if (held === undefined) throw unavailable('no configuration is known yet');
     const queue = poolConfiguration.findQueue(held.configuration, call.host, call.path);
     if (queue === undefined) {
+      checkLatest('queues');
       throw errors.fail('notFound', `no queue at ${call.host}${call.path}; nothing ran`, {
         field: 'path',
       });
@@ -134,81 +159,99 @@
     const base = { queue, jobId, configurationRevision: held.revision };
     if (queue.isPublic) return { ...base, customerId: '' };
     if (!canCheckCredentials()) {
-      throw unavailable(
-        `credentials can not be checked: the configuration was proved ${ageText()} ago, the store heard ${storeText()} ago`,
-      );
+      throw unproved('credentials');
     }
     const customer =
       call.apiKey === undefined
         ? undefined
         : poolConfiguration.findCustomer(held.configuration, call.apiKey);
     if (customer === undefined) {
+      if (call.apiKey !== undefined) checkLatest('credentials');
       throw errors.fail('unauthenticated', 'the API key is missing or unknown; nothing ran');
     }
     return { ...base, customerId: customer.customerId };
   };
 
+  const patienceOf = (call: Call): Patience => {
+    const nowMs = time.monotonicMs();
+    const leftMs = Math.max(0, call.deadlineMs - ANSWER_MS);
+    return { lastAttemptMs: nowMs + Math.min(MAX_HELD_MS, leftMs), endMs: nowMs + leftMs };
+  };
+
+  const isOver = ({ lastAttemptMs }: Patience): boolean =>
+    time.monotonicMs() + MIN_ATTEMPT_MS >= lastAttemptMs;
+
+  /** What an attempt gives, unless the caller's time is over before: a long answer may take longer. */
+  const inTime = async <T>({ endMs }: Patience, attempt: Promise<T>): Promise<T> => {
+    const late = clock.sleep(time, Math.max(0, endMs - time.monotonicMs())).then(() => {
+      throw new store.StoreOutcomeUnknown("the caller's time is over");
+    });
+    return Promise.race([attempt, late]);
+  };
+
+  const noteFailure = (call: Call, thrown: unknown, isOpen: boolean): void => {
+    const { message } = errors.normalize(thrown);
+    log('warn', 'storeCallFailed', { request: call.requestId, isOpen, reason: message });
+  };
+
   /** Tries a transaction until it is answered or the caller's time is over. */
   const transact = async (
     call: Call,
-    endMs: number,
+    patience: Patience,
     transaction: recordStore.Transaction,
   ): Promise<recordStore.TransactionResult> => {
     if (options.storeAgeMs() > STORE_LOST_MS) throw unavailable('the store is out of reach');
     let isOpen = false;
     for (;;) {
       try {
-        return await options.store.transact(transaction);
+        return await inTime(patience, options.store.transact(transaction));
       } catch (thrown) {
         isOpen ||= thrown instanceof store.StoreOutcomeUnknown;
-        const { message } = errors.normalize(thrown);
-        log('warn', 'storeCallFailed', { request: call.requestId, isOpen, reason: message });
-        if (time.monotonicMs() + MIN_ATTEMPT_MS >= endMs) {
-          throw isOpen
-            ? errors.fail('outcomeUnknown', 'the store did not answer; the outcome is open')
-            : unavailable('the store refuses');
-        }
+        noteFailure(call, thrown, isOpen);
+        if (isOver(patience)) throw isOpen ? stillOpen() : unavailable('the store refuses');
       }
       await clock.sleep(time, RETRY_MS);
     }
   };
 
-  const read = async <T>(call: Call, endMs: number, attempt: () => Promise<T>): Promise<T> => {
+  const read = async <T>(
+    call: Call,
+    patience: Patience,
+    attempt: () => Promise<T>,
+    onFailure = (): Error => unavailable('the store does not answer'),
+  ): Promise<T> => {
     for (;;) {
       try {
-        return await attempt();
+        return await inTime(patience, attempt());
       } catch (thrown) {
-        const { message } = errors.normalize(thrown);
-        log('warn', 'storeCallFailed', { request: call.requestId, isOpen: false, reason: message });
-        const isLate = time.monotonicMs() + MIN_ATTEMPT_MS >= endMs;
-        if (isLate) throw unavailable('the store does not answer');
+        noteFailure(call, thrown, false);
+        if (isOver(patience)) throw onFailure();
       }
       await clock.sleep(time, RETRY_MS);
     }
   };
 
   /** The feed is told of a change by itself; a second copy for each call would fill a narrow line. */
-  const waitForLater = async (revision: number, endMs: number): Promise<void> => {
+  const waitForLater = async (revision: number, { lastAttemptMs }: Patience): Promise<void> => {
     while ((feed.current()?.revision ?? 0) <= revision) {
-      if (time.monotonicMs() >= endMs) throw unavailable('a new configuration is on its way');
+      if (time.monotonicMs() >= lastAttemptMs) {
+        throw unavailable('a new configuration is on its way');
+      }
       await clock.sleep(time, RETRY_MS);
     }
   };
 
-  const endOf = (call: Call): number =>
-    time.monotonicMs() + Math.min(MAX_HELD_MS, Math.max(0, call.deadlineMs - ANSWER_MS));
-
   /** Writes a record unless it exists, as long as the call is allowed by the configuration in force. */
   const writeOnce = async (
     call: Call,
+    patience: Patience,
     admitted: AdmittedCall,
     key: string,
     valueOf: (admitted: AdmittedCall) => string,
   ): Promise<'written' | 'exists'> => {
-    const endMs = endOf(call);
     let judged = admitted;
     for (let tries = 0; tries < MAX_REJUDGED; tries += 1) {
-      const result = await transact(call, endMs, {
+      const result = await transact(call, patience, {
         conditions: [
           { key, revision: store.ABSENT_REVISION },
           { key: options.configurationKey, revision: judged.configurationRevision },
@@ -218,9 +261,10 @@
         omitsCurrent: true,
       });
       if (result.isCommitted) return 'written';
-      const existing = await read(call, endMs, () => options.store.get(key));
+      // Until it is known that the record is absent it may be this call's own, whose first answer was lost.
+      const existing = await read(call, patience, () => options.store.get(key), stillOpen);
       if (existing !== undefined) return 'exists';
-      await waitForLater(judged.configurationRevision, endMs);
+      await waitForLater(judged.configurationRevision, patience);
       judged = admit(call);
       log('info', 'judgedAnew', {
         request: call.requestId,
@@ -235,18 +279,24 @@
     const startedAtMs = time.monotonicMs();
     const { jobId } = admitted;
     const key = poolKeys.jobKey(jobId, poolKeys.JobPart.spec);
-    const outcome = await writeOnce(call, admitted, key, ({ queue, customerId }) => {
-      const job: poolJob.PoolJob = {
-        jobId,
-        customerId,
-        payload: draft.payload,
-        steps: draft.steps,
-        ...(draft.schedule === undefined ? {} : { schedule: draft.schedule }),
-        acceptedAtMs: Math.round(time.wallMs()),
-        policy: queue.policy,
-      };
-      return JSON.stringify(job);
-    });
+    const outcome = await writeOnce(
+      call,
+      patienceOf(call),
+      admitted,
+      key,
+      ({ queue, customerId }) => {
+        const job: poolJob.PoolJob = {
+          jobId,
+          customerId,
+          payload: draft.payload,
+          steps: draft.steps,
+          ...(draft.schedule === undefined ? {} : { schedule: draft.schedule }),
+          acceptedAtMs: Math.round(time.wallMs()),
+          policy: queue.policy,
+        };
+        return JSON.stringify(job);
+      },
+    );
     metrics.time('auburnlift_submit_ms', time.monotonicMs() - startedAtMs, { outcome });
     log('info', 'jobAccepted', {
       request: call.requestId,
@@ -259,32 +309,38 @@
   };
 
   /** The job's records that any entry writes; none where nobody submitted it. */
-  const findRecords = (call: Call, admitted: AdmittedCall): Promise<ReadonlySet<string>> => {
+  const findRecords = (
+    call: Call,
+    patience: Patience,
+    admitted: AdmittedCall,
+  ): Promise<ReadonlySet<string>> => {
     const prefix = poolKeys.jobPrefix(admitted.jobId);
-    return read(call, endOf(call), async () => {
+    return read(call, patience, async () => {
       const { entries } = await options.store.list(prefix);
       return new Set(entries.map((it) => it.key.slice(prefix.length)));
     });
   };
 
   const cancel: JobDesk['cancel'] = async (call, admitted) => {
-    const records = await findRecords(call, admitted);
+    const patience = patienceOf(call);
+    const records = await findRecords(call, patience, admitted);
     if (!records.has(poolKeys.JobPart.spec)) throw gone();
     const key = poolKeys.jobKey(admitted.jobId, poolKeys.JobPart.cancel);
     const outcome = records.has(poolKeys.JobPart.cancel)
       ? 'exists'
-      : await writeOnce(call, admitted, key, () =>
+      : await writeOnce(call, patience, admitted, key, () =>
           JSON.stringify({ cancelledAtMs: Math.round(time.wallMs()) }),
         );
     log('info', 'jobCancelled', { request: call.requestId, job: admitted.jobId, outcome });
   };
 
   const state: JobDesk['state'] = async (call, admitted) => {
-    const progress = await read(call, endOf(call), () =>
+    const patience = patienceOf(call);
+    const progress = await read(call, patience, () =>
       options.store.get(poolKeys.progressKey(admitted.jobId)),
     );
     if (progress !== undefined) return progressRecord.decodeProgress(progress.value).state;
-    const records = await findRecords(call, admitted);
+    const records = await findRecords(call, patience, admitted);
     if (!records.has(poolKeys.JobPart.spec)) throw gone();
     return records.has(poolKeys.JobPart.cancel)
       ? poolJob.PoolJobState.cancelled
