Read files and standard input by stream, and leave what is piped to the command

Cause: the commands read with one synchronous call, and a pipe that oclif has looked at no longer waits: it answers EAGAIN where its writer is slower than our start. oclif reads standard input for a word that is left out, so without FILE the log itself was the file's name, and was quoted whole. A last line that was cut within a value read like a whole one.

FILE may be left out of every command that reads one; on a terminal that ends with status 2 in one line. What can't be read is named with its reason.

The reader of whole texts gave way to one that takes lines; its test asserts the same.

--- a/src/cli/commandDefinition.ts
+++ b/src/cli/commandDefinition.ts
@@ -4,6 +4,7 @@
  */
 import type * as oclif from '@oclif/core';
 
+import type * as inputStream from './inputStream.js';
 import type * as operatorClient from './operatorClient.js';
 
 /** What a command is given. */
@@ -12,8 +13,10 @@
   /** Words after the command's name. */
   readonly args: readonly string[];
   readonly flags: Readonly<Record<string, unknown>>;
-  /** Reads a file, or standard input for `-`. */
-  readonly readText: (file: string) => string;
+  /** Reads a whole document from a file, or from standard input for `-`. */
+  readonly readText: (file: string) => Promise<string>;
+  /** Reads a file, or standard input for `-`, line by line. */
+  readonly eachLine: typeof inputStream.eachLine;
   readonly writeText: (file: string, text: string) => void;
   readonly newId: () => string;
   /** Wall time. */
@@ -49,6 +52,16 @@
   readonly run: (input: CommandInput) => Promise<CommandResult>;
 }
 
+/** The last word of a command that reads a file; without it, what is piped in. */
+export const FILE_WORD = 'file?';
+
+/**
+ * @param input - what a command is given
+ * @param index - place of its file among the words
+ * @returns the file, `-` for standard input
+ */
+export const fileWord = (input: CommandInput, index: number): string => input.args[index] ?? '-';
+
 /**
  * @param input - what a command is given
  * @param name - a flag with text
--- a/src/cli/commandShell.ts
+++ b/src/cli/commandShell.ts
@@ -12,12 +12,14 @@
 import * as systemClock from '../base/node/systemClock.js';
 import * as httpClient from '../transport/node/httpClient.js';
 
-import type * as commandDefinition from './commandDefinition.js';
+import * as commandDefinition from './commandDefinition.js';
+import * as inputStream from './inputStream.js';
 import * as operatorClient from './operatorClient.js';
 
 const TIMEOUT_MS = 15_000;
 const MAX_REPLY_BYTES = 268_435_456;
-const STDIN = 0;
+/** As oclif ends with where the command line is wrong. */
+const WRONG_USE_STATUS = 2;
 
 const JSON_FLAG = { json: oclif.Flags.boolean({ summary: 'Print JSON for programs.' }) };
 
@@ -60,14 +62,6 @@
     timeoutMs: TIMEOUT_MS,
   });
 
-const readText = (file: string): string => {
-  try {
-    return fs.readFileSync(file === '-' ? STDIN : file, 'utf8');
-  } catch (thrown) {
-    throw errors.fail('notFound', `${file}: ${errors.normalize(thrown).message}`);
-  }
-};
-
 const argsOf = (
   definition: commandDefinition.CommandDefinition,
 ): Record<string, oclif.Interfaces.Arg<string | undefined>> =>
@@ -75,10 +69,23 @@
     definition.words.map((word) => {
       const isOptional = word.endsWith('?');
       const name = isOptional ? word.slice(0, -1) : word;
-      return [name, oclif.Args.string({ required: !isOptional })];
+      // Standard input is a command's to read: oclif would take what is piped for the word.
+      return [name, oclif.Args.string({ required: !isOptional, ignoreStdin: true })];
     }),
   );
 
+/** A terminal gives no lines by itself: whoever left the file out would wait without a word. */
+const refuseTerminal = (
+  { words }: commandDefinition.CommandDefinition,
+  args: readonly string[],
+): void => {
+  const isLeftOut = words.at(-1) === commandDefinition.FILE_WORD && args.length < words.length;
+  if (!isLeftOut || !process.stdin.isTTY) return;
+  throw new oclif.Errors.CLIError('FILE is missing: give one, or pipe into the command', {
+    exit: WRONG_USE_STATUS,
+  });
+};
+
 /** The client of a command that asks nobody. */
 const refuseCall = (): never => {
   throw errors.fail('internal', 'this command has no connection to an entry');
@@ -134,6 +141,7 @@
       const parsed = await this.parse(DefinedCommand);
       const flags = parsed.flags as Readonly<Record<string, unknown>>;
       const isJson = flags.json === true;
+      refuseTerminal(definition, parsed.argv as readonly string[]);
       const connections = httpClient.createHttpClient({
         clock: systemClock.systemClock,
         maxConnections: 4,
@@ -164,7 +172,8 @@
           client,
           args,
           flags,
-          readText,
+          readText: inputStream.readDocument,
+          eachLine: inputStream.eachLine,
           writeText: (file, text) => fs.writeFileSync(file, text),
           newId: () => crypto.randomUUID(),
           nowMs: Date.now(),
--- a/src/cli/configCommands.ts
+++ b/src/cli/configCommands.ts
@@ -10,6 +10,7 @@
 
 import * as commandDefinition from './commandDefinition.js';
 import * as documentEdits from './documentEdits.js';
+import * as inputStream from './inputStream.js';
 import * as textTable from './textTable.js';
 
 type Input = commandDefinition.CommandInput;
@@ -35,17 +36,18 @@
   throw errors.fail('notFound', 'no configuration is in force yet', { field: 'config' });
 };
 
-const parseDocument = (input: Input, file: string): configuration.ConfigurationDocument => {
+const parseDocument = async (input: Input): Promise<configuration.ConfigurationDocument> => {
+  const file = commandDefinition.fileWord(input, 0);
+  const name = inputStream.nameOf(file);
   const problems: jsonc.ParseError[] = [];
-  const parsed = jsonc.parse(input.readText(file), problems, {
-    allowTrailingComma: true,
-  }) as unknown;
+  const text = await input.readText(file);
+  const parsed = jsonc.parse(text, problems, { allowTrailingComma: true }) as unknown;
   const [problem] = problems;
   if (problem !== undefined) {
     const what = jsonc.printParseErrorCode(problem.error);
-    throw errors.fail('invalidRequest', `${file}: not JSON with comments: ${what}`);
+    throw errors.fail('invalidRequest', `${name}: not JSON with comments: ${what}`);
   }
-  return schemaIssues.decodeOrFail(configuration.ConfigurationDocument, parsed, file);
+  return schemaIssues.decodeOrFail(configuration.ConfigurationDocument, parsed, name);
 };
 
 const differenceLines = (list: readonly documentEdits.Difference[]): readonly string[] =>
@@ -149,9 +151,9 @@
 const check: commandDefinition.CommandDefinition = {
   summary: 'Validate a document and show its effects without writing it.',
   examples: ['config check configuration.jsonc'],
-  words: ['file'],
+  words: [commandDefinition.FILE_WORD],
   run: async (input) => {
-    const document = parseDocument(input, input.args[0] ?? '-');
+    const document = await parseDocument(input);
     const base = await current(input);
     const flags = { ...input.flags, 'dry-run': true, reason: 'check' };
     return write({ ...input, flags }, base, document);
@@ -161,9 +163,9 @@
 const diff: commandDefinition.CommandDefinition = {
   summary: 'Show what differs between a document and the configuration in force.',
   examples: ['config diff configuration.jsonc'],
-  words: ['file'],
+  words: [commandDefinition.FILE_WORD],
   run: async (input) => {
-    const document = parseDocument(input, input.args[0] ?? '-');
+    const document = await parseDocument(input);
     const changes = documentEdits.differences((await current(input)).document, document);
     return { value: changes, lines: differenceLines(changes) };
   },
@@ -175,13 +177,13 @@
     'Without --base-version the document replaces whatever is in force now. With it, a version ' +
     'that somebody else wrote meanwhile is a conflict (exit code 14) and nothing is written.',
   examples: ['config apply configuration.jsonc --base-version 12 --reason "more room for plans"'],
-  words: ['file'],
+  words: [commandDefinition.FILE_WORD],
   flags: {
     ...WRITE_FLAGS,
     'base-version': oclif.Flags.integer({ summary: 'Version that you changed.', min: 0 }),
   },
   run: async (input) => {
-    const document = parseDocument(input, input.args[0] ?? '-');
+    const document = await parseDocument(input);
     return write(input, await baseOf(input), document);
   },
 };
--- a/src/cli/jobCommands.ts
+++ b/src/cli/jobCommands.ts
@@ -83,10 +83,11 @@
 
 const submit: commandDefinition.CommandDefinition = {
   summary: 'Submit a job; the same job id again changes nothing.',
-  examples: ['job submit plan.jsonc', 'job submit - < plan.json'],
-  words: ['file'],
+  examples: ['job submit plan.jsonc', 'job submit < plan.json'],
+  words: [commandDefinition.FILE_WORD],
   run: async (input) => {
-    const parsed = jsonc.parse(input.readText(input.args[0] ?? '-')) as unknown;
+    const text = await input.readText(commandDefinition.fileWord(input, 0));
+    const parsed = jsonc.parse(text) as unknown;
     const spec = schemaIssues.decodeOrFail(job.JobSpec, parsed, 'job');
     const value = (await input.client.send('POST', '/api/jobs', spec)) as {
       readonly job: job.JobRecord;
--- a/src/cli/logCommands.ts
+++ b/src/cli/logCommands.ts
@@ -5,7 +5,8 @@
 
 import * as errors from '../base/common/errors.js';
 
-import type * as commandDefinition from './commandDefinition.js';
+import * as commandDefinition from './commandDefinition.js';
+import * as inputStream from './inputStream.js';
 import * as jobHistory from './logs/jobHistory.js';
 import * as lossReport from './logs/lossReport.js';
 import * as logLines from './logs/logLines.js';
@@ -17,10 +18,13 @@
   readonly skipped: logLines.CollectedLogs['skipped'];
 }
 
-const collect = (input: commandDefinition.CommandInput, file: string): Collected => {
-  const logs = logLines.readLogs(input.readText(file));
+const collect = async (input: commandDefinition.CommandInput, file: string): Promise<Collected> => {
+  const reader = logLines.createLogReader();
+  await input.eachLine(file, logLines.MAX_LINE_CHARACTERS, reader.take);
+  const logs = reader.logs();
   if (logs.events.length === 0) {
-    throw errors.fail('invalidRequest', `${file}: no line of a process's log`, { field: 'file' });
+    const message = `${inputStream.nameOf(file)}: no line of a process's log`;
+    throw errors.fail('invalidRequest', message, { field: 'file' });
   }
   return { histories: jobHistory.collectHistories(logs), skipped: logs.skipped };
 };
@@ -39,14 +43,15 @@
 const TRACE: commandDefinition.CommandDefinition = {
   summary: "Tell one job's life from the collected logs, with the cause of each wait.",
   description:
-    'FILE holds the lines of all processes in any order; - is standard input. Times count from the ' +
+    'FILE holds the lines of all processes in any order; without it, or for -, they come from ' +
+    'standard input. Times count from the ' +
     "job's acceptance, by the clocks of the machines that wrote the lines.",
-  examples: ['trace 5c0e7a21d94b36f8 all.log', 'trace 5c0e7a21d94b36f8 - --json'],
-  words: ['job', 'file'],
+  examples: ['trace 5c0e7a21d94b36f8 all.log', 'trace 5c0e7a21d94b36f8 --json'],
+  words: ['job', commandDefinition.FILE_WORD],
   isOffline: true,
-  run: (input) => {
-    const [jobId = '', file = '-'] = input.args;
-    const { histories, skipped } = collect(input, file);
+  run: async (input) => {
+    const [jobId = ''] = input.args;
+    const { histories, skipped } = await collect(input, commandDefinition.fileWord(input, 1));
     const job = histories.jobs.get(jobId);
     if (job === undefined) throw errors.fail('notFound', `no line names the job ${jobId}`);
     const segments = timeSplit.splitTime(job, histories);
@@ -58,7 +63,7 @@
       it.cause,
       it.detail,
     ]);
-    return Promise.resolve({
+    return {
       value: { job: jobId, end: job.end, segments, skipped },
       lines: [
         ...textTable.formatTable({ columns: ['after s', 'where', 'what'], rows }),
@@ -66,7 +71,7 @@
         ...textTable.formatTable({ columns: ['from s', 'ms', 'cause', 'detail'], rows: spans }),
         skippedLine(skipped),
       ],
-    });
+    };
   },
 };
 
@@ -109,21 +114,22 @@
 const LOSSES: commandDefinition.CommandDefinition = {
   summary: 'List the jobs that were late or lost, with their time split by cause.',
   description:
-    'FILE holds the lines of all processes in any order; - is standard input. Times by cause are in ' +
+    'FILE holds the lines of all processes in any order; without it, or for -, they come from ' +
+    'standard input. Times by cause are in ' +
     'milliseconds along the chain of runs that decided the end of the job. Sums count late and lost ' +
     'jobs only. Cancelled jobs are left out.',
-  examples: ['losses all.log', 'losses - --all', 'losses all.log --json'],
-  words: ['file'],
+  examples: ['losses all.log', 'losses --all', 'losses all.log --json'],
+  words: [commandDefinition.FILE_WORD],
   isOffline: true,
   flags: { all: oclif.Flags.boolean({ summary: 'List the jobs that were in time as well.' }) },
-  run: (input) => {
-    const { histories, skipped } = collect(input, input.args[0] ?? '-');
+  run: async (input) => {
+    const { histories, skipped } = await collect(input, commandDefinition.fileWord(input, 0));
     const jobs = lossReport.judgeJobs(histories);
     const listed = jobs.filter((it) => input.flags.all === true || it.isLoss);
     const sums = lossReport.sumLosses(jobs);
     const thrownAway = lossReport.sumThrownAway(histories);
     const leaderlessMs = histories.leaderless.reduce((sum, it) => sum + it.untilMs - it.fromMs, 0);
-    return Promise.resolve({
+    return {
       value: { jobs: listed, sums, thrownAway, leaderlessMs, skipped },
       lines: [
         ...textTable.formatTable(lossTable(listed)),
@@ -134,7 +140,7 @@
         `nobody led for ${seconds(leaderlessMs)} s`,
         skippedLine(skipped),
       ],
-    });
+    };
   },
 };
 
--- a/src/cli/logs/logLines.ts
+++ b/src/cli/logs/logLines.ts
@@ -34,7 +34,7 @@
 export type SkipReason = (typeof SkipReason)[keyof typeof SkipReason];
 
 /** Above every line that the processes write. */
-const MAX_LINE_CHARACTERS = 16_384;
+export const MAX_LINE_CHARACTERS = 16_384;
 
 /** Every line of ours begins with its time and its event. */
 const BEGINNING = /(?:^|\s)(at=\S+ event=)/;
@@ -66,37 +66,45 @@
 
 /**
  * @param line - one line of a log
+ * @param isWhole - whether its end was read: the last value of a line that was cut reads like a whole one
  * @returns its event, or why it is passed over
  */
-export const parseLine = (line: string): LogEvent | SkipReason => {
+export const parseLine = (line: string, isWhole = true): LogEvent | SkipReason => {
   if (line.length > MAX_LINE_CHARACTERS) return SkipReason.tooLong;
   const beginning = BEGINNING.exec(line);
   if (beginning?.[1] === undefined) return SkipReason.foreign;
+  if (!isWhole) return SkipReason.cut;
   const start = beginning.index + beginning[0].length - beginning[1].length;
   const fields = parsePairs(line.slice(start).trimEnd());
   const atMs = Date.parse(fields?.get('at') ?? '');
   const event = fields?.get('event');
   const role = fields?.get('role');
   const node = fields?.get('node');
-  const isWhole = event !== undefined && role !== undefined && node !== undefined;
-  if (fields === undefined || Number.isNaN(atMs) || !isWhole) return SkipReason.cut;
+  const isComplete = event !== undefined && role !== undefined && node !== undefined;
+  if (fields === undefined || Number.isNaN(atMs) || !isComplete) return SkipReason.cut;
   return { atMs, event, role, node, fields };
 };
 
+/** Takes the lines of collected logs, of any number of processes in any order. */
+export interface LogReader {
+  readonly take: (line: string, isWhole?: boolean) => void;
+  /** Events in the order of time. */
+  readonly logs: () => CollectedLogs;
+}
+
 /**
- * @param text - collected logs of any number of processes
- * @returns their events in the order of time
+ * @returns a reader that has taken nothing yet
  */
-export const readLogs = (text: string): CollectedLogs => {
+export const createLogReader = (): LogReader => {
   const events: LogEvent[] = [];
   const skipped = { foreign: 0, cut: 0, tooLong: 0 };
-  for (const line of text.split('\n')) {
-    if (line.trim() !== '') {
-      const parsed = parseLine(line);
+  return {
+    take: (line, isWhole) => {
+      if (line.trim() === '') return;
+      const parsed = parseLine(line, isWhole);
       if (typeof parsed === 'string') skipped[parsed] += 1;
       else events.push(parsed);
-    }
-  }
-  events.sort((a, b) => a.atMs - b.atMs);
-  return { events, skipped };
+    },
+    logs: () => ({ events: events.sort((a, b) => a.atMs - b.atMs), skipped }),
+  };
 };
--- a/src/cli/logs/test/timeSplit.test.ts
+++ b/src/cli/logs/test/timeSplit.test.ts
@@ -28,8 +28,11 @@
   `at=${new Date(START_MS + atMs).toISOString()} event=${event} ` +
   `role=${ROLES[event] ?? 'scheduler'} node=${node} level=info ${text}`;
 
-const historiesOf = (lines: readonly Line[]): jobHistory.Histories =>
-  jobHistory.collectHistories(logLines.readLogs(lines.map(format).join('\n')));
+const historiesOf = (lines: readonly Line[]): jobHistory.Histories => {
+  const reader = logLines.createLogReader();
+  lines.map(format).forEach((it) => reader.take(it));
+  return jobHistory.collectHistories(reader.logs());
+};
 
 const at = (atMs: number, event: string, text = '', node = 'edge-1'): Line => ({
   atMs,
