Wait for a slow reader of what was printed, and end with one that closes

Change: the program waits until both its outputs are written before it ends, and ends with status 0 when the reader of its output closes.

--- a/src/bin/auburnlift.ts
+++ b/src/bin/auburnlift.ts
@@ -2,6 +2,6 @@
 /**
  * The command-line client.
  */
-import * as oclif from '@oclif/core';
+import * as program from '../cli/program.js';
 
-await oclif.execute({ dir: import.meta.url });
+await program.runProgram(import.meta.url);
--- a/src/cli/test/pipes.test.ts
+++ b/src/cli/test/pipes.test.ts
@@ -3,10 +3,13 @@
  */
 import * as assert from 'node:assert/strict';
 import * as fs from 'node:fs';
+import * as http from 'node:http';
+import type * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as test from 'node:test';
 
+import * as cliFixtures from './cliFixtures.js';
 import * as programRun from './programRun.js';
 
 const FOLDER = fs.mkdtempSync(path.join(os.tmpdir(), 'auburnlift-pipes-'));
@@ -33,13 +36,36 @@
   ),
 ].join('');
 
+const VARIABLES = { LOG, LONG, MISSING, LOCKED, FOLDER };
+
+/** An entry that has one cell and a configuration of 300 kB. */
+const entry = http.createServer((request, response) => {
+  const isCells = request.url === '/api/cells';
+  const record = { document: 'Z'.repeat(300_000) };
+  response.end(JSON.stringify(isCells ? cliFixtures.CELLS : { record }));
+});
+
+/** How the entry is reached. */
+let access = '';
+
 test.before(() => {
   fs.writeFileSync(LOG, LINES);
   fs.writeFileSync(LONG, LINES + line(5, 'waits', 'scheduler', 'job=j group=j.1.0.0').repeat(9999));
   fs.writeFileSync(LOCKED, LINES, { mode: 0 });
+  return new Promise<void>((resolve) => {
+    entry.listen(0, '127.0.0.1', () => {
+      const { port } = entry.address() as net.AddressInfo;
+      access = `--url http://127.0.0.1:${port} --token t`;
+      resolve();
+    });
+  });
 });
 
-test.after(() => fs.rmSync(FOLDER, { recursive: true }));
+test.after(() => {
+  entry.close();
+  entry.closeAllConnections();
+  fs.rmSync(FOLDER, { recursive: true });
+});
 
 const IS_ROOT = process.getuid?.() === 0;
 
@@ -211,8 +237,40 @@
   },
 ];
 
+const WRITING: readonly Case[] = [
+  {
+    name: 'a reader that is slow',
+    story: 'what the pipe does not hold at the end of the program is lost',
+    line: '$RUN trace j "$LONG" | (sleep 2; wc -l)',
+    out: [/^10011\n$/],
+  },
+  {
+    name: 'a slow reader of JSON',
+    story: 'half a document is no document',
+    line: '$RUN config get --json $ACCESS | (sleep 2; wc -c)',
+    out: [/^3000\d\d\n$/],
+  },
+  {
+    name: 'a reader that closes',
+    story: 'a stack trace of EPIPE, or a status that fails a script',
+    line: '$RUN trace j "$LONG" | head -1',
+    out: [/^AFTER S +WHERE +WHAT\n$/],
+  },
+  {
+    name: 'a reader that is gone before the first line',
+    story: 'a stack trace of EPIPE, or a status that fails a script',
+    line: '$RUN losses "$LONG" | true',
+  },
+  {
+    name: 'a reader that closes while a command repeats',
+    story: 'the command goes on asking the entry for nobody',
+    line: 'timeout 60 $RUN cells --watch 1 $ACCESS | head -1',
+    out: [/^CELL +REGION/],
+  },
+];
+
 const check = async ({ line: text, status = 0, out = [], error = /^$/ }: Case): Promise<void> => {
-  const run = await programRun.runShell(text, { LOG, LONG, MISSING, LOCKED, FOLDER });
+  const run = await programRun.runShell(text, { ...VARIABLES, ACCESS: access });
   assert.match(run.error, error);
   out.forEach((it) => assert.match(run.out, it));
   assert.equal(run.status, status);
@@ -223,3 +281,7 @@
     test.it(`${it.name}: ${it.story}`, { skip: it.skip ?? false }, () => check(it));
   }
 });
+
+test.describe('what the client writes', { concurrency: 4 }, () => {
+  for (const it of WRITING) test.it(`${it.name}: ${it.story}`, () => check(it));
+});
