Fold logs of any size in bounded memory

Cause: trace and losses held every line of every job as an object, some twenty times its text, until the answer: 80 MB of log end a heap of 64 MB ("FATAL ERROR: Ineffective mark-compacts near heap limit"), and a list of some 120,000 jobs would have been spread over the arguments of one call.

Change: lines fold as they come.

JSON has two keys more, unlisted and skipped.beyond. What the tests of the log reader and the loss report assert is unchanged; they ask the new functions.

--- a/src/cli/logCommands.ts
+++ b/src/cli/logCommands.ts
@@ -9,28 +9,29 @@
 import * as inputStream from './inputStream.js';
 import * as jobHistory from './logs/jobHistory.js';
 import * as lossReport from './logs/lossReport.js';
+import * as logCollector from './logs/logCollector.js';
 import * as logLines from './logs/logLines.js';
 import * as timeSplit from './logs/timeSplit.js';
 import * as textTable from './textTable.js';
 
-interface Collected {
-  readonly histories: jobHistory.Histories;
-  readonly skipped: logLines.CollectedLogs['skipped'];
-}
-
-const collect = async (input: commandDefinition.CommandInput, file: string): Promise<Collected> => {
-  const reader = logLines.createLogReader();
-  await input.eachLine(file, logLines.MAX_LINE_CHARACTERS, reader.take);
-  const logs = reader.logs();
-  if (logs.events.length === 0) {
-    const message = `${inputStream.nameOf(file)}: no line of a process's log`;
-    throw errors.fail('invalidRequest', message, { field: 'file' });
-  }
-  return { histories: jobHistory.collectHistories(logs), skipped: logs.skipped };
+const collect = async (
+  input: commandDefinition.CommandInput,
+  file: string,
+  question: logCollector.Question,
+): Promise<logCollector.Collected> => {
+  const collector = logCollector.createLogCollector(question);
+  await input.eachLine(file, logLines.MAX_LINE_CHARACTERS, collector.take);
+  const collected = collector.collected();
+  if (collected !== undefined) return collected;
+  const message = `${inputStream.nameOf(file)}: no line of a process's log`;
+  throw errors.fail('invalidRequest', message, { field: 'file' });
 };
 
-const skippedLine = ({ foreign, cut, tooLong }: Collected['skipped']): string =>
-  `passed over: ${foreign} lines of other programs, ${cut} cut, ${tooLong} too long`;
+const skippedLine = ({ foreign, cut, tooLong, beyond }: logCollector.Skipped): string => {
+  const line = `passed over: ${foreign} lines of other programs, ${cut} cut, ${tooLong} too long`;
+  if (beyond === 0) return line;
+  return `${line}, ${beyond} beyond what is kept of one job`;
+};
 
 const seconds = (ms: number): string => (ms / 1000).toFixed(3);
 
@@ -40,6 +41,24 @@
   return [event, ...pairs.map(([name, value]) => `${name}=${value}`)].join(' ');
 };
 
+/** A line of a trace. */
+interface Told {
+  readonly atMs: number;
+  readonly node: string;
+  readonly text: string;
+}
+
+/** Passes events on, and keeps of each what a trace shows. */
+const telling = function* telling(
+  events: Iterable<logLines.LogEvent>,
+  told: Told[],
+): Generator<logLines.LogEvent> {
+  for (const event of events) {
+    told.push({ atMs: event.atMs, node: event.node, text: eventText(event) });
+    yield event;
+  }
+};
+
 const TRACE: commandDefinition.CommandDefinition = {
   summary: "Tell one job's life from the collected logs, with the cause of each wait.",
   description:
@@ -51,18 +70,24 @@
   isOffline: true,
   run: async (input) => {
     const [jobId = ''] = input.args;
-    const { histories, skipped } = await collect(input, commandDefinition.fileWord(input, 1));
-    const job = histories.jobs.get(jobId);
+    const needs: logCollector.Question['needs'] = (_, its) => its === jobId;
+    const collected = await collect(input, commandDefinition.fileWord(input, 1), { needs });
+    const { surroundings } = collected;
+    const told: Told[] = [];
+    const [job] = [...collected.jobs()].map((it) =>
+      jobHistory.foldHistory(jobId, telling(it.events, told), surroundings),
+    );
     if (job === undefined) throw errors.fail('notFound', `no line names the job ${jobId}`);
-    const segments = timeSplit.splitTime(job, histories);
-    const zeroMs = job.acceptedAtMs ?? job.events[0]?.atMs ?? 0;
-    const rows = job.events.map((it) => [seconds(it.atMs - zeroMs), it.node, eventText(it)]);
+    const segments = timeSplit.splitTime(job, surroundings);
+    const zeroMs = job.acceptedAtMs ?? job.firstAtMs;
+    const rows = told.map((it) => [seconds(it.atMs - zeroMs), it.node, it.text]);
     const spans = segments.map((it) => [
       seconds(it.fromMs - zeroMs),
       Math.round(it.untilMs - it.fromMs),
       it.cause,
       it.detail,
     ]);
+    const skipped = collected.skipped();
     return {
       value: { job: jobId, end: job.end, segments, skipped },
       lines: [
@@ -75,6 +100,9 @@
   },
 };
 
+/** The jobs of two months; a list that nobody reads to its end takes no memory. */
+const MAX_LISTED = 50_000;
+
 const CAUSES = Object.values(timeSplit.Cause);
 
 const cellsOf = (byCause: lossReport.ByCause): textTable.Cell[] =>
@@ -123,20 +151,29 @@
   isOffline: true,
   flags: { all: oclif.Flags.boolean({ summary: 'List the jobs that were in time as well.' }) },
   run: async (input) => {
-    const { histories, skipped } = await collect(input, commandDefinition.fileWord(input, 0));
-    const jobs = lossReport.judgeJobs(histories);
-    const listed = jobs.filter((it) => input.flags.all === true || it.isLoss);
-    const sums = lossReport.sumLosses(jobs);
-    const thrownAway = lossReport.sumThrownAway(histories);
-    const leaderlessMs = histories.leaderless.reduce((sum, it) => sum + it.untilMs - it.fromMs, 0);
+    const collected = await collect(input, commandDefinition.fileWord(input, 0), {
+      needs: jobHistory.isNoted,
+      fields: jobHistory.NOTED_FIELDS,
+    });
+    const { surroundings } = collected;
+    const isListed = (it: lossReport.Loss): boolean => input.flags.all === true || it.isLoss;
+    const builder = lossReport.createReportBuilder(surroundings, isListed, MAX_LISTED);
+    for (const { jobId, events } of collected.jobs()) {
+      builder.add(jobHistory.foldHistory(jobId, events, surroundings));
+    }
+    const report = builder.report();
+    const skipped = collected.skipped();
+    const { leaderless } = surroundings;
+    const leaderlessMs = leaderless.reduce((sum, it) => sum + it.untilMs - it.fromMs, 0);
     return {
-      value: { jobs: listed, sums, thrownAway, leaderlessMs, skipped },
+      value: { ...report, leaderlessMs, skipped },
       lines: [
-        ...textTable.formatTable(lossTable(listed)),
+        ...textTable.formatTable(lossTable(report.jobs)),
+        ...(report.unlisted === 0 ? [] : [`and ${report.unlisted} jobs more, in the sums only`]),
         '',
-        ...textTable.formatTable(sumTable(sums)),
+        ...textTable.formatTable(sumTable(report.sums)),
         '',
-        ...textTable.formatTable(thrownAwayTable(thrownAway)),
+        ...textTable.formatTable(thrownAwayTable(report.thrownAway)),
         `nobody led for ${seconds(leaderlessMs)} s`,
         skippedLine(skipped),
       ],
--- a/src/cli/logs/jobHistory.ts
+++ b/src/cli/logs/jobHistory.ts
@@ -2,6 +2,7 @@
  * What the logs say of each job's life: when it was accepted and learnt, each run of its groups, each
  * reason to wait, its end. A group is what starts and ends together: a gang, or one task.
  */
+import type * as leaderTerms from './leaderTerms.js';
 import type * as logLines from './logLines.js';
 
 /** A reason why a group was not started, from the moment at which it was told. */
@@ -58,21 +59,12 @@
   cancelledAtMs: number | undefined;
   readonly groups: Map<string, GroupHistory>;
   end: JobEnd | undefined;
-  /** Every line that names it. */
-  readonly events: logLines.LogEvent[];
+  /** Time of the first line that names it. */
+  readonly firstAtMs: number;
 }
 
-/** A span of time. */
-export interface Span {
-  readonly fromMs: number;
-  readonly untilMs: number;
-}
-
-/** What the logs tell. */
-export interface Histories {
-  readonly jobs: ReadonlyMap<string, JobHistory>;
-  /** Times at which nobody led. */
-  readonly leaderless: readonly Span[];
+/** What the logs tell besides a job's life. */
+export interface Surroundings extends leaderTerms.Terms {
   /** Time of the last line. */
   readonly lastAtMs: number;
 }
@@ -85,14 +77,18 @@
 const numberOf = (event: logLines.LogEvent, name: string): number =>
   Number(event.fields.get(name) ?? Number.NaN);
 
-/** The job that a line names, by itself or by the name of a task or a group. */
-const jobIdOf = (event: logLines.LogEvent): string | undefined => {
+/**
+ * @param event - one event
+ * @returns the job that it names, by itself or by the name of a task or a group
+ */
+export const jobIdOf = (event: logLines.LogEvent): string | undefined => {
   const { fields } = event;
   const named = fields.get('job') ?? fields.get('task') ?? fields.get('group');
-  return named === undefined ? undefined : nameParts(named)[0];
+  const jobId = named === undefined ? undefined : nameParts(named)[0];
+  return jobId === '' ? undefined : jobId;
 };
 
-const createHistory = (jobId: string): JobHistory => ({
+const createHistory = (jobId: string, firstAtMs: number): JobHistory => ({
   jobId,
   queue: '',
   customer: '',
@@ -101,7 +97,7 @@
   cancelledAtMs: undefined,
   groups: new Map(),
   end: undefined,
-  events: [],
+  firstAtMs,
 });
 
 const groupOf = (job: JobHistory, group: string): GroupHistory => {
@@ -193,56 +189,49 @@
   jobEnded: noteEnd,
 };
 
-/** Follows who leads: a term ends with its own word, or with its process's last line before the next. */
-const createTerms = () => {
-  const leaderless: Span[] = [];
-  let leader = '';
-  let lastLineAtMs = 0;
-  let hasEnded = true;
-  let vacantFromMs: number | undefined;
-  return {
-    leaderless,
-    /** One that leads no more, and has not heard of it, goes on telling what it believes. */
-    isOutdated: ({ role, node }: logLines.LogEvent): boolean =>
-      role === 'scheduler' && leader !== '' && node !== leader,
-    note: ({ atMs, event, role, node }: logLines.LogEvent): void => {
-      if (role !== 'scheduler') return;
-      if (event === 'loaded') {
-        const fromMs = vacantFromMs ?? (hasEnded ? undefined : lastLineAtMs);
-        if (fromMs !== undefined && atMs > fromMs) leaderless.push({ fromMs, untilMs: atMs });
-        leader = node;
-        hasEnded = false;
-        vacantFromMs = undefined;
-        lastLineAtMs = atMs;
-        return;
-      }
-      if (node !== leader || hasEnded) return;
-      const isNewLife = event === 'started';
-      if (isNewLife || event === 'leadershipLost' || event === 'stopping') {
-        hasEnded = true;
-        vacantFromMs = isNewLife ? lastLineAtMs : atMs;
-      }
-      lastLineAtMs = atMs;
-    },
-  };
-};
+/**
+ * @param event - one event
+ * @returns whether a history takes note of it
+ */
+export const isNoted = ({ event }: logLines.LogEvent): boolean => Object.hasOwn(NOTES, event);
+
+/** The fields that a history reads. */
+export const NOTED_FIELDS: ReadonlySet<string> = new Set([
+  'job',
+  'task',
+  'group',
+  'run',
+  'away',
+  'queue',
+  'customer',
+  'reason',
+  'outcome',
+  'cause',
+  'how',
+  'checkpointing',
+  'heldMs',
+  'cores',
+  'state',
+  'timeliness',
+  'durationMs',
+  'objectiveMs',
+]);
 
 /**
- * @param logs - collected logs
- * @returns the jobs' lives and when nobody led
+ * @param jobId - a job
+ * @param events - events that name it, in the order of time
+ * @param terms - who led when
+ * @returns its life
  */
-export const collectHistories = ({ events }: logLines.CollectedLogs): Histories => {
-  const jobs = new Map<string, JobHistory>();
-  const terms = createTerms();
+export const foldHistory = (
+  jobId: string,
+  events: Iterable<logLines.LogEvent>,
+  { isOutdated }: leaderTerms.Terms,
+): JobHistory => {
+  let job: JobHistory | undefined;
   for (const event of events) {
-    terms.note(event);
-    const jobId = jobIdOf(event);
-    if (jobId !== undefined && jobId !== '') {
-      const job = jobs.get(jobId) ?? createHistory(jobId);
-      jobs.set(jobId, job);
-      job.events.push(event);
-      if (!terms.isOutdated(event)) NOTES[event.event]?.(job, event);
-    }
+    job ??= createHistory(jobId, event.atMs);
+    if (isNoted(event) && !isOutdated(event)) NOTES[event.event]?.(job, event);
   }
-  return { jobs, leaderless: terms.leaderless, lastAtMs: events.at(-1)?.atMs ?? 0 };
+  return job ?? createHistory(jobId, 0);
 };
--- a/src/cli/logs/logLines.ts
+++ b/src/cli/logs/logLines.ts
@@ -13,14 +13,6 @@
   readonly fields: ReadonlyMap<string, string>;
 }
 
-/** What was read. */
-export interface CollectedLogs {
-  /** In the order of their times. */
-  readonly events: readonly LogEvent[];
-  /** Lines that were passed over, by reason. */
-  readonly skipped: Readonly<Record<SkipReason, number>>;
-}
-
 /** Why a line is passed over. */
 export const SkipReason = {
   /** Another program's. */
@@ -28,6 +20,8 @@
   /** One of ours that ends in the middle. */
   cut: 'cut',
   tooLong: 'tooLong',
+  /** Beyond what is kept of one job. */
+  beyond: 'beyond',
 } as const;
 
 /** One of the values of {@link SkipReason}. */
@@ -84,27 +78,3 @@
   if (fields === undefined || Number.isNaN(atMs) || !isComplete) return SkipReason.cut;
   return { atMs, event, role, node, fields };
 };
-
-/** Takes the lines of collected logs, of any number of processes in any order. */
-export interface LogReader {
-  readonly take: (line: string, isWhole?: boolean) => void;
-  /** Events in the order of time. */
-  readonly logs: () => CollectedLogs;
-}
-
-/**
- * @returns a reader that has taken nothing yet
- */
-export const createLogReader = (): LogReader => {
-  const events: LogEvent[] = [];
-  const skipped = { foreign: 0, cut: 0, tooLong: 0 };
-  return {
-    take: (line, isWhole) => {
-      if (line.trim() === '') return;
-      const parsed = parseLine(line, isWhole);
-      if (typeof parsed === 'string') skipped[parsed] += 1;
-      else events.push(parsed);
-    },
-    logs: () => ({ events: events.sort((a, b) => a.atMs - b.atMs), skipped }),
-  };
-};
--- a/src/cli/logs/lossReport.ts
+++ b/src/cli/logs/lossReport.ts
@@ -2,6 +2,7 @@
  * Which jobs were late or lost, and what their time went to, in sum by cause, kind and customer.
  */
 import type * as jobHistory from './jobHistory.js';
+import * as ownText from './ownText.js';
 import * as timeSplit from './timeSplit.js';
 
 /** Milliseconds by cause; a cause that took none is absent. */
@@ -38,16 +39,26 @@
   return end.state === 'complete' ? end.timeliness : end.state;
 };
 
-const judge = (job: jobHistory.JobHistory, histories: jobHistory.Histories): Loss => {
-  const segments = timeSplit.splitTime(job, histories);
+/**
+ * @param job - a job's life
+ * @param surroundings - what the logs tell besides
+ * @returns its judgement where it was accepted and not cancelled
+ */
+export const judge = (
+  job: jobHistory.JobHistory,
+  surroundings: jobHistory.Surroundings,
+): Loss | undefined => {
+  if (job.acceptedAtMs === undefined && job.end === undefined) return undefined;
+  if (job.cancelledAtMs !== undefined || job.end?.state === 'cancelled') return undefined;
+  const segments = timeSplit.splitTime(job, surroundings);
   const rounded = [...timeSplit.sumByCause(segments)].map(([cause, ms]) => [cause, Math.round(ms)]);
   const end = endOf(job);
   const tookMs = segments.reduce((sum, it) => sum + it.untilMs - it.fromMs, 0);
   return {
     jobId: job.jobId,
-    queue: job.queue,
-    customer: job.customer,
-    end,
+    queue: ownText.ownText(job.queue),
+    customer: ownText.ownText(job.customer),
+    end: ownText.ownText(end),
     isLoss: end !== 'inTime',
     tookMs: Math.round(job.end?.durationMs ?? tookMs),
     objectiveMs: job.end === undefined ? undefined : Math.round(job.end.objectiveMs),
@@ -55,59 +66,36 @@
   };
 };
 
-/**
- * @param histories - the jobs' lives
- * @returns each job that was accepted and not cancelled, in the order of acceptance
- */
-export const judgeJobs = (histories: jobHistory.Histories): Loss[] =>
-  [...histories.jobs.values()]
-    .filter((it) => it.acceptedAtMs !== undefined || it.end !== undefined)
-    .filter((it) => it.cancelledAtMs === undefined && it.end?.state !== 'cancelled')
-    .map((it) => judge(it, histories));
-
-const addCauses = (losses: readonly Loss[]): ByCause => {
-  const sums: Partial<Record<timeSplit.Cause, number>> = {};
-  for (const { byCause } of losses) {
-    for (const cause of Object.values(timeSplit.Cause)) {
-      const ms = byCause[cause] ?? 0;
-      if (ms > 0) sums[cause] = (sums[cause] ?? 0) + ms;
-    }
-  }
-  return sums;
-};
+/** A sum that grows. */
+interface OpenSum extends Sum {
+  jobs: number;
+  inTime: number;
+  late: number;
+  lost: number;
+  readonly byCause: Partial<Record<timeSplit.Cause, number>>;
+}
 
-const sumOf = (of: Sum['of'], name: string, jobs: readonly Loss[]): Sum => {
-  const late = jobs.filter((it) => it.end === 'late').length;
-  const losses = jobs.filter((it) => it.isLoss);
-  return {
-    of,
-    name,
-    jobs: jobs.length,
-    inTime: jobs.length - losses.length,
-    late,
-    lost: losses.length - late,
-    byCause: addCauses(losses),
-  };
-};
+const createSum = (of: Sum['of'], name: string): OpenSum => ({
+  of,
+  name,
+  jobs: 0,
+  inTime: 0,
+  late: 0,
+  lost: 0,
+  byCause: {},
+});
 
-const sumsBy = (of: 'queue' | 'customer', jobs: readonly Loss[]): Sum[] => {
-  const names = [...new Set(jobs.map((it) => it[of]))].sort();
-  return names.map((name) => {
-    const its = jobs.filter((it) => it[of] === name);
-    return sumOf(of, name, its);
-  });
+const addTo = (sum: OpenSum, { end, isLoss, byCause }: Loss): void => {
+  sum.jobs += 1;
+  if (!isLoss) sum.inTime += 1;
+  else if (end === 'late') sum.late += 1;
+  else sum.lost += 1;
+  for (const cause of Object.values(timeSplit.Cause)) {
+    const ms = byCause[cause] ?? 0;
+    if (isLoss && ms > 0) sum.byCause[cause] = (sum.byCause[cause] ?? 0) + ms;
+  }
 };
 
-/**
- * @param jobs - judged jobs
- * @returns their sums: all, by kind, by customer
- */
-export const sumLosses = (jobs: readonly Loss[]): Sum[] => [
-  sumOf('all', 'all', jobs),
-  ...sumsBy('queue', jobs),
-  ...sumsBy('customer', jobs),
-];
-
 /** Work that came to nothing, by what ended it. */
 export interface ThrownAway {
   /** The cause of the stop, or how the run ended. */
@@ -121,21 +109,102 @@
   // The beneficiary's name stands behind the cause.
   run.stop?.cause.split(' ')[0] ?? run.how ?? 'open';
 
-/**
- * @param histories - the jobs' lives
- * @returns what was thrown away, the dearest first
- */
-export const sumThrownAway = (histories: jobHistory.Histories): ThrownAway[] => {
-  const sums = new Map<string, ThrownAway>();
-  for (const job of histories.jobs.values()) {
-    for (const run of [...job.groups.values()].flatMap((it) => it.runs)) {
-      if (run.thrownAwayCoreSeconds > 0) {
-        const cause = causeOfEnd(run);
-        const { runs, coreSeconds } = sums.get(cause) ?? { runs: 0, coreSeconds: 0 };
-        const sum = coreSeconds + run.thrownAwayCoreSeconds;
-        sums.set(cause, { cause, runs: runs + 1, coreSeconds: sum });
-      }
+const addThrownAway = (sums: Map<string, ThrownAway>, job: jobHistory.JobHistory): void => {
+  for (const { runs: groupRuns } of job.groups.values()) {
+    for (const run of groupRuns.filter((it) => it.thrownAwayCoreSeconds > 0)) {
+      const cause = causeOfEnd(run);
+      const { runs, coreSeconds } = sums.get(cause) ?? { runs: 0, coreSeconds: 0 };
+      const sum = coreSeconds + run.thrownAwayCoreSeconds;
+      sums.set(cause, { cause, runs: runs + 1, coreSeconds: sum });
     }
   }
-  return [...sums.values()].sort((a, b) => b.coreSeconds - a.coreSeconds);
+};
+
+/** A job that may be listed. */
+interface Candidate {
+  readonly firstAtMs: number;
+  readonly loss: Loss;
+}
+
+const inOrder = (a: Candidate, b: Candidate): number =>
+  a.firstAtMs - b.firstAtMs || (a.loss.jobId < b.loss.jobId ? -1 : 1);
+
+/** Keeps the first of any number of jobs. */
+const createListing = (maxListed: number) => {
+  let candidates: Candidate[] = [];
+  let seen = 0;
+  const cut = (): Candidate[] => {
+    candidates = candidates.sort(inOrder).slice(0, maxListed);
+    return candidates;
+  };
+  return {
+    add: (candidate: Candidate): void => {
+      seen += 1;
+      candidates.push(candidate);
+      if (candidates.length >= 2 * maxListed) cut();
+    },
+    losses: (): Loss[] => cut().map((it) => it.loss),
+    unlisted: (): number => Math.max(0, seen - maxListed),
+  };
+};
+
+/** What is told of all jobs. */
+export interface Report {
+  /** In the order of their first lines. */
+  readonly jobs: readonly Loss[];
+  /** How many more there are than are listed. */
+  readonly unlisted: number;
+  /** All, by queue, by customer. */
+  readonly sums: readonly Sum[];
+  /** The dearest first. */
+  readonly thrownAway: readonly ThrownAway[];
+}
+
+/** Takes the jobs' lives one by one, and keeps a record of those only that it lists. */
+export interface ReportBuilder {
+  readonly add: (job: jobHistory.JobHistory) => void;
+  readonly report: () => Report;
+}
+
+const byName = (sums: ReadonlyMap<string, OpenSum>): Sum[] =>
+  [...sums.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
+
+/**
+ * @param surroundings - what the logs tell besides
+ * @param isListed - which jobs are listed
+ * @param maxListed - how many at most: those that came first
+ * @returns a builder that has taken nothing yet
+ */
+export const createReportBuilder = (
+  surroundings: jobHistory.Surroundings,
+  isListed: (loss: Loss) => boolean,
+  maxListed: number,
+): ReportBuilder => {
+  const all = createSum('all', 'all');
+  const queues = new Map<string, OpenSum>();
+  const customers = new Map<string, OpenSum>();
+  const thrownAway = new Map<string, ThrownAway>();
+  const listing = createListing(maxListed);
+  const addBy = (of: 'queue' | 'customer', sums: Map<string, OpenSum>, loss: Loss): void => {
+    const sum = sums.get(loss[of]) ?? createSum(of, loss[of]);
+    sums.set(sum.name, sum);
+    addTo(sum, loss);
+  };
+  return {
+    add: (job) => {
+      addThrownAway(thrownAway, job);
+      const loss = judge(job, surroundings);
+      if (loss === undefined) return;
+      addTo(all, loss);
+      addBy('queue', queues, loss);
+      addBy('customer', customers, loss);
+      if (isListed(loss)) listing.add({ firstAtMs: job.firstAtMs, loss });
+    },
+    report: () => ({
+      jobs: listing.losses(),
+      unlisted: listing.unlisted(),
+      sums: [all, ...byName(queues), ...byName(customers)],
+      thrownAway: [...thrownAway.values()].sort((a, b) => b.coreSeconds - a.coreSeconds),
+    }),
+  };
 };
--- a/src/cli/logs/test/logLines.test.ts
+++ b/src/cli/logs/test/logLines.test.ts
@@ -48,16 +48,4 @@
     assert.equal(logLines.parseLine(`${LINE} run=1`, false), 'cut');
     assert.equal(logLines.parseLine('kernel: link is', false), 'foreign');
   });
-
-  test.it('orders events by time, counts the rest and takes no notice of empty lines', () => {
-    const later = LINE.replace('42.001', '43.000');
-    const reader = logLines.createLogReader();
-    [later, '', 'foreign', LINE, `${LINE} job=`, ''].forEach((it) => reader.take(it));
-    const logs = reader.logs();
-    assert.deepEqual(
-      logs.events.map(({ atMs }) => new Date(atMs).toISOString()),
-      ['2026-05-18T14:33:42.001Z', '2026-05-18T14:33:43.000Z'],
-    );
-    assert.deepEqual(logs.skipped, { foreign: 1, cut: 1, tooLong: 0 });
-  });
 });
--- a/src/cli/logs/test/timeSplit.test.ts
+++ b/src/cli/logs/test/timeSplit.test.ts
@@ -5,7 +5,7 @@
 import * as test from 'node:test';
 
 import * as jobHistory from '../jobHistory.js';
-import * as logLines from '../logLines.js';
+import * as logCollector from '../logCollector.js';
 import * as lossReport from '../lossReport.js';
 import * as timeSplit from '../timeSplit.js';
 
@@ -28,10 +28,23 @@
   `at=${new Date(START_MS + atMs).toISOString()} event=${event} ` +
   `role=${ROLES[event] ?? 'scheduler'} node=${node} level=info ${text}`;
 
-const historiesOf = (lines: readonly Line[]): jobHistory.Histories => {
-  const reader = logLines.createLogReader();
-  lines.map(format).forEach((it) => reader.take(it));
-  return jobHistory.collectHistories(reader.logs());
+interface Histories extends jobHistory.Surroundings {
+  readonly jobs: ReadonlyMap<string, jobHistory.JobHistory>;
+}
+
+const historiesOf = (lines: readonly Line[]): Histories => {
+  const collector = logCollector.createLogCollector({
+    needs: jobHistory.isNoted,
+    fields: jobHistory.NOTED_FIELDS,
+  });
+  lines.map(format).forEach((it) => collector.take(it));
+  const collected = collector.collected();
+  assert.ok(collected !== undefined);
+  const jobs = [...collected.jobs()].map(({ jobId, events }) => {
+    const job = jobHistory.foldHistory(jobId, events, collected.surroundings);
+    return [jobId, job] as const;
+  });
+  return { ...collected.surroundings, jobs: new Map(jobs) };
 };
 
 const at = (atMs: number, event: string, text = '', node = 'edge-1'): Line => ({
@@ -200,8 +213,15 @@
     at(0, 'jobAccepted', 'job=open queue=q2 customer=d'),
   ];
 
+  const reportOf = (maxListed = 10): lossReport.Report => {
+    const histories = historiesOf(lines);
+    const builder = lossReport.createReportBuilder(histories, () => true, maxListed);
+    histories.jobs.forEach((job) => builder.add(job));
+    return builder.report();
+  };
+
   test.it('lists each job that was not cancelled, and sums by all, kind and customer', () => {
-    const jobs = lossReport.judgeJobs(historiesOf(lines));
+    const { jobs, sums } = reportOf();
     assert.deepEqual(
       jobs.map(({ jobId, end, isLoss }) => [jobId, end, isLoss]),
       [
@@ -210,7 +230,6 @@
         ['open', 'open', true],
       ],
     );
-    const sums = lossReport.sumLosses(jobs);
     assert.deepEqual(
       sums.map(({ of, name, jobs: count, inTime, late, lost }) => [
         of,
@@ -231,9 +250,13 @@
     assert.deepEqual(sums[1]?.byCause, { learnt: 5, running: 1000, begunAgain: 1000 });
   });
 
+  test.it('lists the first jobs only where there are too many, and sums all', () => {
+    // A list of any length fills the memory of whoever asks on a small machine.
+    const { jobs, unlisted, sums } = reportOf(1);
+    assert.deepEqual([jobs.map((it) => it.jobId), unlisted, sums[0]?.jobs], [['j'], 2, 3]);
+  });
+
   test.it('counts work that was not done and not saved, by what ended it', () => {
-    assert.deepEqual(lossReport.sumThrownAway(historiesOf(lines)), [
-      { cause: 'failed', runs: 1, coreSeconds: 8 },
-    ]);
+    assert.deepEqual(reportOf().thrownAway, [{ cause: 'failed', runs: 1, coreSeconds: 8 }]);
   });
 });
--- a/src/cli/logs/timeSplit.ts
+++ b/src/cli/logs/timeSplit.ts
@@ -2,6 +2,7 @@
  * Splits a job's time by cause, along the chain of groups that decided its end.
  */
 import type * as jobHistory from './jobHistory.js';
+import type * as leaderTerms from './leaderTerms.js';
 
 /** What a job's time went to. */
 export const Cause = {
@@ -31,7 +32,7 @@
 export type Cause = (typeof Cause)[keyof typeof Cause];
 
 /** A span of a job's time with what it went to. */
-export interface Segment extends jobHistory.Span {
+export interface Segment extends leaderTerms.Span {
   readonly cause: Cause;
   /** The reason as it was logged, or how the run ended. */
   readonly detail: string;
@@ -43,7 +44,7 @@
 };
 
 /** Cuts out of a span the times at which nobody led, since nothing could be decided then. */
-const cutLeaderless = (segment: Segment, leaderless: readonly jobHistory.Span[]): Segment[] => {
+const cutLeaderless = (segment: Segment, leaderless: readonly leaderTerms.Span[]): Segment[] => {
   const parts: Segment[] = [];
   let { fromMs } = segment;
   for (const gap of leaderless) {
@@ -106,18 +107,18 @@
 };
 
 const groupSegments = (group: jobHistory.GroupHistory, fromMs: number, untilMs: number) => {
-  const segments: Segment[] = [];
+  const parts: Segment[][] = [];
   let cursorMs = fromMs;
   group.runs.forEach((run, index) => {
     const next = group.runs[index + 1];
     const endMs = Math.min(untilMs, run.endedAtMs ?? next?.placedAtMs ?? untilMs);
-    segments.push(...waitSegments(cursorMs, Math.max(cursorMs, run.placedAtMs), run.waits));
-    segments.push(...runSegments(run, Math.max(run.placedAtMs, endMs)));
+    parts.push(waitSegments(cursorMs, Math.max(cursorMs, run.placedAtMs), run.waits));
+    parts.push(runSegments(run, Math.max(run.placedAtMs, endMs)));
     cursorMs = Math.max(cursorMs, endMs);
   });
   const isOver = group.runs.at(-1)?.how === 'done';
-  if (!isOver) segments.push(...waitSegments(cursorMs, untilMs, group.openWaits));
-  return segments;
+  if (!isOver) parts.push(waitSegments(cursorMs, untilMs, group.openWaits));
+  return parts.flat();
 };
 
 const lastEndMs = ({ runs }: jobHistory.GroupHistory): number => runs.at(-1)?.endedAtMs ?? Infinity;
@@ -147,40 +148,41 @@
 
 /**
  * @param job - a job's life
- * @param histories - what the logs tell besides
+ * @param surroundings - what the logs tell besides
  * @returns its time from its acceptance to its end, or to the last line, without gaps
  */
 export const splitTime = (
   job: jobHistory.JobHistory,
-  histories: jobHistory.Histories,
+  surroundings: Pick<jobHistory.Surroundings, 'leaderless' | 'lastAtMs'>,
 ): Segment[] => {
-  const endMs = job.end?.atMs ?? job.cancelledAtMs ?? histories.lastAtMs;
+  const endMs = job.end?.atMs ?? job.cancelledAtMs ?? surroundings.lastAtMs;
   const firstMs = job.acceptedAtMs ?? job.learntAtMs ?? endMs;
   const learntMs = Math.min(endMs, Math.max(firstMs, job.learntAtMs ?? firstMs));
-  const segments: Segment[] = [
-    { fromMs: firstMs, untilMs: learntMs, cause: Cause.learnt, detail: 'not heard of yet' },
+  const parts: Segment[][] = [
+    [{ fromMs: firstMs, untilMs: learntMs, cause: Cause.learnt, detail: 'not heard of yet' }],
   ];
   let cursorMs = learntMs;
   const chain = decidingChain(job);
   for (const group of chain) {
     const untilMs = Math.min(endMs, lastEndMs(group));
-    segments.push(...groupSegments(group, cursorMs, untilMs));
+    parts.push(groupSegments(group, cursorMs, untilMs));
     cursorMs = Math.max(cursorMs, untilMs);
   }
   const rest =
     chain.length === 0
       ? { cause: Cause.learnt, detail: 'never planned' }
       : { cause: Cause.endNotNoted, detail: 'its end was not shown' };
-  segments.push({ fromMs: cursorMs, untilMs: endMs, ...rest });
-  return segments
+  parts.push([{ fromMs: cursorMs, untilMs: endMs, ...rest }]);
+  return parts
+    .flat()
     .filter((it) => it.untilMs > it.fromMs)
-    .flatMap((it) => cutRunning(it, histories.leaderless));
+    .flatMap((it) => cutRunning(it, surroundings.leaderless));
 };
 
 /** What runs gets on without a leader. */
 const GETS_ON: ReadonlySet<Cause> = new Set([Cause.running, Cause.runningAway, Cause.begunAgain]);
 
-const cutRunning = (segment: Segment, leaderless: readonly jobHistory.Span[]): Segment[] =>
+const cutRunning = (segment: Segment, leaderless: readonly leaderTerms.Span[]): Segment[] =>
   GETS_ON.has(segment.cause) ? [segment] : cutLeaderless(segment, leaderless);
 
 /**
--- a/src/cli/textTable.ts
+++ b/src/cli/textTable.ts
@@ -25,13 +25,15 @@
  */
 export const formatTable = (table: Table): readonly string[] => {
   const widths = table.columns.map((name, index) =>
-    Math.max(name.length, ...table.rows.map((row) => printable(row[index]).length)),
+    table.rows.reduce((width, row) => Math.max(width, printable(row[index]).length), name.length),
   );
   const format = (row: readonly Cell[]): string =>
     widths
       .map((width, index) => {
         const text = printable(row[index]);
-        return typeof row[index] === 'number' ? text.padStart(width) : text.padEnd(width);
+        if (typeof row[index] === 'number') return text.padStart(width);
+        // One long text at the end must not make every row as long.
+        return index === widths.length - 1 ? text : text.padEnd(width);
       })
       .join('  ')
       .trimEnd();
