Quote 200 characters at most of what was given

Cause: errors said again whole words of the command line, whole fields of a document and whatever an entry sent back, as did oclif for a wrong command line: a log in place of a word flooded the terminal. A document with 5,000 unknown fields got an error of 179,140 characters.

Change: the shell of the commands cuts given words, and any word, in the message and the field of an error; the program does so for what oclif says; a document's error names its first ten wrong fields, each cut, and how many more there are.

--- a/src/cli/commandShell.ts
+++ b/src/cli/commandShell.ts
@@ -15,6 +15,7 @@
 import * as commandDefinition from './commandDefinition.js';
 import * as inputStream from './inputStream.js';
 import * as operatorClient from './operatorClient.js';
+import * as quote from './quote.js';
 
 const TIMEOUT_MS = 15_000;
 const MAX_REPLY_BYTES = 268_435_456;
@@ -104,12 +105,16 @@
 /**
  * @param thrown - anything caught
  * @param isJson - whether programs read it
+ * @param given - words and values of the command line
  * @returns the line for standard error
  */
-export const formatError = (thrown: unknown, isJson: boolean): string => {
+const formatError = (thrown: unknown, isJson: boolean, given: readonly string[]): string => {
   const error = errors.normalize(thrown);
-  if (isJson) return JSON.stringify({ error: errors.toBody(error) });
-  return `error: ${error.kind}: ${error.message}`;
+  const message = quote.quoteWithin(error.message, given);
+  if (!isJson) return `error: ${error.kind}: ${message}`;
+  const { field, ...body } = errors.toBody(error);
+  const quoted = field === undefined ? {} : { field: quote.quoteWithin(field, given) };
+  return JSON.stringify({ error: { ...body, message, ...quoted } });
 };
 
 /**
@@ -154,7 +159,7 @@
           definition.isOffline === true ? OFFLINE_CLIENT : connect(connections.call, flags);
         exitCode = await this.repeat(client, parsed.argv as readonly string[], flags);
       } catch (thrown) {
-        this.logToStderr(formatError(thrown, isJson));
+        this.logToStderr(formatError(thrown, isJson, this.argv));
         exitCode = errorKinds.ERROR_TABLE[errors.normalize(thrown).kind].exitCode;
       } finally {
         await connections.dispose();
--- a/src/cli/configCommands.ts
+++ b/src/cli/configCommands.ts
@@ -5,11 +5,11 @@
 import * as jsonc from 'jsonc-parser';
 
 import * as errors from '../base/common/errors.js';
-import * as schemaIssues from '../base/common/schemaIssues.js';
 import * as configuration from '../state/common/configuration.js';
 
 import * as commandDefinition from './commandDefinition.js';
 import * as documentEdits from './documentEdits.js';
+import * as inputDocument from './inputDocument.js';
 import * as inputStream from './inputStream.js';
 import * as textTable from './textTable.js';
 
@@ -47,7 +47,7 @@
     const what = jsonc.printParseErrorCode(problem.error);
     throw errors.fail('invalidRequest', `${name}: not JSON with comments: ${what}`);
   }
-  return schemaIssues.decodeOrFail(configuration.ConfigurationDocument, parsed, name);
+  return inputDocument.decodeOrFail(configuration.ConfigurationDocument, parsed, name);
 };
 
 const differenceLines = (list: readonly documentEdits.Difference[]): readonly string[] =>
--- a/src/cli/documentEdits.ts
+++ b/src/cli/documentEdits.ts
@@ -3,9 +3,10 @@
  * what differs between two documents. Pure; the schema judges the result.
  */
 import * as errors from '../base/common/errors.js';
-import * as schemaIssues from '../base/common/schemaIssues.js';
 import * as configuration from '../state/common/configuration.js';
 
+import * as inputDocument from './inputDocument.js';
+
 /** Lists of the document that can be edited item by item, with the key of an item. */
 export const LIST_KEYS = {
   customers: 'customerId',
@@ -29,7 +30,7 @@
   document[list];
 
 const checked = (document: unknown): configuration.ConfigurationDocument =>
-  schemaIssues.decodeOrFail(configuration.ConfigurationDocument, document, 'configuration');
+  inputDocument.decodeOrFail(configuration.ConfigurationDocument, document, 'configuration');
 
 const idOf = (list: ListName, item: Item): string => String(item[LIST_KEYS[list]]);
 
--- a/src/cli/jobCommands.ts
+++ b/src/cli/jobCommands.ts
@@ -4,11 +4,11 @@
 import * as oclif from '@oclif/core';
 import * as jsonc from 'jsonc-parser';
 
-import * as schemaIssues from '../base/common/schemaIssues.js';
 import * as job from '../state/common/job.js';
 
 import * as cellQueries from './cellQueries.js';
 import * as commandDefinition from './commandDefinition.js';
+import * as inputDocument from './inputDocument.js';
 import * as textTable from './textTable.js';
 
 type Result = commandDefinition.CommandResult;
@@ -88,7 +88,7 @@
   run: async (input) => {
     const text = await input.readText(commandDefinition.fileWord(input, 0));
     const parsed = jsonc.parse(text) as unknown;
-    const spec = schemaIssues.decodeOrFail(job.JobSpec, parsed, 'job');
+    const spec = inputDocument.decodeOrFail(job.JobSpec, parsed, 'job');
     const value = (await input.client.send('POST', '/api/jobs', spec)) as {
       readonly job: job.JobRecord;
     };
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -3,6 +3,8 @@
  */
 import * as oclif from '@oclif/core';
 
+import * as quote from './quote.js';
+
 /** Resolves when what was printed has left the process, or never will. */
 const written = (stream: NodeJS.WriteStream): Promise<void> =>
   new Promise((resolve) => {
@@ -16,6 +18,17 @@
   });
 };
 
+/** Stands at the end of what oclif says of a wrong command line. */
+const HELP_HINT = '\nSee more help with --help';
+
+/** What oclif says of a wrong command line says the wrong word again; its own part is short. */
+const quoteMessage = (thrown: unknown): Error => {
+  const error = thrown instanceof Error ? thrown : new Error(String(thrown));
+  const [said = '', ...rest] = error.message.split(HELP_HINT);
+  error.message = quote.quote(said) + (rest.length === 0 ? '' : HELP_HINT);
+  return error;
+};
+
 /**
  * @param moduleUrl - of the program, beside whose package oclif finds the commands
  */
@@ -26,6 +39,6 @@
   } catch (thrown) {
     // Ending the process drops what a slow reader has not taken yet.
     await Promise.all([written(process.stdout), written(process.stderr)]);
-    await oclif.Errors.handle(thrown as Error);
+    await oclif.Errors.handle(quoteMessage(thrown));
   }
 };
