Try the kept events with values that look like their own signs

The kept form parts columns by tabs, stands ~ for the job's id and quotes what would be taken for either.

--- a/src/cli/logs/test/logCollector.test.ts
+++ b/src/cli/logs/test/logCollector.test.ts
@@ -65,6 +65,32 @@
     assert.deepEqual(fieldsOf('b'), { task: 'b.0.0.1' });
   });
 
+  test.it('gives back values that look like its own signs, and one larger than a block', () => {
+    const values = [
+      '',
+      '~',
+      '~a',
+      '"',
+      '"a"',
+      'a',
+      'a.0',
+      'a\t=\n~',
+      'b=c',
+      '\\',
+      '€'.repeat(15_000),
+    ];
+    for (const jobId of ['a', '~', '"j', 'j\tk']) {
+      const job = JSON.stringify(jobId);
+      const lines = values.map((it) => lineOf(1, `job=${job} reason=${JSON.stringify(it)}`));
+      const events = eventsOf(collect(lines))[jobId];
+      assert.deepEqual(
+        events?.map(({ fields }) => fields.get('reason')),
+        values,
+      );
+      assert.ok(events.every(({ fields }) => fields.get('job') === jobId));
+    }
+  });
+
   test.it('gives back many blocks of many jobs, those of one millisecond as they were read', () => {
     const jobs = 300;
     const turns = 40;
