--- a/src/cli/jobCommands.ts
+++ b/src/cli/jobCommands.ts
@@ -4,11 +4,11 @@
 import * as oclif from '@oclif/core';
 import * as jsonc from 'jsonc-parser';
 
-import * as schemaIssues from '../base/common/schemaIssues.js';
 import * as job from '../state/common/job.js';
 
 import * as cellQueries from './cellQueries.js';
 import * as commandDefinition from './commandDefinition.js';
+import * as inputDocument from './inputDocument.js';
 import * as textTable from './textTable.js';
 
 type Result = commandDefinition.CommandResult;
@@ -83,11 +83,12 @@
 
 const submit: commandDefinition.CommandDefinition = {
   summary: 'Submit a job; the same job id again changes nothing.',
-  examples: ['job submit plan.jsonc', 'job submit - < plan.json'],
-  words: ['file'],
+  examples: ['job submit plan.jsonc', 'job submit < plan.json'],
+  words: [commandDefinition.FILE_WORD],
   run: async (input) => {
-    const parsed = jsonc.parse(input.readText(input.args[0] ?? '-')) as unknown;
-    const spec = schemaIssues.decodeOrFail(job.JobSpec, parsed, 'job');
+    const text = await input.readText(commandDefinition.fileWord(input, 0));
+    const parsed = jsonc.parse(text) as unknown;
+    const spec = inputDocument.decodeOrFail(job.JobSpec, parsed, 'job');
     const value = (await input.client.send('POST', '/api/jobs', spec)) as {
       readonly job: job.JobRecord;
     };
