Refuse orders to a former life of a worker while nobody leads

Sequence: the first copy of a start gets no answer, the second one is carried out and its task is done. The leader is killed, the worker crashes and comes back under the same id ("it then holds and knows nothing of before": it has seen no fence). Its agent reaches it, but under the same fence as the first copy, which "may also be executed seconds later": the task runs again after its end. Cause: only the leader raises a fence for a new life, and till another leads nobody does. Change: the leader's fences rise by eight; the agent, which hears of a new life first, tells it one of those between until the leader's own comes. What the leader counts by (the fence of a view) stays the leader's. An epoch has room for 125,000 raises a worker in place of a million. Ruled out: raising the leader's fence after each start that was given twice. It leaves the time between the answer and the raise open, and each raise refuses what is on the way to the same worker, gangs included. Test first: "an order to a former life does not run in a new life while nobody leads", 2 runs before, 1 after.

--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -1,6 +1,7 @@
 /**
  * The leader's picture of the workers and of the runs that take room on them.
  */
+import * as agentContract from '../../../state/common/pool/agentContract.js';
 import * as poolJob from '../../../state/common/pool/poolJob.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as endLedger from './endLedger.js';
@@ -91,7 +92,7 @@
   blame: workerBlame.WorkerBlame;
 }
 
-/** Fences of one epoch; one is used for each time that earlier orders must be refused. */
+/** Fences of one epoch; a step is used for each time that earlier orders must be refused. */
 export const FENCES_PER_EPOCH = 1_000_000;
 
 /**
@@ -100,6 +101,15 @@
  */
 export const firstFence = (epoch: number): number => epoch * FENCES_PER_EPOCH;
 
+/**
+ * Refuses every earlier order, once the worker has heard of it.
+ *
+ * @param worker - the worker that they went to
+ */
+export const raiseFence = (worker: WorkerEntry): void => {
+  worker.fence += agentContract.FENCE_STEP;
+};
+
 /**
  * @param name - a task's name
  * @param run - number of its start
--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -80,6 +80,9 @@
   let heartbeatSequence = -1;
   let held: HeldView | undefined;
   let fence = 0;
+  let newestLifeMs = 0;
+  /** New lives of the worker since the leader last raised its fence. */
+  let unfencedLives = 0;
   let lease = { incarnationMs: 0, untilMs: 0 };
   let seen = { incarnationMs: 0, upTo: 0 };
   /** Ends of the worker's present life that stand in the log. */
@@ -106,6 +109,19 @@
       waiters.add(wake);
     });
 
+  /** A new life has seen no fence and would take what its former life was told. */
+  const noteLife = (incarnationMs: number): void => {
+    if (incarnationMs <= newestLifeMs) return;
+    if (newestLifeMs !== 0) unfencedLives += 1;
+    newestLifeMs = incarnationMs;
+  };
+
+  /** @returns the fence that the worker is told */
+  const workerFence = (leaderFence: number): number =>
+    leaderFence === fence
+      ? fence + Math.min(unfencedLives, agentContract.FENCE_STEP - 1)
+      : leaderFence;
+
   const isPresentLife = (incarnationMs: number): boolean =>
     incarnationMs !== 0 && incarnationMs === (held?.view.incarnationMs ?? info?.incarnationMs);
 
@@ -124,6 +140,7 @@
       (view.incarnationMs < held.view.incarnationMs ||
         (view.incarnationMs === held.view.incarnationMs && view.clockMs < held.view.clockMs));
     if (isOlder) return;
+    noteLife(view.incarnationMs);
     const before = describeRuns(held?.view);
     held = {
       view,
@@ -139,7 +156,7 @@
   const look = async (waitMs: number): Promise<boolean> => {
     const viewFence = fence;
     const answer = await options.worker.view(info?.workerId, {
-      fence: viewFence,
+      fence: workerFence(viewFence),
       leaseUntilMs: isPresentLife(lease.incarnationMs) ? lease.untilMs : 0,
       seenUpTo: isPresentLife(seen.incarnationMs) ? seen.upTo : 0,
       waitMs,
@@ -192,6 +209,7 @@
     if (next === fence) return;
     log('info', 'fenceRaised', { from: fence, to: next });
     fence = next;
+    unfencedLives = 0;
   };
 
   const news = (): agentContract.WorkerNews => ({
@@ -242,8 +260,10 @@
     if (info?.state !== poolWorker.WorkerState.ready) return refuse('the worker is leaving');
     if (leaseUntilMs === 0) return refuse('no lease was granted');
     const payload = request.payloads[jobId] ?? '';
-    const order = { task, run, payload, leaseUntilMs, fence: request.fence, saved, ticket };
-    const answer = await attempt(() => options.worker.start(request.workerId, order));
+    const order = { task, run, payload, leaseUntilMs, saved, ticket };
+    const answer = await attempt(() =>
+      options.worker.start(request.workerId, { ...order, fence: workerFence(request.fence) }),
+    );
     metrics.count('auburnlift_worker_starts_total', { outcome: answer.outcome });
     log('info', 'startGiven', { task, run, fence: request.fence, ...answer });
     return { task, run, ...answer };
@@ -255,8 +275,9 @@
   ): Promise<agentContract.OrderResult> => {
     const refusal = refusalOf(request);
     if (refusal !== undefined) return { task, run, outcome: 'refused', reason: refusal };
-    const order = { task, run, fence: request.fence };
-    const answer = await attempt(() => options.worker.stop(request.workerId, order));
+    const answer = await attempt(() =>
+      options.worker.stop(request.workerId, { task, run, fence: workerFence(request.fence) }),
+    );
     log('info', 'stopGiven', { task, run, fence: request.fence, ...answer });
     return { task, run, ...answer };
   };
@@ -267,8 +288,10 @@
   ): Promise<agentContract.OrderResult> => {
     const refusal = refusalOf(request);
     if (refusal !== undefined) return { task, run, outcome: 'refused', reason: refusal };
-    const order = { task, run, percent, fence: request.fence };
-    const answer = await attempt(() => options.worker.pace(request.workerId, order));
+    const order = { task, run, percent };
+    const answer = await attempt(() =>
+      options.worker.pace(request.workerId, { ...order, fence: workerFence(request.fence) }),
+    );
     log('info', 'paceGiven', { task, run, percent, fence: request.fence, ...answer });
     return { task, run, ...answer };
   };
@@ -284,6 +307,7 @@
       }
       heartbeatSequence = heartbeat.sequence;
       info = next;
+      noteLife(next.incarnationMs);
       const isNews =
         before?.workerId !== next.workerId ||
         before.incarnationMs !== next.incarnationMs ||
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -131,7 +131,7 @@
 
   /** Nothing of the run is left once the worker has answered under the next fence. */
   const close = (worker: workerTable.WorkerEntry, run: workerTable.RunHolding): void => {
-    worker.fence += 1;
+    workerTable.raiseFence(worker);
     run.phase = workerTable.RunPhase.closing;
     run.closeFence = worker.fence;
   };
@@ -217,7 +217,7 @@
     worker.blame = workerBlame.createWorkerBlame();
     // The former life ended with all it ran, but an order to it may still reach the new one, also one
     // whose second copy was carried out long ago.
-    worker.fence += 1;
+    workerTable.raiseFence(worker);
     for (const run of worker.runs.values()) {
       run.phase = workerTable.RunPhase.closing;
       run.closeFence = worker.fence;
@@ -298,7 +298,7 @@
   };
 
   const giveUpWorker = (worker: workerTable.WorkerEntry, cause: string): void => {
-    worker.fence += 1;
+    workerTable.raiseFence(worker);
     const runs = [...worker.runs.values()];
     worker.runs.clear();
     runs.forEach((run) => noteLost(run, cause));
--- a/src/standins/test/poolFaults.test.ts
+++ b/src/standins/test/poolFaults.test.ts
@@ -97,6 +97,24 @@
     states: { a: 'complete' },
     runs: 1,
   },
+  {
+    // As before, and the agent is restarted with its worker: it does not know that there was a former life.
+    name: 'an order to a former life does not run in a new life beside a new agent',
+    options: { workers: 1, workMs: () => 500 },
+    jobs: [[[{}], { jobId: 'a' }]],
+    act: async (pool) => {
+      const [site] = pool.sites;
+      assert.ok(site);
+      site.worker.faults.delayOrders = 1;
+      await pool.clock.advance(2000);
+      assert.equal((await pool.progress('a'))?.state, 'complete');
+      site.worker.crash();
+      site.restartAgent();
+      await pool.clock.advance(4000);
+    },
+    states: { a: 'complete' },
+    runs: 1,
+  },
   {
     // As before, and the new life answers nobody until the late copy has come: it can't be told the
     // fence that would refuse it, and the task that is done elsewhere begins again there.
--- a/src/standins/test/poolLeaderFaults.test.ts
+++ b/src/standins/test/poolLeaderFaults.test.ts
@@ -84,6 +84,27 @@
     states: { a: 'complete' },
     runs: 2,
   },
+  {
+    // The first copy of an order gets no answer, the second is carried out and its task is done. Then the
+    // leader is killed, and the worker crashes and comes back under the same id. Until another leads only
+    // the agent reaches the new life, and the first copy comes under the fence that the agent has.
+    name: 'an order to a former life does not run in a new life while nobody leads',
+    options: { workers: 1, workMs: () => 500 },
+    jobs: [[[{}], { jobId: 'a' }]],
+    act: async (pool, first) => {
+      const [site] = pool.sites;
+      assert.ok(site);
+      site.worker.faults.delayOrders = 1;
+      await pool.clock.advance(2000);
+      assert.equal((await pool.progress('a'))?.state, 'complete');
+      first.kill();
+      site.worker.crash();
+      await pool.clock.advance(4000);
+      pool.addCandidate();
+    },
+    states: { a: 'complete' },
+    runs: 1,
+  },
   {
     // A scheduler that starts takes the leading one for its own former life and ends its leadership.
     name: 'a process that starts leaves the leading one alone',
--- a/src/state/common/pool/agentContract.ts
+++ b/src/state/common/pool/agentContract.ts
@@ -6,6 +6,12 @@
 import * as units from '../units.js';
 import * as poolWorker from './poolWorker.js';
 
+/**
+ * The leader's fences are multiples of this. With those between an agent refuses orders to a former life of
+ * its worker before the leader has heard of the new one.
+ */
+export const FENCE_STEP = 8;
+
 /** The leader renews its authority and the tasks' leases, and waits for news. */
 export const SyncRequest = Schema.Struct({
   /** Rises with each leader; the agent refuses every lower one from then on. */
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -105,9 +105,15 @@
   [
     'a new life of a worker gets a higher fence',
     `${NODE_POOL}/runControl.js`,
-    'worker.fence += 1;\n        for (const run',
+    'workerTable.raiseFence(worker);\n        for (const run',
     'for (const run',
   ],
+  [
+    'a new life of a worker is told a higher fence before a leader knows of it',
+    `${NODE_POOL}/poolAgent.js`,
+    'unfencedLives += 1',
+    'unfencedLives += 0',
+  ],
   [
     'a process ends the leadership of its own former life only',
     `${NODE_POOL}/poolLeadership.js`,
