Give an order that got no answer to no other life of its worker

Cause: an agent checks once which life an order is meant for, and then gives it up to three times, 0.6 s apart. A worker that crashes after it has carried out the first copy, and comes back under the same id meanwhile, took the next copy as new: the header names the id, which is the same, and a new life knows no run. The agent had heard of the new life. Change: each further attempt checks again; the order stays open, as after any attempt without an answer. Test first: "an order without an answer is not given again to another life", 2 starts before, 1 after; it fails with the check taken out of the built code. Found by reading; no run of a whole pool showed it.

--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -221,12 +221,23 @@
     viewAgeMs: held === undefined ? 0 : Math.ceil(time.monotonicMs() - held.receivedAtMs),
   });
 
+  const refusalOf = (request: agentContract.OrderRequest): string | undefined => {
+    if (info === undefined) return 'the worker is not known yet';
+    if (info.workerId !== request.workerId || info.incarnationMs !== request.incarnationMs) {
+      return 'another life of the worker is meant';
+    }
+    return undefined;
+  };
+
   const attempt = async (
+    request: agentContract.OrderRequest,
     give: () => Promise<agentContract.WorkerAnswer>,
   ): Promise<agentContract.WorkerAnswer> => {
     let answer = await give();
     let isUnsettled = false;
     for (let tries = 1; tries < ORDER_ATTEMPTS && answer.outcome === 'unknown'; tries += 1) {
+      // A new life would take as new what its former one may have carried out.
+      if (refusalOf(request) !== undefined) return answer;
       isUnsettled = true;
       answer = await give();
     }
@@ -236,14 +247,6 @@
       : answer;
   };
 
-  const refusalOf = (request: agentContract.OrderRequest): string | undefined => {
-    if (info === undefined) return 'the worker is not known yet';
-    if (info.workerId !== request.workerId || info.incarnationMs !== request.incarnationMs) {
-      return 'another life of the worker is meant';
-    }
-    return undefined;
-  };
-
   const startOne = async (
     request: agentContract.OrderRequest,
     command: agentContract.StartCommand,
@@ -261,7 +264,7 @@
     if (leaseUntilMs === 0) return refuse('no lease was granted');
     const payload = request.payloads[jobId] ?? '';
     const order = { task, run, payload, leaseUntilMs, saved, ticket };
-    const answer = await attempt(() =>
+    const answer = await attempt(request, () =>
       options.worker.start(request.workerId, { ...order, fence: workerFence(request.fence) }),
     );
     metrics.count('auburnlift_worker_starts_total', { outcome: answer.outcome });
@@ -275,7 +278,7 @@
   ): Promise<agentContract.OrderResult> => {
     const refusal = refusalOf(request);
     if (refusal !== undefined) return { task, run, outcome: 'refused', reason: refusal };
-    const answer = await attempt(() =>
+    const answer = await attempt(request, () =>
       options.worker.stop(request.workerId, { task, run, fence: workerFence(request.fence) }),
     );
     log('info', 'stopGiven', { task, run, fence: request.fence, ...answer });
@@ -289,7 +292,7 @@
     const refusal = refusalOf(request);
     if (refusal !== undefined) return { task, run, outcome: 'refused', reason: refusal };
     const order = { task, run, percent };
-    const answer = await attempt(() =>
+    const answer = await attempt(request, () =>
       options.worker.pace(request.workerId, { ...order, fence: workerFence(request.fence) }),
     );
     log('info', 'paceGiven', { task, run, percent, fence: request.fence, ...answer });
--- a/src/standins/test/poolParts.test.ts
+++ b/src/standins/test/poolParts.test.ts
@@ -85,13 +85,15 @@
 
 const createAgent = (
   answers: readonly agentContract.WorkerAnswer[],
+  onStart?: (agent: poolAgent.PoolAgent) => void,
 ): { agent: poolAgent.PoolAgent; starts: () => number } => {
   let starts = 0;
   const accepted: agentContract.WorkerAnswer = { outcome: 'accepted', reason: '' };
-  const agent = poolAgent.createPoolAgent({
+  const agent: poolAgent.PoolAgent = poolAgent.createPoolAgent({
     worker: {
       start: () => {
         starts += 1;
+        onStart?.(agent);
         return Promise.resolve(answers[starts - 1] ?? accepted);
       },
       stop: () => Promise.resolve(accepted),
@@ -124,6 +126,8 @@
   readonly name: string;
   readonly answers: readonly agentContract.WorkerAnswer[];
   readonly before?: (agent: poolAgent.PoolAgent) => void;
+  /** While the worker has the start. */
+  readonly meanwhile?: (agent: poolAgent.PoolAgent) => void;
   readonly order?: Partial<agentContract.OrderRequest>;
   readonly outcome: agentContract.OrderOutcome;
   readonly starts: number;
@@ -152,6 +156,17 @@
     outcome: 'unknown',
     starts: 3,
   },
+  {
+    // The first copy may have been carried out and its task be done. Given again to a new life under the
+    // same id, which knows nothing of that, the task would run once more.
+    name: 'an order without an answer is not given again to another life',
+    answers: [UNKNOWN],
+    meanwhile: (agent) => {
+      agent.noteHeartbeat({ info: { ...INFO, incarnationMs: 6 }, sequence: 1 });
+    },
+    outcome: 'unknown',
+    starts: 1,
+  },
   {
     name: 'another life of the worker is meant',
     answers: [],
@@ -193,7 +208,7 @@
 test.describe('poolAgent', () => {
   for (const it of AGENT_CASES) {
     test.it(it.name, async () => {
-      const { agent, starts } = createAgent(it.answers);
+      const { agent, starts } = createAgent(it.answers, it.meanwhile);
       it.before?.(agent);
       const reply = await agent.order({ ...ORDER, ...it.order });
       assert.equal(reply.starts[0]?.outcome, it.outcome);
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -114,6 +114,12 @@
     'unfencedLives += 1',
     'unfencedLives += 0',
   ],
+  [
+    'an order is not given again to another life of its worker',
+    `${NODE_POOL}/poolAgent.js`,
+    'if (refusalOf(request) !== undefined)',
+    'if (false)',
+  ],
   [
     'a process ends the leadership of its own former life only',
     `${NODE_POOL}/poolLeadership.js`,
