--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -80,12 +80,17 @@
   let heartbeatSequence = -1;
   let held: HeldView | undefined;
   let fence = 0;
+  let newestLifeMs = 0;
+  /** New lives of the worker since the leader last raised its fence. */
+  let unfencedLives = 0;
   let lease = { incarnationMs: 0, untilMs: 0 };
   let seen = { incarnationMs: 0, upTo: 0 };
   /** Ends of the worker's present life that stand in the log. */
   let told = { incarnationMs: 0, upTo: 0 };
   let version = 1;
   let isHolding = false;
+  /** The worker answered the last look. */
+  let isAnswering = false;
   let onDidAcknowledge: () => void = () => undefined;
   const waiters = new Set<() => void>();
 
@@ -106,6 +111,19 @@
       waiters.add(wake);
     });
 
+  /** A new life has seen no fence and would take what its former life was told. */
+  const noteLife = (incarnationMs: number): void => {
+    if (incarnationMs <= newestLifeMs) return;
+    if (newestLifeMs !== 0) unfencedLives += 1;
+    newestLifeMs = incarnationMs;
+  };
+
+  /** @returns the fence that the worker is told */
+  const workerFence = (leaderFence: number): number =>
+    leaderFence === fence
+      ? fence + Math.min(unfencedLives, agentContract.FENCE_STEP - 1)
+      : leaderFence;
+
   const isPresentLife = (incarnationMs: number): boolean =>
     incarnationMs !== 0 && incarnationMs === (held?.view.incarnationMs ?? info?.incarnationMs);
 
@@ -124,6 +142,7 @@
       (view.incarnationMs < held.view.incarnationMs ||
         (view.incarnationMs === held.view.incarnationMs && view.clockMs < held.view.clockMs));
     if (isOlder) return;
+    noteLife(view.incarnationMs);
     const before = describeRuns(held?.view);
     held = {
       view,
@@ -138,12 +157,15 @@
   /** @returns whether the worker gave its list */
   const look = async (waitMs: number): Promise<boolean> => {
     const viewFence = fence;
+    // After a silence another life may answer, which would forget its own ends for those of the former.
+    const isSeenUpToMeant = isAnswering && isPresentLife(seen.incarnationMs);
     const answer = await options.worker.view(info?.workerId, {
-      fence: viewFence,
+      fence: workerFence(viewFence),
       leaseUntilMs: isPresentLife(lease.incarnationMs) ? lease.untilMs : 0,
-      seenUpTo: isPresentLife(seen.incarnationMs) ? seen.upTo : 0,
+      seenUpTo: isSeenUpToMeant ? seen.upTo : 0,
       waitMs,
     });
+    isAnswering = answer.outcome === 'view';
     if (answer.outcome === 'view') {
       takeView(answer.view, viewFence);
       return true;
@@ -170,16 +192,16 @@
   const hold = async (): Promise<void> => {
     if (isHolding) return;
     isHolding = true;
-    let isAnswering = true;
+    let wasAnswering = true;
     while (!isDisposed) {
-      const isSeen = await look(VIEW_WAIT_MS);
-      if (isSeen !== isAnswering) {
+      const isSeen = await look(isAnswering ? VIEW_WAIT_MS : 0);
+      if (isSeen !== wasAnswering) {
         log(isSeen ? 'info' : 'warn', isSeen ? 'workerAnswers' : 'workerSilent', {
           worker: info?.workerId,
           fence,
         });
       }
-      isAnswering = isSeen;
+      wasAnswering = isSeen;
       if (!isSeen) await clock.sleep(time, RETRY_MS);
       else if (hasUnacknowledged()) await waitForAcknowledgement();
     }
@@ -192,6 +214,7 @@
     if (next === fence) return;
     log('info', 'fenceRaised', { from: fence, to: next });
     fence = next;
+    unfencedLives = 0;
   };
 
   const news = (): agentContract.WorkerNews => ({
@@ -203,12 +226,23 @@
     viewAgeMs: held === undefined ? 0 : Math.ceil(time.monotonicMs() - held.receivedAtMs),
   });
 
+  const refusalOf = (request: agentContract.OrderRequest): string | undefined => {
+    if (info === undefined) return 'the worker is not known yet';
+    if (info.workerId !== request.workerId || info.incarnationMs !== request.incarnationMs) {
+      return 'another life of the worker is meant';
+    }
+    return undefined;
+  };
+
   const attempt = async (
+    request: agentContract.OrderRequest,
     give: () => Promise<agentContract.WorkerAnswer>,
   ): Promise<agentContract.WorkerAnswer> => {
     let answer = await give();
     let isUnsettled = false;
     for (let tries = 1; tries < ORDER_ATTEMPTS && answer.outcome === 'unknown'; tries += 1) {
+      // A new life would take as new what its former one may have carried out.
+      if (refusalOf(request) !== undefined) return answer;
       isUnsettled = true;
       answer = await give();
     }
@@ -218,14 +252,6 @@
       : answer;
   };
 
-  const refusalOf = (request: agentContract.OrderRequest): string | undefined => {
-    if (info === undefined) return 'the worker is not known yet';
-    if (info.workerId !== request.workerId || info.incarnationMs !== request.incarnationMs) {
-      return 'another life of the worker is meant';
-    }
-    return undefined;
-  };
-
   const startOne = async (
     request: agentContract.OrderRequest,
     command: agentContract.StartCommand,
@@ -242,8 +268,10 @@
     if (info?.state !== poolWorker.WorkerState.ready) return refuse('the worker is leaving');
     if (leaseUntilMs === 0) return refuse('no lease was granted');
     const payload = request.payloads[jobId] ?? '';
-    const order = { task, run, payload, leaseUntilMs, fence: request.fence, saved, ticket };
-    const answer = await attempt(() => options.worker.start(request.workerId, order));
+    const order = { task, run, payload, leaseUntilMs, saved, ticket };
+    const answer = await attempt(request, () =>
+      options.worker.start(request.workerId, { ...order, fence: workerFence(request.fence) }),
+    );
     metrics.count('auburnlift_worker_starts_total', { outcome: answer.outcome });
     log('info', 'startGiven', { task, run, fence: request.fence, ...answer });
     return { task, run, ...answer };
@@ -255,8 +283,9 @@
   ): Promise<agentContract.OrderResult> => {
     const refusal = refusalOf(request);
     if (refusal !== undefined) return { task, run, outcome: 'refused', reason: refusal };
-    const order = { task, run, fence: request.fence };
-    const answer = await attempt(() => options.worker.stop(request.workerId, order));
+    const answer = await attempt(request, () =>
+      options.worker.stop(request.workerId, { task, run, fence: workerFence(request.fence) }),
+    );
     log('info', 'stopGiven', { task, run, fence: request.fence, ...answer });
     return { task, run, ...answer };
   };
@@ -267,8 +296,10 @@
   ): Promise<agentContract.OrderResult> => {
     const refusal = refusalOf(request);
     if (refusal !== undefined) return { task, run, outcome: 'refused', reason: refusal };
-    const order = { task, run, percent, fence: request.fence };
-    const answer = await attempt(() => options.worker.pace(request.workerId, order));
+    const order = { task, run, percent };
+    const answer = await attempt(request, () =>
+      options.worker.pace(request.workerId, { ...order, fence: workerFence(request.fence) }),
+    );
     log('info', 'paceGiven', { task, run, percent, fence: request.fence, ...answer });
     return { task, run, ...answer };
   };
@@ -284,6 +315,7 @@
       }
       heartbeatSequence = heartbeat.sequence;
       info = next;
+      noteLife(next.incarnationMs);
       const isNews =
         before?.workerId !== next.workerId ||
         before.incarnationMs !== next.incarnationMs ||
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -105,9 +105,27 @@
   [
     'a new life of a worker gets a higher fence',
     `${NODE_POOL}/runControl.js`,
-    'worker.fence += 1;\n        for (const run',
+    'workerTable.raiseFence(worker);\n        for (const run',
     'for (const run',
   ],
+  [
+    'a new life of a worker is told a higher fence before a leader knows of it',
+    `${NODE_POOL}/poolAgent.js`,
+    'unfencedLives += 1',
+    'unfencedLives += 0',
+  ],
+  [
+    'an order is not given again to another life of its worker',
+    `${NODE_POOL}/poolAgent.js`,
+    'if (refusalOf(request) !== undefined)',
+    'if (false)',
+  ],
+  [
+    'a new life of a worker forgets no end for those of the former',
+    `${NODE_POOL}/poolAgent.js`,
+    'const isSeenUpToMeant = isAnswering &&',
+    'const isSeenUpToMeant =',
+  ],
   [
     'a process ends the leadership of its own former life only',
     `${NODE_POOL}/poolLeadership.js`,
