Tell the replay's leader which runs go on from what was saved

Cause: the replay never told its leader that a run goes on from saved work, as a worker's end does. What such a run took for the rest alone counted as the whole of its work: down to a hundredth of it, and the queue's usual work with it. Only mixes with tasks that save themselves have such runs.

Change: an end by a stop of a task that saves itself says so, and the first percentage that is heard of a run is kept, as viewIntake does.

--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -155,6 +155,7 @@
     const share = Math.min(1, (group.savedMs + group.doneMs) / (group.savedMs + group.workMs));
     const percent = Math.floor(100 * share);
     for (const { run } of group.members) {
+      run.first ??= { percent, atMs: nowMs };
       if (percent > run.percent) run.movedAtMs = nowMs;
       run.percent = percent;
       runPace.noteProgress(run.pace, nowMs, percent, run.step.estimatedMs);
@@ -170,9 +171,8 @@
       const lostMs = workerTable.lostByStopMs(run.step, heldMs);
       wastedCoreMs += lostMs * planRound.weightInCores(run.step.resources);
     }
-    if (how === 'stopped' && run.step.isCheckpointing) {
-      savedMs.set(run.name, group.savedMs + group.doneMs);
-    }
+    const isSaved = how === 'stopped' && run.step.isCheckpointing;
+    if (isSaved) savedMs.set(run.name, group.savedMs + group.doneMs);
     const { jobId } = run.entry.job;
     if (how === 'done' && !workerBlame.isSuspect(worker.blame, events.nowMs())) {
       const workMs = workerTable.observedWorkMs(run, events.nowMs());
@@ -181,7 +181,12 @@
     if (how === 'done') workerBlame.noteSuccess(worker.blame);
     if (how === 'failed') workerBlame.noteFailure(worker.blame, jobId, events.nowMs());
     const wallMs = events.nowMs();
-    jobBook.noteEnd(run.entry, run.task, { run: run.run, how, saved: '' }, wallMs);
+    jobBook.noteEnd(
+      run.entry,
+      run.task,
+      { run: run.run, how, saved: isSaved ? 'saved' : '' },
+      wallMs,
+    );
   };
 
   const endGroup = (group: Group, how: 'done' | 'failed' | 'stopped', isLost: boolean): void => {
