Believe a queue's declarations as far as they have been true

Cause: before a queue had shown much, its declarations were believed to be off by about a factor of two, whatever they had turned out to be. Where they are true, large works were drawn towards the queue's usual one.

Change: what is believed of the errors beforehand is the mean square of this queue's own, so the constant goes.

--- a/src/coordination/common/pool/estimateBook.ts
+++ b/src/coordination/common/pool/estimateBook.ts
@@ -48,12 +48,9 @@
 /** What is believed before anything was seen counts like so many jobs. */
 const PRIOR_JOBS = 2;
 
-/** Variances believed beforehand, of logarithms: kinds of jobs spread over a few times their mean. */
+/** Variance believed beforehand, of logarithms: kinds of jobs spread over a few times their mean. */
 const PRIOR_WORK_VARIANCE = 0.5;
 
-/** Declarations are mostly within a factor of two. */
-const PRIOR_ERROR_VARIANCE = 0.25;
-
 /**
  * @returns a book in which no queue stands yet
  */
@@ -62,6 +59,8 @@
 const mean = (values: readonly number[]): number =>
   values.reduce((sum, it) => sum + it, 0) / values.length;
 
+const meanSquare = (values: readonly number[]): number => mean(values.map((it) => it * it));
+
 /** Variance about the mean, drawn towards what is believed beforehand. */
 const varianceOf = (values: readonly number[], priorVariance: number): number => {
   const center = mean(values);
@@ -73,7 +72,8 @@
   const works = seen.map((it) => Math.log(it.workMs));
   const errors = seen.map((it) => Math.log(it.declaredMs / it.workMs));
   const workVariance = varianceOf(works, PRIOR_WORK_VARIANCE) * (1 + 1 / seen.length);
-  const errorVariance = varianceOf(errors, PRIOR_ERROR_VARIANCE);
+  // What is believed of declarations beforehand is how far this queue's have been off.
+  const errorVariance = varianceOf(errors, meanSquare(errors));
   return {
     meanWork: mean(works),
     meanError: mean(errors) * (seen.length / (seen.length + PRIOR_JOBS)),
--- a/src/coordination/common/pool/test/estimateBook.test.ts
+++ b/src/coordination/common/pool/test/estimateBook.test.ts
@@ -42,6 +42,11 @@
   [12_000, 11_800],
 ] as const;
 
+const TRUE_FEW = [
+  [1000, 1000],
+  [1200, 1200],
+] as const;
+
 const CASES: readonly Case[] = [
   { name: 'nothing seen: as declared', seen: [], declaredMs: 700, atLeastMs: 700, atMostMs: 700 },
   {
@@ -65,6 +70,20 @@
     atLeastMs: 4800,
     atMostMs: 6600,
   },
+  {
+    name: 'two true declarations of small works: a large one is believed as well',
+    seen: TRUE_FEW,
+    declaredMs: 8000,
+    atLeastMs: 7600,
+    atMostMs: 8400,
+  },
+  {
+    name: 'two wild declarations: most of the way to what the queue takes',
+    seen: WILD.slice(0, 2),
+    declaredMs: 20_000,
+    atLeastMs: 3000,
+    atMostMs: 6500,
+  },
   {
     name: 'always half of it declared: about twice the declaration',
     seen: TRUE.map(([declaredMs, workMs]) => [declaredMs / 2, workMs] as const),
