Let one call find out for all while nobody has a way to the store

And calls that time out because the line is full are offered to others, over the same line.

Cause: every call tries the own way and is offered to two others, all processes ask the first two of the same list, an entry without a way waits for its own time-out on behalf of others, and parts that are refused at once come back at once.

Change: while nobody is known to have a way, one call at a time tries the own way and one makes an offer, at half and a quarter of the pace at which the process's calls were answered before; the rest are refused with nothing sent. A process begins at its own place in the list and goes on from there. An entry without a way refuses what others ask at once. A call that is late while other answers come in is not offered. Requests state their time over all ways (twice the time-out of one way: 0.9 s in an entry); watches keep theirs, and neither find another process nor try the own way. A write that may have been executed is not sent again, as before. Agents know no others and go on as before.

The whole-outage cases of relayOutage at two reads a second (3 of 3) and five of the new cases of storeRelay fail on the code before, none after.

--- a/src/base/common/http.ts
+++ b/src/base/common/http.ts
@@ -18,6 +18,8 @@
   readonly body: Uint8Array;
   /** From the first byte sent to the last byte received, or to the first one where the answer may be long. */
   readonly timeoutMs: number;
+  /** Longest time until the answer begins, over all ways that the request may go; unbounded without it. */
+  readonly totalMs?: number;
   /**
    * An answer that has begun may take this much longer, as long as it never pauses for {@link timeoutMs}.
    * For answers whose length has no small bound.
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -18,6 +18,8 @@
   readonly metrics: metrics.Metrics;
   /** Longest wait for an answer to begin; a watch waits this much longer than it asked for. */
   readonly timeoutMs: number;
+  /** Longest wait over all ways to the service, for calls that are no watches. */
+  readonly totalMs?: number;
   /** Something of an answer has come, by whichever way. */
   readonly onDidHear?: () => void;
 }
@@ -116,6 +118,7 @@
     { body, timeoutMs = options.timeoutMs, ...rest }: SendOptions = {},
   ): Promise<http.HttpReply> => {
     options.metrics.count('auburnlift_store_calls_total', { operation });
+    const isBrief = timeoutMs <= options.timeoutMs;
     const reply = await options.call({
       address: options.address(),
       method,
@@ -123,6 +126,7 @@
       headers: body === undefined ? {} : { 'content-type': 'application/json' },
       body: body === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(body)),
       timeoutMs,
+      ...(isBrief && options.totalMs !== undefined ? { totalMs: options.totalMs } : {}),
       maxTransferMs: MAX_TRANSFER_MS,
       onArrival: noteArrival,
       ...rest,
--- a/src/programs/poolEntry.ts
+++ b/src/programs/poolEntry.ts
@@ -100,7 +100,7 @@
     }),
     relay: async (message) => ({
       from: kit.sender(),
-      ...(await relayRpc.serveRelay(message, kit.settings().store, kit.call)),
+      ...(await relayRpc.serveRelay(message, kit.settings().store, kit.serveStore)),
     }),
   });
   const notReadyReason = (): string | undefined => {
--- a/src/programs/poolKit.ts
+++ b/src/programs/poolKit.ts
@@ -42,6 +42,8 @@
   readonly owned: disposable.DisposableStore;
   readonly call: http.HttpCall;
   readonly store: recordStore.RecordStore;
+  /** Makes calls of the store for other processes. */
+  readonly serveStore: http.HttpCall;
   /** How long ago the store was last heard. */
   readonly storeAgeMs: () => number;
   /** The settings in force; a reload replaces them. */
@@ -81,14 +83,11 @@
  */
 const STORE_TIMEOUT_MS = { entry: 450, scheduler: 1000, agent: 1000 } as const;
 
-/** Another process and the store behind it answer within two regions' delays, or are out of reach. */
-const RELAY_TIMEOUT_MS = 700;
+/** A call that the own way does not answer has as much time again for the way by another process. */
+const WAYS = 2;
 
-/** The same for a watch, which waits for news for most of it. */
-const RELAYED_WATCH_TIMEOUT_MS = 2500;
-
-/** Calls that may take longer are watches. */
-const MAX_BRIEF_MS = 1000;
+/** Of finer steps than there are entries. */
+const START_STEPS = 65_536;
 
 /**
  * @param role - which program
@@ -117,29 +116,27 @@
       maxTransferMs: platformStore.MAX_TRANSFER_MS,
       peerSecret: PEER_SECRET,
     });
-  const brief = entriesWithin(RELAY_TIMEOUT_MS);
-  const waiting = entriesWithin(RELAYED_WATCH_TIMEOUT_MS);
   const sender = (): envelope.Sender => ({
     processId: `${settings().nodeId}.${role}`,
     role,
     configVersion: 0,
   });
   const contact = viewAge.createViewAge(systemClock.systemClock);
-  const storeCall = storeRelay.createStoreRelay({
+  const relay = storeRelay.createStoreRelay({
     clock: systemClock.systemClock,
     log: logger,
     direct: client.call,
     urls: () => peerUrls(poolKeys.PeerRole.entry),
-    ask: (url, request) => {
-      const entries = request.timeoutMs > MAX_BRIEF_MS ? waiting : brief;
-      return relayRpc.askRelay(entries.poolEntry(url), sender(), request);
-    },
+    startAt: crypto.randomInt(START_STEPS) / START_STEPS,
+    ask: (url, request) =>
+      relayRpc.askRelay(entriesWithin(request.timeoutMs).poolEntry(url), sender(), request),
   });
   const store = platformStore.createPlatformStore({
     address: () => settings().store,
-    call: storeCall,
+    call: relay.call,
     metrics: counters,
     timeoutMs: STORE_TIMEOUT_MS[role],
+    totalMs: STORE_TIMEOUT_MS[role] * WAYS,
     onDidHear: () => contact.prove(contact.now()),
   });
   const directory =
@@ -163,6 +160,7 @@
     owned,
     call: client.call,
     store,
+    serveStore: relay.serve,
     storeAgeMs: contact.ageMs,
     settings,
     sender,
