--- a/src/base/common/http.ts
+++ b/src/base/common/http.ts
@@ -28,6 +28,8 @@
   readonly body: Uint8Array;
   /** From the first byte sent to the last byte received; with {@link transfer}, to the first one. */
   readonly timeoutMs: number;
+  /** Longest time until the answer begins, over all ways that the request may go; unbounded without it. */
+  readonly totalMs?: number;
   /** For bodies whose length has no small bound: their time on the line counts apart. */
   readonly transfer?: TransferLimits;
   /** Statuses of answers whose body is of no use; a long one is left unread. */
--- a/src/coordination/node/pool/jobDesk.ts
+++ b/src/coordination/node/pool/jobDesk.ts
@@ -8,6 +8,7 @@
  * `outcomeUnknown` and never a refusal, since a late copy of the write may still take effect.
  */
 import * as clock from '../../../base/common/clock.js';
+import type * as disposable from '../../../base/common/disposable.js';
 import * as errors from '../../../base/common/errors.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
@@ -119,14 +120,6 @@
 
 const gone = (): errors.AuburnliftError => errors.fail('gone', 'no such job', { field: 'jobId' });
 
-/** How long a call may take, by the monotonic clock. */
-interface Patience {
-  /** No attempt begins after it. */
-  readonly lastAttemptMs: number;
-  /** The caller has its answer by then. */
-  readonly endMs: number;
-}
-
 /**
  * @param options - what the desk needs
  * @returns the desk
@@ -172,21 +165,24 @@
     return { ...base, customerId: customer.customerId };
   };
 
-  const patienceOf = (call: Call): Patience => {
-    const nowMs = time.monotonicMs();
-    const leftMs = Math.max(0, call.deadlineMs - ANSWER_MS);
-    return { lastAttemptMs: nowMs + Math.min(MAX_HELD_MS, leftMs), endMs: nowMs + leftMs };
-  };
+  const endOf = (call: Call): number =>
+    time.monotonicMs() + Math.min(MAX_HELD_MS, Math.max(0, call.deadlineMs - ANSWER_MS));
 
-  const isOver = ({ lastAttemptMs }: Patience): boolean =>
-    time.monotonicMs() + MIN_ATTEMPT_MS >= lastAttemptMs;
+  const isOver = (endMs: number): boolean => time.monotonicMs() + MIN_ATTEMPT_MS >= endMs;
 
-  /** What an attempt gives, unless the caller's time is over before: a long answer may take longer. */
-  const inTime = async <T>({ endMs }: Patience, attempt: Promise<T>): Promise<T> => {
-    const late = clock.sleep(time, Math.max(0, endMs - time.monotonicMs())).then(() => {
-      throw new store.StoreOutcomeUnknown("the caller's time is over");
+  /** What comes later than the caller is told is of no use to it; the exchange ends by its own limits. */
+  const within = async <T>(endMs: number, attempt: Promise<T>): Promise<T> => {
+    let timer: disposable.Disposable | undefined;
+    const late = new Promise<never>((_, reject) => {
+      timer = time.after(Math.max(0, endMs - time.monotonicMs()), () => {
+        reject(new store.StoreOutcomeUnknown('no answer in the time of the caller'));
+      });
     });
-    return Promise.race([attempt, late]);
+    try {
+      return await Promise.race([attempt, late]);
+    } finally {
+      void timer?.dispose();
+    }
   };
 
   const noteFailure = (call: Call, thrown: unknown, isOpen: boolean): void => {
@@ -197,18 +193,18 @@
   /** Tries a transaction until it is answered or the caller's time is over. */
   const transact = async (
     call: Call,
-    patience: Patience,
+    endMs: number,
     transaction: recordStore.Transaction,
   ): Promise<recordStore.TransactionResult> => {
     if (options.storeAgeMs() > STORE_LOST_MS) throw unavailable('the store is out of reach');
     let isOpen = false;
     for (;;) {
       try {
-        return await inTime(patience, options.store.transact(transaction));
+        return await within(endMs, options.store.transact(transaction));
       } catch (thrown) {
         isOpen ||= thrown instanceof store.StoreOutcomeUnknown;
         noteFailure(call, thrown, isOpen);
-        if (isOver(patience)) throw isOpen ? stillOpen() : unavailable('the store refuses');
+        if (isOver(endMs)) throw isOpen ? stillOpen() : unavailable('the store refuses');
       }
       await clock.sleep(time, RETRY_MS);
     }
@@ -216,25 +212,25 @@
 
   const read = async <T>(
     call: Call,
-    patience: Patience,
+    endMs: number,
     attempt: () => Promise<T>,
     onFailure = (): Error => unavailable('the store does not answer'),
   ): Promise<T> => {
     for (;;) {
       try {
-        return await inTime(patience, attempt());
+        return await within(endMs, attempt());
       } catch (thrown) {
         noteFailure(call, thrown, false);
-        if (isOver(patience)) throw onFailure();
+        if (isOver(endMs)) throw onFailure();
       }
       await clock.sleep(time, RETRY_MS);
     }
   };
 
   /** The feed is told of a change by itself; a second copy for each call would fill a narrow line. */
-  const waitForLater = async (revision: number, { lastAttemptMs }: Patience): Promise<void> => {
+  const waitForLater = async (revision: number, endMs: number): Promise<void> => {
     while ((feed.current()?.revision ?? 0) <= revision) {
-      if (time.monotonicMs() >= lastAttemptMs) {
+      if (time.monotonicMs() >= endMs) {
         throw unavailable('a new configuration is on its way');
       }
       await clock.sleep(time, RETRY_MS);
@@ -244,14 +240,14 @@
   /** Writes a record unless it exists, as long as the call is allowed by the configuration in force. */
   const writeOnce = async (
     call: Call,
-    patience: Patience,
+    endMs: number,
     admitted: AdmittedCall,
     key: string,
     valueOf: (admitted: AdmittedCall) => string,
   ): Promise<'written' | 'exists'> => {
     let judged = admitted;
     for (let tries = 0; tries < MAX_REJUDGED; tries += 1) {
-      const result = await transact(call, patience, {
+      const result = await transact(call, endMs, {
         conditions: [
           { key, revision: store.ABSENT_REVISION },
           { key: options.configurationKey, revision: judged.configurationRevision },
@@ -262,9 +258,9 @@
       });
       if (result.isCommitted) return 'written';
       // Until it is known that the record is absent it may be this call's own, whose first answer was lost.
-      const existing = await read(call, patience, () => options.store.get(key), stillOpen);
+      const existing = await read(call, endMs, () => options.store.get(key), stillOpen);
       if (existing !== undefined) return 'exists';
-      await waitForLater(judged.configurationRevision, patience);
+      await waitForLater(judged.configurationRevision, endMs);
       judged = admit(call);
       log('info', 'judgedAnew', {
         request: call.requestId,
@@ -279,24 +275,18 @@
     const startedAtMs = time.monotonicMs();
     const { jobId } = admitted;
     const key = poolKeys.jobKey(jobId, poolKeys.JobPart.spec);
-    const outcome = await writeOnce(
-      call,
-      patienceOf(call),
-      admitted,
-      key,
-      ({ queue, customerId }) => {
-        const job: poolJob.PoolJob = {
-          jobId,
-          customerId,
-          payload: draft.payload,
-          steps: draft.steps,
-          ...(draft.schedule === undefined ? {} : { schedule: draft.schedule }),
-          acceptedAtMs: Math.round(time.wallMs()),
-          policy: queue.policy,
-        };
-        return JSON.stringify(job);
-      },
-    );
+    const outcome = await writeOnce(call, endOf(call), admitted, key, ({ queue, customerId }) => {
+      const job: poolJob.PoolJob = {
+        jobId,
+        customerId,
+        payload: draft.payload,
+        steps: draft.steps,
+        ...(draft.schedule === undefined ? {} : { schedule: draft.schedule }),
+        acceptedAtMs: Math.round(time.wallMs()),
+        policy: queue.policy,
+      };
+      return JSON.stringify(job);
+    });
     metrics.time('auburnlift_submit_ms', time.monotonicMs() - startedAtMs, { outcome });
     log('info', 'jobAccepted', {
       request: call.requestId,
@@ -311,36 +301,36 @@
   /** The job's records that any entry writes; none where nobody submitted it. */
   const findRecords = (
     call: Call,
-    patience: Patience,
+    endMs: number,
     admitted: AdmittedCall,
   ): Promise<ReadonlySet<string>> => {
     const prefix = poolKeys.jobPrefix(admitted.jobId);
-    return read(call, patience, async () => {
+    return read(call, endMs, async () => {
       const { entries } = await options.store.list(prefix);
       return new Set(entries.map((it) => it.key.slice(prefix.length)));
     });
   };
 
   const cancel: JobDesk['cancel'] = async (call, admitted) => {
-    const patience = patienceOf(call);
-    const records = await findRecords(call, patience, admitted);
+    const endMs = endOf(call);
+    const records = await findRecords(call, endMs, admitted);
     if (!records.has(poolKeys.JobPart.spec)) throw gone();
     const key = poolKeys.jobKey(admitted.jobId, poolKeys.JobPart.cancel);
     const outcome = records.has(poolKeys.JobPart.cancel)
       ? 'exists'
-      : await writeOnce(call, patience, admitted, key, () =>
+      : await writeOnce(call, endMs, admitted, key, () =>
           JSON.stringify({ cancelledAtMs: Math.round(time.wallMs()) }),
         );
     log('info', 'jobCancelled', { request: call.requestId, job: admitted.jobId, outcome });
   };
 
   const state: JobDesk['state'] = async (call, admitted) => {
-    const patience = patienceOf(call);
-    const progress = await read(call, patience, () =>
+    const endMs = endOf(call);
+    const progress = await read(call, endMs, () =>
       options.store.get(poolKeys.progressKey(admitted.jobId)),
     );
     if (progress !== undefined) return progressRecord.decodeProgress(progress.value).state;
-    const records = await findRecords(call, patience, admitted);
+    const records = await findRecords(call, endMs, admitted);
     if (!records.has(poolKeys.JobPart.spec)) throw gone();
     return records.has(poolKeys.JobPart.cancel)
       ? poolJob.PoolJobState.cancelled
