Keep the model of an outage where the platform's names belong

The model of the relay's outage answers by the store's paths, which only src/platform may name: it and its test stand under src/platform/test now, cases unchanged. One comment named a wait of 1.5 s that is 1.2 s.

--- a/src/standins/test/relayOutage.ts
+++ b/src/platform/test/relayOutage.ts
@@ -13,7 +13,7 @@
 import * as peerDirectory from '../../coordination/node/pool/peerDirectory.js';
 import * as storeRelay from '../../coordination/node/pool/storeRelay.js';
 import * as viewAge from '../../coordination/node/pool/viewAge.js';
-import * as platformStore from '../../platform/platformStore.js';
+import * as platformStore from '../platformStore.js';
 import type * as poolConfiguration from '../../state/common/pool/poolConfiguration.js';
 import * as poolKeys from '../../state/common/pool/poolKeys.js';
 
--- a/src/programs/poolScheduler.ts
+++ b/src/programs/poolScheduler.ts
@@ -24,7 +24,7 @@
 /** Orders are carried out within a few attempts of 0.6 s each. */
 const ORDER_TIMEOUT_MS = 2500;
 
-/** The entry on the same machine waits up to 1.5 s for news; past this it counts as silent. */
+/** The entry on the same machine waits up to 1.2 s for news; past this it counts as silent. */
 const CONFIGURATION_TIMEOUT_MS = 2000;
 
 /**
