--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -7,6 +7,7 @@
 import * as gangPlacement from '../../coordination/common/pool/gangPlacement.js';
 import * as heldUpRuns from '../../coordination/common/pool/heldUpRuns.js';
 import * as jobBook from '../../coordination/common/pool/jobBook.js';
+import * as jobEnds from '../../coordination/common/pool/jobEnds.js';
 import * as planRound from '../../coordination/common/pool/planRound.js';
 import type * as planTypes from '../../coordination/common/pool/planTypes.js';
 import * as readyQueue from '../../coordination/common/pool/readyQueue.js';
@@ -181,7 +182,7 @@
     if (how === 'done') workerBlame.noteSuccess(worker.blame);
     if (how === 'failed') workerBlame.noteFailure(worker.blame, jobId, events.nowMs());
     const wallMs = events.nowMs();
-    jobBook.noteEnd(
+    jobEnds.noteEnd(
       run.entry,
       run.task,
       { run: run.run, how, saved: isSaved ? 'saved' : '' },
@@ -330,7 +331,7 @@
     if (Number.isFinite(arrival.cancelAtMs)) {
       events.at(arrival.cancelAtMs, () => {
         const entry = entries.get(arrival.job.jobId);
-        if (entry === undefined || !jobBook.cancel(entry, events.nowMs())) return;
+        if (entry === undefined || !jobEnds.cancel(entry, events.nowMs())) return;
         stopUnwanted(entry);
         schedule();
       });
--- a/src/coordination/common/pool/jobBook.ts
+++ b/src/coordination/common/pool/jobBook.ts
@@ -193,7 +193,11 @@
   entry.state === poolJob.PoolJobState.failed ||
   entry.state === poolJob.PoolJobState.cancelled;
 
-const isStepDone = (tasks: readonly TaskEntry[]): boolean =>
+/**
+ * @param tasks - tasks of a step, or of a job
+ * @returns whether all of them are done
+ */
+export const isStepDone = (tasks: readonly TaskEntry[]): boolean =>
   tasks.every((task) => task.phase === progressRecord.TaskPhase.done);
 
 const isWaiting = (task: TaskEntry): boolean => task.phase === progressRecord.TaskPhase.waiting;
@@ -307,92 +311,3 @@
   }
   if (entry.state === poolJob.PoolJobState.queued) entry.state = poolJob.PoolJobState.running;
 };
-
-const settleState = (entry: JobEntry, wallMs: number): void => {
-  if (isEnded(entry)) return;
-  const tasks = tasksOf(entry);
-  if (tasks.some((task) => task.phase === progressRecord.TaskPhase.failed)) {
-    entry.state = poolJob.PoolJobState.failed;
-    entry.endedAtMs = wallMs;
-    return;
-  }
-  const isWhole = entry.occurrences.length === occurrencesOf(entry.job);
-  if (isWhole && isStepDone(tasks)) {
-    entry.state = poolJob.PoolJobState.complete;
-    entry.endedAtMs = wallMs;
-  }
-};
-
-const countFailure = (entry: JobEntry, group: readonly TaskEntry[], run: number): void => {
-  const isLasting = entry.job.steps[group[0]?.step ?? 0]?.isLongRunning === true;
-  for (const task of group) {
-    // Several members of a gang may end as failed: that is one failure of the gang.
-    if (task.failedRun === run) continue;
-    task.failedRun = run;
-    task.failures += 1;
-    if (!isLasting && task.failures >= entry.job.policy.attempts) {
-      task.phase = progressRecord.TaskPhase.failed;
-    }
-  }
-};
-
-/** How a run ended, as the leader learnt it. */
-export interface RunOutcome {
-  readonly run: number;
-  /** `lost` where the worker went away with it. */
-  readonly how: poolWorker.EndKind | 'lost';
-  readonly saved: string;
-}
-
-/**
- * Takes note of the end of a task's run. An end of an earlier run changes nothing: it was given up
- * only when it had certainly ended or could not start any more.
- *
- * @param entry - the job
- * @param task - the task
- * @param outcome - how the run ended
- * @param wallMs - Unix milliseconds now
- * @returns whether the job changed
- */
-export const noteEnd = (
-  entry: JobEntry,
-  task: TaskEntry,
-  outcome: RunOutcome,
-  wallMs: number,
-): boolean => {
-  const isPresent = task.phase === progressRecord.TaskPhase.assigned && task.run === outcome.run;
-  if (!isPresent) return false;
-  const group = groupOf(entry, task);
-  if (outcome.saved !== '') for (const member of group) member.saved = outcome.saved;
-  const step = entry.job.steps[task.step];
-  if (outcome.how === 'done' && step?.isLongRunning !== true) {
-    for (const member of group) member.phase = progressRecord.TaskPhase.done;
-  } else {
-    if (outcome.how === 'failed') {
-      countFailure(entry, group, outcome.run);
-      if (task.workerId !== '' && !task.avoid.includes(task.workerId)) {
-        task.avoid.push(task.workerId);
-      }
-    }
-    if (task.phase === progressRecord.TaskPhase.assigned) {
-      task.phase = progressRecord.TaskPhase.waiting;
-    }
-  }
-  settleState(entry, wallMs);
-  return true;
-};
-
-/**
- * Ends a job that its customer cancelled.
- *
- * @param entry - the job
- * @param wallMs - Unix milliseconds now
- * @returns whether the job changed
- */
-export const cancel = (entry: JobEntry, wallMs: number): boolean => {
-  entry.isCancelled = true;
-  if (isEnded(entry)) return false;
-  entry.state = poolJob.PoolJobState.cancelled;
-  entry.endedAtMs = wallMs;
-  return true;
-};
--- a/src/coordination/common/pool/test/jobBook.test.ts
+++ b/src/coordination/common/pool/test/jobBook.test.ts
@@ -7,9 +7,10 @@
 import type * as poolJob from '../../../../state/common/pool/poolJob.js';
 import * as progressRecord from '../../../../state/common/pool/progressRecord.js';
 import * as jobBook from '../jobBook.js';
+import * as jobEnds from '../jobEnds.js';
 import * as fixtures from './poolFixtures.js';
 
-type End = readonly [step: number, index: number, run: number, how: jobBook.RunOutcome['how']];
+type End = readonly [step: number, index: number, run: number, how: jobEnds.RunOutcome['how']];
 
 interface Case {
   readonly name: string;
@@ -120,7 +121,7 @@
   for (const [step, index, run, how] of ends) {
     const name = { jobId: 'job', occurrence: 0, step, index };
     const task = jobBook.findTask(entry, name) as jobBook.TaskEntry;
-    jobBook.noteEnd(entry, task, { run, how, saved: '' }, 5);
+    jobEnds.noteEnd(entry, task, { run, how, saved: '' }, 5);
   }
 };
 
@@ -152,7 +153,7 @@
     assignAll(entry);
     const [first] = jobBook.tasksOf(entry);
     assert.ok(first);
-    jobBook.noteEnd(entry, first, { run: 1, how: 'stopped', saved: 'here' }, 5);
+    jobEnds.noteEnd(entry, first, { run: 1, how: 'stopped', saved: 'here' }, 5);
     noteAll(entry, [[0, 1, 1, 'broken']]);
     assignAll(entry);
     assert.deepEqual(
@@ -177,13 +178,13 @@
     assignAll(entry);
     const task = jobBook.findTask(entry, { jobId: 'job', occurrence: 1, step: 0, index: 0 });
     assert.ok(task);
-    jobBook.noteEnd(entry, task, { run: 1, how: 'done', saved: '' }, 5);
+    jobEnds.noteEnd(entry, task, { run: 1, how: 'done', saved: '' }, 5);
     assert.equal(entry.state, 'complete');
   });
 
   test.it('a cancelled job starts nothing more', () => {
     const entry = jobBook.createEntry(fixtures.makeJob([{ count: 2 }]), 0);
-    assert.equal(jobBook.cancel(entry, 5), true);
+    assert.equal(jobEnds.cancel(entry, 5), true);
     assert.deepEqual(readyOf(entry), []);
     assert.equal(entry.state, 'cancelled');
   });
--- a/src/coordination/node/pool/endNotes.ts
+++ b/src/coordination/node/pool/endNotes.ts
@@ -9,6 +9,7 @@
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as estimateBook from '../../common/pool/estimateBook.js';
 import * as jobBook from '../../common/pool/jobBook.js';
+import type * as jobEnds from '../../common/pool/jobEnds.js';
 import * as jobOutcome from '../../common/pool/jobOutcome.js';
 import * as planRound from '../../common/pool/planRound.js';
 import * as workerBlame from '../../common/pool/workerBlame.js';
@@ -32,7 +33,7 @@
   readonly noteRunEnd: (
     entry: jobBook.JobEntry,
     task: jobBook.TaskEntry,
-    outcome: jobBook.RunOutcome,
+    outcome: jobEnds.RunOutcome,
   ) => void;
   readonly noteBlame: (
     worker: workerTable.WorkerEntry,
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -15,6 +15,7 @@
 import * as addressRecord from '../../common/pool/addressRecord.js';
 import * as estimateBook from '../../common/pool/estimateBook.js';
 import * as jobBook from '../../common/pool/jobBook.js';
+import * as jobEnds from '../../common/pool/jobEnds.js';
 import * as jobRegistry from '../../common/pool/jobRegistry.js';
 import * as leaseClock from '../../common/pool/leaseClock.js';
 import * as workerTable from '../../common/pool/workerTable.js';
@@ -234,7 +235,7 @@
 
   const settleCancel = (entry: jobBook.JobEntry | undefined): void => {
     if (entry?.isCancelled !== true) return;
-    if (!jobBook.cancel(entry, time.wallMs())) return;
+    if (!jobEnds.cancel(entry, time.wallMs())) return;
     control.stopUnwanted(entry, 'cancelled');
     void writer.save(entry.job.jobId);
   };
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -16,6 +16,7 @@
 import * as endLedger from '../../common/pool/endLedger.js';
 import type * as estimateBook from '../../common/pool/estimateBook.js';
 import * as jobBook from '../../common/pool/jobBook.js';
+import * as jobEnds from '../../common/pool/jobEnds.js';
 import type * as jobRegistry from '../../common/pool/jobRegistry.js';
 import * as runNeed from '../../common/pool/runNeed.js';
 import * as viewIntake from '../../common/pool/viewIntake.js';
@@ -139,12 +140,12 @@
   const endRun = (
     entry: jobBook.JobEntry,
     task: jobBook.TaskEntry,
-    outcome: jobBook.RunOutcome,
+    outcome: jobEnds.RunOutcome,
   ): Promise<void> => {
     const { jobId } = entry.job;
     const hadEnded = jobBook.isEnded(entry);
     // The end of another member may have changed the job already, and that may not be stored yet.
-    if (!jobBook.noteEnd(entry, task, outcome, time.wallMs())) return options.whenStored(jobId);
+    if (!jobEnds.noteEnd(entry, task, outcome, time.wallMs())) return options.whenStored(jobId);
     notes.noteRunEnd(entry, task, outcome);
     const hasEnded = jobBook.isEnded(entry);
     if (hasEnded && !hadEnded) notes.noteJobEnd(entry);
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -267,13 +267,13 @@
   ],
   [
     'an end of an earlier run changes nothing',
-    `${COMMON_POOL}/jobBook.js`,
+    `${COMMON_POOL}/jobEnds.js`,
     'task.run === outcome.run',
     'true',
   ],
   [
     'several failed members are one failure',
-    `${COMMON_POOL}/jobBook.js`,
+    `${COMMON_POOL}/jobEnds.js`,
     'if (task.failedRun === run)',
     'if (false)',
   ],
