Ask for a page again that fails, not for its whole list

A leader or an entry that starts beside refusals can't read what lasts until it is lucky.

A page that follows others is asked for up to five times, 0.2 s apart; the first page fails its list as before, so callers with a single page wait no longer.

Before: the new case of platformStore.test had no second attempt (guard 'a page that fails does not begin the list anew', which takes the attempts out, is caught).

--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -4,6 +4,7 @@
  * Guards against answers that are lost: a write whose exchange broke after it was sent ends as
  * `StoreOutcomeUnknown`, never as a plain failure, since it may take effect now or seconds later.
  */
+import * as clock from '../base/common/clock.js';
 import * as errors from '../base/common/errors.js';
 import * as http from '../base/common/http.js';
 import type * as metrics from '../base/common/metrics.js';
@@ -20,6 +21,8 @@
   readonly timeoutMs: number;
   /** Longest wait over all ways to the service, for calls that are no watches. */
   readonly totalMs?: number;
+  /** For the pauses between attempts to get a page; without it a list ends with the first page that fails. */
+  readonly clock?: clock.Clock;
   /** Something of an answer has come, by whichever way. */
   readonly onDidHear?: () => void;
 }
@@ -34,6 +37,14 @@
   minBytesPerS: 100_000,
 };
 
+/**
+ * Attempts to get a page that follows others: begun again from its first page, a list of many pages would need a time
+ * without any failure that is as long as the whole list.
+ */
+const PAGE_ATTEMPTS = 5;
+
+const PAGE_PAUSE_MS = 200;
+
 /** An item as the service writes it. */
 interface WireItem {
   readonly key: string;
@@ -193,6 +204,17 @@
     return parse<WirePage>(await read('list', 'GET', path, [OK]));
   };
 
+  const nextPage = async (prefix: string, after: string): Promise<WirePage> => {
+    for (let tries = 1; ; tries += 1) {
+      try {
+        return await listPage(prefix, after);
+      } catch (thrown) {
+        if (options.clock === undefined || tries === PAGE_ATTEMPTS) throw thrown;
+        await clock.sleep(options.clock, PAGE_PAUSE_MS);
+      }
+    }
+  };
+
   return {
     get: async (key) => {
       const path = `/-/kv-key?${new URLSearchParams({ key }).toString()}`;
@@ -209,7 +231,7 @@
         entries.push(...items.map(decodeValue));
         const last = items.at(-1);
         if (page.more_pages !== true || last === undefined) return { entries, revision };
-        page = await listPage(prefix, last.key);
+        page = await nextPage(prefix, last.key);
       }
     },
     transact: async ({ conditions, puts, removes, omitsCurrent }) => {
--- a/src/platform/test/platformStore.test.ts
+++ b/src/platform/test/platformStore.test.ts
@@ -5,6 +5,7 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
+import * as clock from '../../base/common/clock.js';
 import * as errors from '../../base/common/errors.js';
 import * as metrics from '../../base/common/metrics.js';
 import type * as recordStore from '../../state/common/pool/recordStore.js';
@@ -14,8 +15,9 @@
 
 const base64 = (text: string): string => Buffer.from(text).toString('base64');
 
-const create = (line: scripted.ScriptedCall): recordStore.RecordStore =>
+const create = (line: scripted.ScriptedCall, time?: clock.Clock): recordStore.RecordStore =>
   platformStore.createPlatformStore({
+    ...(time === undefined ? {} : { clock: time }),
     address: () => ({ host: '127.0.0.1', port: 1 }),
     call: line.call,
     metrics: metrics.createMetrics(),
@@ -223,3 +225,60 @@
     });
   }
 });
+
+const PAGES: readonly scripted.Scripted[] = [
+  {
+    status: 200,
+    body: { items: [{ key: 'p/1', value: base64('1'), rev: 1 }], more_pages: true, as_of: 3 },
+  },
+  { status: 200, body: { items: [{ key: 'p/2', value: base64('2'), rev: 4 }], as_of: 5 } },
+];
+
+const FIRST_PATH = '/-/kv-range?prefix=p%2F';
+const SECOND_PATH = '/-/kv-range?prefix=p%2F&after=p%2F1';
+
+interface PageCase {
+  readonly name: string;
+  /** How the second page fails, one attempt after the other. */
+  readonly failures: readonly scripted.Scripted[];
+  readonly outcome: unknown;
+}
+
+const PAGE_CASES: readonly PageCase[] = [
+  {
+    // Guards against a list of many pages that is never whole, because each failure begins it anew.
+    name: 'a page that fails is asked for again, and not those before it',
+    failures: [{ failure: 'timeout' }, { status: 429 }, { failure: 'notSent' }, { status: 503 }],
+    outcome: ['1', '2'],
+  },
+  {
+    name: 'a page that fails again and again fails the list',
+    failures: Array.from({ length: 5 }, () => ({ failure: 'timeout' }) as const),
+    outcome: 'storeUnavailable',
+  },
+];
+
+test.describe('a list of several pages', () => {
+  for (const it of PAGE_CASES) {
+    test.it(it.name, async () => {
+      const [first, second] = PAGES;
+      assert.ok(first !== undefined && second !== undefined);
+      const line = scripted.scriptedCall(first, ...it.failures, second);
+      const time = clock.createFakeClock();
+      const listed = outcomeOf(async () => {
+        const { entries } = await create(line, time).list('p/');
+        return entries.map(({ value }) => value);
+      });
+      await time.advance(5000);
+      assert.deepEqual(await listed, it.outcome);
+      const paths = line.sent.map(({ path }) => path);
+      assert.deepEqual(paths, [FIRST_PATH, ...Array.from({ length: 5 }, () => SECOND_PATH)]);
+    });
+  }
+
+  test.it('is given up where its first page fails, which loses nothing', async () => {
+    const line = scripted.scriptedCall({ failure: 'timeout' }, ...PAGES);
+    const outcome = await outcomeOf(() => create(line, clock.createFakeClock()).list('p/'));
+    assert.equal(outcome, 'storeUnavailable');
+  });
+});
--- a/src/programs/poolKit.ts
+++ b/src/programs/poolKit.ts
@@ -135,6 +135,7 @@
     address: () => settings().store,
     call: relay.call,
     metrics: counters,
+    clock: systemClock.systemClock,
     timeoutMs: STORE_TIMEOUT_MS[role],
     totalMs: STORE_TIMEOUT_MS[role] * WAYS,
     onDidHear: () => contact.prove(contact.now()),
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -339,6 +339,12 @@
     'worker.placedSteps.set(',
     'void (',
   ],
+  [
+    'a page that fails does not begin the list anew',
+    'platform/platformStore.js',
+    'tries === PAGE_ATTEMPTS',
+    'true',
+  ],
   [
     'a write without an answer may take effect',
     'platform/platformStore.js',
