Keep what was seen done beyond the leader's term

A scheduler keeps the runs that it saw done and that are not stored, and takes them when it has loaded as leader, where the job is still at that run. A run that somebody gave again since has another number and is left alone.

--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -13,6 +13,7 @@
 import type * as recordStore from '../../../state/common/pool/recordStore.js';
 import type * as store from '../../../state/common/store.js';
 import * as addressRecord from '../../common/pool/addressRecord.js';
+import * as doneRuns from '../../common/pool/doneRuns.js';
 import * as estimateBook from '../../common/pool/estimateBook.js';
 import * as jobBook from '../../common/pool/jobBook.js';
 import * as jobEnds from '../../common/pool/jobEnds.js';
@@ -51,6 +52,8 @@
   readonly term: poolLeadership.Term;
   readonly limits: PoolLimits;
   readonly configuration: () => poolConfiguration.PoolConfiguration | undefined;
+  /** What this process has seen done in any of its terms; none without it. */
+  readonly doneRuns?: doneRuns.DoneRuns;
   /** Somebody else leads or changed a record: the term is over. */
   readonly onDidConflict: (reason: string) => void;
   /** Asks the policy service which workers may run a step. */
@@ -143,6 +146,7 @@
     desk: () => desk,
     grantMs: fullGrantMs,
     formerLapseAtMs,
+    doneRuns: options.doneRuns ?? doneRuns.createDoneRuns(),
     estimates,
     save: writer.save,
     whenStored: writer.whenStored,
@@ -280,6 +284,7 @@
       settleCancel(entry);
       estimateBook.noteJob(estimates, entry.job, jobBook.tasksOf(entry));
     }
+    control.recallDone();
     for (const worker of workers.values()) if (worker.info !== undefined) adoptRuns(worker);
     log('info', 'loaded', {
       epoch: term.epoch,
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -13,6 +13,7 @@
 import type * as metrics from '../../../base/common/metrics.js';
 import * as agentContract from '../../../state/common/pool/agentContract.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
+import type * as doneRuns from '../../common/pool/doneRuns.js';
 import * as endLedger from '../../common/pool/endLedger.js';
 import type * as estimateBook from '../../common/pool/estimateBook.js';
 import * as jobBook from '../../common/pool/jobBook.js';
@@ -44,6 +45,7 @@
   readonly formerLapseAtMs: number;
   /** Whose declared work can be believed; learns from what is done. */
   readonly estimates: estimateBook.EstimateBook;
+  readonly doneRuns: doneRuns.DoneRuns;
   /** Stores a job's progress; settled once it is stored. */
   readonly save: (jobId: string) => Promise<void>;
   /** Settled once nothing of a job waits to be stored any more. */
@@ -63,6 +65,8 @@
     receivedAtMs: number,
   ) => Promise<unknown>;
   readonly takeSettled: (settled: orderDesk.SettledOrders) => void;
+  /** Takes what this process saw done in an earlier term and could not store. */
+  readonly recallDone: () => void;
   /** Registers a run that a former leader ordered; the worker's next list settles it. */
   readonly adoptAssigned: (
     worker: workerTable.WorkerEntry,
@@ -182,6 +186,27 @@
     return task === undefined ? undefined : { entry, task };
   };
 
+  const keepUntilStored = async (
+    { task, run }: poolWorker.EndedRun,
+    stored: Promise<void>,
+  ): Promise<void> => {
+    const done = { task, run };
+    options.doneRuns.add(done);
+    await stored;
+    options.doneRuns.remove(done);
+  };
+
+  const recallDone = (): void => {
+    for (const done of options.doneRuns.all()) {
+      const known = lookUp(done.task);
+      const stored =
+        known === undefined
+          ? Promise.resolve()
+          : endRun(known.entry, known.task, { run: done.run, how: 'done', saved: '' });
+      void stored.then(() => options.doneRuns.remove(done));
+    }
+  };
+
   const takeEnd = (
     worker: workerTable.WorkerEntry,
     end: poolWorker.EndedRun,
@@ -193,7 +218,8 @@
       return undefined;
     }
     // Once the worker's lease may have lapsed, what ended before counts for nothing.
-    return endRun(known.entry, known.task, end, worker.viewClockMs < options.grantMs);
+    const stored = endRun(known.entry, known.task, end, worker.viewClockMs < options.grantMs);
+    return end.how === 'done' ? keepUntilStored(end, stored) : stored;
   };
 
   const takeStray = (worker: workerTable.WorkerEntry, listed: poolWorker.RunningTask): void => {
@@ -344,6 +370,7 @@
     stopUnwanted,
     noteLost,
     takeNews,
+    recallDone,
     takeSettled: (settled) => {
       const { worker, news, receivedAtMs } = settled;
       settled.starts.forEach((it) => orders.takeStart(worker, it));
--- a/src/programs/poolScheduler.ts
+++ b/src/programs/poolScheduler.ts
@@ -3,6 +3,7 @@
  */
 import * as errors from '../base/common/errors.js';
 import * as configurationShare from '../coordination/node/pool/configurationShare.js';
+import * as doneRuns from '../coordination/common/pool/doneRuns.js';
 import * as configurationFeed from '../coordination/node/pool/configurationFeed.js';
 import * as poolLeader from '../coordination/node/pool/poolLeader.js';
 import * as poolLeadership from '../coordination/node/pool/poolLeadership.js';
@@ -80,6 +81,7 @@
 export const startPoolScheduler = async (kit: poolKit.PoolKit): Promise<poolKit.PoolProgram> => {
   const settings = kit.settings();
   const link = createLink(kit);
+  const seenDone = doneRuns.createDoneRuns();
   let leader: poolLeader.PoolLeader | undefined;
   const feed = kit.owned.add(
     configurationFeed.startConfigurationFeed({
@@ -133,6 +135,7 @@
           metrics: kit.metrics,
           link,
           term,
+          doneRuns: seenDone,
           limits: {
             maxLeaseMs: settings.maxLeaseMs,
             statusMs: settings.statusMs,
--- a/src/standins/test/poolKit.ts
+++ b/src/standins/test/poolKit.ts
@@ -10,6 +10,7 @@
 import * as logging from '../../base/common/logging.js';
 import * as metrics from '../../base/common/metrics.js';
 import * as random from '../../base/common/random.js';
+import * as doneRuns from '../../coordination/common/pool/doneRuns.js';
 import type * as adviceDesk from '../../coordination/node/pool/adviceDesk.js';
 import * as poolAgent from '../../coordination/node/pool/poolAgent.js';
 import * as poolLeader from '../../coordination/node/pool/poolLeader.js';
@@ -239,6 +240,7 @@
   };
 
   const addCandidate = (place = newPlace()): Candidate => {
+    const seenDone = doneRuns.createDoneRuns();
     let leader: poolLeader.PoolLeader | undefined;
     let isKilled = false;
     const own: Pick<memoryStore.MemoryStore, keyof memoryStore.MemoryStore> = store;
@@ -261,6 +263,7 @@
           metrics: counters,
           link,
           term,
+          doneRuns: seenDone,
           limits: { maxLeaseMs: MAX_LEASE_MS, statusMs: 120_000, farFactor: 3 },
           configuration: () => configuration,
           askAdvice: (...asked) =>
--- a/src/standins/test/poolLeaderFaults.test.ts
+++ b/src/standins/test/poolLeaderFaults.test.ts
@@ -156,6 +156,23 @@
     states: { a: 'complete' },
     runs: 1,
   },
+  {
+    // Guards against work that is done twice because the store was away at its end, its leader's term lapsed, and its
+    // worker was lost before the store was back.
+    name: 'what is done while the store is away is not forgotten with the term',
+    options: { workers: 2, workMs: () => 1000 },
+    jobs: [[[{}], { jobId: 'a' }]],
+    act: async (pool) => {
+      await pool.clock.advance(500);
+      pool.store.faults.isDown = true;
+      await pool.clock.advance(2500);
+      pool.sites.forEach(({ worker }) => worker.crash());
+      await pool.clock.advance(1500);
+      pool.store.faults.isDown = false;
+    },
+    states: { a: 'complete' },
+    runs: 1,
+  },
   {
     // A scheduler that starts takes the leading one for its own former life and ends its leadership.
     name: 'a process that starts leaves the leading one alone',
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -230,6 +230,12 @@
     'if (hasOpenCopy)',
     'if (false)',
   ],
+  [
+    'what was seen done outlives the term',
+    `${NODE_POOL}/poolLeader.js`,
+    'control.recallDone();',
+    '',
+  ],
   [
     'a new leader knows which orders of the former may come late',
     `${NODE_POOL}/runControl.js`,
