--- a/tools/guards.js
+++ b/tools/guards.js
@@ -11,6 +11,7 @@
 
 const TESTS = [
   'standins/test/poolFaults.test.js',
+  'standins/test/poolLateOrders.test.js',
   'standins/test/poolLeaderFaults.test.js',
   'standins/test/poolCancelFaults.test.js',
   'standins/test/poolLostWatches.test.js',
