Make the two kinds of RPC client by one function

create and createStreaming differed by their link only; the link is given now. poolLeader's doneRuns had a default that nobody uses: both callers give it, so it is required. Behaviour is the same; the tests of relays, long calls, leaders and the transport pass.

--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -13,7 +13,7 @@
 import type * as recordStore from '../../../state/common/pool/recordStore.js';
 import type * as store from '../../../state/common/store.js';
 import * as addressRecord from '../../common/pool/addressRecord.js';
-import * as doneRuns from '../../common/pool/doneRuns.js';
+import type * as doneRuns from '../../common/pool/doneRuns.js';
 import * as estimateBook from '../../common/pool/estimateBook.js';
 import * as jobBook from '../../common/pool/jobBook.js';
 import * as jobEnds from '../../common/pool/jobEnds.js';
@@ -52,8 +52,8 @@
   readonly term: poolLeadership.Term;
   readonly limits: PoolLimits;
   readonly configuration: () => poolConfiguration.PoolConfiguration | undefined;
-  /** What this process has seen done in any of its terms; none without it. */
-  readonly doneRuns?: doneRuns.DoneRuns;
+  /** What this process has seen done in any of its terms. */
+  readonly doneRuns: doneRuns.DoneRuns;
   /** Somebody else leads or changed a record: the term is over. */
   readonly onDidConflict: (reason: string) => void;
   /** Asks the policy service which workers may run a step. */
@@ -146,7 +146,7 @@
     desk: () => desk,
     grantMs: fullGrantMs,
     formerLapseAtMs,
-    doneRuns: options.doneRuns ?? doneRuns.createDoneRuns(),
+    doneRuns: options.doneRuns,
     estimates,
     save: writer.save,
     whenStored: writer.whenStored,
--- a/src/transport/node/rpcClient.ts
+++ b/src/transport/node/rpcClient.ts
@@ -103,29 +103,23 @@
     }
   };
 
-const create = <TRouter extends trpcServer.AnyTRPCRouter>(
-  options: RpcClientOptions,
-  url: string,
-): trpcClient.TRPCClient<TRouter> => {
-  const link = trpcClient.httpLink({
-    url: url + RPC_PATH,
-    fetch: fetchOver(options),
-  } as unknown as Parameters<typeof trpcClient.httpLink<TRouter>>[0]);
-  return trpcClient.createTRPCClient<TRouter>({ links: [link] });
-};
+/** Whole answers, one call a request. */
+const wholeLink: (options: object) => trpcClient.TRPCLink<trpcServer.AnyTRPCRouter> = (options) =>
+  trpcClient.httpLink(options as Parameters<typeof trpcClient.httpLink>[0]);
+
+/** Answers that come in pieces: they begin at once. A call does not wait for the long answer of another one. */
+const streamingLink: typeof wholeLink = (options) =>
+  trpcClient.httpBatchStreamLink({ ...options, maxItems: 1 } as Parameters<
+    typeof trpcClient.httpBatchStreamLink
+  >[0]);
 
-/** For answers that come in pieces: they begin at once, and each piece is sent when it is there. */
-const createStreaming = <TRouter extends trpcServer.AnyTRPCRouter>(
+const create = <TRouter extends trpcServer.AnyTRPCRouter>(
   options: RpcClientOptions,
   url: string,
+  toLink = wholeLink,
 ): trpcClient.TRPCClient<TRouter> => {
-  const link = trpcClient.httpBatchStreamLink({
-    url: url + RPC_PATH,
-    fetch: fetchOver(options),
-    // A call does not wait for the long answer of another one.
-    maxItems: 1,
-  } as unknown as Parameters<typeof trpcClient.httpBatchStreamLink<TRouter>>[0]);
-  return trpcClient.createTRPCClient<TRouter>({ links: [link] });
+  const link = toLink({ url: url + RPC_PATH, fetch: fetchOver(options) });
+  return trpcClient.createTRPCClient<TRouter>({ links: [link as trpcClient.TRPCLink<TRouter>] });
 };
 
 const agentClient = (options: RpcClientOptions, url: string) => {
@@ -175,7 +169,7 @@
 
 const poolEntryClient = (options: RpcClientOptions, url: string) => {
   const client = create<poolRouters.PoolEntryRouter>(options, url);
-  const streaming = createStreaming<poolRouters.PoolEntryRouter>(options, url);
+  const streaming = create<poolRouters.PoolEntryRouter>(options, url, streamingLink);
   const wrap = wrapFor(options, url);
   return { relay: wrap(streaming.relay), configuration: wrap(client.configuration) };
 };
