--- a/src/standins/test/configurationFeed.test.ts
+++ b/src/standins/test/configurationFeed.test.ts
@@ -4,38 +4,18 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
-import * as clock from '../../base/common/clock.js';
-import * as logging from '../../base/common/logging.js';
-import * as configurationFeed from '../../coordination/node/pool/configurationFeed.js';
-import type * as poolConfiguration from '../../state/common/pool/poolConfiguration.js';
-import * as memoryStore from '../memoryStore.js';
+import type * as configurationFeed from '../../coordination/node/pool/configurationFeed.js';
+import * as configurationKit from './configurationKit.js';
 
-const KEY = 'configuration';
-
-interface Rig {
-  readonly clock: clock.FakeClock;
-  readonly store: memoryStore.MemoryStore;
+interface Rig extends configurationKit.ConfiguredStore {
   readonly feed: configurationFeed.ConfigurationFeed;
-  readonly configure: (version: number) => Promise<void>;
 }
 
 const createRig = async (): Promise<Rig> => {
-  const time = clock.createFakeClock(1_000_000);
-  const store = memoryStore.createMemoryStore(time);
-  const configure = async (version: number): Promise<void> => {
-    const value = JSON.stringify({ version, queues: [], services: [], customers: [] });
-    await store.transact({ conditions: [], puts: [{ key: KEY, value }], removes: [] });
-  };
-  await configure(1);
-  const feed = configurationFeed.startConfigurationFeed({
-    store,
-    clock: time,
-    log: logging.silentLog,
-    key: KEY,
-    decode: (text) => JSON.parse(text) as poolConfiguration.PoolConfiguration,
-  });
-  await time.advance(100);
-  return { clock: time, store, feed, configure };
+  const configured = await configurationKit.createConfiguredStore();
+  const feed = configured.follow(configured.store);
+  await configured.clock.advance(100);
+  return { ...configured, feed };
 };
 
 /** A watch and the time until it is given up, in the stand-in. */
--- /dev/null
+++ b/src/standins/test/configurationKit.ts
@@ -0,0 +1,48 @@
+/**
+ * A store with one configuration on a clock that tests move, and processes that follow it.
+ */
+import * as clock from '../../base/common/clock.js';
+import * as logging from '../../base/common/logging.js';
+import * as configurationFeed from '../../coordination/node/pool/configurationFeed.js';
+import type * as poolConfiguration from '../../state/common/pool/poolConfiguration.js';
+import * as memoryStore from '../memoryStore.js';
+
+/** Where the configuration stands. */
+export const KEY = 'configuration';
+
+/** A store whose configuration has version 1 at first. */
+export interface ConfiguredStore {
+  readonly clock: clock.FakeClock;
+  readonly store: memoryStore.MemoryStore;
+  readonly configure: (version: number) => Promise<void>;
+  /** @param source - what the process reads and watches */
+  readonly follow: (
+    source: configurationFeed.ConfigurationFeedOptions['store'],
+  ) => configurationFeed.ConfigurationFeed;
+}
+
+/**
+ * @returns the store
+ */
+export const createConfiguredStore = async (): Promise<ConfiguredStore> => {
+  const time = clock.createFakeClock(1_000_000);
+  const store = memoryStore.createMemoryStore(time);
+  const configure = async (version: number): Promise<void> => {
+    const value = JSON.stringify({ version, queues: [], services: [], customers: [] });
+    await store.transact({ conditions: [], puts: [{ key: KEY, value }], removes: [] });
+  };
+  await configure(1);
+  return {
+    clock: time,
+    store,
+    configure,
+    follow: (source) =>
+      configurationFeed.startConfigurationFeed({
+        store: source,
+        clock: time,
+        log: logging.silentLog,
+        key: KEY,
+        decode: (text) => JSON.parse(text) as poolConfiguration.PoolConfiguration,
+      }),
+  };
+};
--- a/src/standins/test/configurationShare.test.ts
+++ b/src/standins/test/configurationShare.test.ts
@@ -4,21 +4,14 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
-import * as clock from '../../base/common/clock.js';
 import * as logging from '../../base/common/logging.js';
-import * as configurationFeed from '../../coordination/node/pool/configurationFeed.js';
+import type * as configurationFeed from '../../coordination/node/pool/configurationFeed.js';
 import * as configurationShare from '../../coordination/node/pool/configurationShare.js';
-import type * as poolConfiguration from '../../state/common/pool/poolConfiguration.js';
-import * as memoryStore from '../memoryStore.js';
+import * as configurationKit from './configurationKit.js';
 
-const KEY = 'configuration';
-
-interface Rig {
-  readonly clock: clock.FakeClock;
-  readonly store: memoryStore.MemoryStore;
+interface Rig extends configurationKit.ConfiguredStore {
   readonly entry: configurationFeed.ConfigurationFeed;
   readonly scheduler: configurationFeed.ConfigurationFeed;
-  readonly configure: (version: number) => Promise<void>;
   /** Whether the entry answers the scheduler. */
   readonly entryAnswers: (answers: boolean) => void;
   /** Questions to the entry, and calls of the store by the scheduler. */
@@ -26,22 +19,11 @@
 }
 
 const createRig = async (): Promise<Rig> => {
-  const time = clock.createFakeClock(1_000_000);
-  const store = memoryStore.createMemoryStore(time);
-  const configure = async (version: number): Promise<void> => {
-    const value = JSON.stringify({ version, queues: [], services: [], customers: [] });
-    await store.transact({ conditions: [], puts: [{ key: KEY, value }], removes: [] });
-  };
-  await configure(1);
+  const configured = await configurationKit.createConfiguredStore();
+  const { clock: time, store } = configured;
   const counts = { asks: 0, storeCalls: 0 };
   let isAnswering = true;
-  const common = {
-    clock: time,
-    log: logging.silentLog,
-    key: KEY,
-    decode: (text: string) => JSON.parse(text) as poolConfiguration.PoolConfiguration,
-  };
-  const entry = configurationFeed.startConfigurationFeed({ ...common, store });
+  const entry = configured.follow(store);
   const share = configurationShare.shareConfiguration({
     feed: entry,
     clock: time,
@@ -62,15 +44,15 @@
         return store.watch(...watched);
       },
     },
-    key: KEY,
+    key: configurationKit.KEY,
     log: logging.silentLog,
   });
-  const scheduler = configurationFeed.startConfigurationFeed({ ...common, store: shared });
+  const scheduler = configured.follow(shared);
   await time.advance(200);
   const entryAnswers = (answers: boolean): void => {
     isAnswering = answers;
   };
-  return { clock: time, store, entry, scheduler, configure, entryAnswers, counts };
+  return { ...configured, entry, scheduler, entryAnswers, counts };
 };
 
 interface Case {
