Give a worker's next incarnation no lease and no acknowledgement of the one before

Cause: whether lease and acknowledgement are current was judged by the newest report. Between the first heartbeat of a new incarnation and its first report that is the former one, so its calls went on. A run that a delayed order has begun there is kept by that lease, which the leader takes for expired, and its end can be dropped before anybody stored it.

Change: the newest incarnation that the agent has heard of, by heartbeat or report, decides.

A lost end was suspected, not seen.

--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -130,8 +130,9 @@
       ? fence + Math.min(unfencedIncarnations, agentContract.FENCE_STEP - 1)
       : leaderFence;
 
+  /** A heartbeat may tell of a new incarnation before its first report arrives. */
   const isCurrentIncarnation = (incarnationMs: number): boolean =>
-    incarnationMs !== 0 && incarnationMs === (latest?.view.incarnationMs ?? info?.incarnationMs);
+    incarnationMs !== 0 && incarnationMs === newestIncarnationMs;
 
   /** Logs each run end, so that the delay until the job's end can be measured. */
   const logEnds = ({ incarnationMs, ended }: poolWorker.WorkerReport): void => {
