Let the first call that reaches a worker's next incarnation refuse delayed orders

Callers would see the same work twice: a start's first copy gets no answer, the second is done, the worker dies and comes back under its id, and the first copy begins there before any fence that refuses it.

Cause, from two traces made apart: every call after an unacknowledged order has that order's own fence.

Change: after a message with an unacknowledged start the agent goes one value further above the leader's fence, so whoever gets its next call refuses the delayed copy. The first heartbeat of a new incarnation is followed by a call at once. The leader raises its own fence before an agent runs out of the values between, and when an agent has restarted and no longer knows how far it was (its worker would refuse it for good).

Another way, to raise the leader's fence at each such order, would refuse other orders to the same worker that are still being sent.

Agents of the former build use the former values: fences are compared only, so both can run side by side.

--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -74,6 +74,8 @@
   info: poolWorker.WorkerInfo | undefined;
   /** Fencing token of the leader's orders to this worker; raised to make it refuse earlier ones. */
   fence: number;
+  /** Messages with an unacknowledged start since the fence was raised. */
+  openMessages: number;
   /** Ends up to this one are stored. */
   seenUpTo: number;
   /** Ends up to this one are applied to the jobs. */
@@ -110,6 +112,21 @@
  */
 export const raiseFence = (worker: WorkerEntry): void => {
   worker.fence += agentContract.FENCE_STEP;
+  worker.openMessages = 0;
+};
+
+/** The agent has one value less than a step, and needs some of them for new incarnations of its worker. */
+const MAX_OPEN_MESSAGES = agentContract.FENCE_STEP - 3;
+
+/**
+ * Counts a message with an unacknowledged start, for which the agent has used up a value between two fences; raises
+ * the fence before the agent runs out of them.
+ *
+ * @param worker - the worker that the start was sent to
+ */
+export const recordOpenMessage = (worker: WorkerEntry): void => {
+  worker.openMessages += 1;
+  if (worker.openMessages >= MAX_OPEN_MESSAGES) raiseFence(worker);
 };
 
 /**
@@ -139,6 +156,7 @@
   bootId: '',
   info: undefined,
   fence,
+  openMessages: 0,
   seenUpTo: 0,
   appliedUpTo: 0,
   endTracker: endTracker.createEndTracker(),
--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -87,8 +87,8 @@
   let latest: ReceivedReport | undefined;
   let fence = 0;
   let newestIncarnationMs = 0;
-  /** New incarnations of the worker since the leader last raised its fence. */
-  let unfencedIncarnations = 0;
+  /** How far the fence of calls to the worker is above the leader's. */
+  let fenceSteps = 0;
   let lease = { incarnationMs: 0, untilMs: 0 };
   let acknowledged = { incarnationMs: 0, upTo: 0 };
   /** Run ends of the worker's current incarnation that have been logged. */
@@ -117,18 +117,21 @@
       waiters.add(wake);
     });
 
+  /** From now on the first call that reaches the worker, or a new incarnation of it, makes it refuse earlier orders. */
+  const raiseWorkerFence = (): void => {
+    fenceSteps = Math.min(fenceSteps + 1, agentContract.FENCE_STEP - 1);
+  };
+
   /** A new incarnation has seen no fence and would accept orders meant for the previous one. */
   const recordIncarnation = (incarnationMs: number): void => {
     if (incarnationMs <= newestIncarnationMs) return;
-    if (newestIncarnationMs !== 0) unfencedIncarnations += 1;
+    if (newestIncarnationMs !== 0) raiseWorkerFence();
     newestIncarnationMs = incarnationMs;
   };
 
   /** @returns the fence to send to the worker */
   const workerFence = (leaderFence: number): number =>
-    leaderFence === fence
-      ? fence + Math.min(unfencedIncarnations, agentContract.FENCE_STEP - 1)
-      : leaderFence;
+    leaderFence === fence ? fence + fenceSteps : leaderFence;
 
   /** A heartbeat may tell of a new incarnation before its first report arrives. */
   const isCurrentIncarnation = (incarnationMs: number): boolean =>
@@ -221,7 +224,7 @@
     if (next === fence) return;
     log('info', 'fenceRaised', { from: fence, to: next });
     fence = next;
-    unfencedIncarnations = 0;
+    fenceSteps = 0;
   };
 
   const buildUpdate = (): agentContract.WorkerUpdate => ({
@@ -331,6 +334,9 @@
         remainingMs: next.remainingMs,
       });
       notifyChange();
+      // The call in flight may hang on the previous incarnation, and a delayed order may arrive before it ends.
+      const isSucceeded = before !== undefined && before.incarnationMs !== next.incarnationMs;
+      if (isSucceeded && fence !== 0) void fetchReport(0);
     },
     recordDeparture: (workerId) => {
       if (info?.workerId !== workerId) return;
@@ -370,6 +376,7 @@
         Promise.all(request.stops.map((it) => stopOne(request, it))),
         Promise.all(request.paces.map((it) => paceOne(request, it))),
       ]);
+      if (starts.some((it) => it.hasOpenCopy)) raiseWorkerFence();
       const isNewsLater = await fetchReport(0);
       return { starts, stops, paces, news: buildUpdate(), isNewsLater };
     },
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -349,6 +349,8 @@
   const applyUpdate: RunControl['applyUpdate'] = (worker, news, receivedAtMs) => {
     const wasReachable = worker.isReachable;
     worker.contactedAtMs = receivedAtMs;
+    // A restarted agent does not know which values above the leader's fence it has used.
+    if (worker.bootId !== '' && worker.bootId !== news.bootId) workerTable.raiseFence(worker);
     worker.bootId = news.bootId;
     applyInfo(worker, news.worker);
     const stored = applyReport(worker, news, receivedAtMs);
@@ -387,6 +389,7 @@
     applyOrderResults: (settled) => {
       const { worker, news, receivedAtMs } = settled;
       settled.starts.forEach((it) => orderResults.handleStart(worker, it));
+      if (settled.starts.some((it) => it.hasOpenCopy)) workerTable.recordOpenMessage(worker);
       if (news !== undefined) void applyUpdate(worker, news, receivedAtMs);
       settled.stops.forEach((it) => orderResults.handleStop(settled, it));
     },
--- a/src/standins/memoryPoolWorker.ts
+++ b/src/standins/memoryPoolWorker.ts
@@ -2,7 +2,7 @@
  * An in-memory stand-in for a pool worker: runs tasks on a fake clock and injects the faults that the worker
  * contract allows. It records every start, and tests assert on these records.
  */
-import type * as clock from '../base/common/clock.js';
+import * as clock from '../base/common/clock.js';
 import type * as disposable from '../base/common/disposable.js';
 import type * as agentContract from '../state/common/pool/agentContract.js';
 import type * as poolWorker from '../state/common/pool/poolWorker.js';
@@ -11,6 +11,10 @@
 export interface PoolWorkerFaults {
   /** No call is answered, and none takes effect. */
   isSilent: boolean;
+  /** Calls take effect, but their answers are lost, and so are the worker's heartbeats. */
+  areAnswersLost: boolean;
+  /** How long a caller waits for an answer that does not arrive. */
+  timeoutMs: number;
   /** This many of the next orders get no answer and are executed after `lateByMs`. */
   delayOrders: number;
   lateByMs: number;
@@ -77,7 +81,7 @@
 
 const STOP_MS = 50;
 const TICK_MS = 100;
-const NO_ANSWER: agentContract.WorkerAnswer = { outcome: 'unknown', reason: 'silence' };
+const NO_ANSWER = { outcome: 'unknown', reason: 'silence' } as const;
 const ACCEPTED: agentContract.WorkerAnswer = { outcome: 'accepted', reason: '' };
 
 /** Key of the gang in the registry that all workers of a test share. */
@@ -108,6 +112,8 @@
   const runs: RecordedRun[] = [];
   const faults: PoolWorkerFaults = {
     isSilent: false,
+    areAnswersLost: false,
+    timeoutMs: 0,
     delayOrders: 0,
     lateByMs: 3000,
     failsAll: false,
@@ -223,20 +229,26 @@
     return ACCEPTED;
   };
 
-  const execute = (
+  const waitInVain = async (): Promise<typeof NO_ANSWER> => {
+    if (faults.timeoutMs > 0) await clock.sleep(time, faults.timeoutMs);
+    return NO_ANSWER;
+  };
+
+  const execute = async (
     workerId: string,
     action: (isLate: boolean) => agentContract.WorkerAnswer,
   ): Promise<agentContract.WorkerAnswer> => {
-    if (faults.isSilent) return Promise.resolve(NO_ANSWER);
+    if (faults.isSilent) return waitInVain();
     if (faults.delayOrders > 0) {
       faults.delayOrders -= 1;
       time.after(faults.lateByMs, () => {
         if (workerId === info.workerId) action(true);
       });
-      return Promise.resolve(NO_ANSWER);
+      return waitInVain();
     }
-    if (workerId !== info.workerId) return Promise.resolve({ outcome: 'refused', reason: '421' });
-    return Promise.resolve(action(false));
+    if (workerId !== info.workerId) return { outcome: 'refused', reason: '421' };
+    const answer = action(false);
+    return faults.areAnswersLost ? waitInVain() : answer;
   };
 
   const checkLease = (): void => {
@@ -253,7 +265,7 @@
     workerId: string | undefined,
     request: agentContract.WorkerReportRequest,
   ): Promise<agentContract.WorkerReportAnswer> => {
-    if (faults.isSilent) return { outcome: 'unknown', reason: 'silence' };
+    if (faults.isSilent) return waitInVain();
     if (workerId !== undefined && workerId !== info.workerId) {
       return { outcome: 'refused', reason: '421' };
     }
@@ -276,7 +288,7 @@
         });
       });
     }
-    if (faults.isSilent) return { outcome: 'unknown', reason: 'silence' };
+    if (faults.isSilent || faults.areAnswersLost) return waitInVain();
     const running = [...live.values()].map(({ record }) => {
       const workedMs = time.monotonicMs() - record.startedAtMs;
       const wholeMs = options.workMs(record.task) * faults.slowFactor;
--- a/src/standins/test/poolAgentIncarnations.test.ts
+++ b/src/standins/test/poolAgentIncarnations.test.ts
@@ -18,6 +18,9 @@
 const FIRST_MS = 5;
 const NEXT_MS = 6;
 
+/** Longer than any case. */
+const HANG_MS = 60_000;
+
 const ACCEPTED: agentContract.WorkerAnswer = { outcome: 'accepted', reason: '' };
 
 const infoOf = (incarnationMs: number): poolWorker.WorkerInfo => ({
@@ -45,11 +48,14 @@
   readonly calls: agentContract.WorkerReportRequest[];
   readonly beat: (incarnationMs: number) => void;
   readonly sync: (incarnationMs: number) => void;
+  /** From now on the worker answers no call for its report. */
+  readonly hang: () => void;
 }
 
 const createScene = (): Scene => {
   const time = clock.createFakeClock();
   const calls: agentContract.WorkerReportRequest[] = [];
+  let isHanging = false;
   let incarnationMs = FIRST_MS;
   const worker: agentContract.WorkerApi = {
     start: () => Promise.resolve(ACCEPTED),
@@ -57,6 +63,7 @@
     pace: () => Promise.resolve(ACCEPTED),
     view: async (_workerId, request) => {
       calls.push(request);
+      if (isHanging) await clock.sleep(time, HANG_MS);
       const view = { incarnationMs, clockMs: time.monotonicMs(), running: [], ended: [] };
       if (request.waitMs > 0) await clock.sleep(time, request.waitMs);
       return { outcome: 'view', view };
@@ -79,6 +86,9 @@
     sync: (knownMs) => {
       void agent.sync(syncOf(knownMs));
     },
+    hang: () => {
+      isHanging = true;
+    },
   };
 };
 
@@ -89,6 +99,19 @@
 
 /** The last call for a report in each case is the first one to the next incarnation. */
 const CASES: readonly Case[] = [
+  {
+    // Guards against a delayed order that the next incarnation executes while a call to the previous one hangs.
+    name: 'a call in flight to the previous incarnation does not delay the fence',
+    act: async ({ time, beat, sync, hang }) => {
+      beat(FIRST_MS);
+      sync(FIRST_MS);
+      await time.advance(50);
+      hang();
+      await time.advance(1000);
+      beat(NEXT_MS);
+      await time.advance(0);
+    },
+  },
   {
     // Guards against a run that a delayed order has started and that a lease of the previous incarnation prolongs.
     name: 'the next incarnation gets no lease and no acknowledgement of the previous one',
@@ -108,7 +131,9 @@
       const scene = createScene();
       await act(scene);
       const last = scene.calls.at(-1);
-      assert.ok(last !== undefined && last.fence > FENCE, `fence ${String(last?.fence)}`);
+      assert.ok(last);
+      const before = scene.calls.filter((it) => it.leaseUntilMs > 0).map((it) => it.fence);
+      assert.ok(last.fence > Math.max(...before), `fence ${last.fence} after ${before.join()}`);
       // Lease and acknowledgement are those of the previous incarnation, whose clock and counts began earlier.
       assert.equal(last.leaseUntilMs, 0);
       assert.equal(last.seenUpTo, 0);
--- a/src/standins/test/poolHarness.ts
+++ b/src/standins/test/poolHarness.ts
@@ -195,7 +195,8 @@
     };
     const beat = (): void => {
       if (isDisposed) return;
-      if (!worker.faults.isSilent) site.sendHeartbeat();
+      const { isSilent, areAnswersLost } = worker.faults;
+      if (!isSilent && !areAnswersLost) site.sendHeartbeat();
       time.after(HEARTBEAT_MS, beat);
     };
     beat();
@@ -333,6 +334,7 @@
   for (const site of pool.sites) {
     site.isCut = false;
     site.worker.faults.isSilent = false;
+    site.worker.faults.areAnswersLost = false;
     site.worker.faults.delayOrders = 0;
     site.worker.faults.failsAll = false;
   }
--- a/src/standins/test/poolLateOrders.test.ts
+++ b/src/standins/test/poolLateOrders.test.ts
@@ -24,16 +24,16 @@
 }
 
 /** Submits a job whose order gets no answer; returns the worker that received it. */
-const openOrder = async (
+const submitWithOpenOrder = async (
   pool: poolHarness.Pool,
+  jobId: string,
   { copies, lateByMs }: OpenOrder,
 ): Promise<poolHarness.Site> => {
-  await pool.clock.advance(PREVIOUS_AGE_MS);
   pool.sites.forEach(({ worker }) => {
     worker.faults.delayOrders = copies;
     worker.faults.lateByMs = lateByMs;
   });
-  await pool.submit(fixtures.makeJob([{}], { jobId: 'a' }));
+  await pool.submit(fixtures.makeJob([{}], { jobId }));
   await pool.clock.advance(ORDER_MS);
   const ordered = pool.sites.find(({ worker }) => worker.faults.delayOrders < copies);
   assert.ok(ordered);
@@ -43,6 +43,12 @@
   return ordered;
 };
 
+/** As {@link submitWithOpenOrder}, on workers that started long before. */
+const openOrder = async (pool: poolHarness.Pool, order: OpenOrder): Promise<poolHarness.Site> => {
+  await pool.clock.advance(PREVIOUS_AGE_MS);
+  return submitWithOpenOrder(pool, 'a', order);
+};
+
 const crashAndBecomeUnreachable = ({ worker }: poolHarness.Site, nextId?: string): void => {
   worker.crash(nextId);
   worker.faults.isSilent = true;
@@ -142,6 +148,77 @@
     states: { a: 'complete' },
     runs: 1,
   },
+  {
+    // Guards against a delayed first copy in a new incarnation that executes calls but whose answers are lost.
+    name: 'a new incarnation refuses a delayed order from the first call that reaches it',
+    options: { workers: 1, workMs: () => 500 },
+    jobs: [],
+    act: async (pool) => {
+      const { worker } = await openOrder(pool, { copies: 1, lateByMs: 3000 });
+      await pool.clock.advance(1000);
+      worker.faults.areAnswersLost = true;
+      worker.crash();
+      await pool.clock.advance(4000);
+      worker.faults.areAnswersLost = false;
+    },
+    states: { a: 'complete' },
+    runs: 1,
+  },
+  {
+    // Guards against an agent that restarts, sends a lower fence than before, and is refused by its worker from then on.
+    name: 'an agent that restarts after unacknowledged orders reaches its worker',
+    options: { workers: 1, workMs: () => 3000 },
+    jobs: [],
+    act: async (pool) => {
+      const site = await openOrder(pool, { copies: 1, lateByMs: 11_000 });
+      site.restartAgent();
+    },
+    states: { a: 'complete' },
+    runs: 1,
+  },
+  {
+    // Guards against an agent that has used up its fences and lets a delayed copy run in a new incarnation.
+    name: 'a new incarnation refuses the last of many delayed orders',
+    options: { workers: 1, workMs: () => 100 },
+    jobs: [],
+    act: async (pool) => {
+      const jobIds = Array.from({ length: 12 }, (_, index) => `many-${index}`);
+      for (const jobId of jobIds) {
+        await submitWithOpenOrder(pool, jobId, { copies: 1, lateByMs: 6000 });
+        await pool.clock.advance(300);
+      }
+      const [site] = pool.sites;
+      assert.ok(site);
+      site.worker.faults.areAnswersLost = true;
+      site.worker.crash();
+      await pool.clock.advance(7000);
+      site.worker.faults.areAnswersLost = false;
+    },
+    states: { 'many-0': 'complete', 'many-11': 'complete' },
+    runs: 12,
+  },
+  {
+    // As before, but new incarnations of the worker have used up the agent's fences.
+    name: 'a worker that restarted many times refuses a delayed order',
+    options: { workers: 1, workMs: () => 100 },
+    jobs: [],
+    act: async (pool) => {
+      const [site] = pool.sites;
+      assert.ok(site);
+      for (let restarts = 0; restarts < 8; restarts += 1) {
+        await pool.clock.advance(1000);
+        site.worker.crash();
+      }
+      await openOrder(pool, { copies: 1, lateByMs: 3000 });
+      await pool.clock.advance(1000);
+      site.worker.faults.areAnswersLost = true;
+      site.worker.crash();
+      await pool.clock.advance(4000);
+      site.worker.faults.areAnswersLost = false;
+    },
+    states: { a: 'complete' },
+    runs: 1,
+  },
   {
     // Guards against running a task again whose second copy was done before the crash: no open run is left to wait for.
     name: 'an order does not run a done task in a new life that answers nobody',
--- a/src/state/common/pool/agentContract.ts
+++ b/src/state/common/pool/agentContract.ts
@@ -7,8 +7,8 @@
 import * as poolWorker from './poolWorker.js';
 
 /**
- * The leader's fences are multiples of this. With the values in between, an agent fences off orders to a previous
- * incarnation of its worker before the leader knows of the new one.
+ * The leader's fences are multiples of this. With the values in between, an agent fences off delayed orders without
+ * the leader: one after each message with an unacknowledged start, and one for each new incarnation of its worker.
  */
 export const FENCE_STEP = 8;
 
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -12,6 +12,7 @@
 const TESTS = [
   'standins/test/poolFaults.test.js',
   'standins/test/poolLateOrders.test.js',
+  'standins/test/poolAgentIncarnations.test.js',
   'standins/test/poolLeaderFaults.test.js',
   'standins/test/poolCancelFaults.test.js',
   'standins/test/poolLostWatches.test.js',
@@ -198,8 +199,38 @@
   [
     'an agent sends a new incarnation a higher fence before a leader knows of it',
     `${NODE_POOL}/poolAgent.js`,
-    'unfencedIncarnations += 1',
-    'unfencedIncarnations += 0',
+    'if (newestIncarnationMs !== 0)',
+    'if (false)',
+  ],
+  [
+    'an agent fences off unacknowledged orders from every incarnation to come',
+    `${NODE_POOL}/poolAgent.js`,
+    'if (starts.some((it) => it.hasOpenCopy))',
+    'if (false)',
+  ],
+  [
+    'the leader raises its fence before an agent runs out of values above it',
+    `${COMMON_POOL}/workerTable.js`,
+    'worker.openMessages += 1',
+    'worker.openMessages += 0',
+  ],
+  [
+    'the leader raises its fence for a restarted agent',
+    `${NODE_POOL}/runControl.js`,
+    "if (worker.bootId !== '' && worker.bootId !== news.bootId)",
+    'if (false)',
+  ],
+  [
+    'a call in flight to the previous incarnation does not delay the fence for the new one',
+    `${NODE_POOL}/poolAgent.js`,
+    'if (isSucceeded && fence !== 0)',
+    'if (false)',
+  ],
+  [
+    'a new incarnation gets no lease of the previous one',
+    `${NODE_POOL}/poolAgent.js`,
+    'incarnationMs === newestIncarnationMs',
+    'incarnationMs === (latest?.view.incarnationMs ?? info?.incarnationMs)',
   ],
   [
     'an order is not retried on a new incarnation of its worker',
