Remember a start order without an answer beyond its run

All copies of a start got no answer; the same incarnation answered under a higher fence, so the run was declared lost and run 3 was placed there too; that worker fell silent, crashed and came back under its id; run 3 was declared lost 0.4 s later and run 4 began elsewhere; 3.0 s after its sending the copy of run 2 began in the new incarnation, which no call had reached. No wait was in force.

Cause: that an order may arrive late was kept with its run. The next assignment cleared it (`assign`), the run of the next assignment did not wait, and placement never asked. A trial that only kept the time was not enough: where the next run had been preempted, no run was left to wait (second break in the trial).

Change: a task keeps its open orders, one for each agent, for 12 s, whatever becomes of the run; they are stored with its progress. While the worker of one may be an incarnation that no call has reached (another id refuses it; a report of the current incarnation in the last 1.5 s shows that it has been reached), runs of the task are not declared lost and the task is not placed. Where the worker answers, nothing waits. An order is recorded also where its result comes after the end of its run. Earlier versions read the stored rows as before, and theirs are read.

--- a/src/coordination/common/pool/delayedOrders.ts
+++ b/src/coordination/common/pool/delayedOrders.ts
@@ -1,11 +1,21 @@
 /**
- * Unacknowledged orders: the worker may carry them out seconds later, and so may its new incarnation, which
- * knows of no fence until it is contacted for the first time.
+ * Unacknowledged start orders: the worker may carry them out seconds later, and so may its new incarnation, which
+ * knows of no fence until it is contacted for the first time. They outlive the run that they start: it may have ended,
+ * or the worker may have refused them, and its next incarnation still accepts them.
  */
+import type * as progressRecord from '../../../state/common/pool/progressRecord.js';
 
 /** A worker carries out an order within this time, or never. */
 export const MAX_ORDER_DELAY_MS = 12_000;
 
+/** Time in which an agent sends all copies of an order. */
+const SENDING_MS = 1800;
+
+/** An order, with its end on the leader's clock from the first use on: the wall clock may jump meanwhile. */
+export interface OpenOrder extends progressRecord.OpenOrder {
+  untilMs?: number;
+}
+
 /** Both clocks of the leader, read at the same instant. */
 export interface ClockReadings {
   readonly monotonicMs: number;
@@ -13,12 +23,73 @@
   readonly wallMs: number;
 }
 
+/** Where an order was sent to. */
+export type OrderTarget = Pick<progressRecord.OpenOrder, 'agentId' | 'workerId'>;
+
 /**
  * Converts a time that a previous leader recorded; bounded, since its wall clock may have differed.
  *
- * @param lateUntilWallMs - Unix milliseconds until which a delayed order may arrive; 0 where none may
+ * @param untilWallMs - Unix milliseconds until which a delayed order may arrive
  * @param now - the leader's clocks
  * @returns the same instant on this leader's monotonic clock
  */
-export const toMonotonicMs = (lateUntilWallMs: number, now: ClockReadings): number =>
-  now.monotonicMs + Math.min(MAX_ORDER_DELAY_MS, Math.max(0, lateUntilWallMs - now.wallMs));
+const toMonotonicMs = (untilWallMs: number, now: ClockReadings): number =>
+  now.monotonicMs + Math.min(MAX_ORDER_DELAY_MS, Math.max(0, untilWallMs - now.wallMs));
+
+/**
+ * @param order - an open order
+ * @param now - the leader's clocks
+ * @returns for how much longer its copy may arrive
+ */
+const leftMs = (order: OpenOrder, now: ClockReadings): number => {
+  order.untilMs ??= toMonotonicMs(order.untilWallMs, now);
+  return Math.max(0, order.untilMs - now.monotonicMs);
+};
+
+/**
+ * @param orders - open orders of a task
+ * @param target - where an order was sent that got no answer
+ * @param now - the leader's clocks
+ * @returns the open orders with it, without those that can no longer arrive
+ */
+export const addOpenOrder = (
+  orders: readonly OpenOrder[],
+  { agentId, workerId }: OrderTarget,
+  now: ClockReadings,
+): OpenOrder[] => [
+  ...orders.filter((it) => it.agentId !== agentId && leftMs(it, now) > 0),
+  {
+    agentId,
+    workerId,
+    untilWallMs: now.wallMs + MAX_ORDER_DELAY_MS,
+    untilMs: now.monotonicMs + MAX_ORDER_DELAY_MS,
+  },
+];
+
+/**
+ * The previous leader may have died before it learnt that its order got no answer.
+ *
+ * @param task - a task that the previous leader assigned
+ * @returns its open orders, with the one that its assignment may have left
+ */
+export const withPossibleOrder = (
+  task: OrderTarget & { readonly startedAtWallMs: number; readonly openOrders: OpenOrder[] },
+): OpenOrder[] => {
+  const { agentId, workerId, openOrders, startedAtWallMs } = task;
+  if (openOrders.some((it) => it.agentId === agentId)) return openOrders;
+  const untilWallMs = startedAtWallMs + SENDING_MS + MAX_ORDER_DELAY_MS;
+  return [...openOrders, { agentId, workerId, untilWallMs }];
+};
+
+/**
+ * @param orders - open orders of a task
+ * @param now - the leader's clocks
+ * @param isRefused - whether the worker that an order was sent to certainly refuses its copy
+ * @returns for how much longer a copy may start the task; 0 where none may
+ */
+export const remainingMs = (
+  orders: readonly OpenOrder[],
+  now: ClockReadings,
+  isRefused: (order: OpenOrder) => boolean = () => false,
+): number =>
+  orders.reduce((left, it) => (isRefused(it) ? left : Math.max(left, leftMs(it, now))), 0);
--- a/src/coordination/common/pool/jobState.ts
+++ b/src/coordination/common/pool/jobState.ts
@@ -5,6 +5,7 @@
 import * as poolJob from '../../../state/common/pool/poolJob.js';
 import type * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as progressRecord from '../../../state/common/pool/progressRecord.js';
+import type * as delayedOrders from './delayedOrders.js';
 
 /** One task with the state of its current run. */
 export interface TaskEntry {
@@ -35,8 +36,8 @@
   workMs: number;
   /** An earlier run that was declared lost but turned out to be done; 0 where there is none. */
   earlierDoneRun: number;
-  /** Unix milliseconds until which a delayed duplicate of its start order may arrive; 0 where none may. */
-  lateUntilWallMs: number;
+  /** Unacknowledged start orders of any of its runs, one for each agent. */
+  openOrders: delayedOrders.OpenOrder[];
 }
 
 /** One job with its tasks; occurrences of a schedule are added when they are due. */
@@ -85,7 +86,7 @@
   distanceFactor: 0,
   workMs: 0,
   earlierDoneRun: 0,
-  lateUntilWallMs: 0,
+  openOrders: [],
 });
 
 const newOccurrence = (job: poolJob.PoolJob, occurrence: number): TaskEntry[][] =>
@@ -315,7 +316,6 @@
     task.saved = saved;
     task.startedAtWallMs = start.wallMs;
     task.distanceFactor = start.distanceFactor;
-    task.lateUntilWallMs = 0;
   }
   if (entry.state === poolJob.PoolJobState.queued) entry.state = poolJob.PoolJobState.running;
 };
--- a/src/coordination/node/pool/lostRunDetector.ts
+++ b/src/coordination/node/pool/lostRunDetector.ts
@@ -9,7 +9,6 @@
 import type * as logging from '../../../base/common/logging.js';
 import * as jobState from '../../common/pool/jobState.js';
 import type * as jobRegistry from '../../common/pool/jobRegistry.js';
-import * as delayedOrders from '../../common/pool/delayedOrders.js';
 import * as workerTable from '../../common/pool/workerTable.js';
 
 /** Dependencies of the detection of lost runs. */
@@ -52,9 +51,15 @@
     runs.forEach((run) => options.markLost(run, cause));
   };
 
-  /** @returns whether a delayed duplicate of its start order may still take effect */
+  const delayedMs = (task: jobState.TaskEntry): number =>
+    workerTable.delayedStartMs(options.workers, task.openOrders, {
+      monotonicMs: nowMs(),
+      wallMs: time.wallMs(),
+    });
+
+  /** @returns whether a delayed duplicate of a start order may still take effect */
   const mayStillStart = (worker: workerTable.WorkerEntry, run: workerTable.ActiveRun): boolean => {
-    const leftMs = run.delayedOrderUntilMs - nowMs();
+    const leftMs = delayedMs(run.task);
     if (leftMs > 0 && !loggedWaits.has(run)) {
       loggedWaits.add(run);
       log('warn', 'runAwaited', {
@@ -77,12 +82,9 @@
   };
 
   const declareUnseenLostOf = (entry: jobState.JobEntry, seenAgents: ReadonlySet<string>): void => {
-    const now = { monotonicMs: nowMs(), wallMs: time.wallMs() };
     for (const task of jobState.tasksOf(entry)) {
       const isLost =
-        task.phase === 'assigned' &&
-        !seenAgents.has(task.agentId) &&
-        delayedOrders.toMonotonicMs(task.lateUntilWallMs, now) <= now.monotonicMs;
+        task.phase === 'assigned' && !seenAgents.has(task.agentId) && delayedMs(task) === 0;
       if (isLost) {
         const { closing } = workerTable.RunPhase;
         options.markLost(
--- a/src/coordination/node/pool/orderResultHandler.ts
+++ b/src/coordination/node/pool/orderResultHandler.ts
@@ -49,18 +49,19 @@
   const nowMs = (): number => time.monotonicMs();
 
   /** Stores with the job how long a duplicate may arrive, since the next leader has to wait for it as well. */
-  const recordDuplicateWindow = (run: workerTable.ActiveRun): void => {
-    run.delayedOrderUntilMs = nowMs() + delayedOrders.MAX_ORDER_DELAY_MS;
-    if (run.task.run !== run.run) return;
-    run.task.lateUntilWallMs = time.wallMs() + delayedOrders.MAX_ORDER_DELAY_MS;
+  const recordOpenOrder = (worker: workerTable.WorkerEntry, run: workerTable.ActiveRun): void => {
+    const { agentId, info } = worker;
+    const target = { agentId, workerId: info?.workerId ?? run.task.workerId };
+    const now = { monotonicMs: nowMs(), wallMs: time.wallMs() };
+    run.task.openOrders = delayedOrders.addOpenOrder(run.task.openOrders, target, now);
     void options.save(run.entry.job.jobId);
   };
 
   const handleStart = (worker: workerTable.WorkerEntry, it: orderSender.SettledOrder): void => {
     const { run, outcome, reason, hasOpenCopy } = it;
+    if (hasOpenCopy) recordOpenOrder(worker, run);
     const isOpen = worker.runs.get(workerTable.runKey(run.name, run.run)) === run;
     if (!isOpen) return;
-    if (hasOpenCopy) recordDuplicateWindow(run);
     if (outcome === agentContract.OrderOutcome.accepted) {
       if (run.phase === workerTable.RunPhase.ordering) run.phase = workerTable.RunPhase.present;
       run.task.refusals = 0;
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -7,6 +7,7 @@
 import type * as metrics from '../../../base/common/metrics.js';
 import type * as poolConfiguration from '../../../state/common/pool/poolConfiguration.js';
 import type * as runtimeEstimates from '../../common/pool/runtimeEstimates.js';
+import type * as delayedOrders from '../../common/pool/delayedOrders.js';
 import * as gangPlacement from '../../common/pool/gangPlacement.js';
 import * as stragglers from '../../common/pool/stragglers.js';
 import * as jobState from '../../common/pool/jobState.js';
@@ -193,6 +194,19 @@
     });
   };
 
+  /** Leaves out units of which a delayed order may start a task on a worker that does not answer. */
+  const withoutDelayedOrders = (
+    units: readonly planTypes.PlanUnit[],
+    now: delayedOrders.ClockReadings,
+  ): planTypes.PlanUnit[] =>
+    units.filter((unit) => {
+      const mayStart = unit.unit.tasks.some(
+        (it) => workerTable.delayedStartMs(workers, it.openOrders, now) > 0,
+      );
+      if (mayStart) logWait({ unit, reason: 'a delayed order may start it' });
+      return !mayStart;
+    });
+
   const addDueOccurrences = (wallMs: number): void => {
     for (const entry of registry.all()) {
       if (entry.job.schedule !== undefined && !jobState.isEnded(entry)) {
@@ -207,12 +221,13 @@
     const startedAtMs = nowMs();
     const wallMs = time.wallMs();
     addDueOccurrences(wallMs);
-    const units = queue.units(
+    const waiting = queue.units(
       registry.all(),
       startedAtMs,
       wallMs,
       workerTable.createSlotCounter(workers.values()),
     );
+    const units = withoutDelayedOrders(waiting, { monotonicMs: startedAtMs, wallMs });
     const stragglerGroups = stragglers.findStragglers(
       [...workers.values()],
       options.estimates,
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -19,7 +19,6 @@
 import * as jobState from '../../common/pool/jobState.js';
 import * as jobTransitions from '../../common/pool/jobTransitions.js';
 import type * as jobRegistry from '../../common/pool/jobRegistry.js';
-import * as delayedOrders from '../../common/pool/delayedOrders.js';
 import * as runState from '../../common/pool/runState.js';
 import * as reportReconciliation from '../../common/pool/reportReconciliation.js';
 import * as workerSuspicion from '../../common/pool/workerSuspicion.js';
@@ -400,10 +399,6 @@
         wallMs: time.wallMs(),
       });
       run.closeFence = worker.fence;
-      run.delayedOrderUntilMs = delayedOrders.toMonotonicMs(task.lateUntilWallMs, {
-        monotonicMs: nowMs(),
-        wallMs: time.wallMs(),
-      });
       worker.runs.set(workerTable.runKey(run.name, run.run), run);
     },
     declareLost: detector.declareLost,
--- a/src/standins/test/poolLateOrders.test.ts
+++ b/src/standins/test/poolLateOrders.test.ts
@@ -219,6 +219,53 @@
     states: { a: 'complete' },
     runs: 1,
   },
+  {
+    // Guards against a delayed order of an earlier run, which the worker had refused before it crashed: with the next
+    // run on that worker the leader forgot it, and the task started on another worker.
+    name: 'an order that the previous incarnation refused stays open for the next one',
+    options: { workers: 2, workMs: () => 5000 },
+    jobs: [],
+    act: async (pool) => {
+      const site = await openOrder(pool, { copies: ALL_COPIES, lateByMs: 5000 });
+      await pool.clock.advance(1000);
+      assert.deepEqual(
+        site.worker.runs.map(({ run }) => run),
+        [2],
+      );
+      crashAndBecomeUnreachable(site);
+      site.sendHeartbeat();
+      await pool.clock.advance(5000);
+      site.worker.faults.isSilent = false;
+    },
+    states: { a: 'complete' },
+  },
+  {
+    // As before, but the task waits for capacity: no run is left that the leader could wait for.
+    name: 'a waiting task does not start elsewhere while a delayed order may start it',
+    options: { workers: 2, workMs: () => 5000 },
+    jobs: [],
+    act: async (pool) => {
+      const [first, second] = pool.sites;
+      assert.ok(first && second);
+      await pool.clock.advance(PREVIOUS_AGE_MS);
+      second.isCut = true;
+      await pool.clock.advance(3000);
+      Object.assign(first.worker.faults, { delayOrders: ALL_COPIES, lateByMs: 5000 });
+      await pool.submit(fixtures.makeJob([{}], { jobId: 'a' }));
+      await pool.clock.advance(20);
+      assert.equal(first.worker.faults.delayOrders, 0);
+      first.worker.drain(60_000);
+      first.sendHeartbeat();
+      await pool.clock.advance(1000);
+      assert.equal((await pool.progress('a'))?.tasks[0]?.phase, 'waiting');
+      crashAndBecomeUnreachable(first);
+      first.sendHeartbeat();
+      second.isCut = false;
+      await pool.clock.advance(5000);
+      first.worker.faults.isSilent = false;
+    },
+    states: { a: 'complete' },
+  },
   {
     // Guards against running a task again whose second copy was done before the crash: no open run is left to wait for.
     name: 'an order does not run a done task in a new life that answers nobody',
--- a/src/state/common/pool/progressRecord.ts
+++ b/src/state/common/pool/progressRecord.ts
@@ -19,6 +19,15 @@
 
 const PHASES: readonly TaskPhase[] = ['waiting', 'assigned', 'done', 'failed'];
 
+/** A start order of which a copy got no answer and may be executed late. */
+export interface OpenOrder {
+  /** Agent of the worker that it was sent to. */
+  readonly agentId: string;
+  readonly workerId: string;
+  /** Unix milliseconds until which the copy may arrive. */
+  readonly untilWallMs: number;
+}
+
 /** The stored state of one task. */
 export interface TaskRow {
   readonly occurrence: number;
@@ -45,8 +54,8 @@
   readonly workMs: number;
   /** An earlier run that was declared lost but was done nevertheless; 0 if there is none. */
   readonly earlierDoneRun: number;
-  /** Unix milliseconds until which an unacknowledged copy of the last run's start order may arrive; 0 if none can. */
-  readonly lateUntilWallMs: number;
+  /** Unacknowledged start orders of any of its runs, one for each agent; those that are over may still be listed. */
+  readonly openOrders: readonly OpenOrder[];
 }
 
 /** The stored state of a job, besides its specification. */
@@ -57,6 +66,8 @@
   readonly tasks: readonly TaskRow[];
 }
 
+type WireOrder = readonly [agentId: string, workerId: string, untilWallMs: number];
+
 type WireRow = readonly [
   occurrence: number,
   step: number,
@@ -73,7 +84,9 @@
   distanceFactor?: number,
   workMs?: number,
   earlierDoneRun?: number,
+  /** The latest end of its open orders; earlier versions read only this one, of the last run's agent. */
   lateUntilWallMs?: number,
+  ...openOrders: readonly WireOrder[],
 ];
 
 interface WireRecord {
@@ -82,6 +95,18 @@
   readonly tasks: readonly WireRow[];
 }
 
+const fromOpenOrders = (orders: readonly OpenOrder[]): WireOrder[] =>
+  orders.map((it) => [it.agentId, it.workerId, it.untilWallMs]);
+
+/** Earlier versions stored only the end of the last run's order. */
+const toOpenOrders = (row: WireRow): OpenOrder[] => {
+  const [, , , , , , , workerId, , agentId, , , , , , lateUntilWallMs = 0, ...orders] = row;
+  if (orders.length === 0 && lateUntilWallMs > 0) {
+    return [{ agentId, workerId, untilWallMs: lateUntilWallMs }];
+  }
+  return orders.map((it) => ({ agentId: it[0], workerId: it[1], untilWallMs: it[2] }));
+};
+
 const toWireRow = (row: TaskRow): WireRow => [
   row.occurrence,
   row.step,
@@ -98,7 +123,8 @@
   row.distanceFactor,
   row.workMs,
   row.earlierDoneRun,
-  row.lateUntilWallMs,
+  Math.max(0, ...row.openOrders.map((it) => it.untilWallMs)),
+  ...fromOpenOrders(row.openOrders),
 ];
 
 const fromWireRow = (row: WireRow): TaskRow => ({
@@ -117,7 +143,7 @@
   distanceFactor: row[12] ?? 0,
   workMs: row[13] ?? 0,
   earlierDoneRun: row[14] ?? 0,
-  lateUntilWallMs: row[15] ?? 0,
+  openOrders: toOpenOrders(row),
 });
 
 /**
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -270,16 +270,22 @@
   ],
   [
     'a new leader restores how long orders of the previous leader may be delayed',
-    `${NODE_POOL}/runControl.js`,
-    'run.delayedOrderUntilMs = delayedOrders.toMonotonicMs(',
-    'void (',
+    'state/common/pool/progressRecord.js',
+    'openOrders: toOpenOrders(row)',
+    'openOrders: []',
   ],
   [
     'a new leader waits for delayed orders of the previous leader',
     `${NODE_POOL}/lostRunDetector.js`,
-    'delayedOrders.toMonotonicMs(task.lateUntilWallMs, now) <= now.monotonicMs',
+    'delayedMs(task) === 0',
     'true',
   ],
+  [
+    'a waiting task does not start while a delayed order may start it elsewhere',
+    `${NODE_POOL}/planDriver.js`,
+    'return !mayStart',
+    'return true',
+  ],
   [
     'a new leader waits for the expiry of leases of the previous leader',
     `${NODE_POOL}/lostRunDetector.js`,
