Retry a start without an answer on its worker, and do not wait for one that has shut down

All copies of run 1 got no answer; the living worker refused them under a higher fence; run 2 was placed on another worker and done there, its end acknowledged; then the first worker died, came back under its id, and a copy began in it before any call.

Cause: as long as the first worker lives, it refuses the copies, and the task may start elsewhere; its death afterwards can't be foreseen. Change: a task of one run at a time is retried once on the worker that has its open order, if that worker answers, has room for it now and is not avoided. It then ends with that worker, and the leader waits for the open order. Where the start stays without an answer again, it may go elsewhere, so that a worker that answers nothing but reports does not hold a task.

And an open order is recorded for the worker that it was sent to, not for a successor of another id.

--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -50,10 +50,16 @@
   if (worker.service !== entry.job.policy.service) return false;
   if (step.requiredLabel !== undefined && !worker.labels.includes(step.requiredLabel)) return false;
   if (unit.ticketsByWorker?.has(worker.workerId) === false) return false;
+  if (unit.retryWorkerId !== undefined && unit.retryWorkerId !== worker.workerId) return false;
   return poolJob.countFittingTasks(worker.capacity, unit.room) > 0;
 };
 
-const slotsOn = (worker: planTypes.PlanWorker, unit: planTypes.PlanUnit): number =>
+/**
+ * @param worker - a worker
+ * @param unit - a unit
+ * @returns how many tasks of the unit it can take now
+ */
+export const slotsOn = (worker: planTypes.PlanWorker, unit: planTypes.PlanUnit): number =>
   Math.min(poolJob.countFittingTasks(worker.free, unit.room), spreadLimit(worker, unit));
 
 /** Fills the workers first that are left with the least free capacity. */
--- a/src/coordination/common/pool/planTypes.ts
+++ b/src/coordination/common/pool/planTypes.ts
@@ -67,6 +67,8 @@
   readonly expectedMs: number;
   /** Policy service's consent by worker that may run it; absent where none is needed. */
   readonly ticketsByWorker?: ReadonlyMap<string, string>;
+  /** The only worker that may run it: one with free capacity to which an open start order of it was sent. */
+  readonly retryWorkerId?: string;
 }
 
 /** A unit with a worker for each of its tasks. */
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -358,7 +358,7 @@
 /** A worker answers its agent at least every 0.9 s; after this time without a report it may have crashed. */
 const MAX_SILENCE_MS = 1500;
 
-/** Whether the worker certainly refuses a delayed order: it has another id, or answered a moment ago. */
+/** Whether no delayed order starts now: the worker has another id, has shut down, or answered a moment ago. */
 const refusesDelayedOrder = (
   worker: WorkerEntry | undefined,
   order: delayedOrders.OpenOrder,
@@ -366,7 +366,7 @@
 ): boolean => {
   const { info, sample } = worker ?? {};
   if (info === undefined) return false;
-  if (info.workerId !== order.workerId) return true;
+  if (info.workerId !== order.workerId || info.state === poolWorker.WorkerState.gone) return true;
   return sample?.incarnationMs === info.incarnationMs && nowMs - sample.atMs <= MAX_SILENCE_MS;
 };
 
--- a/src/coordination/node/pool/orderResultHandler.ts
+++ b/src/coordination/node/pool/orderResultHandler.ts
@@ -50,10 +50,11 @@
 
   /** Stores with the job how long a duplicate may arrive, since the next leader has to wait for it as well. */
   const recordOpenOrder = (worker: workerTable.WorkerEntry, run: workerTable.ActiveRun): void => {
-    const { agentId, info } = worker;
-    const target = { agentId, workerId: info?.workerId ?? run.task.workerId };
+    const { task } = run;
+    const workerId = task.run === run.run ? task.workerId : (worker.info?.workerId ?? '');
+    const target = { agentId: worker.agentId, workerId };
     const now = { monotonicMs: nowMs(), wallMs: time.wallMs() };
-    run.task.openOrders = delayedOrders.addOpenOrder(run.task.openOrders, target, now);
+    task.openOrders = delayedOrders.addOpenOrder(task.openOrders, target, now);
     void options.save(run.entry.job.jobId);
   };
 
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -7,7 +7,7 @@
 import type * as metrics from '../../../base/common/metrics.js';
 import type * as poolConfiguration from '../../../state/common/pool/poolConfiguration.js';
 import type * as runtimeEstimates from '../../common/pool/runtimeEstimates.js';
-import type * as delayedOrders from '../../common/pool/delayedOrders.js';
+import * as delayedOrders from '../../common/pool/delayedOrders.js';
 import * as gangPlacement from '../../common/pool/gangPlacement.js';
 import * as stragglers from '../../common/pool/stragglers.js';
 import * as jobState from '../../common/pool/jobState.js';
@@ -55,6 +55,9 @@
 /** Changes within this time are planned in the same round. */
 const BATCH_MS = 1;
 
+/** So many starts without an answer bind a task to their worker; with more of them it may go elsewhere. */
+const MAX_RETRIES = 1;
+
 /** Polling interval of a start that waits until the leadership is certain. */
 const RECHECK_MS = 50;
 
@@ -207,6 +210,29 @@
       return !mayStart;
     });
 
+  /**
+   * Guards against two runs of a task: placed elsewhere, it would run beside the delayed order if the first worker dies
+   * and its new incarnation starts that. On the same worker, both end with it.
+   */
+  const toRetry = (
+    unit: planTypes.PlanUnit,
+    planWorkers: readonly planTypes.PlanWorker[],
+    now: delayedOrders.ClockReadings,
+  ): planTypes.PlanUnit => {
+    const [task, ...others] = unit.unit.tasks;
+    if (task === undefined || others.length > 0 || task.refusals > MAX_RETRIES) return unit;
+    const orders = task.openOrders.filter((it) => delayedOrders.remainingMs([it], now) > 0);
+    const worker = planWorkers.find(
+      (it) =>
+        orders.some((order) => order.workerId === it.workerId) &&
+        !it.isSuspect &&
+        !task.avoidedWorkerIds.includes(it.workerId) &&
+        gangPlacement.isSuitable(it, unit) &&
+        gangPlacement.slotsOn(it, unit) > 0,
+    );
+    return worker === undefined ? unit : { ...unit, retryWorkerId: worker.workerId };
+  };
+
   const addDueOccurrences = (wallMs: number): void => {
     for (const entry of registry.all()) {
       if (entry.job.schedule !== undefined && !jobState.isEnded(entry)) {
@@ -227,7 +253,8 @@
       wallMs,
       workerTable.createSlotCounter(workers.values()),
     );
-    const units = withoutDelayedOrders(waiting, { monotonicMs: startedAtMs, wallMs });
+    const now = { monotonicMs: startedAtMs, wallMs };
+    const units = withoutDelayedOrders(waiting, now);
     const stragglerGroups = stragglers.findStragglers(
       [...workers.values()],
       options.estimates,
@@ -240,7 +267,7 @@
     const round = planRound.planRound({
       nowMs: startedAtMs,
       workers: planWorkers,
-      units: withTickets(units, planWorkers),
+      units: withTickets(units, planWorkers).map((it) => toRetry(it, planWorkers, now)),
       stragglerUnits: queue.stragglerUnits(stragglerGroups, startedAtMs, wallMs),
       guarantees: guarantees(),
       remoteFactor: options.remoteFactor,
--- a/src/standins/test/poolLateOrders.test.ts
+++ b/src/standins/test/poolLateOrders.test.ts
@@ -49,6 +49,12 @@
   return submitWithOpenOrder(pool, 'a', order);
 };
 
+const resourcesOf = (accelerators: number) => ({
+  cpuMillicores: 1000,
+  memoryMb: 1000,
+  accelerators,
+});
+
 const crashAndBecomeUnreachable = ({ worker }: poolHarness.Site, nextId?: string): void => {
   worker.crash(nextId);
   worker.faults.isSilent = true;
@@ -332,6 +338,28 @@
     },
     states: { a: 'complete' },
   },
+  {
+    // Guards against a task that starts on another worker, and again by a delayed order in the first one's new
+    // incarnation: on the worker of the order it ends with that worker.
+    name: 'a task is retried on the worker of its open order',
+    options: { workers: 2, workMs: (task) => (task.startsWith('first') ? 80 : 5000) },
+    jobs: [],
+    act: async (pool) => {
+      await pool.clock.advance(PREVIOUS_AGE_MS);
+      // The second job has no room beside the first. Once that has ended, its worker is the fuller one.
+      await pool.submit(fixtures.makeJob([{ resources: resourcesOf(7) }], { jobId: 'first' }));
+      await pool.clock.advance(10);
+      await pool.submit(fixtures.makeJob([{ resources: resourcesOf(6) }], { jobId: 'second' }));
+      await pool.clock.advance(10);
+      const site = await submitWithOpenOrder(pool, 'a', { copies: ALL_COPIES, lateByMs: 5000 });
+      await pool.clock.advance(1500);
+      crashAndBecomeUnreachable(site);
+      site.sendHeartbeat();
+      await pool.clock.advance(5000);
+      site.worker.faults.isSilent = false;
+    },
+    states: { a: 'complete', second: 'complete' },
+  },
   {
     // Guards against running a task again whose second copy was done before the crash: no open run is left to wait for.
     name: 'an order does not run a done task in a new life that answers nobody',
