Hold a task's end until its order has a result, and don't send an order again that has run

An order of three attempts takes up to 1.8 s. Its first copy may be carried out meanwhile, its run end and be acknowledged, before the leader learns that copies are open. The agent went on sending copies after its own report had shown the run, also to a new incarnation that no heartbeat had announced: there the task began again, without any late copy. It stops once its report shows the run.

--- a/src/coordination/common/pool/jobState.ts
+++ b/src/coordination/common/pool/jobState.ts
@@ -36,6 +36,8 @@
   workMs: number;
   /** An earlier run that was declared lost but turned out to be done; 0 where there is none. */
   earlierDoneRun: number;
+  /** The run whose start order has no result yet; 0 where there is none. */
+  orderedRun: number;
   /** Unacknowledged start orders of any of its runs, one for each agent. */
   openOrders: delayedOrders.OpenOrder[];
 }
@@ -86,6 +88,7 @@
   distanceFactor: 0,
   workMs: 0,
   earlierDoneRun: 0,
+  orderedRun: 0,
   openOrders: [],
 });
 
--- a/src/coordination/node/pool/orderResultHandler.ts
+++ b/src/coordination/node/pool/orderResultHandler.ts
@@ -60,6 +60,7 @@
 
   const handleStart = (worker: workerTable.WorkerEntry, it: orderSender.SettledOrder): void => {
     const { run, outcome, reason, hasOpenCopy } = it;
+    if (run.task.orderedRun === run.run) run.task.orderedRun = 0;
     if (hasOpenCopy) recordOpenOrder(worker, run);
     const isOpen = worker.runs.get(workerTable.runKey(run.name, run.run)) === run;
     if (!isOpen) return;
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -115,6 +115,7 @@
     // Storing the start may have taken long: counted from its placement, a healthy run would count as stalled.
     run.startedAtMs = nowMs();
     run.progressedAtMs = nowMs();
+    run.task.orderedRun = run.run;
     options.orderSender().start(worker, { run, ticket });
   };
 
--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -244,16 +244,28 @@
     return undefined;
   };
 
+  /** @returns whether a report shows that the worker has carried out a start, although its answer is missing */
+  const isReported = (
+    { incarnationMs }: agentContract.OrderRequest,
+    { task, run }: agentContract.StartCommand,
+  ): boolean => {
+    const view = latest?.view;
+    if (view?.incarnationMs !== incarnationMs) return false;
+    return [...view.running, ...view.ended].some((it) => it.task === task && it.run === run);
+  };
+
   const attempt = async (
     request: agentContract.OrderRequest,
     send: () => Promise<agentContract.WorkerAnswer>,
+    isCarriedOut: () => boolean = () => false,
   ): Promise<agentContract.DeliveryResult> => {
     let answer = await send();
     const hasOpenCopy = answer.outcome === 'unknown';
     for (let tries = 1; tries < ORDER_ATTEMPTS && answer.outcome === 'unknown'; tries += 1) {
       // A new incarnation would execute again what the previous one may already have executed.
       if (refusalOf(request) !== undefined) break;
-      answer = await send();
+      // A run that has ended here would begin again in a new incarnation that no heartbeat has announced yet.
+      answer = isCarriedOut() ? { outcome: 'accepted', reason: 'reported' } : await send();
     }
     // After an unanswered attempt a refusal is not conclusive: the delayed duplicate may still take effect.
     return hasOpenCopy && answer.outcome === 'refused'
@@ -274,8 +286,10 @@
     if (leaseUntilMs === 0) return refused(command, 'no lease was granted');
     const payload = request.payloads[jobId] ?? '';
     const order = { task, run, payload, leaseUntilMs, saved, ticket };
-    const answer = await attempt(request, () =>
-      options.worker.start(request.workerId, { ...order, fence: workerFence(request.fence) }),
+    const answer = await attempt(
+      request,
+      () => options.worker.start(request.workerId, { ...order, fence: workerFence(request.fence) }),
+      () => isReported(request, command),
     );
     metrics.count('auburnlift_worker_starts_total', { outcome: answer.outcome });
     log('info', 'startGiven', { task, run, fence: request.fence, ...answer });
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -309,6 +309,7 @@
   ): number => {
     const task = findTask(end.task)?.task;
     if (task === undefined || !jobState.isTaskEnded(task)) return 0;
+    if (task.orderedRun === end.run) return delayedOrders.MAX_ORDER_DELAY_MS;
     const orders = task.openOrders.filter((it) => it.agentId === agentId);
     return delayedOrders.remainingMs(orders, { monotonicMs: nowMs(), wallMs: time.wallMs() });
   };
--- a/src/standins/test/poolLateOrders.test.ts
+++ b/src/standins/test/poolLateOrders.test.ts
@@ -360,6 +360,41 @@
     },
     states: { a: 'complete', second: 'complete' },
   },
+  {
+    // Guards against an acknowledged end while a copy of its order is still without an answer.
+    name: 'an end is not acknowledged before the result of its order',
+    options: { workers: 1, workMs: () => 100 },
+    jobs: [],
+    act: async (pool) => {
+      for (const { worker } of pool.sites) worker.faults.timeoutMs = 600;
+      const { worker, ...site } = await openOrder(pool, { copies: 1, lateByMs: 700 });
+      Object.assign(worker.faults, { delayOrders: 1, lateByMs: 5000 });
+      await pool.clock.advance(1000);
+      assert.equal((await pool.progress('a'))?.state, 'complete');
+      crashAndBecomeUnreachable({ worker, ...site });
+      await pool.clock.advance(5000);
+      Object.assign(worker.faults, { isSilent: false, timeoutMs: 0 });
+      poolHarness.assertNoStartAfterDone(pool.runs());
+    },
+    states: { a: 'complete' },
+  },
+  {
+    // Guards against an agent that sends an order again, to a new incarnation, after a report has shown its run's end.
+    name: 'an order whose run is reported is not sent again',
+    options: { workers: 1, workMs: () => 100 },
+    jobs: [],
+    act: async (pool) => {
+      for (const { worker } of pool.sites) worker.faults.timeoutMs = 600;
+      const { worker } = await openOrder(pool, { copies: 1, lateByMs: 50 });
+      await pool.clock.advance(480);
+      assert.equal((await pool.progress('a'))?.state, 'complete');
+      worker.crash();
+      await pool.clock.advance(2000);
+      worker.faults.timeoutMs = 0;
+    },
+    states: { a: 'complete' },
+    runs: 1,
+  },
   {
     // Guards against running a task again whose second copy was done before the crash: no open run is left to wait for.
     name: 'an order does not run a done task in a new life that answers nobody',
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -280,6 +280,24 @@
     'if (delayMs <= 0)',
     'if (true)',
   ],
+  [
+    'an end is not acknowledged before the result of its order',
+    `${NODE_POOL}/runControl.js`,
+    'if (task.orderedRun === end.run)',
+    'if (false)',
+  ],
+  [
+    'an order whose run is reported is not sent again',
+    `${NODE_POOL}/poolAgent.js`,
+    'isCarriedOut() ?',
+    'false ?',
+  ],
+  [
+    'a start without an answer is retried on its worker',
+    `${NODE_POOL}/planDriver.js`,
+    '.map((it) => toRetry(it, planWorkers, now))',
+    '',
+  ],
   [
     'an end is acknowledged in time although a delayed order may start the task',
     `${NODE_POOL}/endAcknowledgement.js`,
