--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -118,8 +118,9 @@
 const MAX_OPEN_MESSAGES = agentContract.FENCE_STEP - 3;
 
 /**
- * Counts a message with an unacknowledged start, for which the agent has used up a value between two fences; raises
- * the fence before the agent runs out of them.
+ * Counts a message with an unacknowledged start. After it the agent calls its worker under the next value between two
+ * fences of the leader (17, then 18, up to 23 where they are 16 and 24); the leader's fence is raised before the agent
+ * runs out of values.
  *
  * @param worker - the worker that the start was sent to
  */
