--- a/src/platform/test/bootFile.ts
+++ b/src/platform/test/bootFile.ts
@@ -49,6 +49,7 @@
 hold_max_ms = 6000
 status_s = 120
 revoke_ms = 5000
+ack_ms = 5000
 gang_ms = 3000
 `;
   const target = path.join(folder, `${file.nodeId}.toml`);
