--- a/src/platform/test/decoding.test.ts
+++ b/src/platform/test/decoding.test.ts
@@ -50,6 +50,17 @@
     assert.equal(settings.front, undefined);
   });
 
+  const ACKNOWLEDGEMENT: readonly [string, string, number][] = [
+    ['named', SETTINGS.replace('gang_ms', 'ack_ms = 4000\ngang_ms'), 4000],
+    ['not named', SETTINGS, 0],
+  ];
+  for (const [name, text, expectedMs] of ACKNOWLEDGEMENT) {
+    test.it(`give the time for acknowledgements, ${name}`, () => {
+      const settings = bootSettings.parseBootSettings(text, 'local.toml', 'agent');
+      assert.equal(settings.maxAcknowledgementMs, expectedMs);
+    });
+  }
+
   test.it('assign each program on a machine its own port', () => {
     const ports = (['entry', 'scheduler'] as const).map(
       (program) => bootSettings.parseBootSettings(SETTINGS, 'f', program).peers.port,
