Let agents tell a new leader of their unanswered start orders

Cause: an order without an answer is known to the leader that sent it once the agent replies. A leader that dies before then leaves the next one a task that is assigned, no open order and a worker that nobody reaches; after the leases it gave the task away, and the delayed copy began it again in the first worker's new incarnation (second entry of KNOWN-RED).

Change: an agent keeps each start from its first copy until it is answered or 12 s old, and names those of earlier epochs, with their ages, in every update to the current leader. The leader records them as open orders of the task, stored like its own; a repeated report of one order is not stored again. The field is optional: agents and leaders of the earlier version ignore or omit it. Fences of an epoch move to a module of their own, and both ways to record an open order share one.

Result: the listed case passes unchanged ("a new leader waits for an order of which the previous leader learnt nothing"; it failed by design before), entry removed.

--- a/src/coordination/common/pool/delayedOrders.ts
+++ b/src/coordination/common/pool/delayedOrders.ts
@@ -43,26 +43,53 @@
   return Math.max(0, order.untilMs - now.monotonicMs);
 };
 
+const leftAtAgeMs = (ageMs: number): number => Math.max(0, MAX_ORDER_DELAY_MS - ageMs);
+
 /**
  * @param orders - open orders of a task
  * @param target - where an order was sent that got no answer
  * @param now - the leader's clocks
+ * @param ageMs - how long ago its last copy was sent at the latest
  * @returns the open orders with it, without those that can no longer arrive
  */
 export const addOpenOrder = (
   orders: readonly OpenOrder[],
   { agentId, workerId }: OrderTarget,
   now: ClockReadings,
+  ageMs = 0,
 ): OpenOrder[] => [
   ...orders.filter((it) => it.agentId !== agentId && leftMs(it, now) > 0),
   {
     agentId,
     workerId,
-    untilWallMs: now.wallMs + MAX_ORDER_DELAY_MS,
-    untilMs: now.monotonicMs + MAX_ORDER_DELAY_MS,
+    untilWallMs: now.wallMs + leftAtAgeMs(ageMs),
+    untilMs: now.monotonicMs + leftAtAgeMs(ageMs),
   },
 ];
 
+/** Two reports of one order differ by the time that they took to arrive. */
+const REPORT_DELAY_MS = 500;
+
+/**
+ * @param orders - open orders of a task
+ * @param target - where an order was sent that an agent reports
+ * @param now - the leader's clocks
+ * @param ageMs - how long ago its last copy was sent at the latest
+ * @returns whether the open orders cover it already
+ */
+export const isKnownOrder = (
+  orders: readonly OpenOrder[],
+  { agentId, workerId }: OrderTarget,
+  now: ClockReadings,
+  ageMs: number,
+): boolean =>
+  orders.some(
+    (it) =>
+      it.agentId === agentId &&
+      it.workerId === workerId &&
+      leftMs(it, now) + REPORT_DELAY_MS >= leftAtAgeMs(ageMs),
+  );
+
 /**
  * @param orders - open orders of a task
  * @param now - the leader's clocks
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -95,15 +95,6 @@
   suspicion: workerSuspicion.WorkerSuspicion;
 }
 
-/** Fences of one epoch; each time that earlier orders must be refused uses up one step of them. */
-export const FENCES_PER_EPOCH = 1_000_000;
-
-/**
- * @param epoch - the leader's epoch
- * @returns the first fence of the epoch, above all of earlier epochs
- */
-export const firstFence = (epoch: number): number => epoch * FENCES_PER_EPOCH;
-
 /**
  * Makes the worker refuse every earlier order, once it has received the new fence.
  *
--- a/src/coordination/node/pool/orderResultHandler.ts
+++ b/src/coordination/node/pool/orderResultHandler.ts
@@ -6,9 +6,9 @@
 import type * as metrics from '../../../base/common/metrics.js';
 import * as agentContract from '../../../state/common/pool/agentContract.js';
 import * as jobState from '../../common/pool/jobState.js';
-import * as delayedOrders from '../../common/pool/delayedOrders.js';
 import * as runState from '../../common/pool/runState.js';
 import * as workerTable from '../../common/pool/workerTable.js';
+import type * as openOrderRecorder from './openOrderRecorder.js';
 import type * as orderSender from './orderSender.js';
 
 /** Dependencies of the handler. */
@@ -16,8 +16,7 @@
   readonly clock: clock.Clock;
   readonly log: logging.Log;
   readonly metrics: metrics.Metrics;
-  /** Stores a job's progress. */
-  readonly save: (jobId: string) => Promise<void>;
+  readonly openOrders: openOrderRecorder.OpenOrderRecorder;
   readonly stopRun: (
     worker: workerTable.WorkerEntry,
     run: workerTable.ActiveRun,
@@ -48,14 +47,10 @@
   const { clock: time, log, metrics, stopRun, close, markLost } = options;
   const nowMs = (): number => time.monotonicMs();
 
-  /** Stores with the job how long a duplicate may arrive, since the next leader has to wait for it as well. */
   const recordOpenOrder = (worker: workerTable.WorkerEntry, run: workerTable.ActiveRun): void => {
     const { task } = run;
     const workerId = task.run === run.run ? task.workerId : (worker.info?.workerId ?? '');
-    const target = { agentId: worker.agentId, workerId };
-    const now = { monotonicMs: nowMs(), wallMs: time.wallMs() };
-    task.openOrders = delayedOrders.addOpenOrder(task.openOrders, target, now);
-    void options.save(run.entry.job.jobId);
+    options.openOrders.recordOwn(run, { agentId: worker.agentId, workerId });
   };
 
   const handleStart = (worker: workerTable.WorkerEntry, it: orderSender.SettledOrder): void => {
--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -12,6 +12,7 @@
 import type * as metrics from '../../../base/common/metrics.js';
 import * as agentContract from '../../../state/common/pool/agentContract.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
+import * as openStarts from '../../common/pool/openStarts.js';
 
 /** Dependencies of the agent. */
 export interface PoolAgentOptions {
@@ -99,6 +100,7 @@
   let isAnswering = false;
   let onDidAcknowledge: () => void = () => undefined;
   const waiters = new Set<() => void>();
+  const sentStarts = openStarts.createOpenStarts(() => time.monotonicMs());
 
   const notifyChange = (): void => {
     version += 1;
@@ -227,14 +229,18 @@
     fenceSteps = 0;
   };
 
-  const buildUpdate = (): agentContract.WorkerUpdate => ({
-    bootId: options.bootId,
-    version,
-    ...(info === undefined ? {} : { worker: info }),
-    ...(latest === undefined ? {} : { view: latest.view }),
-    viewFence: latest?.fence ?? 0,
-    viewAgeMs: latest === undefined ? 0 : Math.ceil(time.monotonicMs() - latest.receivedAtMs),
-  });
+  const buildUpdate = (): agentContract.WorkerUpdate => {
+    const openOrders = sentStarts.ofEarlierLeaders(fence);
+    return {
+      bootId: options.bootId,
+      version,
+      ...(info === undefined ? {} : { worker: info }),
+      ...(latest === undefined ? {} : { view: latest.view }),
+      viewFence: latest?.fence ?? 0,
+      viewAgeMs: latest === undefined ? 0 : Math.ceil(time.monotonicMs() - latest.receivedAtMs),
+      ...(openOrders.length === 0 ? {} : { openStarts: openOrders }),
+    };
+  };
 
   const refusalOf = (request: agentContract.OrderRequest): string | undefined => {
     if (info === undefined) return 'no heartbeat of the worker has been received yet';
@@ -286,11 +292,14 @@
     if (leaseUntilMs === 0) return refused(command, 'no lease was granted');
     const payload = request.payloads[jobId] ?? '';
     const order = { task, run, payload, leaseUntilMs, saved, ticket };
+    const { workerId, fence: orderFence } = request;
+    const settle = sentStarts.track({ task, workerId, fence: orderFence });
     const answer = await attempt(
       request,
       () => options.worker.start(request.workerId, { ...order, fence: workerFence(request.fence) }),
       () => isReported(request, command),
     );
+    settle(answer.hasOpenCopy);
     metrics.count('auburnlift_worker_starts_total', { outcome: answer.outcome });
     log('info', 'startGiven', { task, run, fence: request.fence, ...answer });
     return { task, run, ...answer };
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -14,6 +14,7 @@
 import type * as store from '../../../state/common/store.js';
 import * as addressRecord from '../../common/pool/addressRecord.js';
 import type * as doneRuns from '../../common/pool/doneRuns.js';
+import * as fences from '../../common/pool/fences.js';
 import * as runtimeEstimates from '../../common/pool/runtimeEstimates.js';
 import * as jobState from '../../common/pool/jobState.js';
 import * as jobTransitions from '../../common/pool/jobTransitions.js';
@@ -238,7 +239,7 @@
       known.url = url;
       return;
     }
-    const fence = workerTable.firstFence(term.epoch);
+    const fence = fences.firstFence(term.epoch);
     const worker = workerTable.createWorkerEntry(
       agentId,
       url,
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -11,7 +11,7 @@
 import type * as clock from '../../../base/common/clock.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
-import * as agentContract from '../../../state/common/pool/agentContract.js';
+import type * as agentContract from '../../../state/common/pool/agentContract.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import type * as doneRuns from '../../common/pool/doneRuns.js';
 import * as endTracker from '../../common/pool/endTracker.js';
@@ -28,6 +28,7 @@
 import * as endAcknowledgement from './endAcknowledgement.js';
 import * as endRecorder from './endRecorder.js';
 import * as lostRunDetector from './lostRunDetector.js';
+import * as openOrderRecorder from './openOrderRecorder.js';
 import type * as orderSender from './orderSender.js';
 import * as orderResultHandler from './orderResultHandler.js';
 import * as runInspection from './runInspection.js';
@@ -179,9 +180,7 @@
   };
 
   /** The job and task for a task name, if the leader knows them. */
-  const findTask = (
-    text: string,
-  ): { entry: jobState.JobEntry; task: jobState.TaskEntry } | undefined => {
+  const findTask = (text: string): openOrderRecorder.KnownTask | undefined => {
     const name = poolWorker.parseTaskName(text);
     const entry = name === undefined ? undefined : options.registry.get(name.jobId);
     if (name === undefined || entry === undefined) return undefined;
@@ -353,6 +352,18 @@
     return stored;
   };
 
+  const openOrders = openOrderRecorder.createOpenOrderRecorder(options);
+
+  const recordOpenStarts = (
+    { agentId }: workerTable.WorkerEntry,
+    news: agentContract.WorkerUpdate,
+  ) => {
+    for (const start of news.openStarts ?? []) {
+      const known = findTask(start.task);
+      if (known !== undefined) openOrders.recordReported(known, agentId, start);
+    }
+  };
+
   const detector = lostRunDetector.createLostRunDetector({ ...options, markLost });
 
   const applyUpdate: RunControl['applyUpdate'] = (worker, news, receivedAtMs) => {
@@ -361,6 +372,7 @@
     // A restarted agent does not know which values above the leader's fence it has used.
     if (worker.bootId !== '' && worker.bootId !== news.bootId) workerTable.raiseFence(worker);
     worker.bootId = news.bootId;
+    recordOpenStarts(worker, news);
     applyInfo(worker, news.worker);
     const stored = applyReport(worker, news, receivedAtMs);
     worker.isReachable = worker.sample !== undefined && news.viewAgeMs <= MAX_VIEW_AGE_MS;
@@ -373,6 +385,7 @@
 
   const orderResults = orderResultHandler.createOrderResultHandler({
     ...options,
+    openOrders,
     stopRun,
     close: markClosing,
     markLost,
--- a/src/standins/test/poolLateOrders.test.ts
+++ b/src/standins/test/poolLateOrders.test.ts
@@ -308,7 +308,6 @@
   {
     // Guards against a leader that dies before it notes that an order got no answer: the next one gives the task away.
     name: 'a new leader waits for an order of which the previous leader learnt nothing',
-    todo: 'KNOWN-RED: the next leader does not know of an order that got no answer as the previous one died',
     options: { workers: 2, workMs: () => 500 },
     jobs: [],
     act: async (pool, first) => {
--- a/src/state/common/pool/agentContract.ts
+++ b/src/state/common/pool/agentContract.ts
@@ -30,6 +30,18 @@
 /** See {@link SyncRequest}. */
 export type SyncRequest = typeof SyncRequest.Type;
 
+/** A start order that got no answer: a copy of it may still be executed. */
+export const OpenStart = Schema.Struct({
+  task: Schema.String,
+  /** The worker that it was sent to. */
+  workerId: Schema.String,
+  /** Time since its last copy was sent at the latest, by the agent's clock. */
+  ageMs: units.Count,
+});
+
+/** See {@link OpenStart}. */
+export type OpenStart = typeof OpenStart.Type;
+
 /** The state of an agent's worker as known to the agent. */
 export const WorkerUpdate = Schema.Struct({
   /** Identifies one incarnation of the agent's process. */
@@ -41,6 +53,8 @@
   viewFence: units.Count,
   /** Time since the agent received the report, by the agent's clock. */
   viewAgeMs: units.Count,
+  /** Start orders of earlier leaders that got no answer; absent where there are none. */
+  openStarts: Schema.optionalKey(Schema.Array(OpenStart)),
 });
 
 /** See {@link WorkerUpdate}. */
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -28,6 +28,7 @@
   'transport/node/test/connections.test.js',
   'standins/test/poolExploration.test.js',
   `${COMMON_POOL}/test/jobState.test.js`,
+  `${COMMON_POOL}/test/openStarts.test.js`,
   `${COMMON_POOL}/test/jobTransitions.test.js`,
   `${COMMON_POOL}/test/poolGuards.test.js`,
   `${COMMON_POOL}/test/planRound.test.js`,
@@ -304,6 +305,12 @@
     'Math.min(leftMs, ',
     'Math.max(0, ',
   ],
+  [
+    'an agent tells the next leader of the orders that got no answer',
+    `${NODE_POOL}/poolAgent.js`,
+    'openOrders.length === 0',
+    'true',
+  ],
   [
     'a new leader waits for delayed orders of the previous leader',
     `${NODE_POOL}/lostRunDetector.js`,
