Do not take up the runs of a departed worker again from its last report

Cause: a worker that shuts down with runs on it has its last report list them as running. 1.2 s after it the leader declared them lost, and the next update of the agent showed the same report: the runs were unknown to the leader, so it took them up, ordered them stopped (each order brought the report again at once) and declared them lost again. On a fleet of which a sixth leaves at once this is most of the leader's time.

Change: the last report of a departed worker still delivers its ends, and no longer brings runs back.

Result: poolDepartures fails before (26923 !== 1) and passes now; each run is declared lost once and repeated on another worker.

--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -319,6 +319,12 @@
     delayedMs: delayedStartAfterEndMs,
   });
 
+  /** The last report of a departed worker lists runs that have ended with it. */
+  const hasDeparted = (
+    { info }: workerTable.WorkerEntry,
+    { viewAgeMs }: agentContract.WorkerUpdate,
+  ): boolean => info?.state === poolWorker.WorkerState.gone && viewAgeMs > DEPARTED_MS;
+
   const applyReport = (
     worker: workerTable.WorkerEntry,
     news: agentContract.WorkerUpdate,
@@ -340,7 +346,9 @@
     const stored = acknowledge(worker, facts.ends);
     facts.gone.forEach((run) => markLost(run, 'notOnWorker'));
     facts.missing.forEach((run) => markClosing(worker, run));
-    facts.unknownRuns.forEach((listed) => adoptUnknownRun(worker, listed));
+    if (!hasDeparted(worker, news)) {
+      facts.unknownRuns.forEach((listed) => adoptUnknownRun(worker, listed));
+    }
     for (const run of worker.runs.values()) {
       const isStale =
         run.phase === workerTable.RunPhase.present &&
@@ -376,9 +384,7 @@
     applyInfo(worker, news.worker);
     const stored = applyReport(worker, news, receivedAtMs);
     worker.isReachable = worker.sample !== undefined && news.viewAgeMs <= MAX_VIEW_AGE_MS;
-    const hasDeparted =
-      worker.info?.state === poolWorker.WorkerState.gone && news.viewAgeMs > DEPARTED_MS;
-    if (hasDeparted && worker.runs.size > 0) detector.markWorkerLost(worker);
+    if (hasDeparted(worker, news) && worker.runs.size > 0) detector.markWorkerLost(worker);
     if (worker.isReachable !== wasReachable) options.onDidChange();
     return stored;
   };
--- a/src/standins/test/poolHarness.ts
+++ b/src/standins/test/poolHarness.ts
@@ -47,6 +47,8 @@
   readonly restartAgent: () => void;
   /** Sends one heartbeat of the worker, even while it answers no calls. */
   readonly sendHeartbeat: () => void;
+  /** The worker announces that it shuts down, and ends with all its runs. */
+  readonly leave: () => void;
 }
 
 /** A candidate for the leadership. */
@@ -195,6 +197,11 @@
         sequence += 1;
         site.agent.recordHeartbeat({ info: worker.info(), sequence });
       },
+      leave: () => {
+        site.agent.recordDeparture(worker.info().workerId);
+        worker.crash();
+        worker.faults.isSilent = true;
+      },
     };
     const beat = (): void => {
       if (isDisposed) return;
