--- a/src/bench/saturation/mixes.ts
+++ b/src/bench/saturation/mixes.ts
@@ -1,6 +1,7 @@
 /**
  * The users' loads at their worst: kinds of jobs with the sizes and rates of their deployments.
  */
+import * as largeFleet from './largeFleet.js';
 
 /** A kind of job. */
 export interface JobKind {
@@ -25,6 +26,8 @@
   /** Share of multi-task steps that are gangs; `sameRackShare` of the gangs need a single rack. */
   readonly gangShare: number;
   readonly sameRackShare: number;
+  /** Whether only gangs that a rack can hold need a single one. */
+  readonly doesSameRackFit?: boolean;
   /** Steps with more tasks, or more accelerators per task, aren't gangs; absent if there is no limit. */
   readonly gangLimit?: { readonly tasks: number; readonly accelerators: number };
   readonly checkpointShare: number;
@@ -292,9 +295,12 @@
   ],
 };
 
-/** The users' loads. */
+/** The users' loads on a few workers. */
 export const MIXES: readonly Mix[] = [kamarvaki, vanuaPaws, fjordhavn];
 
+/** All loads; a replay of a large fleet takes some ten seconds. */
+export const ALL_MIXES: readonly Mix[] = [...MIXES, largeFleet.LARGE_FLEET];
+
 /** A scenario of overload or faults that is applied to a load. */
 export interface Strain {
   readonly name: string;
@@ -304,6 +310,10 @@
   readonly urgentBurst: number;
   /** Share of the jobs of priority 2 that always fail. */
   readonly poisonShare: number;
+  /** Jobs of priority 1 arrive at this multiple of their rate for four seconds of that; 1 if absent. */
+  readonly gangBurst?: number;
+  /** Share of the workers that shut down after a short notice; none if absent. */
+  readonly takenShare?: number;
   /** Share of the workers that are slow for seven seconds; `slowFactor` is their slowdown. */
   readonly slowShare: number;
   readonly slowFactor: number;
@@ -363,4 +373,12 @@
   },
   { ...ORDINARY, name: 'leader changes', urgentBurst: 2, gaps: LEADER_CHANGES },
   { ...ORDINARY, name: 'store away', urgentBurst: 2, gaps: STORE_OUTAGE },
+  {
+    ...ORDINARY,
+    name: 'bursts as workers leave',
+    urgentBurst: 2.4,
+    gangBurst: 2.8,
+    takenShare: 0.15,
+    failingShare: 0.08,
+  },
 ];
--- a/src/bench/saturation/outcomes.ts
+++ b/src/bench/saturation/outcomes.ts
@@ -7,6 +7,7 @@
 import * as poolJob from '../../state/common/pool/poolJob.js';
 import type * as mixes from './mixes.js';
 import type * as poolReplay from './poolReplay.js';
+import type * as workload from './workload.js';
 
 /** Shares of the worth of jobs, 0 to 1. */
 export interface Outcome {
@@ -38,7 +39,12 @@
   readonly earned: number;
 }
 
-const owedChainMs = ({ arrival }: poolReplay.ReplayedJob, mix: mixes.Mix): number => {
+/**
+ * @param arrival - a job
+ * @param mix - the user's load
+ * @returns its longest chain of work in waves, from the actual durations
+ */
+export const owedChainMs = (arrival: workload.Arrival, mix: mixes.Mix): number => {
   const slotsOf: jobChain.SlotsOf = (_, step) =>
     mix.workers * poolJob.countFittingTasks(mix.capacity, poolJob.consumedResources(step));
   const workOf: jobChain.WorkOf = (_, index) => Math.max(...(arrival.workMs[index] ?? []));
@@ -50,7 +56,7 @@
   const isServed = job.state === 'complete' || (isPoison && job.state === 'failed');
   if (!isServed) return 0;
   const runs = isPoison ? kind.attempts : 1;
-  const objectiveMs = kind.stretch * owedChainMs(job, mix) * runs + kind.objectiveMs;
+  const objectiveMs = kind.stretch * owedChainMs(job.arrival, mix) * runs + kind.objectiveMs;
   if (job.durationMs <= objectiveMs) return 1;
   return job.durationMs <= jobOutcome.LATE_MULTIPLE * objectiveMs ? kind.lateWorth / kind.worth : 0;
 };
@@ -72,16 +78,37 @@
   return groups;
 };
 
-const creditsOf = (mix: mixes.Mix, { jobs }: poolReplay.ReplayResult): Credit[] =>
-  mix.kinds.flatMap((kind) => {
-    const its = jobs.filter((it) => it.arrival.kind === kind && it.state !== 'cancelled');
-    const meanMs = its.reduce((sum, it) => sum + it.arrival.coreMs, 0) / Math.max(1, its.length);
-    return its.map((job) => {
-      const size = BASE_SHARE + (1 - BASE_SHARE) * (job.arrival.coreMs / meanMs);
-      const owed = kind.worth * Math.min(MAX_MULTIPLE, size);
-      return { job, owed, earned: owed * earnedShare(job, mix) };
-    });
+/**
+ * @param mix - the user's load
+ * @param arrivals - its jobs that are not cancelled
+ * @returns the worth of each by job id
+ */
+export const owedOf = (
+  mix: mixes.Mix,
+  arrivals: readonly workload.Arrival[],
+): ReadonlyMap<string, number> =>
+  new Map(
+    mix.kinds.flatMap((kind) => {
+      const its = arrivals.filter((it) => it.kind === kind);
+      const meanMs = its.reduce((sum, it) => sum + it.coreMs, 0) / Math.max(1, its.length);
+      return its.map(({ job, coreMs }): [string, number] => {
+        const size = BASE_SHARE + (1 - BASE_SHARE) * (coreMs / meanMs);
+        return [job.jobId, kind.worth * Math.min(MAX_MULTIPLE, size)];
+      });
+    }),
+  );
+
+const creditsOf = (mix: mixes.Mix, { jobs }: poolReplay.ReplayResult): Credit[] => {
+  const its = jobs.filter((it) => it.state !== 'cancelled');
+  const owedByJob = owedOf(
+    mix,
+    its.map((it) => it.arrival),
+  );
+  return its.map((job) => {
+    const owed = owedByJob.get(job.arrival.job.jobId) ?? 0;
+    return { job, owed, earned: owed * earnedShare(job, mix) };
   });
+};
 
 const largestOf = (credits: readonly Credit[]): Credit[] =>
   [...groupBy(credits, (it) => it.job.arrival.kind.name).values()].flatMap((its) =>
--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -52,6 +52,9 @@
 
 const FAILS_AFTER_MS = 900;
 
+/** When the workers that are taken announce their shutdown, and how long before it. */
+const TAKEN = { atMs: 12_700, noticeMs: 6500 } as const;
+
 interface ReplayedRun {
   readonly worker: workerTable.WorkerEntry;
   readonly run: workerTable.ActiveRun;
@@ -127,6 +130,7 @@
     new Set(workers.filter(() => next() < share));
   const slow = drawWorkers(strain.slowShare);
   const failing = drawWorkers(strain.failingShare);
+  const taken = drawWorkers(strain.takenShare ?? 0);
   const workerAt = (agentId: string): workerTable.WorkerEntry =>
     workers[Number(agentId.slice('agent-'.length))] as workerTable.WorkerEntry;
 
@@ -292,6 +296,20 @@
     stopByKey(groupKey);
   };
 
+  const shutDown = (worker: workerTable.WorkerEntry): void => {
+    for (const group of [...groups]) {
+      if (group.members.some((it) => it.worker === worker)) endGroup(group, 'stopped', true);
+    }
+    schedule();
+  };
+
+  const announceShutdowns = (): void => {
+    for (const worker of taken) {
+      if (worker.info !== undefined) worker.info = { ...worker.info, state: 'draining' };
+      events.at(events.nowMs() + TAKEN.noticeMs, () => shutDown(worker));
+    }
+  };
+
   const isInGap = (nowMs: number): boolean =>
     strain.gaps.some((it) => nowMs >= it.fromMs && nowMs < it.untilMs);
 
@@ -352,6 +370,7 @@
       schedule();
     });
   }
+  events.at(TAKEN.atMs, announceShutdowns);
   const tick = (): void => {
     for (const group of groups) reportProgress(group);
     schedule();
--- a/src/bench/saturation/workload.ts
+++ b/src/bench/saturation/workload.ts
@@ -4,7 +4,7 @@
 import type * as random from '../../base/common/random.js';
 import * as randoms from '../../base/common/random.js';
 import * as planRound from '../../coordination/common/pool/planRound.js';
-import type * as poolJob from '../../state/common/pool/poolJob.js';
+import * as poolJob from '../../state/common/pool/poolJob.js';
 import type * as mixes from './mixes.js';
 
 /** A job with properties that are known only to the replay, not to the scheduler. */
@@ -49,6 +49,15 @@
   return { preferredRack: `rack-${randoms.integerBelow(next, racks)}` };
 };
 
+const canSameRack = (
+  kind: mixes.JobKind,
+  mix: mixes.Mix,
+  count: number,
+  resources: poolJob.Resources,
+): boolean =>
+  kind.doesSameRackFit !== true ||
+  count <= mix.rackSize * poolJob.countFittingTasks(mix.capacity, resources);
+
 const drawSteps = (
   next: random.Random,
   kind: mixes.JobKind,
@@ -57,7 +66,8 @@
   const stepCount = next() < kind.secondStepShare ? 2 : 1;
   const accelerators = kind.accelerators[randoms.integerBelow(next, kind.accelerators.length)] ?? 1;
   const isCheckpointing = next() < kind.checkpointShare;
-  const { gangLimit } = kind;
+  const { gangLimit, cpuMillicores, memoryMb } = kind;
+  const resources = { cpuMillicores, memoryMb, accelerators };
   const isGang =
     next() < kind.gangShare && accelerators <= (gangLimit?.accelerators ?? accelerators);
   const isSameRack = next() < kind.sameRackShare;
@@ -72,16 +82,12 @@
     workMs.push(isGangStep ? eachMs.map(() => longestMs) : eachMs);
     steps.push({
       count,
-      resources: {
-        cpuMillicores: kind.cpuMillicores,
-        memoryMb: kind.memoryMb,
-        accelerators,
-      },
+      resources,
       estimatedMs: Math.round(stepMs * kind.estimateFactor ** (2 * next() - 1)),
       after: index === 0 ? [] : [index - 1],
       isCheckpointing,
       isGang: isGangStep,
-      isSameRack: isGangStep && isSameRack,
+      isSameRack: isGangStep && isSameRack && canSameRack(kind, mix, count, resources),
       ...drawDataRack(next, kind, mix),
       maxPerWorker: 0,
       isSpeculative: false,
@@ -102,8 +108,19 @@
     0,
   );
 
-const isInBurst = (kind: mixes.JobKind, atMs: number): boolean =>
-  kind.priority === 0 && atMs >= BURST.fromMs && atMs < BURST.untilMs;
+/** Interval of the burst of jobs of priority 1. */
+const GANG_BURST = { fromMs: 10_000, untilMs: 14_000 } as const;
+
+interface Burst {
+  readonly fromMs: number;
+  readonly untilMs: number;
+  readonly times: number;
+}
+
+const burstOf = (kind: mixes.JobKind, strain: mixes.Strain): Burst => {
+  if (kind.priority === 1) return { ...GANG_BURST, times: strain.gangBurst ?? 1 };
+  return { ...BURST, times: kind.priority === 0 ? strain.urgentBurst : 1 };
+};
 
 /**
  * @param mix - the user's load
@@ -115,11 +132,13 @@
   const next = randoms.createRandom(seed);
   const arrivals: Arrival[] = [];
   for (const kind of mix.kinds) {
-    const peak = Math.max(1, strain.urgentBurst);
+    const burst = burstOf(kind, strain);
+    const peak = Math.max(1, burst.times);
     const gapMs = 1000 / (kind.jobsPerSecond * strain.load * peak);
     for (let atMs = 0; atMs < ARRIVALS_MS;) {
       atMs += -Math.log(1 - next()) * gapMs;
-      const keptShare = (isInBurst(kind, atMs) ? strain.urgentBurst : 1) / peak;
+      const isInBurst = atMs >= burst.fromMs && atMs < burst.untilMs;
+      const keptShare = (isInBurst ? burst.times : 1) / peak;
       if (atMs >= ARRIVALS_MS || next() >= keptShare) continue;
       const { steps, workMs } = drawSteps(next, kind, mix);
       const jobId = `${kind.name}-${arrivals.length}`;
--- a/src/bench/saturationBench.ts
+++ b/src/bench/saturationBench.ts
@@ -55,7 +55,7 @@
 ): Promise<void> => {
   const seeds = Number(args[0] ?? DEFAULT_SEEDS);
   const mixName = args[1];
-  for (const mix of mixes.MIXES.filter((it) => mixName === undefined || it.name === mixName)) {
+  for (const mix of mixes.ALL_MIXES.filter((it) => mixName === undefined || it.name === mixName)) {
     for (const strain of mixes.STRAINS) {
       print(`\n${mix.name}, ${strain.name} (shares of worth in per cent, ${seeds} seeds)`);
       print(HEADER);
