Keep urgent gangs off several racks while one rack can still make them in time

Cause: a gang that asks for one rack takes three times as long on several. An urgent job is in time within 1.5 times its work and half a second, so on several racks it never is.

Change: an urgent unit that is in time on local workers and not on remote ones uses local workers only: it waits there, or preempts there. Once it is late it goes by the expected end as before. A claim that finds nothing to preempt on one rack still takes any workers, since it is owed its start.

Result: the new case of planRound fails before and passes.

--- a/src/coordination/common/pool/localityChoice.ts
+++ b/src/coordination/common/pool/localityChoice.ts
@@ -2,7 +2,9 @@
  * Chooses between local and remote workers for a unit, by its expected end.
  *
  * Tasks take three times as long remote from their data or rack. Local workers go first, even where a
- * remote one fits better; remote ones are used only where waiting for local capacity takes longer.
+ * remote one fits better; remote ones are used only where waiting for local capacity takes longer. Urgent units that
+ * can be in time on local workers alone don't use remote ones: in a burst of urgent gangs each of them would occupy its
+ * workers for a multiple of its time, still be late, and make others late. They preempt local runs instead.
  */
 import * as gangPlacement from './gangPlacement.js';
 import type * as planTypes from './planTypes.js';
@@ -10,6 +12,8 @@
 
 /** Inputs of the choice. */
 export interface LocalityChoiceInput {
+  /** The leader's clock. */
+  readonly nowMs: number;
   readonly workers: readonly planTypes.PlanWorker[];
   readonly runs: futurePlacement.RunsByGroup;
   /** Cost of waiting until a group has ended by itself. */
@@ -44,14 +48,18 @@
  * @returns the choice; each unit is decided once, by the free capacity at that time
  */
 export const createLocalityChoice = (input: LocalityChoiceInput): LocalityChoice => {
-  const { workers, runs, waitCosts, remoteFactor } = input;
+  const { nowMs, workers, runs, waitCosts, remoteFactor } = input;
   const candidatesOf = memoizeByUnit((unit) => gangPlacement.candidateGroups(workers, unit));
 
   const isRemoteFaster = memoizeByUnit((unit) => {
     const { localGroups, remoteGroups } = candidatesOf(unit);
     if (remoteGroups.length === 0) return false;
     const slowdownMs = (remoteFactor - 1) * unit.expectedMs;
-    if (localGroups.length === 0 || unit.waitedMs >= slowdownMs) return true;
+    if (localGroups.length === 0) return true;
+    const isLocalInTime = nowMs <= unit.latestStartMs;
+    const isRemoteInTime = nowMs + slowdownMs <= unit.latestStartMs;
+    if (unit.priority === 0 && isLocalInTime && !isRemoteInTime) return false;
+    if (unit.waitedMs >= slowdownMs) return true;
     const future = futurePlacement.findFuturePlacement(runs, localGroups, unit, waitCosts);
     return future === undefined || futurePlacement.longestWaitMs(runs, future.leaving) > slowdownMs;
   });
--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -139,6 +139,7 @@
   );
 
   const places = localityChoice.createLocalityChoice({
+    nowMs,
     workers,
     runs,
     waitCosts,
--- a/src/coordination/common/pool/test/planRound.test.ts
+++ b/src/coordination/common/pool/test/planRound.test.ts
@@ -80,6 +80,26 @@
     waitedMs: 2000,
     starts: { 'job.0.0': ['w2', 'w3'] },
   },
+  {
+    // Guards against urgent gangs that occupy workers of several racks for a multiple of their time and are late.
+    name: 'an urgent gang that would be late on several racks preempts work on one',
+    workers: () => [
+      fixtures.makeWorker('w1', {
+        allocations: [fixtures.makeAllocation('small', 8, { remainingMs: 9e3 })],
+      }),
+      fixtures.makeWorker('w2'),
+      fixtures.makeWorker('w3', { rack: 'r2' }),
+    ],
+    jobs: [
+      fixtures.makeJob([{ count: 2, isGang: true, isSameRack: true, ...needing(8) }], {
+        priority: 0,
+      }),
+    ],
+    waitedMs: 1500,
+    guarantees: new Map([['customer', 16]]),
+    starts: {},
+    preemptions: ['small'],
+  },
   {
     name: 'a claim within the guarantee preempts lower-priority work that frees its capacity at the least loss',
     workers: () => [
