Let a larger fleet reserve room for more waiting gangs

Cause: at most two waiting units held a reservation, whatever the fleet's size.

Change: one reservation for four workers, at least two. Pools of eleven workers keep two.

Result: the new case of planRound fails before and passes.

--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -13,8 +13,14 @@
 import type * as planTypes from './planTypes.js';
 import * as futurePlacement from './futurePlacement.js';
 
-/** Concurrent reservations; each one takes workers from all units behind it. */
-const MAX_RESERVATIONS = 2;
+/** Least limit of concurrent reservations; each one takes workers from all units behind it. */
+const MIN_RESERVATION_LIMIT = 2;
+
+/**
+ * A fleet holds one reservation for this many workers: with two on hundreds of workers, small tasks take the capacity
+ * that dozens of waiting gangs need.
+ */
+const WORKERS_PER_RESERVATION = 4;
 
 /** A unit gets a reservation after this wait; shorter waits mostly end with the next run that ends. */
 const RESERVE_AFTER_MS = 1500;
@@ -224,13 +230,17 @@
   };
 
   const fullSteps = new Set<string>();
+  const reservationLimit = Math.max(
+    MIN_RESERVATION_LIMIT,
+    Math.floor(workers.length / WORKERS_PER_RESERVATION),
+  );
   let reservations = 0;
   for (const unit of others) {
     // Tasks of one step are alike: where one found no capacity the next finds none either.
     const isKnownNotToFit = unit.unit.tasks.length === 1 && fullSteps.has(unit.stepKey);
     if (!isKnownNotToFit && !startNow(unit) && !preempt(unit)) {
       fullSteps.add(unit.stepKey);
-      const isReserving = reservations < MAX_RESERVATIONS && unit.waitedMs >= RESERVE_AFTER_MS;
+      const isReserving = reservations < reservationLimit && unit.waitedMs >= RESERVE_AFTER_MS;
       const future = isReserving
         ? futurePlacement.findFuturePlacement(runs, places.groupsOf(unit), unit, waitCosts)
         : undefined;
--- a/src/coordination/common/pool/test/planRound.test.ts
+++ b/src/coordination/common/pool/test/planRound.test.ts
@@ -217,6 +217,22 @@
     waitedMs: 2000,
     starts: {},
   },
+  {
+    // Guards against a fleet in which small tasks take the capacity that all but two of the waiting gangs need.
+    name: 'a larger fleet reserves capacity for more wide tasks',
+    workers: () =>
+      Array.from({ length: 30 }, (_, index) =>
+        fixtures.makeWorker(`w${index}`, {
+          allocations: [fixtures.makeAllocation(`a${index}`, index < 3 ? 4 : 8)],
+        }),
+      ),
+    jobs: [
+      ...['first', 'second', 'third'].map((jobId) => fixtures.makeJob([needing(8)], { jobId })),
+      fixtures.makeJob([{}], { jobId: 'small', priority: 2 }),
+    ],
+    waitedMs: 1900,
+    starts: {},
+  },
   {
     name: 'small tasks use the gap before the wide one has waited long enough',
     workers: () => [fixtures.makeWorker('w1', { allocations: [fixtures.makeAllocation('a', 4)] })],
