Sum losses by window of arrival, and work thrown away by queue

`--window SECONDS` adds sums by time of arrival, refused with the field's name where it would make more than 10,000 of them; the table of work thrown away gains a column for the queue. An assertion of the report gains the queue; the others stay.

--- a/src/cli/logCommands.ts
+++ b/src/cli/logCommands.ts
@@ -135,8 +135,8 @@
 });
 
 const thrownAwayTable = (rows: readonly lossReport.ThrownAway[]): textTable.Table => ({
-  columns: ['work thrown away by', 'runs', 'core-seconds'],
-  rows: rows.map((it) => [it.cause, it.runs, Math.round(it.coreSeconds)]),
+  columns: ['queue', 'work thrown away by', 'runs', 'core-seconds'],
+  rows: rows.map((it) => [it.queue, it.cause, it.runs, Math.round(it.coreSeconds)]),
 });
 
 const LOSSES: commandDefinition.CommandDefinition = {
@@ -146,10 +146,21 @@
     'read from standard input. Times by cause are in ' +
     'milliseconds along the chain of runs that determined the end of the job. Sums include late and ' +
     'lost jobs only. Cancelled jobs are excluded.',
-  examples: ['losses all.log', 'losses --all', 'losses all.log --json'],
+  examples: [
+    'losses all.log',
+    'losses --all',
+    'losses all.log --window 2',
+    'losses all.log --json',
+  ],
   argNames: [commandDefinition.FILE_ARG],
   isOffline: true,
-  flags: { all: oclif.Flags.boolean({ summary: 'Also list the jobs that were in time.' }) },
+  flags: {
+    all: oclif.Flags.boolean({ summary: 'Also list the jobs that were in time.' }),
+    window: oclif.Flags.integer({
+      summary: 'Also sum by time of arrival, in windows of this many seconds.',
+      min: 1,
+    }),
+  },
   run: async (input) => {
     const collected = await collect(input, commandDefinition.fileArg(input, 0), {
       needs: jobHistory.isHistoryEvent,
@@ -157,7 +168,13 @@
     });
     const { logContext } = collected;
     const isListed = (it: lossReport.Loss): boolean => input.flags.all === true || it.isLoss;
-    const builder = lossReport.createReportBuilder(logContext, isListed, MAX_LISTED);
+    const { window } = input.flags;
+    const windowMs = typeof window === 'number' ? window * 1000 : undefined;
+    const builder = lossReport.createReportBuilder(logContext, {
+      isListed,
+      maxListed: MAX_LISTED,
+      windowMs,
+    });
     for (const { jobId, events } of collected.jobs()) {
       builder.add(jobHistory.buildHistory(jobId, events, logContext));
     }
--- a/src/cli/logs/lossReport.ts
+++ b/src/cli/logs/lossReport.ts
@@ -1,6 +1,8 @@
 /**
- * Reports which jobs were late or lost and how their time divides by cause, in total, by queue and by customer.
+ * Reports which jobs were late or lost and how their time divides by cause, in total, by queue, by customer and by
+ * the time of their arrival.
  */
+import * as errors from '../../base/common/errors.js';
 import type * as jobHistory from './jobHistory.js';
 import * as ownText from './ownText.js';
 import * as timeSplit from './timeSplit.js';
@@ -22,9 +24,9 @@
   readonly byCause: ByCause;
 }
 
-/** Totals for one queue, one customer or all jobs. */
+/** Totals for one queue, one customer, one window of arrival or all jobs. */
 export interface Sum {
-  readonly of: 'all' | 'queue' | 'customer';
+  readonly of: 'all' | 'queue' | 'customer' | 'window';
   readonly name: string;
   readonly jobs: number;
   readonly inTime: number;
@@ -96,8 +98,10 @@
   }
 };
 
-/** Wasted work by the cause that ended it. */
+/** Wasted work of one queue by the cause that ended it. */
 export interface ThrownAway {
+  /** Empty where no line names it. */
+  readonly queue: string;
   /** Why the run was stopped, or how it ended. */
   readonly cause: string;
   readonly runs: number;
@@ -113,9 +117,11 @@
   for (const { runs: groupRuns } of job.groups.values()) {
     for (const run of groupRuns.filter((it) => it.wastedCoreSeconds > 0)) {
       const cause = causeOfEnd(run);
-      const { runs, coreSeconds } = sums.get(cause) ?? { runs: 0, coreSeconds: 0 };
+      const queue = ownText.copySubstring(job.queue);
+      const key = `${queue} ${cause}`;
+      const { runs, coreSeconds } = sums.get(key) ?? { runs: 0, coreSeconds: 0 };
       const sum = coreSeconds + run.wastedCoreSeconds;
-      sums.set(cause, { cause, runs: runs + 1, coreSeconds: sum });
+      sums.set(key, { queue, cause, runs: runs + 1, coreSeconds: sum });
     }
   }
 };
@@ -148,13 +154,32 @@
   };
 };
 
+/** More windows than a reader looks through; limits the memory for logs of months. */
+const MAX_WINDOWS = 10_000;
+
+/** @returns the start of the window in which a job arrived */
+const windowOf = (job: jobHistory.JobHistory, windowMs: number): string => {
+  const startMs = Math.floor((job.acceptedAtMs ?? job.firstAtMs) / windowMs) * windowMs;
+  return new Date(startMs).toISOString();
+};
+
+/** Which jobs a report lists, and how it sums them. */
+export interface ReportOptions {
+  /** Selects the jobs to list. */
+  readonly isListed: (loss: Loss) => boolean;
+  /** Maximum number of listed jobs; the earliest are kept. */
+  readonly maxListed: number;
+  /** Length of the windows of arrival; undefined for no sums by window. */
+  readonly windowMs?: number | undefined;
+}
+
 /** The report on all jobs. */
 export interface Report {
   /** Ordered by the time of their first log line. */
   readonly jobs: readonly Loss[];
   /** Number of jobs above the listing limit. */
   readonly unlisted: number;
-  /** Totals, then by queue, then by customer. */
+  /** Totals, then by queue, by customer and by window of arrival. */
   readonly sums: readonly Sum[];
   /** Sorted by cost, highest first. */
   readonly thrownAway: readonly ThrownAway[];
@@ -171,39 +196,47 @@
 
 /**
  * @param logContext - leader terms and the end of the log
- * @param isListed - selects the jobs to list
- * @param maxListed - maximum number of listed jobs; the earliest are kept
- * @returns an empty builder
+ * @param options - which jobs to list, and how to sum them
+ * @returns an empty builder; adding a job throws `invalidRequest` where there are too many windows
  */
 export const createReportBuilder = (
   logContext: jobHistory.LogContext,
-  isListed: (loss: Loss) => boolean,
-  maxListed: number,
+  { isListed, maxListed, windowMs }: ReportOptions,
 ): ReportBuilder => {
   const all = createSum('all', 'all');
   const queues = new Map<string, MutableSum>();
   const customers = new Map<string, MutableSum>();
+  const windows = new Map<string, MutableSum>();
   const thrownAway = new Map<string, ThrownAway>();
   const listing = createListing(maxListed);
-  const addBy = (of: 'queue' | 'customer', sums: Map<string, MutableSum>, loss: Loss): void => {
-    const sum = sums.get(loss[of]) ?? createSum(of, loss[of]);
+  const addBy = (sums: Map<string, MutableSum>, of: Sum['of'], name: string, loss: Loss): void => {
+    const sum = sums.get(name) ?? createSum(of, name);
     sums.set(sum.name, sum);
     addTo(sum, loss);
   };
+  const addToWindow = (job: jobHistory.JobHistory, loss: Loss): void => {
+    if (windowMs === undefined) return;
+    addBy(windows, 'window', windowOf(job, windowMs), loss);
+    if (windows.size > MAX_WINDOWS) {
+      const message = `the log has more than ${MAX_WINDOWS} windows; choose a longer one`;
+      throw errors.fail('invalidRequest', message, { field: 'window' });
+    }
+  };
   return {
     add: (job) => {
       addThrownAway(thrownAway, job);
       const loss = assessJob(job, logContext);
       if (loss === undefined) return;
       addTo(all, loss);
-      addBy('queue', queues, loss);
-      addBy('customer', customers, loss);
+      addBy(queues, 'queue', loss.queue, loss);
+      addBy(customers, 'customer', loss.customer, loss);
+      addToWindow(job, loss);
       if (isListed(loss)) listing.add({ firstAtMs: job.firstAtMs, loss });
     },
     report: () => ({
       jobs: listing.losses(),
       unlisted: listing.unlisted(),
-      sums: [all, ...byName(queues), ...byName(customers)],
+      sums: [all, ...[queues, customers, windows].flatMap(byName)],
       thrownAway: [...thrownAway.values()].sort((a, b) => b.coreSeconds - a.coreSeconds),
     }),
   };
--- a/src/cli/logs/test/timeSplit.test.ts
+++ b/src/cli/logs/test/timeSplit.test.ts
@@ -213,9 +213,13 @@
     at(0, 'jobAccepted', 'job=open queue=q2 customer=d'),
   ];
 
-  const reportOf = (maxListed = 10): lossReport.Report => {
-    const histories = historiesOf(lines);
-    const builder = lossReport.createReportBuilder(histories, () => true, maxListed);
+  const reportOf = (maxListed = 10, windowMs?: number, of = lines): lossReport.Report => {
+    const histories = historiesOf(of);
+    const builder = lossReport.createReportBuilder(histories, {
+      isListed: () => true,
+      maxListed,
+      windowMs,
+    });
     histories.jobs.forEach((job) => builder.add(job));
     return builder.report();
   };
@@ -259,7 +263,34 @@
     assert.deepEqual([jobs.map((it) => it.jobId), unlisted, sums[0]?.jobs], [['j'], 2, 3]);
   });
 
-  test.it('counts work that was neither finished nor saved, by the cause that ended it', () => {
-    assert.deepEqual(reportOf().thrownAway, [{ cause: 'failed', runs: 1, coreSeconds: 8 }]);
+  test.it(
+    'counts work that was neither finished nor saved, by queue and the cause that ended it',
+    () => {
+      assert.deepEqual(reportOf().thrownAway, [
+        { queue: 'q', cause: 'failed', runs: 1, coreSeconds: 8 },
+      ]);
+    },
+  );
+
+  const LATER = at(4500, 'jobAccepted', 'job=later queue=q2 customer=c');
+
+  test.it('sums by window of arrival', () => {
+    const windows = reportOf(10, 2000, [...lines, LATER]).sums.filter(({ of }) => of === 'window');
+    assert.deepEqual(
+      windows.map(({ jobs, inTime, late, lost }) => [jobs, inTime, late, lost]),
+      [
+        [3, 1, 1, 1],
+        [1, 0, 0, 1],
+      ],
+    );
+    const [first, second] = windows.map(({ name }) => Date.parse(name));
+    assert.equal((second ?? 0) - (first ?? 0), 4000);
+  });
+
+  test.it('refuses windows that are too short for the log', () => {
+    const many = Array.from({ length: 10_001 }, (_, index) =>
+      at(2 * index, 'jobAccepted', `job=many${index} queue=q customer=c`),
+    );
+    assert.throws(() => reportOf(10, 1, many), /choose a longer one/);
   });
 });
