Group the runs once when looking for stragglers

Cause: for each run that is slow, the search went through all runs of the fleet for its siblings and again for its group, and judged its queue's declarations anew.

Change: runs are grouped by step and by group once, and each queue is judged once; nothing is done without a candidate. The decisions are the same.

--- a/src/coordination/common/pool/stragglers.ts
+++ b/src/coordination/common/pool/stragglers.ts
@@ -69,14 +69,32 @@
   readonly run: workerTable.ActiveRun;
 }
 
+/**
+ * Groups the runs once for all slow ones: with a search through all runs for the siblings of each slow one, a fleet of
+ * 160 workers spent more time here than on placement.
+ */
+const groupBy = (
+  runs: readonly PlacedRun[],
+  keyOf: (run: workerTable.ActiveRun) => string,
+): ReadonlyMap<string, readonly PlacedRun[]> => {
+  const groups = new Map<string, PlacedRun[]>();
+  for (const placed of runs) {
+    const key = keyOf(placed.run);
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, [placed]);
+    else group.push(placed);
+  }
+  return groups;
+};
+
 /**
  * Where other workers run the same step as slowly, the declaration is wrong. Members of a gang all
  * progress at one speed, whichever worker slows them down, and can't be compared.
  */
-const isSlowElsewhere = (all: readonly PlacedRun[], { worker, run }: PlacedRun): boolean => {
+const isSlowElsewhere = (siblings: readonly PlacedRun[], { worker, run }: PlacedRun): boolean => {
   if (run.step.isGang) return false;
-  const speeds = all
-    .filter((it) => it.run.stepKey === run.stepKey && it.worker !== worker)
+  const speeds = siblings
+    .filter((it) => it.worker !== worker)
     .flatMap((it) => it.run.pace.speed ?? []);
   return speeds.length > 0 && (run.pace.speed ?? 0) >= SIBLING_SHARE * Math.max(...speeds);
 };
@@ -98,14 +116,21 @@
   const all = workers.flatMap((worker) =>
     [...worker.runs.values()].map((run): PlacedRun => ({ worker, run })),
   );
-  const slow = all.filter(
+  const candidates = all.filter((it) => runPace.isStraggler(it.run.pace));
+  if (candidates.length === 0) return [];
+  const queues = new Set(candidates.map(({ run }) => run.entry.job.policy.queue));
+  const reliableQueues = new Set(
+    [...queues].filter((it) => runtimeEstimates.areDeclarationsReliable(estimates, it)),
+  );
+  const runsByStep = groupBy(all, (run) => run.stepKey);
+  const slow = candidates.filter(
     (it) =>
-      runPace.isStraggler(it.run.pace) &&
-      runtimeEstimates.areDeclarationsReliable(estimates, it.run.entry.job.policy.queue) &&
-      !isSlowElsewhere(all, it),
+      reliableQueues.has(it.run.entry.job.policy.queue) &&
+      !isSlowElsewhere(runsByStep.get(it.run.stepKey) ?? [], it),
   );
+  const runsByGroup = groupBy(all, (run) => run.groupKey);
   return [...new Set(slow.map(({ run }) => run.groupKey))].flatMap((groupKey) => {
-    const members = all.filter(({ run }) => run.groupKey === groupKey);
+    const members = runsByGroup.get(groupKey) ?? [];
     const runs = members.map(({ run }) => run);
     const [first] = runs;
     if (first === undefined || !runs.every(canBeRelocated)) return [];
