--- a/tools/guards.js
+++ b/tools/guards.js
@@ -12,6 +12,7 @@
 const TESTS = [
   'standins/test/poolFaults.test.js',
   'standins/test/poolLateOrders.test.js',
+  'standins/test/poolDepartures.test.js',
   'standins/test/poolAgentIncarnations.test.js',
   'standins/test/poolLeaderFaults.test.js',
   'standins/test/poolCancelFaults.test.js',
@@ -305,6 +306,24 @@
     'Math.min(leftMs, ',
     'Math.max(0, ',
   ],
+  [
+    'the last report of a departed worker does not bring its runs back',
+    `${NODE_POOL}/runControl.js`,
+    'if (!hasDeparted(worker, news)) {',
+    'if (true) {',
+  ],
+  [
+    'a larger fleet holds more reservations',
+    `${COMMON_POOL}/planRound.js`,
+    'reservations < reservationLimit',
+    'reservations < MIN_RESERVATION_LIMIT',
+  ],
+  [
+    'an urgent gang that would be late on several racks stays on one',
+    `${COMMON_POOL}/localityChoice.js`,
+    'unit.priority === 0 && isLocalInTime && !isRemoteInTime',
+    'false',
+  ],
   [
     'an agent tells the next leader of the orders that got no answer',
     `${NODE_POOL}/poolAgent.js`,
