--- a/tools/ablation.js
+++ b/tools/ablation.js
@@ -40,8 +40,8 @@
   [
     'reservations',
     `${POOL}/planRound.js`,
-    'const MAX_RESERVATIONS = 2',
-    'const MAX_RESERVATIONS = 0',
+    'reservations < reservationLimit',
+    'false',
   ],
   [
     'deprioritizing units without value to the caller',
