--- a/tools/ablation.js
+++ b/tools/ablation.js
@@ -37,12 +37,7 @@
     'const HEADROOM_SHARE = 0.25',
     'const HEADROOM_SHARE = 0',
   ],
-  [
-    'reservations',
-    `${POOL}/planRound.js`,
-    'reservations < reservationLimit',
-    'false',
-  ],
+  ['reservations', `${POOL}/planRound.js`, 'reservations < reservationLimit', 'false'],
   [
     'deprioritizing units without value to the caller',
     `${POOL}/planRound.js`,
