--- a/src/bench/saturation/outcomes.ts
+++ b/src/bench/saturation/outcomes.ts
@@ -2,6 +2,7 @@
  * Value that callers gained from a load, as shares of the worth of their jobs: in total and by kind,
  * size and customer.
  */
+import * as groupBy from '../../base/common/groupBy.js';
 import * as jobChain from '../../coordination/common/pool/jobChain.js';
 import * as jobOutcome from '../../coordination/common/pool/jobOutcome.js';
 import * as poolJob from '../../state/common/pool/poolJob.js';
@@ -66,18 +67,6 @@
   return owed === 0 ? 1 : credits.reduce((sum, it) => sum + it.earned, 0) / owed;
 };
 
-const groupBy = (
-  credits: readonly Credit[],
-  keyOf: (credit: Credit) => string,
-): Map<string, Credit[]> => {
-  const groups = new Map<string, Credit[]>();
-  for (const credit of credits) {
-    const key = keyOf(credit);
-    groups.set(key, [...(groups.get(key) ?? []), credit]);
-  }
-  return groups;
-};
-
 /**
  * @param mix - the user's load
  * @param arrivals - its jobs that are not cancelled
@@ -111,14 +100,14 @@
 };
 
 const largestOf = (credits: readonly Credit[]): Credit[] =>
-  [...groupBy(credits, (it) => it.job.arrival.kind.name).values()].flatMap((its) =>
+  [...groupBy.groupBy(credits, (it) => it.job.arrival.kind.name).values()].flatMap((its) =>
     [...its]
       .sort((a, b) => b.job.arrival.coreMs - a.job.arrival.coreMs)
       .slice(0, Math.ceil(its.length * LARGEST_SHARE)),
   );
 
 const worstSpansOf = (credits: readonly Credit[]): number => {
-  const spans = groupBy(credits, (it) => String(Math.floor(it.job.arrival.atMs / SPAN_MS)));
+  const spans = groupBy.groupBy(credits, (it) => String(Math.floor(it.job.arrival.atMs / SPAN_MS)));
   const [first = 1, second = 1] = [...spans.values()].map(shareOf).sort((a, b) => a - b);
   return (first + second) / 2;
 };
@@ -138,8 +127,8 @@
   const wastedCoreMs = results.reduce((sum, it) => sum + it.wastedCoreMs, 0);
   const usedCoreMs = results.reduce((sum, it) => sum + it.usedCoreMs, 0);
   const served = shareOf(credits);
-  const byKind = groupBy(credits, (it) => it.job.arrival.kind.name);
-  const byCustomer = groupBy(credits, (it) => it.job.arrival.job.customerId);
+  const byKind = groupBy.groupBy(credits, (it) => it.job.arrival.kind.name);
+  const byCustomer = groupBy.groupBy(credits, (it) => it.job.arrival.job.customerId);
   return {
     served,
     net: served - ((wastedCoreMs / 1000) * WASTE_PER_CORE_SECOND) / owed,
--- a/src/coordination/common/pool/futurePlacement.ts
+++ b/src/coordination/common/pool/futurePlacement.ts
@@ -2,6 +2,7 @@
  * Finds where a unit would fit once some running groups have ended: with the least loss, for a claim of
  * a guarantee; soonest, for a wide unit that must not starve.
  */
+import * as groupBy from '../../../base/common/groupBy.js';
 import * as poolJob from '../../../state/common/pool/poolJob.js';
 import * as gangPlacement from './gangPlacement.js';
 import type * as planTypes from './planTypes.js';
@@ -52,15 +53,10 @@
  * @returns their runs by group
  */
 export const indexRuns = (workers: readonly planTypes.PlanWorker[]): RunsByGroup => {
-  const runs = new Map<string, PlacedRun[]>();
-  for (const worker of workers) {
-    for (const allocation of worker.allocations) {
-      const its = runs.get(allocation.groupKey);
-      if (its === undefined) runs.set(allocation.groupKey, [{ worker, allocation }]);
-      else its.push({ worker, allocation });
-    }
-  }
-  return runs;
+  const runs = workers.flatMap((worker) =>
+    worker.allocations.map((allocation): PlacedRun => ({ worker, allocation })),
+  );
+  return groupBy.groupBy(runs, ({ allocation }) => allocation.groupKey);
 };
 
 /** Cost of ending or awaiting a group; infinite where that must not be done. */
--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -5,6 +5,7 @@
  * With tasks of one accelerator and of eight on workers of eight, small tasks that are spread evenly
  * leave no worker entirely free, and the large ones wait for the last of them to end.
  */
+import * as groupBy from '../../../base/common/groupBy.js';
 import * as poolJob from '../../../state/common/pool/poolJob.js';
 import type * as jobState from './jobState.js';
 import type * as planTypes from './planTypes.js';
@@ -91,16 +92,6 @@
   readonly remoteGroups: CandidateGroups;
 }
 
-const byRack = (workers: readonly planTypes.PlanWorker[]): Map<string, planTypes.PlanWorker[]> => {
-  const racks = new Map<string, planTypes.PlanWorker[]>();
-  for (const worker of workers) {
-    const rack = racks.get(worker.rack) ?? [];
-    rack.push(worker);
-    racks.set(worker.rack, rack);
-  }
-  return racks;
-};
-
 const couldEverFit = (
   workers: readonly planTypes.PlanWorker[],
   unit: planTypes.PlanUnit,
@@ -131,7 +122,7 @@
   // Suspect workers are used only where the others could never hold it.
   const usable = [untried, healthy].find((its) => couldEverFit(its, unit)) ?? suitable;
   const needsOneRack = step.isSameRack && step.isGang && tasks.length > 1;
-  const racks = [...byRack(usable).entries()];
+  const racks = [...groupBy.groupBy(usable, ({ rack }) => rack)];
   const localGroups = racks
     .filter(([rack, its]) => {
       const isPreferred = step.preferredRack === undefined || rack === step.preferredRack;
--- a/src/coordination/common/pool/stragglers.ts
+++ b/src/coordination/common/pool/stragglers.ts
@@ -2,6 +2,7 @@
  * Finds the stragglers that are worth relocating: running groups that are slow because of a worker, and
  * in time only if they are restarted on another one.
  */
+import * as groupBy from '../../../base/common/groupBy.js';
 import * as runtimeEstimates from './runtimeEstimates.js';
 import * as gangPlacement from './gangPlacement.js';
 import * as jobState from './jobState.js';
@@ -69,24 +70,6 @@
   readonly run: workerTable.ActiveRun;
 }
 
-/**
- * Groups the runs once for all slow ones: with a search through all runs for the siblings of each slow one, a fleet of
- * 160 workers spent more time here than on placement.
- */
-const groupBy = (
-  runs: readonly PlacedRun[],
-  keyOf: (run: workerTable.ActiveRun) => string,
-): ReadonlyMap<string, readonly PlacedRun[]> => {
-  const groups = new Map<string, PlacedRun[]>();
-  for (const placed of runs) {
-    const key = keyOf(placed.run);
-    const group = groups.get(key);
-    if (group === undefined) groups.set(key, [placed]);
-    else group.push(placed);
-  }
-  return groups;
-};
-
 /**
  * Where other workers run the same step as slowly, the declaration is wrong. Members of a gang all
  * progress at one speed, whichever worker slows them down, and can't be compared.
@@ -122,13 +105,15 @@
   const reliableQueues = new Set(
     [...queues].filter((it) => runtimeEstimates.areDeclarationsReliable(estimates, it)),
   );
-  const runsByStep = groupBy(all, (run) => run.stepKey);
+  // Grouped once: with a search through all runs for the siblings of each slow one, the time grew with the square of
+  // the runs, and exceeded that of placement on a large fleet.
+  const runsByStep = groupBy.groupBy(all, ({ run }) => run.stepKey);
   const slow = candidates.filter(
     (it) =>
       reliableQueues.has(it.run.entry.job.policy.queue) &&
       !isSlowElsewhere(runsByStep.get(it.run.stepKey) ?? [], it),
   );
-  const runsByGroup = groupBy(all, (run) => run.groupKey);
+  const runsByGroup = groupBy.groupBy(all, ({ run }) => run.groupKey);
   return [...new Set(slow.map(({ run }) => run.groupKey))].flatMap((groupKey) => {
     const members = runsByGroup.get(groupKey) ?? [];
     const runs = members.map(({ run }) => run);
--- a/src/transport/node/console/cellDiagram.ts
+++ b/src/transport/node/console/cellDiagram.ts
@@ -1,6 +1,7 @@
 /**
  * Diagram of a cell: each accelerator by rack and worker, with the job it is allocated to and why.
  */
+import * as groupBy from '../../../base/common/groupBy.js';
 import type * as entrySchedulerMessages from '../../../protocol/common/entrySchedulerMessages.js';
 import * as job from '../../../state/common/job.js';
 import * as html from './html.js';
@@ -67,12 +68,8 @@
 type WorkerView = entrySchedulerMessages.WorkerStatus;
 
 const byRack = (workers: readonly WorkerView[]): ReadonlyMap<string, readonly WorkerView[]> => {
-  const racks = new Map<string, WorkerView[]>();
   const sorted = [...workers].sort((a, b) => a.worker.workerId.localeCompare(b.worker.workerId));
-  for (const it of sorted) {
-    racks.set(it.worker.rack, [...(racks.get(it.worker.rack) ?? []), it]);
-  }
-  return racks;
+  return groupBy.groupBy(sorted, ({ worker }) => worker.rack);
 };
 
 /**
