Read both clocks, raise fences and record reported starts in one place each

The pair of clock readings was built in five places, one of them new, under two names for its type: clock.readClocks serves all. The recorder of open orders looks the task up itself, so run control passes the report on in one line. Guards follow their code.

--- a/src/base/common/clock.ts
+++ b/src/base/common/clock.ts
@@ -14,6 +14,22 @@
   readonly after: (delayMs: number, callback: () => void) => disposable.Disposable;
 }
 
+/** Both clocks, read at the same instant. */
+export interface ClockReadings {
+  readonly monotonicMs: number;
+  /** Unix milliseconds. */
+  readonly wallMs: number;
+}
+
+/**
+ * @param clock - the clock
+ * @returns the current instant on both clocks
+ */
+export const readClocks = (clock: Pick<Clock, 'monotonicMs' | 'wallMs'>): ClockReadings => ({
+  monotonicMs: clock.monotonicMs(),
+  wallMs: clock.wallMs(),
+});
+
 /**
  * @param clock - the clock
  * @param durationMs - how long to wait
--- a/src/coordination/common/pool/delayedOrders.ts
+++ b/src/coordination/common/pool/delayedOrders.ts
@@ -3,6 +3,7 @@
  * knows of no fence until it is contacted for the first time. They outlive the run that they start: it may have ended,
  * or the worker may have refused them, and its next incarnation still accepts them.
  */
+import type * as clock from '../../../base/common/clock.js';
 import type * as progressRecord from '../../../state/common/pool/progressRecord.js';
 
 /** A worker carries out an order within this time, or never. */
@@ -13,13 +14,6 @@
   untilMs?: number;
 }
 
-/** Both clocks of the leader, read at the same instant. */
-export interface ClockReadings {
-  readonly monotonicMs: number;
-  /** Unix milliseconds. */
-  readonly wallMs: number;
-}
-
 /** Where an order was sent to. */
 export type OrderTarget = Pick<progressRecord.OpenOrder, 'agentId' | 'workerId'>;
 
@@ -30,7 +24,7 @@
  * @param now - the leader's clocks
  * @returns the same instant on this leader's monotonic clock
  */
-const toMonotonicMs = (untilWallMs: number, now: ClockReadings): number =>
+const toMonotonicMs = (untilWallMs: number, now: clock.ClockReadings): number =>
   now.monotonicMs + Math.min(MAX_ORDER_DELAY_MS, Math.max(0, untilWallMs - now.wallMs));
 
 /**
@@ -38,7 +32,7 @@
  * @param now - the leader's clocks
  * @returns for how much longer its copy may arrive
  */
-const leftMs = (order: OpenOrder, now: ClockReadings): number => {
+const leftMs = (order: OpenOrder, now: clock.ClockReadings): number => {
   order.untilMs ??= toMonotonicMs(order.untilWallMs, now);
   return Math.max(0, order.untilMs - now.monotonicMs);
 };
@@ -55,7 +49,7 @@
 export const addOpenOrder = (
   orders: readonly OpenOrder[],
   { agentId, workerId }: OrderTarget,
-  now: ClockReadings,
+  now: clock.ClockReadings,
   ageMs = 0,
 ): OpenOrder[] => [
   ...orders.filter((it) => it.agentId !== agentId && leftMs(it, now) > 0),
@@ -80,7 +74,7 @@
 export const isKnownOrder = (
   orders: readonly OpenOrder[],
   { agentId, workerId }: OrderTarget,
-  now: ClockReadings,
+  now: clock.ClockReadings,
   ageMs: number,
 ): boolean =>
   orders.some(
@@ -98,7 +92,7 @@
  */
 export const remainingMs = (
   orders: readonly OpenOrder[],
-  now: ClockReadings,
+  now: clock.ClockReadings,
   isRefused: (order: OpenOrder) => boolean = () => false,
 ): number =>
   orders.reduce((left, it) => (isRefused(it) ? left : Math.max(left, leftMs(it, now))), 0);
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -1,7 +1,7 @@
 /**
  * The leader's in-memory state of the workers and of the runs that occupy capacity on them.
  */
-import * as agentContract from '../../../state/common/pool/agentContract.js';
+import type * as clock from '../../../base/common/clock.js';
 import * as poolJob from '../../../state/common/pool/poolJob.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as delayedOrders from './delayedOrders.js';
@@ -95,31 +95,6 @@
   suspicion: workerSuspicion.WorkerSuspicion;
 }
 
-/**
- * Makes the worker refuse every earlier order, once it has received the new fence.
- *
- * @param worker - the worker that the orders were sent to
- */
-export const raiseFence = (worker: WorkerEntry): void => {
-  worker.fence += agentContract.FENCE_STEP;
-  worker.openMessages = 0;
-};
-
-/** The agent has one value less than a step, and needs some of them for new incarnations of its worker. */
-const MAX_OPEN_MESSAGES = agentContract.FENCE_STEP - 3;
-
-/**
- * Counts a message with an unacknowledged start. After it the agent calls its worker under the next value between two
- * fences of the leader (17, then 18, up to 23 where they are 16 and 24); the leader's fence is raised before the agent
- * runs out of values.
- *
- * @param worker - the worker that the start was sent to
- */
-export const recordOpenMessage = (worker: WorkerEntry): void => {
-  worker.openMessages += 1;
-  if (worker.openMessages >= MAX_OPEN_MESSAGES) raiseFence(worker);
-};
-
 /**
  * @param name - a task's name
  * @param run - number of its start
@@ -374,7 +349,7 @@
 export const delayedStartMs = (
   workers: ReadonlyMap<string, WorkerEntry>,
   orders: readonly delayedOrders.OpenOrder[],
-  now: delayedOrders.ClockReadings,
+  now: clock.ClockReadings,
 ): number =>
   delayedOrders.remainingMs(orders, now, (order) =>
     refusesDelayedOrder(workers.get(order.agentId), order, now.monotonicMs),
--- a/src/coordination/node/pool/lostRunDetector.ts
+++ b/src/coordination/node/pool/lostRunDetector.ts
@@ -5,8 +5,9 @@
  * incarnation of it has seen no fence, and may execute a start ordered from the previous one as long as a delayed
  * duplicate of that order can arrive.
  */
-import type * as clock from '../../../base/common/clock.js';
+import * as clock from '../../../base/common/clock.js';
 import type * as logging from '../../../base/common/logging.js';
+import * as fences from '../../common/pool/fences.js';
 import * as jobState from '../../common/pool/jobState.js';
 import type * as jobRegistry from '../../common/pool/jobRegistry.js';
 import * as workerTable from '../../common/pool/workerTable.js';
@@ -46,16 +47,13 @@
     cause: string,
   ): void => {
     if (runs.length === 0) return;
-    workerTable.raiseFence(worker);
+    fences.raiseFence(worker);
     for (const run of runs) worker.runs.delete(workerTable.runKey(run.name, run.run));
     runs.forEach((run) => options.markLost(run, cause));
   };
 
   const delayedMs = (task: jobState.TaskEntry): number =>
-    workerTable.delayedStartMs(options.workers, task.openOrders, {
-      monotonicMs: nowMs(),
-      wallMs: time.wallMs(),
-    });
+    workerTable.delayedStartMs(options.workers, task.openOrders, clock.readClocks(time));
 
   /** @returns whether a delayed duplicate of a start order may still take effect */
   const mayStillStart = (worker: workerTable.WorkerEntry, run: workerTable.ActiveRun): boolean => {
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -201,7 +201,7 @@
   /** Leaves out units of which a delayed order may start a task on a worker that does not answer. */
   const withoutDelayedOrders = (
     units: readonly planTypes.PlanUnit[],
-    now: delayedOrders.ClockReadings,
+    now: clock.ClockReadings,
   ): planTypes.PlanUnit[] =>
     units.filter((unit) => {
       const mayStart = unit.unit.tasks.some(
@@ -218,7 +218,7 @@
   const toRetry = (
     unit: planTypes.PlanUnit,
     planWorkers: readonly planTypes.PlanWorker[],
-    now: delayedOrders.ClockReadings,
+    now: clock.ClockReadings,
   ): planTypes.PlanUnit => {
     const [task, ...others] = unit.unit.tasks;
     if (task === undefined || others.length > 0 || task.refusals > MAX_RETRIES) return unit;
@@ -245,8 +245,8 @@
   const plan = (): void => {
     isDue = false;
     if (!options.isReady()) return;
-    const startedAtMs = nowMs();
-    const wallMs = time.wallMs();
+    const now = clock.readClocks(time);
+    const { monotonicMs: startedAtMs, wallMs } = now;
     addDueOccurrences(wallMs);
     const waiting = queue.units(
       registry.all(),
@@ -254,7 +254,6 @@
       wallMs,
       workerTable.createSlotCounter(workers.values()),
     );
-    const now = { monotonicMs: startedAtMs, wallMs };
     const units = withoutDelayedOrders(waiting, now);
     const stragglerGroups = stragglers.findStragglers(
       [...workers.values()],
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -8,7 +8,7 @@
  * - an unreachable worker continues. Its runs count as running until all leases granted to it have expired;
  * - a run end is acknowledged, and so dropped by the worker, only after the job's progress is stored.
  */
-import type * as clock from '../../../base/common/clock.js';
+import * as clock from '../../../base/common/clock.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
 import type * as agentContract from '../../../state/common/pool/agentContract.js';
@@ -20,6 +20,7 @@
 import * as jobTransitions from '../../common/pool/jobTransitions.js';
 import type * as jobRegistry from '../../common/pool/jobRegistry.js';
 import * as delayedOrders from '../../common/pool/delayedOrders.js';
+import * as fences from '../../common/pool/fences.js';
 import * as runState from '../../common/pool/runState.js';
 import * as reportReconciliation from '../../common/pool/reportReconciliation.js';
 import * as workerSuspicion from '../../common/pool/workerSuspicion.js';
@@ -147,7 +148,7 @@
 
   /** Marks a run as closing: it counts as gone once the worker has answered under a higher fence. */
   const markClosing = (worker: workerTable.WorkerEntry, run: workerTable.ActiveRun): void => {
-    workerTable.raiseFence(worker);
+    fences.raiseFence(worker);
     run.phase = workerTable.RunPhase.closing;
     run.closeFence = worker.fence;
   };
@@ -266,7 +267,7 @@
     worker.suspicion = workerSuspicion.createWorkerSuspicion();
     // The previous incarnation ended with all its runs, but an order to it may still reach the new one, even a
     // duplicate of an order that was executed long ago.
-    workerTable.raiseFence(worker);
+    fences.raiseFence(worker);
     for (const run of worker.runs.values()) {
       run.phase = workerTable.RunPhase.closing;
       run.closeFence = worker.fence;
@@ -310,7 +311,7 @@
     if (task === undefined || !jobState.isTaskEnded(task)) return 0;
     if (task.orderedRun === end.run) return delayedOrders.MAX_ORDER_DELAY_MS;
     const orders = task.openOrders.filter((it) => it.agentId === agentId);
-    return delayedOrders.remainingMs(orders, { monotonicMs: nowMs(), wallMs: time.wallMs() });
+    return delayedOrders.remainingMs(orders, clock.readClocks(time));
   };
 
   const acknowledge = endAcknowledgement.createEndAcknowledgement({
@@ -354,17 +355,7 @@
     return stored;
   };
 
-  const openOrders = openOrderRecorder.createOpenOrderRecorder(options);
-
-  const recordOpenStarts = (
-    { agentId }: workerTable.WorkerEntry,
-    news: agentContract.WorkerUpdate,
-  ) => {
-    for (const start of news.openStarts ?? []) {
-      const known = findTask(start.task);
-      if (known !== undefined) openOrders.recordReported(known, agentId, start);
-    }
-  };
+  const openOrders = openOrderRecorder.createOpenOrderRecorder({ ...options, findTask });
 
   const detector = lostRunDetector.createLostRunDetector({ ...options, markLost });
 
@@ -372,9 +363,9 @@
     const wasReachable = worker.isReachable;
     worker.contactedAtMs = receivedAtMs;
     // A restarted agent does not know which values above the leader's fence it has used.
-    if (worker.bootId !== '' && worker.bootId !== news.bootId) workerTable.raiseFence(worker);
+    if (worker.bootId !== '' && worker.bootId !== news.bootId) fences.raiseFence(worker);
     worker.bootId = news.bootId;
-    recordOpenStarts(worker, news);
+    openOrders.recordReported(worker.agentId, news.openStarts ?? []);
     applyInfo(worker, news.worker);
     const stored = applyReport(worker, news, receivedAtMs);
     worker.isReachable = worker.sample !== undefined && news.viewAgeMs <= MAX_VIEW_AGE_MS;
@@ -413,7 +404,7 @@
     applyOrderResults: (settled) => {
       const { worker, news, receivedAtMs } = settled;
       settled.starts.forEach((it) => orderResults.handleStart(worker, it));
-      if (settled.starts.some((it) => it.hasOpenCopy)) workerTable.recordOpenMessage(worker);
+      if (settled.starts.some((it) => it.hasOpenCopy)) fences.recordOpenMessage(worker);
       if (news !== undefined) void applyUpdate(worker, news, receivedAtMs);
       settled.stops.forEach((it) => orderResults.handleStop(settled, it));
     },
--- a/src/coordination/node/pool/snapshotAge.ts
+++ b/src/coordination/node/pool/snapshotAge.ts
@@ -1,23 +1,21 @@
 /**
  * Tracks how long ago a local copy of the store's records was certainly complete.
  */
-import type * as clock from '../../../base/common/clock.js';
+import * as clock from '../../../base/common/clock.js';
 import type * as store from '../../../state/common/store.js';
 
-/** An instant on both clocks of the process. */
-export interface Moment {
-  readonly monotonicMs: number;
-  readonly wallMs: number;
-}
-
 /** The age of a copy. */
 export interface SnapshotAge {
   /** @returns the current instant, to be passed to {@link confirm} once a call sent now has been answered */
-  readonly now: () => Moment;
+  readonly now: () => clock.ClockReadings;
   /** Confirms that the copy contained everything written up to this instant. */
-  readonly confirm: (at: Moment) => void;
+  readonly confirm: (at: clock.ClockReadings) => void;
   /** Confirms the copy by the answer to a watch that was sent at this instant with this maximum wait. */
-  readonly confirmByWatch: (sentAt: Moment, waitMs: number, seen: store.WatchResult) => void;
+  readonly confirmByWatch: (
+    sentAt: clock.ClockReadings,
+    waitMs: number,
+    seen: store.WatchResult,
+  ) => void;
   /** Time since the latest confirmed instant; infinite before the first one. */
   readonly ageMs: () => number;
 }
@@ -27,12 +25,12 @@
  * @returns the age of a copy that has not been confirmed yet
  */
 export const createSnapshotAge = (time: clock.Clock): SnapshotAge => {
-  let proven: Moment = { monotonicMs: -Infinity, wallMs: -Infinity };
-  const confirm = (at: Moment): void => {
+  let proven: clock.ClockReadings = { monotonicMs: -Infinity, wallMs: -Infinity };
+  const confirm = (at: clock.ClockReadings): void => {
     if (at.monotonicMs >= proven.monotonicMs) proven = at;
   };
   return {
-    now: () => ({ monotonicMs: time.monotonicMs(), wallMs: time.wallMs() }),
+    now: () => clock.readClocks(time),
     confirm,
     confirmByWatch: (sentAt, waitMs, seen) => {
       // An empty answer was sent at the end of the wait; one with changes may have been sent at any time before.
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -195,7 +195,7 @@
   [
     'a new incarnation of a worker gets a higher fence from the leader',
     `${NODE_POOL}/runControl.js`,
-    'workerTable.raiseFence(worker);\n        for (const run',
+    'fences.raiseFence(worker);\n        for (const run',
     'for (const run',
   ],
   [
@@ -212,7 +212,7 @@
   ],
   [
     'the leader raises its fence before an agent runs out of values above it',
-    `${COMMON_POOL}/workerTable.js`,
+    `${COMMON_POOL}/fences.js`,
     'worker.openMessages += 1',
     'worker.openMessages += 0',
   ],
