--- a/src/standins/test/poolLateOrders.test.ts
+++ b/src/standins/test/poolLateOrders.test.ts
@@ -60,6 +60,18 @@
   worker.faults.isSilent = true;
 };
 
+/** The new incarnation sends one heartbeat and answers no calls for some time. */
+const beUnreachableAfterCrash = async (
+  pool: poolHarness.Pool,
+  site: poolHarness.Site,
+  forMs: number,
+): Promise<void> => {
+  crashAndBecomeUnreachable(site);
+  site.sendHeartbeat();
+  await pool.clock.advance(forMs);
+  site.worker.faults.isSilent = false;
+};
+
 /** Ends leader and worker; after the delayed duplicate, worker and link work again. */
 const crashWithLeader = async (
   pool: poolHarness.Pool,
@@ -85,10 +97,7 @@
     jobs: [],
     act: async (pool) => {
       const site = await openOrder(pool, { copies: ALL_COPIES, lateByMs: 3000 });
-      crashAndBecomeUnreachable(site);
-      site.sendHeartbeat();
-      await pool.clock.advance(5000);
-      site.worker.faults.isSilent = false;
+      await beUnreachableAfterCrash(pool, site, 5000);
     },
     states: { a: 'complete' },
     runs: 1,
@@ -238,10 +247,7 @@
         site.worker.runs.map(({ run }) => run),
         [2],
       );
-      crashAndBecomeUnreachable(site);
-      site.sendHeartbeat();
-      await pool.clock.advance(5000);
-      site.worker.faults.isSilent = false;
+      await beUnreachableAfterCrash(pool, site, 5000);
     },
     states: { a: 'complete' },
   },
@@ -330,10 +336,7 @@
       site.worker.drain(60_000);
       site.sendHeartbeat();
       await pool.clock.advance(2000);
-      crashAndBecomeUnreachable(site);
-      site.sendHeartbeat();
-      await pool.clock.advance(5000);
-      site.worker.faults.isSilent = false;
+      await beUnreachableAfterCrash(pool, site, 5000);
     },
     states: { a: 'complete' },
   },
@@ -352,10 +355,7 @@
       await pool.clock.advance(10);
       const site = await submitWithOpenOrder(pool, 'a', { copies: ALL_COPIES, lateByMs: 5000 });
       await pool.clock.advance(1500);
-      crashAndBecomeUnreachable(site);
-      site.sendHeartbeat();
-      await pool.clock.advance(5000);
-      site.worker.faults.isSilent = false;
+      await beUnreachableAfterCrash(pool, site, 5000);
     },
     states: { a: 'complete', second: 'complete' },
   },
