Let claims spare runs whose tasks could not start elsewhere

Cause: a task with an open order stays on its worker, so a run that a claim preempts there waits until its worker has room again or no copy can arrive, up to 12 s.

Change: the time for which a run's task is bound to its worker counts like lost work when a claim chooses what to preempt.

--- a/src/bench/planningBench.ts
+++ b/src/bench/planningBench.ts
@@ -88,6 +88,7 @@
       preemptions: 0,
       isCheckpointing: false,
       unsavedMs: 1000 + 17 * run,
+      boundMs: 0,
       remainingMs: 4000 + 31 * run,
     };
   });
--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -63,10 +63,13 @@
 export const weightInCores = (resources: poolJob.Resources): number =>
   resources.cpuMillicores / 1000 + CORES_PER_ACCELERATOR * resources.accelerators;
 
-/** Loss by preempting a run for urgent work of priority 0; undefined where it must not be preempted. */
+/**
+ * Loss by preempting a run for urgent work of priority 0; undefined where it must not be preempted. The time for which its
+ * task is bound to the worker counts like lost work: it can't use the room of other workers.
+ */
 const lossOf: futurePlacement.CostOf = (allocation) =>
   allocation.priority > 0 && !allocation.isProtected
-    ? (1 + allocation.unsavedMs) * weightInCores(allocation.room)
+    ? (1 + allocation.unsavedMs + allocation.boundMs) * weightInCores(allocation.room)
     : undefined;
 
 /** The same for work beyond its guarantee: spares jobs that were preempted too often already. */
--- a/src/coordination/common/pool/planTypes.ts
+++ b/src/coordination/common/pool/planTypes.ts
@@ -25,6 +25,8 @@
   readonly isCheckpointing: boolean;
   /** Work that is lost if it is stopped now, in milliseconds of its runtime. */
   readonly unsavedMs: number;
+  /** How long its task can start on no other worker if it is stopped now. */
+  readonly boundMs: number;
   /** Expected time to its end. */
   readonly remainingMs: number;
 }
--- a/src/coordination/common/pool/startPlaces.ts
+++ b/src/coordination/common/pool/startPlaces.ts
@@ -72,6 +72,28 @@
     return isVoid(worker, order) || hasJustAnswered(worker, now.monotonicMs);
   });
 
+/** Open orders of a task of which an incarnation may execute a copy. */
+const bindingOrders = (
+  workers: Workers,
+  { openOrders }: Pick<jobState.TaskEntry, 'openOrders'>,
+  now: clock.ClockReadings,
+): delayedOrders.OpenOrder[] =>
+  openOrders.filter(
+    (it) => delayedOrders.remainingMs([it], now) > 0 && !isVoid(workers.get(it.agentId), it),
+  );
+
+/**
+ * @param workers - workers by agent
+ * @param task - a task
+ * @param now - the leader's clocks
+ * @returns for how much longer it may not start on every worker
+ */
+export const boundMs = (
+  workers: Workers,
+  task: Pick<jobState.TaskEntry, 'openOrders'>,
+  now: clock.ClockReadings,
+): number => delayedOrders.remainingMs(bindingOrders(workers, task, now), now);
+
 /**
  * @param workers - workers by agent
  * @param task - a waiting task
@@ -83,9 +105,7 @@
   task: Pick<jobState.TaskEntry, 'openOrders' | 'avoidedWorkerIds'>,
   now: clock.ClockReadings,
 ): StartPlace => {
-  const [order, ...others] = task.openOrders.filter(
-    (it) => delayedOrders.remainingMs([it], now) > 0 && !isVoid(workers.get(it.agentId), it),
-  );
+  const [order, ...others] = bindingOrders(workers, task, now);
   if (order === undefined) return { kind: StartPlaceKind.anywhere };
   const worker = workers.get(order.agentId);
   const canTakeIt =
@@ -109,8 +129,7 @@
   workers: Workers,
   tasks: readonly jobState.TaskEntry[],
   now: clock.ClockReadings,
-): boolean =>
-  tasks.some((task) => startPlaceOf(workers, task, now).kind !== StartPlaceKind.anywhere);
+): boolean => tasks.some((task) => boundMs(workers, task, now) > 0);
 
 /**
  * @param workers - workers by agent
--- a/src/coordination/common/pool/test/poolFixtures.ts
+++ b/src/coordination/common/pool/test/poolFixtures.ts
@@ -106,6 +106,7 @@
   preemptions: 0,
   isCheckpointing: false,
   unsavedMs: 1000,
+  boundMs: 0,
   remainingMs: 1000,
   ...changes,
 });
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -265,7 +265,7 @@
 export const workLostByStopMs = (step: poolJob.Step, heldMs: number): number =>
   step.isCheckpointing ? Math.min(RESTORE_MS, heldMs) : heldMs;
 
-const toAllocation = (run: ActiveRun, nowMs: number): planTypes.Allocation => ({
+const toAllocation = (run: ActiveRun, nowMs: number, boundMs: number): planTypes.Allocation => ({
   jobId: run.entry.job.jobId,
   task: run.name,
   run: run.run,
@@ -279,6 +279,7 @@
   preemptions: run.entry.preemptions,
   isCheckpointing: run.step.isCheckpointing,
   unsavedMs: workLostByStopMs(run.step, nowMs - run.startedAtMs),
+  boundMs,
   remainingMs: remainingMsOf(run, nowMs),
 });
 
@@ -334,11 +335,13 @@
 /**
  * @param worker - an agent with its worker
  * @param nowMs - the leader's clock
+ * @param boundMsOf - for how much longer a task may start only on the worker where it runs
  * @returns the worker as input of a planning round, or undefined where it accepts no tasks
  */
 export const toPlanWorker = (
   worker: WorkerEntry,
   nowMs: number,
+  boundMsOf: (task: jobState.TaskEntry) => number = () => 0,
 ): planTypes.PlanWorker | undefined => {
   const { info } = worker;
   if (info === undefined || !acceptsTasks(worker)) return undefined;
@@ -351,7 +354,9 @@
     labels: info.labels,
     capacity: info.capacity,
     free: freeCapacity(worker),
-    allocations: [...worker.runs.values()].map((run) => toAllocation(run, nowMs)),
+    allocations: [...worker.runs.values()].map((run) =>
+      toAllocation(run, nowMs, boundMsOf(run.task)),
+    ),
     isSuspect: workerSuspicion.isSuspect(worker.suspicion, nowMs),
     placedSteps: new Map(),
   };
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -235,8 +235,9 @@
     const units = withStartPlaces(waiting, now);
     const stragglerGroups = findStragglers(now);
     if (units.length === 0 && stragglerGroups.length === 0) return;
+    const boundMsOf = (task: jobState.TaskEntry): number => startPlaces.boundMs(workers, task, now);
     const planWorkers = [...workers.values()]
-      .map((it) => workerTable.toPlanWorker(it, startedAtMs))
+      .map((it) => workerTable.toPlanWorker(it, startedAtMs, boundMsOf))
       .filter((it) => it !== undefined);
     const entries = registry.all();
     startPlaces.holdRetryRooms({ workers, entries, planWorkers, units, now });
