Move order delivery and worker information into modules of their own

Change: orderDelivery delivers starts, stops and paces from an agent to its worker; workerInfoHandler applies a new incarnation and the start of a drain. The code is moved; guards follow it.

--- /dev/null
+++ b/src/coordination/node/pool/orderDelivery.ts
@@ -0,0 +1,143 @@
+/**
+ * Delivers the leader's orders from an agent to its worker.
+ *
+ * Guards against an unanswered order: it is retried up to a limit. Retries are safe, since a worker identifies
+ * each run by its number.
+ */
+import type * as logging from '../../../base/common/logging.js';
+import type * as metrics from '../../../base/common/metrics.js';
+import * as agentContract from '../../../state/common/pool/agentContract.js';
+import * as poolWorker from '../../../state/common/pool/poolWorker.js';
+import type * as openStarts from '../../common/pool/openStarts.js';
+
+/** Dependencies of the delivery. */
+export interface OrderDeliveryOptions {
+  readonly worker: agentContract.WorkerApi;
+  readonly log: logging.Log;
+  readonly metrics: metrics.Metrics;
+  /** The worker's newest information about itself. */
+  readonly info: () => poolWorker.WorkerInfo | undefined;
+  /** The worker's newest report. */
+  readonly report: () => poolWorker.WorkerReport | undefined;
+  /** @returns the fence to send to the worker with an order of this fence of the leader */
+  readonly workerFence: (leaderFence: number) => number;
+  /** Start orders whose copies may still arrive. */
+  readonly sentStarts: openStarts.OpenStarts;
+}
+
+/** Delivers orders; each call settles once the order is answered or all its copies have been sent. */
+export interface OrderDelivery {
+  readonly start: (
+    request: agentContract.OrderRequest,
+    command: agentContract.StartCommand,
+  ) => Promise<agentContract.OrderResult>;
+  readonly stop: (
+    request: agentContract.OrderRequest,
+    command: agentContract.StopCommand,
+  ) => Promise<agentContract.OrderResult>;
+  readonly pace: (
+    request: agentContract.OrderRequest,
+    command: agentContract.PaceCommand,
+  ) => Promise<agentContract.OrderResult>;
+}
+
+/** Attempts to deliver one order; the worker is on the same machine and answers in a millisecond. */
+const ORDER_ATTEMPTS = 3;
+
+/** The result of an order that was not sent to the worker. */
+const refused = (
+  { task, run }: Pick<agentContract.OrderResult, 'task' | 'run'>,
+  reason: string,
+): agentContract.OrderResult => ({ task, run, outcome: 'refused', reason, hasOpenCopy: false });
+
+/**
+ * @param options - its dependencies
+ * @returns the delivery
+ */
+export const createOrderDelivery = (options: OrderDeliveryOptions): OrderDelivery => {
+  const { worker, log, metrics, workerFence, sentStarts } = options;
+
+  const refusalOf = (request: agentContract.OrderRequest): string | undefined => {
+    const info = options.info();
+    if (info === undefined) return 'no heartbeat of the worker has been received yet';
+    if (info.workerId !== request.workerId || info.incarnationMs !== request.incarnationMs) {
+      return 'the order is for another incarnation of the worker';
+    }
+    return undefined;
+  };
+
+  /** @returns whether a report shows that the worker has carried out a start, although its answer is missing */
+  const isReported = (
+    { incarnationMs }: agentContract.OrderRequest,
+    { task, run }: agentContract.StartCommand,
+  ): boolean => {
+    const view = options.report();
+    if (view?.incarnationMs !== incarnationMs) return false;
+    return [...view.running, ...view.ended].some((it) => it.task === task && it.run === run);
+  };
+
+  const attempt = async (
+    request: agentContract.OrderRequest,
+    send: () => Promise<agentContract.WorkerAnswer>,
+    isCarriedOut: () => boolean = () => false,
+  ): Promise<agentContract.DeliveryResult> => {
+    let answer = await send();
+    const hasOpenCopy = answer.outcome === 'unknown';
+    for (let tries = 1; tries < ORDER_ATTEMPTS && answer.outcome === 'unknown'; tries += 1) {
+      // A new incarnation would execute again what the previous one may already have executed.
+      if (refusalOf(request) !== undefined) break;
+      // A run that has ended here would begin again in a new incarnation that no heartbeat has announced yet.
+      answer = isCarriedOut() ? { outcome: 'accepted', reason: 'reported' } : await send();
+    }
+    // After an unanswered attempt a refusal is not conclusive: the delayed duplicate may still take effect.
+    return hasOpenCopy && answer.outcome === 'refused'
+      ? { outcome: 'unknown', reason: answer.reason, hasOpenCopy }
+      : { ...answer, hasOpenCopy };
+  };
+
+  const start: OrderDelivery['start'] = async (request, command) => {
+    const { task, run, jobId, leaseUntilMs, saved, ticket } = command;
+    const refusal = refusalOf(request);
+    if (refusal !== undefined) return refused(command, refusal);
+    if (options.info()?.state !== poolWorker.WorkerState.ready) {
+      return refused(command, 'the worker is not ready for new tasks');
+    }
+    if (leaseUntilMs === 0) return refused(command, 'no lease was granted');
+    const payload = request.payloads[jobId] ?? '';
+    const order = { task, run, payload, leaseUntilMs, saved, ticket };
+    const { workerId, fence: orderFence } = request;
+    const settle = sentStarts.track({ task, workerId, fence: orderFence });
+    const answer = await attempt(
+      request,
+      () => worker.start(request.workerId, { ...order, fence: workerFence(request.fence) }),
+      () => isReported(request, command),
+    );
+    settle(answer.hasOpenCopy);
+    metrics.count('auburnlift_worker_starts_total', { outcome: answer.outcome });
+    log('info', 'startGiven', { task, run, fence: request.fence, ...answer });
+    return { task, run, ...answer };
+  };
+
+  const stop: OrderDelivery['stop'] = async (request, { task, run }) => {
+    const refusal = refusalOf(request);
+    if (refusal !== undefined) return refused({ task, run }, refusal);
+    const answer = await attempt(request, () =>
+      worker.stop(request.workerId, { task, run, fence: workerFence(request.fence) }),
+    );
+    log('info', 'stopGiven', { task, run, fence: request.fence, ...answer });
+    return { task, run, ...answer };
+  };
+
+  const pace: OrderDelivery['pace'] = async (request, { task, run, percent }) => {
+    const refusal = refusalOf(request);
+    if (refusal !== undefined) return refused({ task, run }, refusal);
+    const order = { task, run, percent };
+    const answer = await attempt(request, () =>
+      worker.pace(request.workerId, { ...order, fence: workerFence(request.fence) }),
+    );
+    log('info', 'paceGiven', { task, run, percent, fence: request.fence, ...answer });
+    return { task, run, ...answer };
+  };
+
+  return { start, stop, pace };
+};
--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -1,9 +1,6 @@
 /**
  * The agent beside a worker: renews the leases of its tasks for the leader, forwards the leader's orders to the
  * worker and reports changes to the leader. Stores nothing durably.
- *
- * Guards against an unanswered order: it is retried up to a limit. Retries are safe, since a worker identifies
- * each run by its number.
  */
 import * as clock from '../../../base/common/clock.js';
 import type * as disposable from '../../../base/common/disposable.js';
@@ -14,6 +11,8 @@
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as openStarts from '../../common/pool/openStarts.js';
 
+import * as orderDelivery from './orderDelivery.js';
+
 /** Dependencies of the agent. */
 export interface PoolAgentOptions {
   readonly worker: agentContract.WorkerApi;
@@ -54,21 +53,12 @@
 /** How long a sync request waits for updates while the worker does not answer. */
 const UNREACHABLE_WAIT_MS = 300;
 
-/** Attempts to deliver one order; the worker is on the same machine and answers in a millisecond. */
-const ORDER_ATTEMPTS = 3;
-
 interface ReceivedReport {
   readonly view: poolWorker.WorkerReport;
   readonly fence: number;
   readonly receivedAtMs: number;
 }
 
-/** The result of an order that was not sent to the worker. */
-const refused = (
-  { task, run }: Pick<agentContract.OrderResult, 'task' | 'run'>,
-  reason: string,
-): agentContract.OrderResult => ({ task, run, outcome: 'refused', reason, hasOpenCopy: false });
-
 const describeRuns = (view: poolWorker.WorkerReport | undefined): string =>
   view === undefined
     ? ''
@@ -242,95 +232,13 @@
     };
   };
 
-  const refusalOf = (request: agentContract.OrderRequest): string | undefined => {
-    if (info === undefined) return 'no heartbeat of the worker has been received yet';
-    if (info.workerId !== request.workerId || info.incarnationMs !== request.incarnationMs) {
-      return 'the order is for another incarnation of the worker';
-    }
-    return undefined;
-  };
-
-  /** @returns whether a report shows that the worker has carried out a start, although its answer is missing */
-  const isReported = (
-    { incarnationMs }: agentContract.OrderRequest,
-    { task, run }: agentContract.StartCommand,
-  ): boolean => {
-    const view = latest?.view;
-    if (view?.incarnationMs !== incarnationMs) return false;
-    return [...view.running, ...view.ended].some((it) => it.task === task && it.run === run);
-  };
-
-  const attempt = async (
-    request: agentContract.OrderRequest,
-    send: () => Promise<agentContract.WorkerAnswer>,
-    isCarriedOut: () => boolean = () => false,
-  ): Promise<agentContract.DeliveryResult> => {
-    let answer = await send();
-    const hasOpenCopy = answer.outcome === 'unknown';
-    for (let tries = 1; tries < ORDER_ATTEMPTS && answer.outcome === 'unknown'; tries += 1) {
-      // A new incarnation would execute again what the previous one may already have executed.
-      if (refusalOf(request) !== undefined) break;
-      // A run that has ended here would begin again in a new incarnation that no heartbeat has announced yet.
-      answer = isCarriedOut() ? { outcome: 'accepted', reason: 'reported' } : await send();
-    }
-    // After an unanswered attempt a refusal is not conclusive: the delayed duplicate may still take effect.
-    return hasOpenCopy && answer.outcome === 'refused'
-      ? { outcome: 'unknown', reason: answer.reason, hasOpenCopy }
-      : { ...answer, hasOpenCopy };
-  };
-
-  const startOne = async (
-    request: agentContract.OrderRequest,
-    command: agentContract.StartCommand,
-  ): Promise<agentContract.OrderResult> => {
-    const { task, run, jobId, leaseUntilMs, saved, ticket } = command;
-    const refusal = refusalOf(request);
-    if (refusal !== undefined) return refused(command, refusal);
-    if (info?.state !== poolWorker.WorkerState.ready) {
-      return refused(command, 'the worker is not ready for new tasks');
-    }
-    if (leaseUntilMs === 0) return refused(command, 'no lease was granted');
-    const payload = request.payloads[jobId] ?? '';
-    const order = { task, run, payload, leaseUntilMs, saved, ticket };
-    const { workerId, fence: orderFence } = request;
-    const settle = sentStarts.track({ task, workerId, fence: orderFence });
-    const answer = await attempt(
-      request,
-      () => options.worker.start(request.workerId, { ...order, fence: workerFence(request.fence) }),
-      () => isReported(request, command),
-    );
-    settle(answer.hasOpenCopy);
-    metrics.count('auburnlift_worker_starts_total', { outcome: answer.outcome });
-    log('info', 'startGiven', { task, run, fence: request.fence, ...answer });
-    return { task, run, ...answer };
-  };
-
-  const stopOne = async (
-    request: agentContract.OrderRequest,
-    { task, run }: agentContract.StopCommand,
-  ): Promise<agentContract.OrderResult> => {
-    const refusal = refusalOf(request);
-    if (refusal !== undefined) return refused({ task, run }, refusal);
-    const answer = await attempt(request, () =>
-      options.worker.stop(request.workerId, { task, run, fence: workerFence(request.fence) }),
-    );
-    log('info', 'stopGiven', { task, run, fence: request.fence, ...answer });
-    return { task, run, ...answer };
-  };
-
-  const paceOne = async (
-    request: agentContract.OrderRequest,
-    { task, run, percent }: agentContract.PaceCommand,
-  ): Promise<agentContract.OrderResult> => {
-    const refusal = refusalOf(request);
-    if (refusal !== undefined) return refused({ task, run }, refusal);
-    const order = { task, run, percent };
-    const answer = await attempt(request, () =>
-      options.worker.pace(request.workerId, { ...order, fence: workerFence(request.fence) }),
-    );
-    log('info', 'paceGiven', { task, run, percent, fence: request.fence, ...answer });
-    return { task, run, ...answer };
-  };
+  const delivery = orderDelivery.createOrderDelivery({
+    ...options,
+    info: () => info,
+    report: () => latest?.view,
+    workerFence,
+    sentStarts,
+  });
 
   return {
     recordHeartbeat: (heartbeat) => {
@@ -395,9 +303,9 @@
     order: async (request) => {
       raiseFence(request.fence);
       const [starts, stops, paces] = await Promise.all([
-        Promise.all(request.starts.map((it) => startOne(request, it))),
-        Promise.all(request.stops.map((it) => stopOne(request, it))),
-        Promise.all(request.paces.map((it) => paceOne(request, it))),
+        Promise.all(request.starts.map((it) => delivery.start(request, it))),
+        Promise.all(request.stops.map((it) => delivery.stop(request, it))),
+        Promise.all(request.paces.map((it) => delivery.pace(request, it))),
       ]);
       if (starts.some((it) => it.hasOpenCopy)) raiseWorkerFence();
       const isNewsLater = await fetchReport(0);
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -14,7 +14,6 @@
 import type * as agentContract from '../../../state/common/pool/agentContract.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import type * as doneRuns from '../../common/pool/doneRuns.js';
-import * as endTracker from '../../common/pool/endTracker.js';
 import type * as runtimeEstimates from '../../common/pool/runtimeEstimates.js';
 import * as jobState from '../../common/pool/jobState.js';
 import * as jobTransitions from '../../common/pool/jobTransitions.js';
@@ -23,7 +22,6 @@
 import * as fences from '../../common/pool/fences.js';
 import * as runState from '../../common/pool/runState.js';
 import * as reportReconciliation from '../../common/pool/reportReconciliation.js';
-import * as workerSuspicion from '../../common/pool/workerSuspicion.js';
 import * as workerTable from '../../common/pool/workerTable.js';
 
 import * as endAcknowledgement from './endAcknowledgement.js';
@@ -33,6 +31,7 @@
 import type * as orderSender from './orderSender.js';
 import * as orderResultHandler from './orderResultHandler.js';
 import * as runInspection from './runInspection.js';
+import * as workerInfoHandler from './workerInfoHandler.js';
 
 /** Dependencies of run control. */
 export interface RunControlOptions {
@@ -101,9 +100,6 @@
 /** With an older report a worker counts as unreachable and receives no new tasks. */
 const MAX_VIEW_AGE_MS = 2500;
 
-/** A draining worker that does not report its remaining time is assumed to shut down after this time. */
-const DEFAULT_REMAINING_MS = 2000;
-
 /** A worker that announced its shutdown is assumed gone once it has not answered for this long. */
 const DEPARTED_MS = 1200;
 
@@ -255,49 +251,7 @@
     options.onDidCheckpoint(run.entry.job.jobId);
   };
 
-  const startIncarnation = (worker: workerTable.WorkerEntry, info: poolWorker.WorkerInfo): void => {
-    worker.info = info;
-    worker.seenUpTo = 0;
-    worker.appliedUpTo = 0;
-    worker.endTracker = endTracker.createEndTracker();
-    worker.viewClockMs = 0;
-    worker.sample = undefined;
-    worker.leasesExpireAtMs = 0;
-    worker.drainEndsAtMs = Infinity;
-    worker.suspicion = workerSuspicion.createWorkerSuspicion();
-    // The previous incarnation ended with all its runs, but an order to it may still reach the new one, even a
-    // duplicate of an order that was executed long ago.
-    fences.raiseFence(worker);
-    for (const run of worker.runs.values()) {
-      run.phase = workerTable.RunPhase.closing;
-      run.closeFence = worker.fence;
-    }
-  };
-
-  const applyInfo = (
-    worker: workerTable.WorkerEntry,
-    info: poolWorker.WorkerInfo | undefined,
-  ): void => {
-    if (info === undefined) return;
-    const before = worker.info;
-    const isNewIncarnation =
-      before?.workerId !== info.workerId || before.incarnationMs !== info.incarnationMs;
-    if (isNewIncarnation) startIncarnation(worker, info);
-    worker.info = info;
-    if (info.state === poolWorker.WorkerState.draining && worker.drainEndsAtMs === Infinity) {
-      worker.drainEndsAtMs = nowMs() + (info.remainingMs ?? DEFAULT_REMAINING_MS);
-    }
-    if (isNewIncarnation || before.state !== info.state) {
-      log('info', 'workerChanged', {
-        agent: worker.agentId,
-        worker: info.workerId,
-        incarnation: info.incarnationMs,
-        state: info.state,
-        remainingMs: info.remainingMs,
-      });
-      options.onDidChange();
-    }
-  };
+  const applyInfo = workerInfoHandler.createWorkerInfoHandler(options);
 
   /**
    * Only the end of a task promises that it does not start again. An order to another worker is not waited for: this
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -195,8 +195,8 @@
   ],
   [
     'a new incarnation of a worker gets a higher fence from the leader',
-    `${NODE_POOL}/runControl.js`,
-    'fences.raiseFence(worker);\n        for (const run',
+    `${NODE_POOL}/workerInfoHandler.js`,
+    'fences.raiseFence(worker);\n    for (const run',
     'for (const run',
   ],
   [
@@ -237,7 +237,7 @@
   ],
   [
     'an order is not retried on a new incarnation of its worker',
-    `${NODE_POOL}/poolAgent.js`,
+    `${NODE_POOL}/orderDelivery.js`,
     'if (refusalOf(request) !== undefined)',
     'if (false)',
   ],
@@ -291,7 +291,7 @@
   ],
   [
     'an order whose run is reported is not sent again',
-    `${NODE_POOL}/poolAgent.js`,
+    `${NODE_POOL}/orderDelivery.js`,
     'isCarriedOut() ?',
     'false ?',
   ],
