--- a/src/coordination/common/pool/test/poolFixtures.ts
+++ b/src/coordination/common/pool/test/poolFixtures.ts
@@ -2,6 +2,7 @@
  * Jobs, workers and units for the tests of pools.
  */
 import type * as poolJob from '../../../../state/common/pool/poolJob.js';
+import type * as poolWorker from '../../../../state/common/pool/poolWorker.js';
 import * as runtimeEstimates from '../runtimeEstimates.js';
 import * as jobState from '../jobState.js';
 import type * as planTypes from '../planTypes.js';
@@ -87,6 +88,21 @@
   return worker;
 };
 
+/** What a ready worker tells of itself. */
+export const makeWorkerInfo = (
+  workerId: string,
+  changes: Partial<poolWorker.WorkerInfo> = {},
+): poolWorker.WorkerInfo => ({
+  workerId,
+  incarnationMs: 1,
+  service: 'service',
+  zone: 'z',
+  state: 'ready',
+  capacity: { cpuMillicores: 8000, memoryMb: 8000, accelerators: 8 },
+  labels: [],
+  ...changes,
+});
+
 /** A run that occupies capacity. */
 export const makeAllocation = (
   task: string,
--- a/src/coordination/common/pool/test/startPlaces.test.ts
+++ b/src/coordination/common/pool/test/startPlaces.test.ts
@@ -22,15 +22,7 @@
     const worker = workerTable.createWorkerEntry(agentId, `http://${agentId}:1`, 1, 0, 0);
     worker.isReachable = true;
     worker.sample = { incarnationMs: 1, clockMs: 0, atMs: NOW.monotonicMs };
-    worker.info = {
-      workerId: `w${index}`,
-      incarnationMs: 1,
-      service: 'service',
-      zone: 'z',
-      state: 'ready',
-      capacity: { cpuMillicores: 8000, memoryMb: 8000, accelerators: 8 },
-      labels: [],
-    };
+    worker.info = fixtures.makeWorkerInfo(`w${index}`);
     workers.set(agentId, worker);
   }
   return workers;
--- a/src/coordination/common/pool/test/stragglers.test.ts
+++ b/src/coordination/common/pool/test/stragglers.test.ts
@@ -15,16 +15,8 @@
 const createWorker = (index: number, rack = 'r1'): workerTable.WorkerEntry => {
   const worker = workerTable.createWorkerEntry(`agent-${index}`, '', 1, 0, 0);
   worker.isReachable = true;
-  worker.info = {
-    workerId: `w${index}`,
-    incarnationMs: 1,
-    service: 'service',
-    zone: 'z',
-    state: 'ready',
-    capacity: { cpuMillicores: 64_000, memoryMb: 64_000, accelerators: 8 },
-    labels: [],
-    rack,
-  };
+  const capacity = { cpuMillicores: 64_000, memoryMb: 64_000, accelerators: 8 };
+  worker.info = fixtures.makeWorkerInfo(`w${index}`, { capacity, rack });
   return worker;
 };
 
--- a/src/coordination/common/pool/test/workerTable.test.ts
+++ b/src/coordination/common/pool/test/workerTable.test.ts
@@ -19,15 +19,7 @@
   const worker = workerTable.createWorkerEntry('agent', 'http://a:1', 1, 0, PREVIOUS_EXPIRY_MS);
   worker.isReachable = true;
   worker.sample = { incarnationMs: 1, clockMs: 0, atMs: 0 };
-  worker.info = {
-    workerId: 'w',
-    incarnationMs: 1,
-    service: 'service',
-    zone: 'z',
-    state: 'ready',
-    capacity: { cpuMillicores: 8000, memoryMb: 8000, accelerators: 8 },
-    labels: [],
-  };
+  worker.info = fixtures.makeWorkerInfo('w');
   return worker;
 };
 
--- a/tools/ablation.js
+++ b/tools/ablation.js
@@ -86,12 +86,7 @@
     'a.left - b.left',
     '0',
   ],
-  [
-    'straggler detection',
-    `${POOL}/stragglers.js`,
-    'runPace.isStraggler(it.run.pace) &&',
-    'false &&',
-  ],
+  ['straggler detection', `${POOL}/stragglers.js`, 'runPace.isStraggler(it.run.pace)', 'false'],
   [
     'suspicion of workers',
     `${POOL}/workerSuspicion.js`,
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -387,7 +387,7 @@
   ],
   [
     'a refusal after an unanswered attempt is not conclusive',
-    `${NODE_POOL}/poolAgent.js`,
+    `${NODE_POOL}/orderDelivery.js`,
     "hasOpenCopy && answer.outcome === 'refused'",
     'false',
   ],
