--- a/src/standins/memoryPoolWorker.ts
+++ b/src/standins/memoryPoolWorker.ts
@@ -7,6 +7,16 @@
 import type * as agentContract from '../state/common/pool/agentContract.js';
 import type * as poolWorker from '../state/common/pool/poolWorker.js';
 
+/** How a task crashes the worker that starts it. */
+export interface TaskCrash {
+  /** From the start of the run; 0 also loses the answer to the start. */
+  readonly afterMs: number;
+  /** From the crash until the worker answers again. */
+  readonly backAfterMs: number;
+  /** Whether the worker is back under the id that it had. */
+  readonly keepsId: boolean;
+}
+
 /** Fault switches; initially all off. */
 export interface PoolWorkerFaults {
   /** No call is answered, and none takes effect. */
@@ -24,6 +34,8 @@
   isStalled: boolean;
   /** Tasks that start now take this many times as long. */
   slowFactor: number;
+  /** @returns how a task that starts now crashes the worker; undefined for a task that doesn't */
+  crashOf: (task: string) => TaskCrash | undefined;
 }
 
 /** One run, from its start to its end. */
@@ -121,6 +133,7 @@
     failsAll: false,
     isStalled: false,
     slowFactor: 1,
+    crashOf: () => undefined,
   };
   const waiters = new Set<() => void>();
   let { info } = options;
@@ -133,6 +146,8 @@
   let acknowledgedUpTo = 0;
   let leaseUntilMs = 0;
   let isDisposed = false;
+  /** Crashes under its own tasks. */
+  let crashes = 0;
 
   const clockMs = (): number => Math.floor(time.monotonicMs() - incarnationStartMs);
   const wakeAll = (): void => {
@@ -193,6 +208,44 @@
     }
     work(it);
   };
+  const crash = (workerId: string): void => {
+    for (const it of live.values()) {
+      void it.timer?.dispose();
+      it.record.how = 'crashed';
+      it.record.endedAtMs = time.monotonicMs();
+      board.members.get(gangKeyOf(it.record))?.delete(it);
+    }
+    const keys = [...live.values()].map(({ record }) => gangKeyOf(record));
+    live = new Map();
+    refusedUpTo = new Map();
+    ended = [];
+    sequence = 0;
+    fence = 0;
+    acknowledgedUpTo = 0;
+    leaseUntilMs = 0;
+    incarnationStartMs = time.monotonicMs();
+    const incarnationMs = info.incarnationMs + 1 + Math.floor(incarnationStartMs);
+    info = { ...options.info, workerId, incarnationMs };
+    keys.forEach((key) => board.workers.forEach((endOnWorker) => endOnWorker(key, 'broken')));
+    wakeAll();
+  };
+
+  const scheduleCrash = ({ record }: LiveRun): void => {
+    const pattern = faults.crashOf(record.task);
+    if (pattern === undefined) return;
+    const crashNow = (): void => {
+      if (record.how !== undefined) return;
+      crashes += 1;
+      crash(pattern.keepsId ? info.workerId : `${options.info.workerId}-${crashes}`);
+      faults.isSilent = true;
+      time.after(pattern.backAfterMs, () => {
+        faults.isSilent = false;
+      });
+    };
+    if (pattern.afterMs === 0) crashNow();
+    else time.after(pattern.afterMs, crashNow);
+  };
+
   const start = (order: agentContract.WorkerStart, isLate: boolean): agentContract.WorkerAnswer => {
     const refuse = (reason: string): agentContract.WorkerAnswer => ({ outcome: 'refused', reason });
     if (order.fence < fence) return refuse('fence');
@@ -220,6 +273,7 @@
     const it: LiveRun = { record, timer: undefined };
     live.set(task, it);
     begin(it);
+    scheduleCrash(it);
     return ACCEPTED;
   };
   const stop = (order: agentContract.StopCommand & { readonly fence: number }) => {
@@ -250,7 +304,7 @@
     }
     if (workerId !== info.workerId) return { outcome: 'refused', reason: '421' };
     const answer = action(false);
-    return faults.areAnswersLost ? waitInVain() : answer;
+    return faults.isSilent || faults.areAnswersLost ? waitInVain() : answer;
   };
 
   const checkLease = (): void => {
@@ -327,27 +381,7 @@
       const { workerId, incarnationMs } = info;
       info = { ...options.info, workerId, incarnationMs };
     },
-    crash: (workerId = info.workerId) => {
-      for (const it of live.values()) {
-        void it.timer?.dispose();
-        it.record.how = 'crashed';
-        it.record.endedAtMs = time.monotonicMs();
-        board.members.get(gangKeyOf(it.record))?.delete(it);
-      }
-      const keys = [...live.values()].map(({ record }) => gangKeyOf(record));
-      live = new Map();
-      refusedUpTo = new Map();
-      ended = [];
-      sequence = 0;
-      fence = 0;
-      acknowledgedUpTo = 0;
-      leaseUntilMs = 0;
-      incarnationStartMs = time.monotonicMs();
-      const incarnationMs = info.incarnationMs + 1 + Math.floor(incarnationStartMs);
-      info = { ...options.info, workerId, incarnationMs };
-      keys.forEach((key) => board.workers.forEach((endOnWorker) => endOnWorker(key, 'broken')));
-      wakeAll();
-    },
+    crash: (workerId = info.workerId) => crash(workerId),
     dispose: () => {
       isDisposed = true;
       wakeAll();
