Let agents remember how their worker's incarnations ended, and under which runs

The logs of the incident do not tell a crash of a worker from a power loss, a start that never arrived and a cut link: the leader marks each of them 'runLost cause=notOnWorker'. Only the agent beside the worker can tell: it delivers the starts and goes on while the worker restarts.

It now tracks which runs of the current incarnation began, or may have begun, and when the incarnation was last heard of. Nothing acts on it yet.

--- a/src/coordination/node/pool/orderDelivery.ts
+++ b/src/coordination/node/pool/orderDelivery.ts
@@ -8,6 +8,7 @@
 import type * as metrics from '../../../base/common/metrics.js';
 import * as agentContract from '../../../state/common/pool/agentContract.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
+import type * as incarnationHistory from '../../common/pool/incarnationHistory.js';
 import type * as openStarts from '../../common/pool/openStarts.js';
 
 /** Dependencies of the delivery. */
@@ -23,6 +24,7 @@
   readonly workerFence: (leaderFence: number) => number;
   /** Start orders whose copies may still arrive. */
   readonly sentStarts: openStarts.OpenStarts;
+  readonly history: Pick<incarnationHistory.IncarnationHistory, 'trackStart'>;
 }
 
 /** Delivers orders; each call settles once the order is answered or all its copies have been sent. */
@@ -55,7 +57,7 @@
  * @returns the delivery
  */
 export const createOrderDelivery = (options: OrderDeliveryOptions): OrderDelivery => {
-  const { worker, log, metrics, workerFence, sentStarts } = options;
+  const { worker, log, metrics, workerFence, sentStarts, history } = options;
 
   const refusalOf = (request: agentContract.OrderRequest): string | undefined => {
     const info = options.info();
@@ -107,12 +109,14 @@
     const order = { task, run, payload, leaseUntilMs, saved, ticket };
     const { workerId, fence: orderFence } = request;
     const settle = sentStarts.track({ task, workerId, fence: orderFence });
+    const settleRun = history.trackStart(task, run);
     const answer = await attempt(
       request,
       () => worker.start(request.workerId, { ...order, fence: workerFence(request.fence) }),
       () => isReported(request, command),
     );
     settle(answer.hasOpenCopy);
+    settleRun(answer.outcome);
     metrics.count('auburnlift_worker_starts_total', { outcome: answer.outcome });
     log('info', 'startGiven', { task, run, fence: request.fence, ...answer });
     return { task, run, ...answer };
--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -9,6 +9,7 @@
 import type * as metrics from '../../../base/common/metrics.js';
 import * as agentContract from '../../../state/common/pool/agentContract.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
+import * as incarnationHistory from '../../common/pool/incarnationHistory.js';
 import * as openStarts from '../../common/pool/openStarts.js';
 
 import * as orderDelivery from './orderDelivery.js';
@@ -91,6 +92,7 @@
   let onDidAcknowledge: () => void = () => undefined;
   const waiters = new Set<() => void>();
   const sentStarts = openStarts.createOpenStarts(() => time.monotonicMs());
+  const history = incarnationHistory.createIncarnationHistory(() => time.monotonicMs());
 
   const notifyChange = (): void => {
     version += 1;
@@ -115,10 +117,22 @@
   };
 
   /** A new incarnation has seen no fence and would accept orders meant for the previous one. */
-  const recordIncarnation = (incarnationMs: number): void => {
+  const recordIncarnation = (
+    incarnationMs: number,
+    former: poolWorker.WorkerInfo | undefined,
+  ): void => {
     if (incarnationMs <= newestIncarnationMs) return;
     if (newestIncarnationMs !== 0) raiseWorkerFence();
     newestIncarnationMs = incarnationMs;
+    if (former === undefined) return;
+    const { workerId, hasCrashed, endedAgoMs, runs } = history.recordSuccessor(former);
+    log(hasCrashed ? 'warn' : 'info', 'incarnationEnded', {
+      worker: workerId,
+      incarnation: former.incarnationMs,
+      hasCrashed,
+      endedAgoMs,
+      runs: runs.map((it) => `${it.task}#${it.run}`).join(','),
+    });
   };
 
   /** @returns the fence to send to the worker */
@@ -138,13 +152,18 @@
     logged = { incarnationMs, upTo: Math.max(upTo, ended.at(-1)?.sequence ?? 0) };
   };
 
-  const applyReport = (view: poolWorker.WorkerReport, viewFence: number): void => {
+  const applyReport = (
+    view: poolWorker.WorkerReport,
+    viewFence: number,
+    requestedAtMs: number,
+  ): void => {
     const isOlder =
       latest !== undefined &&
       (view.incarnationMs < latest.view.incarnationMs ||
         (view.incarnationMs === latest.view.incarnationMs && view.clockMs < latest.view.clockMs));
     if (isOlder) return;
-    recordIncarnation(view.incarnationMs);
+    recordIncarnation(view.incarnationMs, info);
+    history.recordReport(view, requestedAtMs);
     const before = describeRuns(latest?.view);
     latest = {
       view,
@@ -159,6 +178,8 @@
   /** @returns whether the worker sent its report */
   const fetchReport = async (waitMs: number): Promise<boolean> => {
     const viewFence = fence;
+    const requestedAtMs = time.monotonicMs();
+    const requestedFromMs = newestIncarnationMs;
     // After an outage a new incarnation may answer; the previous one's acknowledgement would drop its run ends.
     const isAcknowledgementValid = isAnswering && isCurrentIncarnation(acknowledged.incarnationMs);
     const answer = await options.worker.view(info?.workerId, {
@@ -169,9 +190,10 @@
     });
     isAnswering = answer.outcome === 'view';
     if (answer.outcome === 'view') {
-      applyReport(answer.view, viewFence);
+      applyReport(answer.view, viewFence, requestedAtMs);
       return true;
     }
+    if (requestedFromMs === newestIncarnationMs) history.recordSilence();
     metrics.count('auburnlift_worker_unanswered_total', { outcome: answer.outcome });
     return false;
   };
@@ -221,6 +243,7 @@
 
   const buildUpdate = (): agentContract.WorkerUpdate => {
     const openOrders = sentStarts.ofEarlierLeaders(fence);
+    const formerIncarnations = history.former();
     return {
       bootId: options.bootId,
       version,
@@ -229,6 +252,7 @@
       viewFence: latest?.fence ?? 0,
       viewAgeMs: latest === undefined ? 0 : Math.ceil(time.monotonicMs() - latest.receivedAtMs),
       ...(openOrders.length === 0 ? {} : { openStarts: openOrders }),
+      ...(formerIncarnations.length === 0 ? {} : { formerIncarnations }),
     };
   };
 
@@ -238,6 +262,7 @@
     report: () => latest?.view,
     workerFence,
     sentStarts,
+    history,
   });
 
   return {
@@ -251,7 +276,7 @@
       }
       heartbeatSequence = heartbeat.sequence;
       info = next;
-      recordIncarnation(next.incarnationMs);
+      recordIncarnation(next.incarnationMs, before);
       const isChanged =
         before?.workerId !== next.workerId ||
         before.incarnationMs !== next.incarnationMs ||
--- a/src/state/common/pool/agentContract.ts
+++ b/src/state/common/pool/agentContract.ts
@@ -42,6 +42,31 @@
 /** See {@link OpenStart}. */
 export type OpenStart = typeof OpenStart.Type;
 
+/** A run that had begun, or may have begun, and had not ended when its worker's incarnation did. */
+export const InterruptedRun = Schema.Struct({
+  task: Schema.String,
+  run: units.Count,
+  /** From its start to the end of the incarnation; absent if it began before the agent's process. */
+  ranMs: Schema.optionalKey(units.Count),
+});
+
+/** See {@link InterruptedRun}. */
+export type InterruptedRun = typeof InterruptedRun.Type;
+
+/** An incarnation of the worker that the agent has seen end. */
+export const FormerIncarnation = Schema.Struct({
+  workerId: Schema.String,
+  incarnationMs: units.Count,
+  /** It ended without an announcement. */
+  hasCrashed: Schema.Boolean,
+  /** Time since its last sign of life at the latest, by the agent's clock. */
+  endedAgoMs: units.Count,
+  runs: Schema.Array(InterruptedRun),
+});
+
+/** See {@link FormerIncarnation}. */
+export type FormerIncarnation = typeof FormerIncarnation.Type;
+
 /** The state of an agent's worker as known to the agent. */
 export const WorkerUpdate = Schema.Struct({
   /** Identifies one incarnation of the agent's process. */
@@ -55,6 +80,8 @@
   viewAgeMs: units.Count,
   /** Start orders of earlier leaders that got no answer; absent where there are none. */
   openStarts: Schema.optionalKey(Schema.Array(OpenStart)),
+  /** Recent former incarnations, the same ones repeatedly; absent where there are none. */
+  formerIncarnations: Schema.optionalKey(Schema.Array(FormerIncarnation)),
 });
 
 /** See {@link WorkerUpdate}. */
