Tell common causes of crashes apart, and count crashes that nobody saw

A worker that does not answer its own agent counts as crashed when its leases lapse, until it answers again.

--- a/src/cli/logs/test/timeSplit.test.ts
+++ b/src/cli/logs/test/timeSplit.test.ts
@@ -115,6 +115,18 @@
     ],
     split: { learnt: 5, begunAgain: 1000, runningAway: 3000 },
   },
+  {
+    name: 'a run that ended with its worker, whose task was given up',
+    lines: [
+      accepted,
+      learnt,
+      placed(5, 1),
+      taken(5, 1),
+      at(1005, 'workerCrashedUnder', 'task=j.0.0.0 run=1 evidence=alone isGivenUp=true'),
+      jobEnded(1005),
+    ],
+    split: { learnt: 5, begunAgain: 1000 },
+  },
   {
     name: 'an end that was listed long before it was recorded',
     lines: [
--- a/src/coordination/common/pool/crashAttribution.ts
+++ b/src/coordination/common/pool/crashAttribution.ts
@@ -17,14 +17,20 @@
 /** A task isn't given up before this many crashes, and from then on its starts are limited. */
 export const CRASHES_TO_LIMIT = 3;
 
-/** Starts after that many crashes. */
-export const MAX_LIMITED_STARTS = 2;
+/** Starts after that many crashes of which nothing says whose fault they were. */
+const MAX_UNCLEAR_STARTS = 2;
 
-/** Crashes that prove a task's fault: two that it caused alone, each shortly after its start. */
-const CRASHES_TO_PROVE = 2;
+/** Starts after that many crashes otherwise: one less, since a crash may have gone unseen. */
+const MAX_LIMITED_STARTS = 1;
+
+/** Crashes alone on a worker, each shortly after the start, that prove a task's fault. */
+const PROMPT_CRASHES_TO_PROVE = 2;
+
+/** The same, whenever they came. */
+const CRASHES_TO_PROVE = 3;
 
 /** Later than this after its start, a crash may well have another cause. */
-const PROMPT_MS = 2000;
+const PROMPT_MS = 500;
 
 /** Runs that had started this recently may be the cause, although others had started later. */
 const RECENT_MS = 3000;
@@ -47,7 +53,8 @@
 /**
  * @param run - a run that ended with its worker
  * @param all - all runs that ended with it
- * @param isWidespread - whether most workers went down at the same time
+ * @param isWidespread - whether most workers went down at the same time; that is a common cause, unless a run has just
+ *   started: several tasks that crash their workers restart together when these are back
  * @returns what the crash says about the run's task
  */
 export const evidenceOf = (
@@ -55,10 +62,10 @@
   all: readonly Interrupted[],
   isWidespread: boolean,
 ): progressRecord.CrashEvidence => {
-  const { alone, lastStarted, bystander, unclear } = progressRecord.CrashEvidence;
-  if (isWidespread) return unclear;
-  if (all.every(({ jobId }) => jobId === run.jobId)) return alone;
+  const { alone, lastStarted, bystander, widespread } = progressRecord.CrashEvidence;
   const shortestMs = Math.min(...all.map(({ ranMs }) => ranMs));
+  if (isWidespread && shortestMs > PROMPT_MS) return widespread;
+  if (all.every(({ jobId }) => jobId === run.jobId)) return alone;
   const isLast = run.ranMs <= Math.max(RECENT_MS, shortestMs + SAME_START_MS);
   return isLast ? lastStarted : bystander;
 };
@@ -68,12 +75,30 @@
   matches: (crash: progressRecord.WorkerCrash) => boolean,
 ): number => crashes.filter(matches).length;
 
-const isClear = ({ evidence }: progressRecord.WorkerCrash): boolean =>
-  evidence !== progressRecord.CrashEvidence.unclear;
+const isSeen = ({ evidence }: progressRecord.WorkerCrash): boolean =>
+  evidence !== progressRecord.CrashEvidence.unseen;
 
-/** @returns whether the task runs alone to its end */
-const isAlwaysIsolated = (task: CrashHistory): boolean =>
-  count(task, isClear) >= CRASHES_TO_ISOLATE;
+/** @returns whether the crash says whose fault it was */
+const isClear = (crash: progressRecord.WorkerCrash): boolean =>
+  isSeen(crash) && crash.evidence !== progressRecord.CrashEvidence.widespread;
+
+/**
+ * @param next - what is known of a crash now
+ * @param known - what was known of it before
+ * @returns whether it says more
+ */
+export const isClearer = (
+  next: progressRecord.WorkerCrash,
+  known: progressRecord.WorkerCrash,
+): boolean => !isSeen(known) && isSeen(next);
+
+/**
+ * Widespread crashes count as well: tasks that crash their workers and start together take most of a small pool with them
+ * each time.
+ *
+ * @returns whether the task runs alone to its end
+ */
+const isAlwaysIsolated = (task: CrashHistory): boolean => count(task, isSeen) >= CRASHES_TO_ISOLATE;
 
 /**
  * @param task - a task
@@ -121,14 +146,22 @@
  * @returns whether its crashes prove that it is the cause
  */
 export const isProvenCause = (task: CrashHistory): boolean => {
-  const { alone } = progressRecord.CrashEvidence;
-  const proofs = count(task, ({ evidence, ranMs }) => evidence === alone && ranMs <= PROMPT_MS);
-  return isLimited(task) && proofs >= CRASHES_TO_PROVE;
+  const alone = task.crashes.filter(
+    ({ evidence }) => evidence === progressRecord.CrashEvidence.alone,
+  );
+  const prompt = alone.filter(({ ranMs }) => ranMs <= PROMPT_MS);
+  return (
+    isLimited(task) &&
+    (prompt.length >= PROMPT_CRASHES_TO_PROVE || alone.length >= CRASHES_TO_PROVE)
+  );
 };
 
+const maxStartsOf = (task: CrashHistory): number =>
+  task.crashes.some(isClear) ? MAX_LIMITED_STARTS : MAX_UNCLEAR_STARTS;
+
 /**
  * @param task - a task without a current run
  * @returns whether it may not start again
  */
 export const mayNotStartAgain = (task: CrashHistory): boolean =>
-  isProvenCause(task) || (isLimited(task) && task.limitedStarts >= MAX_LIMITED_STARTS);
+  isProvenCause(task) || (isLimited(task) && task.limitedStarts >= maxStartsOf(task));
--- a/src/coordination/common/pool/incarnationHistory.ts
+++ b/src/coordination/common/pool/incarnationHistory.ts
@@ -27,6 +27,8 @@
    * @returns how it ended
    */
   readonly recordSuccessor: (former: poolWorker.WorkerInfo) => agentContract.FormerIncarnation;
+  /** @returns for how long the current incarnation has not answered; undefined while it answers */
+  readonly silentForMs: () => number | undefined;
   /** @returns recent former incarnations, the latest last */
   readonly former: () => agentContract.FormerIncarnation[];
 }
@@ -124,6 +126,8 @@
       silentSinceMs = undefined;
       return toFormer(incarnation);
     },
+    silentForMs: () =>
+      silentSinceMs === undefined ? undefined : Math.round(nowMs() - silentSinceMs),
     former: () => {
       ended = ended.slice(-MAX_FORMER).filter((it) => nowMs() - it.endedAtMs < RETENTION_MS);
       return ended.map(toFormer);
--- a/src/coordination/common/pool/jobTransitions.ts
+++ b/src/coordination/common/pool/jobTransitions.ts
@@ -99,7 +99,7 @@
  *
  * @param entry - the job
  * @param task - the task
- * @param crash - the crash; one that is known already changes nothing
+ * @param crash - the crash; of one that is known already only clearer evidence changes anything
  * @param wallMs - Unix milliseconds now
  * @returns whether the job changed
  */
@@ -109,10 +109,12 @@
   crash: progressRecord.WorkerCrash,
   wallMs: number,
 ): boolean => {
-  const isKnown = task.crashes.some(({ run }) => run === crash.run);
-  if (isKnown || jobState.isEnded(entry) || jobState.isTaskEnded(task)) return false;
+  const known = task.crashes.find(({ run }) => run === crash.run);
+  if (known !== undefined && !crashAttribution.isClearer(crash, known)) return false;
+  if (jobState.isEnded(entry) || jobState.isTaskEnded(task)) return false;
   const wasLimited = crashAttribution.isLimited(task);
-  task.crashes = [...task.crashes, crash].sort((a, b) => a.run - b.run);
+  const others = task.crashes.filter((it) => it !== known);
+  task.crashes = [...others, crash].sort((a, b) => a.run - b.run);
   if (!wasLimited) task.limitedStarts = countLimitedStarts(task);
   const isWaiting = task.phase === progressRecord.TaskPhase.waiting;
   const isGivenUp =
@@ -152,6 +154,27 @@
   return true;
 };
 
+/**
+ * Takes back that a worker crashed under a task: it has answered again.
+ *
+ * @param entry - the job
+ * @param task - the task
+ * @param run - the run during which the worker did not answer
+ * @returns whether the job changed
+ */
+export const withdrawCrash = (
+  entry: jobState.JobEntry,
+  task: jobState.TaskEntry,
+  run: number,
+): boolean => {
+  const { unseen } = progressRecord.CrashEvidence;
+  const kept = task.crashes.filter((it) => it.run !== run || it.evidence !== unseen);
+  if (kept.length === task.crashes.length || jobState.isEnded(entry)) return false;
+  task.crashes = kept;
+  task.limitedStarts = countLimitedStarts(task);
+  return true;
+};
+
 /**
  * Ends a job that its customer cancelled.
  *
--- a/src/coordination/common/pool/test/crashAttribution.test.ts
+++ b/src/coordination/common/pool/test/crashAttribution.test.ts
@@ -10,7 +10,7 @@
 import * as jobTransitions from '../jobTransitions.js';
 import * as fixtures from './poolFixtures.js';
 
-const { alone, lastStarted, bystander, unclear } = progressRecord.CrashEvidence;
+const { alone, lastStarted, bystander, widespread, unseen } = progressRecord.CrashEvidence;
 
 const ran = (jobId: string, ranMs: number): crashAttribution.Interrupted => ({ jobId, ranMs });
 
@@ -28,7 +28,21 @@
   ['both had started recently', ran('a', 2500), [ran('b', 10)], false, lastStarted],
   ['it had started last, long ago', ran('a', 6000), [ran('b', 9000)], false, lastStarted],
   ['both had started at once, long ago', ran('a', 6200), [ran('b', 6000)], false, lastStarted],
-  ['most workers went down', ran('a', 10), [], true, unclear],
+  ['most workers went down', ran('a', 600), [], true, widespread],
+  [
+    'most workers went down, it had just started',
+    ran('a', 10),
+    [ran('b', 9000)],
+    true,
+    lastStarted,
+  ],
+  [
+    'most workers went down, another had just started',
+    ran('a', 9000),
+    [ran('b', 10)],
+    true,
+    bystander,
+  ],
 ];
 
 test.describe('evidence of a crash', () => {
@@ -74,14 +88,30 @@
   },
   {
     // Guards against slow recovery from a power loss, after which every task would wait for a worker to itself.
-    name: 'most workers went down twice',
+    name: 'machines lost power twice',
     crashes: [
-      [unclear, 10],
-      [unclear, 10],
+      [unseen, 0],
+      [unseen, 0],
     ],
     needsIsolation: false,
     mayNotStartAgain: false,
   },
+  {
+    name: 'most workers went down once',
+    crashes: [[widespread, 2000]],
+    needsIsolation: false,
+    mayNotStartAgain: false,
+  },
+  {
+    // Guards against tasks that are given up since several others crashed most workers again and again.
+    name: 'most workers went down twice',
+    crashes: [
+      [widespread, 2000],
+      [widespread, 2000],
+    ],
+    needsIsolation: true,
+    mayNotStartAgain: false,
+  },
   {
     name: 'alone twice, shortly after its start',
     crashes: [
@@ -101,6 +131,16 @@
     needsIsolation: true,
     mayNotStartAgain: true,
   },
+  {
+    name: 'alone twice, long after its start, after a crash with others',
+    crashes: [
+      [bystander, 6000],
+      [alone, 3000],
+      [alone, 8000],
+    ],
+    needsIsolation: true,
+    mayNotStartAgain: false,
+  },
   {
     name: 'alone three times, long after its start',
     crashes: [
@@ -109,25 +149,36 @@
       [alone, 8000],
     ],
     needsIsolation: true,
-    mayNotStartAgain: false,
+    mayNotStartAgain: true,
   },
   {
     name: 'one start after three crashes',
     crashes: [
-      [unclear, 10],
-      [unclear, 10],
-      [unclear, 10],
+      [unseen, 0],
+      [unseen, 0],
+      [unseen, 0],
     ],
     limitedStarts: 1,
     needsIsolation: false,
     mayNotStartAgain: false,
   },
+  {
+    name: 'one start after three crashes of which one shows a suspect',
+    crashes: [
+      [unseen, 0],
+      [bystander, 6000],
+      [unseen, 0],
+    ],
+    limitedStarts: 1,
+    needsIsolation: false,
+    mayNotStartAgain: true,
+  },
   {
     name: 'two starts after three crashes',
     crashes: [
-      [unclear, 10],
-      [unclear, 10],
-      [unclear, 10],
+      [unseen, 0],
+      [unseen, 0],
+      [unseen, 0],
     ],
     limitedStarts: 2,
     needsIsolation: false,
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -94,6 +94,8 @@
   suspicion: workerSuspicion.WorkerSuspicion;
   /** Leader's clock when an incarnation of it crashed last; absent where none has. */
   lastCrashAtMs?: number;
+  /** Leader's clock since when the current incarnation has not answered its agent; absent while it answers. */
+  silentSinceMs?: number | undefined;
 }
 
 /**
--- a/src/coordination/node/pool/crashRecorder.ts
+++ b/src/coordination/node/pool/crashRecorder.ts
@@ -14,6 +14,7 @@
 import * as crashAttribution from '../../common/pool/crashAttribution.js';
 import * as jobState from '../../common/pool/jobState.js';
 import * as jobTransitions from '../../common/pool/jobTransitions.js';
+import * as widespreadCrash from '../../common/pool/widespreadCrash.js';
 import * as workerTable from '../../common/pool/workerTable.js';
 import type * as openOrderRecorder from './openOrderRecorder.js';
 
@@ -39,13 +40,21 @@
     news: agentContract.WorkerUpdate,
     receivedAtMs: number,
   ) => void;
+  /**
+   * Called before runs are declared lost since their leases have expired. A worker that does not answer its own agent has
+   * most likely crashed; the crashes are withdrawn if it answers again.
+   */
+  readonly recordLapse: (
+    worker: workerTable.WorkerEntry,
+    runs: readonly workerTable.ActiveRun[],
+  ) => void;
 }
 
-/** Workers that crash within this time of each other go down for a common reason, if they are most of the pool. */
-const SAME_TIME_MS = 1500;
+/** Workers that lost power together are back within about this time of each other. */
+const JUDGE_AFTER_MS = 2000;
 
-/** A worker answers its agent at least every 0.9 s; after this time without a report it may have crashed as well. */
-const MAX_SILENCE_MS = 1500;
+/** An agent reports at least this often. */
+const MAX_AGENT_SILENCE_MS = 2000;
 
 /** An incarnation of a worker. */
 type Incarnation = Pick<agentContract.FormerIncarnation, 'workerId' | 'incarnationMs'>;
@@ -53,14 +62,6 @@
 const isSame = (a: Incarnation, b: Incarnation): boolean =>
   a.workerId === b.workerId && a.incarnationMs === b.incarnationMs;
 
-/** @returns whether the worker has crashed at about this time, or has not answered since */
-const isDown = (worker: workerTable.WorkerEntry, crashedAtMs: number, nowMs: number): boolean => {
-  const { lastCrashAtMs = -Infinity, sample, info } = worker;
-  if (Math.abs(lastCrashAtMs - crashedAtMs) <= SAME_TIME_MS) return true;
-  if (sample === undefined || info?.state !== poolWorker.WorkerState.ready) return false;
-  return sample.atMs <= crashedAtMs + SAME_TIME_MS && nowMs - sample.atMs > MAX_SILENCE_MS;
-};
-
 /**
  * @param options - its dependencies
  * @returns the recorder
@@ -68,22 +69,15 @@
 export const createCrashRecorder = (options: CrashRecorderOptions): CrashRecorder => {
   const { clock: time, log, metrics } = options;
   const judgedRuns = new WeakSet<workerTable.ActiveRun>();
+  /** By former incarnation of a worker, whether most workers crashed together with it. */
+  const verdicts = new WeakMap<workerTable.WorkerEntry, Map<number, boolean>>();
+  const lapsedRuns = new Map<workerTable.WorkerEntry, workerTable.ActiveRun[]>();
 
-  /** @returns whether most workers of the pool went down together with this one */
-  const isWidespread = (worker: workerTable.WorkerEntry, crashedAtMs: number): boolean => {
-    const service = worker.info?.service;
-    const others = [...options.workers.values()].filter(
-      (it) => it !== worker && it.info?.service === service,
-    );
-    const down = others.filter((it) => isDown(it, crashedAtMs, time.monotonicMs()));
-    return 2 * (down.length + 1) > others.length + 1;
-  };
-
-  /** A leader that has not heard of most workers yet can't tell whether they went down as well. */
-  const isUnknown = (): boolean => {
-    const workers = [...options.workers.values()];
-    return 2 * workers.filter(({ info }) => info === undefined).length > workers.length;
-  };
+  const isWidespread = (
+    worker: workerTable.WorkerEntry,
+    crash: widespreadCrash.CrashTime,
+  ): boolean =>
+    widespreadCrash.isWidespread(options.workers.values(), worker, crash, time.monotonicMs());
 
   const recordCrash = (
     { entry, task }: openOrderRecorder.KnownTask,
@@ -109,6 +103,22 @@
     void options.save(entry.job.jobId);
   };
 
+  /** Judges each former incarnation once: later the other workers have moved on. */
+  const judge = (
+    worker: workerTable.WorkerEntry,
+    formerIncarnations: readonly agentContract.FormerIncarnation[],
+    receivedAtMs: number,
+  ): ReadonlyMap<number, boolean> => {
+    const known = verdicts.get(worker);
+    const judged = formerIncarnations.map(({ incarnationMs, endedAgoMs }) => {
+      const crash = { atMs: receivedAtMs - endedAgoMs, toleranceMs: widespreadCrash.SAME_TIME_MS };
+      return [incarnationMs, known?.get(incarnationMs) ?? isWidespread(worker, crash)] as const;
+    });
+    const verdict = new Map(judged);
+    verdicts.set(worker, verdict);
+    return verdict;
+  };
+
   /** From the record of its start, where the agent did not see it. */
   const ranMsOf = (
     { task, run, ranMs }: agentContract.InterruptedRun,
@@ -123,17 +133,13 @@
   const recordEnded = (
     worker: workerTable.WorkerEntry,
     former: agentContract.FormerIncarnation,
-    receivedAtMs: number,
+    isCommon: boolean,
   ): void => {
-    if (!former.hasCrashed) return;
-    const crashedAtMs = receivedAtMs - former.endedAgoMs;
-    worker.lastCrashAtMs = Math.max(worker.lastCrashAtMs ?? -Infinity, crashedAtMs);
     const interrupted = former.runs.map((it) => ({
       ...it,
       jobId: poolWorker.parseTaskName(it.task)?.jobId ?? '',
       ranMs: ranMsOf(it, former),
     }));
-    const isCommon = isWidespread(worker, crashedAtMs);
     for (const it of interrupted) {
       const known = options.findTask(it.task);
       const evidence = crashAttribution.evidenceOf(it, interrupted, isCommon);
@@ -143,6 +149,32 @@
     }
   };
 
+  /** Crashes that the agent has seen; it reports the same ones again and again. */
+  const recordSeen = (
+    worker: workerTable.WorkerEntry,
+    { formerIncarnations = [] }: agentContract.WorkerUpdate,
+    receivedAtMs: number,
+  ): void => {
+    const crashed = formerIncarnations.filter(({ hasCrashed }) => hasCrashed);
+    for (const { endedAgoMs } of crashed) {
+      widespreadCrash.recordCrashTime(worker, receivedAtMs - endedAgoMs);
+    }
+    const verdict = judge(worker, crashed, receivedAtMs);
+    for (const it of crashed) {
+      recordEnded(worker, it, verdict.get(it.incarnationMs) === true);
+    }
+  };
+
+  const recordUnseenRuns = (
+    worker: workerTable.WorkerEntry,
+    runs: readonly workerTable.ActiveRun[],
+  ): void => {
+    for (const { entry, task, run } of runs) {
+      const crash = { run, ranMs: 0, evidence: progressRecord.CrashEvidence.unseen };
+      recordCrash({ entry, task }, crash, { agent: worker.agentId, worker: task.workerId });
+    }
+  };
+
   /**
    * Runs of an incarnation of whose end the agent does not know, since it was restarted as well. Where most workers did
    * so, they lost power.
@@ -166,18 +198,55 @@
     );
     if (runs.length === 0) return;
     runs.forEach((it) => judgedRuns.add(it));
-    const crashedAtMs = worker.sample?.atMs ?? receivedAtMs;
-    worker.lastCrashAtMs = Math.max(worker.lastCrashAtMs ?? -Infinity, crashedAtMs);
-    if (isUnknown() || isWidespread(worker, crashedAtMs)) return;
-    for (const { entry, task, run } of runs) {
-      const crash = { run, ranMs: 0, evidence: progressRecord.CrashEvidence.unclear };
-      recordCrash({ entry, task }, crash, { agent: worker.agentId, worker: task.workerId });
+    const atMs = worker.sample?.atMs ?? receivedAtMs;
+    widespreadCrash.recordCrashTime(worker, atMs);
+    // A leader that has just taken over has not heard of the other workers yet.
+    time.after(JUDGE_AFTER_MS, () => {
+      const crash = { atMs, toleranceMs: widespreadCrash.SAME_TIME_UNSEEN_MS };
+      if (!isWidespread(worker, crash)) recordUnseenRuns(worker, runs);
+    });
+  };
+
+  const withdraw = (worker: workerTable.WorkerEntry): void => {
+    for (const { entry, task, run, name } of lapsedRuns.get(worker) ?? []) {
+      if (jobTransitions.withdrawCrash(entry, task, run)) {
+        log('info', 'crashWithdrawn', { task: name, run, crashes: task.crashes.length });
+        void options.save(entry.job.jobId);
+      }
+    }
+    lapsedRuns.delete(worker);
+  };
+
+  /** Settles whether a worker crashed whose leases have expired. */
+  const settleLapse = (
+    worker: workerTable.WorkerEntry,
+    { worker: info, silentForMs, view }: agentContract.WorkerUpdate,
+  ): void => {
+    if (info === undefined || worker.info === undefined || !lapsedRuns.has(worker)) return;
+    if (!isSame(info, worker.info)) lapsedRuns.delete(worker);
+    else if (silentForMs === undefined && view?.incarnationMs === info.incarnationMs) {
+      withdraw(worker);
     }
   };
 
   return {
+    recordLapse: (worker, runs) => {
+      const { silentSinceMs } = worker;
+      const isAgentThere = time.monotonicMs() - worker.contactedAtMs <= MAX_AGENT_SILENCE_MS;
+      if (silentSinceMs === undefined || !isAgentThere) return;
+      const crash = { atMs: silentSinceMs, toleranceMs: widespreadCrash.SAME_TIME_UNSEEN_MS };
+      if (isWidespread(worker, crash)) return;
+      const begun = runs.filter(
+        ({ task, run, phase }) => task.run === run && phase !== workerTable.RunPhase.ordering,
+      );
+      lapsedRuns.set(worker, begun);
+      recordUnseenRuns(worker, begun);
+    },
     recordUpdate: (worker, news, receivedAtMs) => {
-      news.formerIncarnations?.forEach((it) => recordEnded(worker, it, receivedAtMs));
+      settleLapse(worker, news);
+      const { silentForMs } = news;
+      worker.silentSinceMs = silentForMs === undefined ? undefined : receivedAtMs - silentForMs;
+      recordSeen(worker, news, receivedAtMs);
       recordUnseen(worker, news, receivedAtMs);
     },
   };
--- a/src/coordination/node/pool/lostRunDetector.ts
+++ b/src/coordination/node/pool/lostRunDetector.ts
@@ -23,6 +23,11 @@
   readonly previousLeasesExpireAtMs: number;
   /** Ends a run that has certainly ended or can no longer start. */
   readonly markLost: (run: workerTable.ActiveRun, cause: string) => void;
+  /** Runs of a worker that has gone silent are about to be declared lost. */
+  readonly onWillLapse: (
+    worker: workerTable.WorkerEntry,
+    runs: readonly workerTable.ActiveRun[],
+  ) => void;
 }
 
 /** Declares runs lost. */
@@ -75,6 +80,7 @@
     for (const worker of options.workers.values()) {
       if (workerTable.haveRunsExpired(worker, nowMs())) {
         const lostRuns = [...worker.runs.values()].filter((run) => !mayStillStart(worker, run));
+        if (lostRuns.length > 0) options.onWillLapse(worker, lostRuns);
         markRunsLost(worker, lostRuns, 'leasesLapsed');
       }
     }
--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -244,6 +244,7 @@
   const buildUpdate = (): agentContract.WorkerUpdate => {
     const openOrders = sentStarts.ofEarlierLeaders(fence);
     const formerIncarnations = history.former();
+    const silentForMs = history.silentForMs();
     return {
       bootId: options.bootId,
       version,
@@ -251,6 +252,7 @@
       ...(latest === undefined ? {} : { view: latest.view }),
       viewFence: latest?.fence ?? 0,
       viewAgeMs: latest === undefined ? 0 : Math.ceil(time.monotonicMs() - latest.receivedAtMs),
+      ...(silentForMs === undefined ? {} : { silentForMs }),
       ...(openOrders.length === 0 ? {} : { openStarts: openOrders }),
       ...(formerIncarnations.length === 0 ? {} : { formerIncarnations }),
     };
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -325,7 +325,11 @@
     },
   });
 
-  const detector = lostRunDetector.createLostRunDetector({ ...options, markLost });
+  const detector = lostRunDetector.createLostRunDetector({
+    ...options,
+    markLost,
+    onWillLapse: crashes.recordLapse,
+  });
 
   const applyUpdate: RunControl['applyUpdate'] = (worker, news, receivedAtMs) => {
     const wasReachable = worker.isReachable;
--- a/src/standins/test/poolCrashingTasks.test.ts
+++ b/src/standins/test/poolCrashingTasks.test.ts
@@ -8,6 +8,7 @@
 import type * as poolJob from '../../state/common/pool/poolJob.js';
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
 import type * as memoryPoolWorker from '../memoryPoolWorker.js';
+import * as poolCrashExploration from './poolCrashExploration.js';
 import * as poolHarness from './poolHarness.js';
 
 const WORKERS = 6;
@@ -16,12 +17,6 @@
 /** From the first submission to the last check. */
 const TEST_MS = 90_000;
 
-/** Crashes under a task after which its starts are limited. */
-const CRASHES = 3;
-
-/** Starts of a task after that many crashes. */
-const MAX_STARTS_AFTER_CRASHES = 2;
-
 const BACK_AFTER_MS = 3000;
 
 /** How the tasks of jobs whose id begins with `bad` crash their workers. */
@@ -191,19 +186,6 @@
   },
 ];
 
-const assertWithinBudget = (runs: readonly memoryPoolWorker.RecordedRun[]): void => {
-  const crashed = runs.filter(({ how }) => how === 'crashed');
-  for (const task of new Set(crashed.map((it) => it.task))) {
-    const endsMs = crashed.filter((it) => it.task === task).map((it) => it.endedAtMs ?? 0);
-    const limitFromMs = endsMs.sort((a, b) => a - b)[CRASHES - 1] ?? Infinity;
-    const later = runs.filter((it) => it.task === task && it.startedAtMs > limitFromMs);
-    assert.ok(
-      later.length <= MAX_STARTS_AFTER_CRASHES,
-      `${task} started ${later.length} times after the third crash under it`,
-    );
-  }
-};
-
 const isBad = (task: string): boolean => task.startsWith('bad');
 
 test.describe('a task that crashes its workers starts within its budget, and only its job fails', () => {
@@ -219,7 +201,7 @@
       const first = pool.addCandidate();
       const act = it.act ?? (() => pool.clock.advance(TEST_MS));
       await act(pool, first);
-      assertWithinBudget(pool.runs().filter(({ task }) => crashes(task)));
+      poolCrashExploration.assertWithinBudget(pool.runs(), crashes);
       poolHarness.assertAtMostOnce(pool.runs());
       for (const [, changes] of it.jobs) {
         const jobId = changes?.jobId ?? '';
--- a/src/state/common/pool/agentContract.ts
+++ b/src/state/common/pool/agentContract.ts
@@ -78,6 +78,8 @@
   viewFence: units.Count,
   /** Time since the agent received the report, by the agent's clock. */
   viewAgeMs: units.Count,
+  /** Time since the worker's current incarnation left a request unanswered; absent while it answers. */
+  silentForMs: Schema.optionalKey(units.Count),
   /** Start orders of earlier leaders that got no answer; absent where there are none. */
   openStarts: Schema.optionalKey(Schema.Array(OpenStart)),
   /** Recent former incarnations, the same ones repeatedly; absent where there are none. */
--- a/src/state/common/pool/progressRecord.ts
+++ b/src/state/common/pool/progressRecord.ts
@@ -36,14 +36,22 @@
   lastStarted: 'lastStarted',
   /** Other tasks had started later there. */
   bystander: 'bystander',
-  /** Most workers went down at the same time, or nobody saw how the worker ended. */
-  unclear: 'unclear',
+  /** Most workers went down at the same time. */
+  widespread: 'widespread',
+  /** Nobody saw how the worker ended: its agent was restarted as well, or the worker is not back yet. */
+  unseen: 'unseen',
 } as const;
 
 /** One of the values of {@link CrashEvidence}. */
 export type CrashEvidence = (typeof CrashEvidence)[keyof typeof CrashEvidence];
 
-const CRASH_EVIDENCE: readonly CrashEvidence[] = ['alone', 'lastStarted', 'bystander', 'unclear'];
+const CRASH_EVIDENCE: readonly CrashEvidence[] = [
+  'alone',
+  'lastStarted',
+  'bystander',
+  'widespread',
+  'unseen',
+];
 
 /** A crash of a worker under a task. */
 export interface WorkerCrash {
@@ -201,7 +209,7 @@
 const fromWireCrash = ([run, ranMs, evidence]: WireCrash): WorkerCrash => ({
   run,
   ranMs,
-  evidence: CRASH_EVIDENCE[evidence] ?? CrashEvidence.unclear,
+  evidence: CRASH_EVIDENCE[evidence] ?? CrashEvidence.unseen,
 });
 
 const addCrashes = (rows: readonly TaskRow[], crashes: readonly WireCrashes[]): TaskRow[] => {
