Settle a stop only by a report of the incarnation that the leader knows

What happened: a worker was back under its id, a delayed copy had started a task there, which was done before anybody reached it. Its report came before its heartbeat. A stop for the former incarnation was accepted by the new one, and the leader read the new one's list as that of the former: the run is not in it, so it was 'stoppedBeforeStart', and the task started again although the same report listed its end (run 2 began 6 s after run 1 was done).

The report is applied with its ends as soon as the heartbeat has announced the incarnation.

--- a/src/coordination/node/pool/orderResultHandler.ts
+++ b/src/coordination/node/pool/orderResultHandler.ts
@@ -104,6 +104,8 @@
     const key = workerTable.runKey(it.run.name, it.run.run);
     const isOpen = worker.runs.get(key) === it.run;
     if (!isOpen || it.outcome !== agentContract.OrderOutcome.accepted || !isNewsLater) return;
+    // The report of an incarnation that no heartbeat has announced yet is applied later, with the ends that it lists.
+    if (news?.view?.incarnationMs !== worker.info?.incarnationMs) return;
     const isListed = news?.view?.running.some(
       ({ task, run }) => task === it.run.name && run === it.run.run,
     );
--- a/src/standins/test/poolCrashExploration.test.ts
+++ b/src/standins/test/poolCrashExploration.test.ts
@@ -14,6 +14,7 @@
   [9, 'leases lapsed before the worker was back, and the crash was learnt of after the next start'],
   [88, 'a new leader and a restarted agent in one moment: a crash went unseen'],
   [326, 'several tasks crashed most workers together, so none was isolated'],
+  [411, 'a report of an unannounced incarnation, read as that of the one before, settled a stop'],
 ];
 
 test.describe('kept seeds of tasks that crash their workers', () => {
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -529,6 +529,12 @@
     'withdraw(worker);',
     '',
   ],
+  [
+    'a report of an unannounced incarnation does not settle a stop',
+    `${NODE_POOL}/orderResultHandler.js`,
+    'if (news?.view?.incarnationMs !== worker.info?.incarnationMs)',
+    'if (false)',
+  ],
   [
     'an order without a response has an unknown outcome',
     'platform/workerClient.js',
