--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -8,6 +8,7 @@
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
 import * as agentContract from '../../../state/common/pool/agentContract.js';
+import * as poolJob from '../../../state/common/pool/poolJob.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as incarnationHistory from '../../common/pool/incarnationHistory.js';
 import * as openStarts from '../../common/pool/openStarts.js';
@@ -282,7 +283,8 @@
       const isChanged =
         before?.workerId !== next.workerId ||
         before.incarnationMs !== next.incarnationMs ||
-        before.state !== next.state;
+        before.state !== next.state ||
+        !poolJob.areSameResources(before.capacity, next.capacity);
       if (!isChanged) return;
       log('info', 'workerChanged', {
         worker: next.workerId,
--- a/src/coordination/node/pool/workerInfoHandler.ts
+++ b/src/coordination/node/pool/workerInfoHandler.ts
@@ -3,6 +3,7 @@
  */
 import type * as clock from '../../../base/common/clock.js';
 import type * as logging from '../../../base/common/logging.js';
+import * as poolJob from '../../../state/common/pool/poolJob.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as endTracker from '../../common/pool/endTracker.js';
 import * as fences from '../../common/pool/fences.js';
@@ -64,13 +65,17 @@
     if (info.state === poolWorker.WorkerState.draining && worker.drainEndsAtMs === Infinity) {
       worker.drainEndsAtMs = nowMs() + (info.remainingMs ?? DEFAULT_REMAINING_MS);
     }
-    if (isNewIncarnation || before.state !== info.state) {
+    const isResized =
+      before !== undefined && !poolJob.areSameResources(before.capacity, info.capacity);
+    if (isNewIncarnation || isResized || before.state !== info.state) {
       log('info', 'workerChanged', {
         agent: worker.agentId,
         worker: info.workerId,
         incarnation: info.incarnationMs,
         state: info.state,
         remainingMs: info.remainingMs,
+        accelerators: info.capacity.accelerators,
+        cpuMillicores: info.capacity.cpuMillicores,
       });
       options.onDidChange();
     }
--- a/src/standins/memoryPoolWorker.ts
+++ b/src/standins/memoryPoolWorker.ts
@@ -64,6 +64,8 @@
   readonly acknowledgedUpTo: () => number;
   /** Sets the state to draining; running tasks continue. */
   readonly drain: (remainingMs: number) => void;
+  /** Changes the accelerators that the worker says it has; running tasks continue. */
+  readonly resize: (accelerators: number) => void;
   /** Takes a {@link drain} back. */
   readonly cancelDrain: () => void;
   /** Ends all tasks immediately and starts a new incarnation, under the same or another id. */
@@ -377,6 +379,9 @@
     drain: (remainingMs) => {
       info = { ...info, state: 'draining', remainingMs };
     },
+    resize: (accelerators) => {
+      info = { ...info, capacity: { ...info.capacity, accelerators } };
+    },
     cancelDrain: () => {
       const { workerId, incarnationMs } = info;
       info = { ...options.info, workerId, incarnationMs };
--- a/src/state/common/pool/poolJob.ts
+++ b/src/state/common/pool/poolJob.ts
@@ -132,6 +132,16 @@
   accelerators: a.accelerators + b.accelerators * times,
 });
 
+/**
+ * @param a - resources
+ * @param b - resources
+ * @returns whether they are equal
+ */
+export const areSameResources = (a: Resources, b: Resources): boolean =>
+  a.cpuMillicores === b.cpuMillicores &&
+  a.memoryMb === b.memoryMb &&
+  a.accelerators === b.accelerators;
+
 const timesOf = (free: number, needed: number): number =>
   needed === 0 ? Number.MAX_SAFE_INTEGER : Math.max(0, Math.floor(free / needed));
 
