Skip a job record that has another form instead of failing at it forever

The leader repeated the watch from the same revision and learnt of nothing any more, and so did each later leader.

The record is logged as recordUnreadable, like one that is no JSON.

--- a/src/coordination/common/pool/jobRegistry.ts
+++ b/src/coordination/common/pool/jobRegistry.ts
@@ -51,9 +51,10 @@
 
   const submit = (record: store.StoreEntry, jobId: string, nowMs: number): RecordEffect => {
     if (jobs.has(jobId)) return RecordEffect.none;
-    const job = parse(record, (text) => JSON.parse(text) as poolJob.PoolJob);
-    if (job === undefined) return RecordEffect.none;
-    const entry = jobState.createJobEntry(job, nowMs);
+    const entry = parse(record, (text) =>
+      jobState.createJobEntry(JSON.parse(text) as poolJob.PoolJob, nowMs),
+    );
+    if (entry === undefined) return RecordEffect.none;
     entry.isCancelled = cancelled.has(jobId);
     jobs.set(jobId, entry);
     return RecordEffect.submitted;
--- a/src/standins/test/poolCancelFaults.test.ts
+++ b/src/standins/test/poolCancelFaults.test.ts
@@ -164,6 +164,26 @@
     states: { a: 'complete' },
     runs: 1,
   },
+  {
+    // Guards against a job record without steps, as another version may write it, that blocks all later changes and each
+    // later leader.
+    name: 'a job record of another form does not block later changes',
+    options: { workers: 1 },
+    jobs: [],
+    act: async (pool, first) => {
+      await pool.clock.advance(1000);
+      const key = poolKeys.jobKey('other', poolKeys.JobPart.spec);
+      await pool.store.transact({ conditions: [], puts: [{ key, value: '{}' }], removes: [] });
+      await pool.submit(fixtures.makeJob([{}], { jobId: 'a' }));
+      await pool.clock.advance(poolPromises.RECLAIM_MS);
+      assert.equal(pool.runs().length, 1);
+      first.kill();
+      pool.addCandidate();
+      await pool.submit(fixtures.makeJob([{}], { jobId: 'b' }));
+    },
+    states: { a: 'complete', b: 'complete' },
+    runs: 2,
+  },
   {
     // A store that answers within a quarter of a second is slow, not down: the leader's count is fresh enough.
     name: 'a leader reports how many jobs wait while the store is slow',
