Bound the wait of a suspect, and narrow who becomes one

A suspect waited for an empty worker without a bound: beside long-running tasks on each worker it would never start.

An unseen crash isolates beside another one. Three proofs, or three crashes with two proofs right after the start, give a task up.

--- a/src/coordination/common/pool/crashAttribution.ts
+++ b/src/coordination/common/pool/crashAttribution.ts
@@ -14,7 +14,7 @@
 /** What is known of a task's crashes. */
 export type CrashHistory = Pick<jobState.TaskEntry, 'crashes' | 'limitedStarts'>;
 
-/** A task isn't given up before this many crashes, and from then on its starts are limited. */
+/** From this many crashes on the starts of a task are limited. */
 export const CRASHES_TO_LIMIT = 3;
 
 /** Starts after that many crashes of which nothing says whose fault they were. */
@@ -23,16 +23,16 @@
 /** Starts after that many crashes otherwise: one less, since a crash may have gone unseen. */
 const MAX_LIMITED_STARTS = 1;
 
-/** Crashes alone on a worker, each shortly after the start, that prove a task's fault. */
-const PROMPT_CRASHES_TO_PROVE = 2;
-
-/** The same, whenever they came. */
+/** Crashes of workers on which only tasks of its job ran that prove a task's fault. */
 const CRASHES_TO_PROVE = 3;
 
-/** Later than this after its start, a crash may well have another cause. */
+/** The same of three crashes, if each came right after its start. */
+const PROMPT_CRASHES_TO_PROVE = 2;
+
+/** A crash this soon after a start is most likely caused by it. */
 const PROMPT_MS = 500;
 
-/** Runs that had started this recently may be the cause, although others had started later. */
+/** Runs that had started this recently may be the cause, although others had started later, unless one just had. */
 const RECENT_MS = 3000;
 
 /** Starts within this time are not told apart by their order. */
@@ -66,15 +66,11 @@
   const shortestMs = Math.min(...all.map(({ ranMs }) => ranMs));
   if (isWidespread && shortestMs > PROMPT_MS) return widespread;
   if (all.every(({ jobId }) => jobId === run.jobId)) return alone;
-  const isLast = run.ranMs <= Math.max(RECENT_MS, shortestMs + SAME_START_MS);
+  const recentMs = shortestMs <= PROMPT_MS ? PROMPT_MS : RECENT_MS;
+  const isLast = run.ranMs <= Math.max(recentMs, shortestMs + SAME_START_MS);
   return isLast ? lastStarted : bystander;
 };
 
-const count = (
-  { crashes }: CrashHistory,
-  matches: (crash: progressRecord.WorkerCrash) => boolean,
-): number => crashes.filter(matches).length;
-
 const isSeen = ({ evidence }: progressRecord.WorkerCrash): boolean =>
   evidence !== progressRecord.CrashEvidence.unseen;
 
@@ -94,11 +90,12 @@
 
 /**
  * Widespread crashes count as well: tasks that crash their workers and start together take most of a small pool with them
- * each time.
+ * each time. Unseen ones do beside others; alone they are most likely losses of power.
  *
  * @returns whether the task runs alone to its end
  */
-const isAlwaysIsolated = (task: CrashHistory): boolean => count(task, isSeen) >= CRASHES_TO_ISOLATE;
+const isAlwaysIsolated = (task: CrashHistory): boolean =>
+  task.crashes.length >= CRASHES_TO_ISOLATE && task.crashes.some(isSeen);
 
 /**
  * @param task - a task
@@ -150,10 +147,8 @@
     ({ evidence }) => evidence === progressRecord.CrashEvidence.alone,
   );
   const prompt = alone.filter(({ ranMs }) => ranMs <= PROMPT_MS);
-  return (
-    isLimited(task) &&
-    (prompt.length >= PROMPT_CRASHES_TO_PROVE || alone.length >= CRASHES_TO_PROVE)
-  );
+  const isPrompt = isLimited(task) && prompt.length >= PROMPT_CRASHES_TO_PROVE;
+  return isPrompt || alone.length >= CRASHES_TO_PROVE;
 };
 
 const maxStartsOf = (task: CrashHistory): number =>
--- a/src/coordination/common/pool/jobState.ts
+++ b/src/coordination/common/pool/jobState.ts
@@ -45,6 +45,8 @@
   crashes: progressRecord.WorkerCrash[];
   /** Starts since the crash from which on its starts are limited. */
   limitedStarts: number;
+  /** The last start that certainly did not begin; 0 where there is none. */
+  notBegunRun: number;
 }
 
 /** One job with its tasks; occurrences of a schedule are added when they are due. */
@@ -97,6 +99,7 @@
   openOrders: [],
   crashes: [],
   limitedStarts: 0,
+  notBegunRun: 0,
 });
 
 const newOccurrence = (job: poolJob.PoolJob, occurrence: number): TaskEntry[][] =>
@@ -264,7 +267,9 @@
  * @param run - number of the start
  */
 export const recordNotBegun = (task: TaskEntry, run: number): void => {
-  if (task.run === run) task.limitedStarts = Math.max(0, task.limitedStarts - 1);
+  if (task.run !== run || task.notBegunRun === run) return;
+  task.notBegunRun = run;
+  task.limitedStarts = Math.max(0, task.limitedStarts - 1);
 };
 
 /**
--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -9,6 +9,7 @@
 import * as poolJob from '../../../state/common/pool/poolJob.js';
 import * as claimHeadroom from './claimHeadroom.js';
 import * as gangPlacement from './gangPlacement.js';
+import * as isolation from './isolation.js';
 import * as localityChoice from './localityChoice.js';
 import type * as planTypes from './planTypes.js';
 import * as futurePlacement from './futurePlacement.js';
@@ -117,7 +118,8 @@
   const claimed = claimedByCustomer(input.workers);
   const claims: planTypes.PlanUnit[] = [];
   const others: planTypes.PlanUnit[] = [];
-  const ranked = [...input.units].sort(
+  const units = isolation.limitWaits(input.units, input.workers);
+  const ranked = [...units].sort(
     (a, b) => rankOf(a, input.nowMs) - rankOf(b, input.nowMs) || a.latestStartMs - b.latestStartMs,
   );
   for (const unit of ranked) {
--- a/src/coordination/common/pool/planTypes.ts
+++ b/src/coordination/common/pool/planTypes.ts
@@ -78,6 +78,8 @@
   readonly boundWorkerIds?: readonly (string | undefined)[];
   /** It starts only on workers without tasks of other jobs, which start none until it is off probation. */
   readonly isIsolated?: boolean;
+  /** It has waited too long: an isolated unit may start beside tasks that run already. */
+  readonly mayShareWorker?: boolean;
 }
 
 /** A unit with a worker for each of its tasks. */
--- a/src/coordination/node/pool/crashRecorder.ts
+++ b/src/coordination/node/pool/crashRecorder.ts
@@ -149,6 +149,18 @@
     }
   };
 
+  /** A run that the agent did not see begin in its incarnation does not count against a limit of starts. */
+  const recordNotBegun = (
+    worker: workerTable.WorkerEntry,
+    former: agentContract.FormerIncarnation,
+  ): void => {
+    for (const it of worker.runs.values()) {
+      const isListed = former.runs.some(({ task, run }) => task === it.name && run === it.run);
+      const isThere = isSame(it.task, former) && it.task.run === it.run;
+      if (isThere && !isListed) jobState.recordNotBegun(it.task, it.run);
+    }
+  };
+
   /** Crashes that the agent has seen; it reports the same ones again and again. */
   const recordSeen = (
     worker: workerTable.WorkerEntry,
@@ -161,6 +173,7 @@
     }
     const verdict = judge(worker, crashed, receivedAtMs);
     for (const it of crashed) {
+      recordNotBegun(worker, it);
       recordEnded(worker, it, verdict.get(it.incarnationMs) === true);
     }
   };
--- a/src/standins/test/poolCrashExploration.test.ts
+++ b/src/standins/test/poolCrashExploration.test.ts
@@ -13,7 +13,9 @@
 const KEPT_SEEDS: readonly (readonly [seed: number, cause: string])[] = [
   [9, 'leases lapsed before the worker was back, and the crash was learnt of after the next start'],
   [88, 'a new leader and a restarted agent in one moment: a crash went unseen'],
+  [255, 'suspects that had waited too long for empty workers were placed beside each other'],
   [326, 'several tasks crashed most workers together, so none was isolated'],
+  [330, 'two crashes went unseen, and the proof needed one crash more'],
   [411, 'a report of an unannounced incarnation, read as that of the one before, settled a stop'],
 ];
 
--- a/tools/guards.js
+++ b/tools/guards.js
@@ -511,6 +511,12 @@
     'if (isWidespread && shortestMs > PROMPT_MS)',
     'if (false)',
   ],
+  [
+    'a suspect does not wait forever for a worker to itself',
+    `${COMMON_POOL}/isolation.js`,
+    'unit.waitedMs >= maxWaitMs',
+    'false',
+  ],
   [
     'a start that a worker refused does not count against the limit of starts',
     `${COMMON_POOL}/jobState.js`,
