Test that a silence that ends is no crash

Guards against tasks that are given up because their workers were cut off from their agents several times.

--- a/src/standins/test/poolCrashingTasks.test.ts
+++ b/src/standins/test/poolCrashingTasks.test.ts
@@ -327,3 +327,26 @@
     });
   }
 });
+
+/** Longer than a lease and its margins. */
+const LAPSE_MS = 9000;
+
+// Guards against tasks that are given up because their workers were cut off from their agents several times.
+test.test('a worker that does not answer for long and goes on has not crashed', async () => {
+  const pool = poolHarness.createPool({ workers: 1, workMs: () => WORK_MS });
+  await pool.submit(fixtures.makeJob([{}], { jobId: 'other' }));
+  pool.addCandidate();
+  await pool.clock.advance(500);
+  const [site] = pool.sites;
+  assert.ok(site);
+  const crashes = async (): Promise<unknown> => (await pool.progress('other'))?.tasks[0]?.crashes;
+  site.worker.faults.isSilent = true;
+  await pool.clock.advance(LAPSE_MS);
+  assert.deepEqual(await crashes(), [{ run: 1, ranMs: 0, evidence: 'unseen' }]);
+  site.worker.faults.isSilent = false;
+  await pool.clock.advance(1000);
+  assert.equal(await crashes(), undefined);
+  await pool.clock.advance(TEST_MS);
+  assert.equal((await pool.progress('other'))?.state, 'complete');
+  pool.dispose();
+});
