--- a/src/standins/test/poolCancelExploration.ts
+++ b/src/standins/test/poolCancelExploration.ts
@@ -8,6 +8,7 @@
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
 import type * as poolJob from '../../state/common/pool/poolJob.js';
 import * as poolHarness from './poolHarness.js';
+import * as runAssertions from './runAssertions.js';
 import * as poolPromises from './poolPromises.js';
 
 const WORKERS = 4;
@@ -110,7 +111,7 @@
 
 const assertCancelled = ({ pool, cancelledAtMs }: Scenario, healedAtMs: number): void => {
   for (const run of pool.runs().filter((it) => !it.isLate)) {
-    const atMs = cancelledAtMs.get(poolHarness.jobIdOf(run)) ?? Infinity;
+    const atMs = cancelledAtMs.get(runAssertions.jobIdOf(run)) ?? Infinity;
     const name = `${run.task}#${run.run}`;
     const lastStartMs = Math.max(
       atMs + poolPromises.CANCEL_MS,
@@ -153,6 +154,6 @@
   const healedAtMs = pool.clock.monotonicMs();
   await runWithoutFaults(scenario);
   assertCancelled(scenario, healedAtMs);
-  poolHarness.assertAtMostOnce(pool.runs());
+  runAssertions.assertAtMostOnce(pool.runs());
   pool.dispose();
 };
--- a/src/standins/test/poolCases.ts
+++ b/src/standins/test/poolCases.ts
@@ -6,6 +6,7 @@
 
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
 import * as poolHarness from './poolHarness.js';
+import * as runAssertions from './runAssertions.js';
 
 /** One fault scenario. */
 export interface Case {
@@ -44,7 +45,7 @@
         for (const [jobId, state] of Object.entries(it.states)) {
           assert.equal((await pool.progress(jobId))?.state, state, jobId);
         }
-        poolHarness.assertAtMostOnce(pool.runs());
+        runAssertions.assertAtMostOnce(pool.runs());
         if (it.runs !== undefined) assert.equal(pool.runs().length, it.runs);
         if (it.runEnds !== undefined) {
           assert.deepEqual(
--- a/src/standins/test/poolCrashExploration.ts
+++ b/src/standins/test/poolCrashExploration.ts
@@ -9,6 +9,7 @@
 import type * as poolJob from '../../state/common/pool/poolJob.js';
 import type * as memoryPoolWorker from '../memoryPoolWorker.js';
 import * as poolHarness from './poolHarness.js';
+import * as runAssertions from './runAssertions.js';
 
 const WORKERS = 5;
 const JOBS = 16;
@@ -64,9 +65,9 @@
 ): { readonly all: number; readonly alone: number } => {
   const crashes = pool.sites.flatMap(({ worker }) => {
     const crashed = worker.runs.filter(({ how }) => how === 'crashed');
-    const own = crashed.filter((it) => poolHarness.jobIdOf(it) === jobId);
+    const own = crashed.filter((it) => runAssertions.jobIdOf(it) === jobId);
     return [...new Set(own.map(({ endedAtMs }) => endedAtMs))].map((atMs) =>
-      crashed.every((it) => it.endedAtMs !== atMs || poolHarness.jobIdOf(it) === jobId),
+      crashed.every((it) => it.endedAtMs !== atMs || runAssertions.jobIdOf(it) === jobId),
     );
   });
   return { all: crashes.length, alone: crashes.filter((isAlone) => isAlone).length };
@@ -178,8 +179,8 @@
   });
   await pool.clock.advance(SETTLE_MS);
   assertWithinBudget(pool.runs(), isBadTask);
-  poolHarness.assertAtMostOnce(pool.runs());
-  poolHarness.assertNoStartAfterDone(pool.runs());
+  runAssertions.assertAtMostOnce(pool.runs());
+  runAssertions.assertNoStartAfterDone(pool.runs());
   for (const { jobId } of jobs.slice(0, STEPS / 2)) {
     await assertState(pool, jobId);
   }
--- a/src/standins/test/poolCrashingTasks.test.ts
+++ b/src/standins/test/poolCrashingTasks.test.ts
@@ -10,6 +10,7 @@
 import type * as memoryPoolWorker from '../memoryPoolWorker.js';
 import * as poolCrashExploration from './poolCrashExploration.js';
 import * as poolHarness from './poolHarness.js';
+import * as runAssertions from './runAssertions.js';
 
 const WORKERS = 6;
 const WORK_MS = 4000;
@@ -202,7 +203,7 @@
       const act = it.act ?? (() => pool.clock.advance(TEST_MS));
       await act(pool, first);
       poolCrashExploration.assertWithinBudget(pool.runs(), crashes);
-      poolHarness.assertAtMostOnce(pool.runs());
+      runAssertions.assertAtMostOnce(pool.runs());
       for (const [, changes] of it.jobs) {
         const jobId = changes?.jobId ?? '';
         const expected = isBad(jobId) ? 'failed' : 'complete';
--- a/src/standins/test/poolDepartures.test.ts
+++ b/src/standins/test/poolDepartures.test.ts
@@ -7,6 +7,7 @@
 import type * as logging from '../../base/common/logging.js';
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
 import * as poolHarness from './poolHarness.js';
+import * as runAssertions from './runAssertions.js';
 
 /** A call to a worker that has shut down is refused within this time. */
 const REFUSED_MS = 1;
@@ -55,7 +56,7 @@
       await pool.clock.advance(SETTLE_MS);
       assert.equal((await pool.progress('a'))?.state, 'complete');
       assert.equal(lost, tasks);
-      poolHarness.assertAtMostOnce(pool.runs());
+      runAssertions.assertAtMostOnce(pool.runs());
       pool.dispose();
     });
   }
--- a/src/standins/test/poolExploration.ts
+++ b/src/standins/test/poolExploration.ts
@@ -8,6 +8,7 @@
 import type * as poolJob from '../../state/common/pool/poolJob.js';
 import type * as memoryPoolWorker from '../memoryPoolWorker.js';
 import * as poolHarness from './poolHarness.js';
+import * as runAssertions from './runAssertions.js';
 import * as poolPromises from './poolPromises.js';
 
 const WORKERS = 4;
@@ -123,7 +124,7 @@
 /** Asserts that no task starts long after its cancellation, except by orders that the worker executes late. */
 const assertNoneAfterCancel = (pool: poolHarness.Pool, cancelled: Cancellations): void => {
   for (const run of pool.runs().filter((it) => !it.isLate)) {
-    const cancelledAtMs = cancelled.get(poolHarness.jobIdOf(run)) ?? Infinity;
+    const cancelledAtMs = cancelled.get(runAssertions.jobIdOf(run)) ?? Infinity;
     assert.ok(
       run.startedAtMs <= cancelledAtMs + poolPromises.CANCEL_MS,
       `${run.task}#${run.run} started ${run.startedAtMs - cancelledAtMs} ms after the cancellation`,
@@ -186,8 +187,8 @@
   }
   poolHarness.clearFaults(pool);
   await pool.clock.advance(SETTLE_MS);
-  poolHarness.assertAtMostOnce(pool.runs());
-  poolHarness.assertNoStartAfterDone(pool.runs());
+  runAssertions.assertAtMostOnce(pool.runs());
+  runAssertions.assertNoStartAfterDone(pool.runs());
   assertWithinCapacity(pool, submitted);
   assertNoneAfterCancel(pool, cancelled);
   for (const job of submitted) {
--- a/src/standins/test/poolLateOrders.test.ts
+++ b/src/standins/test/poolLateOrders.test.ts
@@ -7,6 +7,7 @@
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
 import * as poolCases from './poolCases.js';
 import * as poolHarness from './poolHarness.js';
+import * as runAssertions from './runAssertions.js';
 
 /** An order's lease is a time on the clock of the incarnation that it addresses; a new incarnation's clock is behind. */
 const PREVIOUS_AGE_MS = 20_000;
@@ -291,7 +292,7 @@
       crashAndBecomeUnreachable(site);
       await pool.clock.advance(4000);
       site.worker.faults.isSilent = false;
-      poolHarness.assertNoStartAfterDone(pool.runs());
+      runAssertions.assertNoStartAfterDone(pool.runs());
     },
     states: { a: 'complete' },
   },
@@ -372,7 +373,7 @@
       crashAndBecomeUnreachable({ worker, ...site });
       await pool.clock.advance(5000);
       Object.assign(worker.faults, { isSilent: false, timeoutMs: 0 });
-      poolHarness.assertNoStartAfterDone(pool.runs());
+      runAssertions.assertNoStartAfterDone(pool.runs());
     },
     states: { a: 'complete' },
   },
--- a/src/standins/test/poolLostWatches.test.ts
+++ b/src/standins/test/poolLostWatches.test.ts
@@ -9,6 +9,7 @@
 
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
 import * as poolHarness from './poolHarness.js';
+import * as runAssertions from './runAssertions.js';
 import * as poolPromises from './poolPromises.js';
 
 /** End times of the outage, spanning more than the longest time that a lost watch is in flight. */
@@ -20,7 +21,7 @@
 };
 
 const runsOf = (pool: poolHarness.Pool, jobId: string) =>
-  pool.runs().filter((it) => poolHarness.jobIdOf(it) === jobId);
+  pool.runs().filter((it) => runAssertions.jobIdOf(it) === jobId);
 
 const checkUpdates = async (endMs: number): Promise<void> => {
   const pool = poolHarness.createPool({ workers: 2, workMs: () => 60_000 });
