--- a/src/standins/test/poolHarness.ts
+++ b/src/standins/test/poolHarness.ts
@@ -39,6 +39,8 @@
   readonly worker: memoryPoolWorker.MemoryPoolWorker;
   /** Cuts the link between leaders and the agent. */
   isCut: boolean;
+  /** How long orders of leaders take to reach the agent. */
+  orderDelayMs: number;
   /** Cuts the link after this many more answers. */
   answersLeft: number;
   /** Restarts the agent's process without its in-memory state. */
@@ -73,6 +75,10 @@
   readonly addCandidate: (place?: CandidateIdentity) => Candidate;
   readonly submit: (job: poolJob.PoolJob) => Promise<void>;
   readonly cancel: (jobId: string) => Promise<void>;
+  /** Stores the operators' evacuation of a zone. */
+  readonly evacuate: (zone: string) => Promise<void>;
+  /** Removes the evacuation of a zone. */
+  readonly takeBack: (zone: string) => Promise<void>;
   readonly progress: (jobId: string) => Promise<progressRecord.ProgressRecord | undefined>;
   /** All runs on all workers. */
   readonly runs: () => memoryPoolWorker.RecordedRun[];
@@ -85,6 +91,8 @@
   readonly acceleratorsPerWorker?: number;
   readonly workMs?: (task: string) => number;
   readonly guarantees?: Readonly<Record<string, number>>;
+  /** Zones of the workers, in turn; all are in one zone by default. */
+  readonly zones?: readonly string[];
   readonly jobs?: readonly poolJob.PoolJob[];
   readonly log?: logging.Log;
   readonly seed?: number;
@@ -94,6 +102,11 @@
   ) => ReturnType<ticketCache.TicketCacheOptions['ask']>;
 }
 
+/** Prefix of the records by which the operators evacuate zones. */
+export const EVACUATIONS_PREFIX = 'operators/evacuations/';
+
+const DEFAULT_ZONES = ['zone'];
+
 const HEARTBEAT_MS = 500;
 const RACK_SIZE = 3;
 
@@ -148,6 +161,8 @@
   interface MutableSite extends Site {
     agent: poolAgent.PoolAgent;
   }
+  const zones = options.zones ?? DEFAULT_ZONES;
+  const zoneOf = (index: number): string => zones[index % zones.length] ?? '';
   const createSite = (index: number): MutableSite => {
     const worker = memoryPoolWorker.createMemoryPoolWorker(
       {
@@ -156,7 +171,7 @@
           workerId: `w${index}`,
           incarnationMs: 1,
           service: 'service',
-          zone: 'zone',
+          zone: zoneOf(index),
           state: 'ready',
           capacity: {
             cpuMillicores: 64_000,
@@ -185,6 +200,7 @@
     const site: MutableSite = {
       worker,
       isCut: false,
+      orderDelayMs: 0,
       answersLeft: Infinity,
       agent: createAgent(),
       restartAgent: () => {
@@ -231,7 +247,11 @@
   };
   const link: agentContract.AgentApi = {
     sync: (url, request) => callAgent(url, (agent) => agent.sync(request)),
-    order: (url, request) => callAgent(url, (agent) => agent.order(request)),
+    order: async (url, request) => {
+      const { orderDelayMs } = siteAt(url);
+      if (orderDelayMs > 0) await clock.sleep(time, orderDelayMs);
+      return callAgent(url, (agent) => agent.order(request));
+    },
   };
 
   const put = async (key: string, value: string): Promise<void> => {
@@ -317,6 +337,11 @@
       await put(poolKeys.jobKey(job.jobId, poolKeys.JobPart.spec), JSON.stringify(job));
     },
     cancel: (jobId) => put(poolKeys.jobKey(jobId, poolKeys.JobPart.cancel), '{}'),
+    evacuate: (zone) => put(`${EVACUATIONS_PREFIX}${zone}`, '{}'),
+    takeBack: async (zone) => {
+      const removes = [`${EVACUATIONS_PREFIX}${zone}`];
+      await store.transact({ conditions: [], puts: [], removes });
+    },
     progress: async (jobId) => {
       const record = await store.get(poolKeys.progressKey(jobId));
       return record === undefined ? undefined : progressRecord.decodeProgress(record.value);
@@ -346,6 +371,7 @@
   faults.delayTransactions = 0;
   for (const site of pool.sites) {
     site.isCut = false;
+    site.orderDelayMs = 0;
     site.worker.faults.isSilent = false;
     site.worker.faults.areAnswersLost = false;
     site.worker.faults.delayOrders = 0;
--- a/src/standins/test/poolPromises.ts
+++ b/src/standins/test/poolPromises.ts
@@ -13,3 +13,6 @@
 
 /** The limits on starts hold from this long after the last fault. */
 export const STABLE_MS = 4000;
+
+/** Nothing starts in a zone later than this after its evacuation was stored. */
+export const EVACUATE_MS = 5000;
