--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -12,7 +12,6 @@
 import * as progressRecord from '../../../state/common/pool/progressRecord.js';
 import type * as recordStore from '../../../state/common/pool/recordStore.js';
 import type * as store from '../../../state/common/store.js';
-import * as addressRecord from '../../common/pool/addressRecord.js';
 import type * as doneRuns from '../../common/pool/doneRuns.js';
 import * as fences from '../../common/pool/fences.js';
 import * as runtimeEstimates from '../../common/pool/runtimeEstimates.js';
@@ -23,7 +22,7 @@
 import * as workerTable from '../../common/pool/workerTable.js';
 
 import type * as ticketCache from './ticketCache.js';
-import * as agentSession from './agentSession.js';
+import * as agentDirectory from './agentDirectory.js';
 import * as endedJobsRemoval from './endedJobsRemoval.js';
 import * as orderSender from './orderSender.js';
 import * as planDriver from './planDriver.js';
@@ -80,9 +79,6 @@
 /** Interval of repeating stops, checking for expired leases and starting due occurrences. */
 const TICK_MS = 200;
 
-/** An agent without a record that has not responded for this long is removed. */
-const REMOVE_AGENT_MS = 60_000;
-
 /**
  * Interval of storing new checkpoints in batches. A power loss of all machines costs at most this much saved work;
  * stored one by one, checkpoints would be most of the leader's writes.
@@ -104,8 +100,6 @@
   const owned = disposable.createDisposableStore();
   const registry = jobRegistry.createJobRegistry(log);
   const workers = new Map<string, workerTable.WorkerEntry>();
-  const sessions = new Map<string, disposable.Disposable>();
-  const listedAgents = new Set<string>();
   const checkpointedJobs = new Set<string>();
   const estimates = runtimeEstimates.createRuntimeEstimates();
   const startedAtMs = time.monotonicMs();
@@ -210,46 +204,22 @@
     return control.applyUpdate(worker, news, receivedAtMs);
   };
 
-  const openSession = (worker: workerTable.WorkerEntry): void => {
-    const session = agentSession.startAgentSession({
-      link: options.link,
-      clock: time,
-      log,
-      worker,
-      grantMs,
-      onUpdate: (news, receivedAtMs) => applyUpdate(worker, news, receivedAtMs),
-      onDidLoseAgent: () => {
-        worker.isReachable = false;
-      },
-    });
-    sessions.set(worker.agentId, session);
-  };
-
-  const handleAgentRecord = (record: store.StoreEntry): void => {
-    const agentId = record.key.slice(poolKeys.AGENTS.length);
-    const url = addressRecord.parseAddressRecord(record.value);
-    if (url === undefined) {
-      // If it threw, the watch would fail at this record again and again, and later records would never arrive.
-      log('error', 'recordUnreadable', { key: record.key, revision: record.revision });
-      return;
-    }
-    listedAgents.add(agentId);
-    const known = workers.get(agentId);
-    if (known !== undefined) {
-      known.url = url;
-      return;
-    }
-    const fence = fences.firstFence(term.epoch);
-    const worker = workerTable.createWorkerEntry(
-      agentId,
-      url,
-      fence,
-      nowMs(),
-      previousLeasesExpireAtMs,
-    );
-    workers.set(agentId, worker);
-    openSession(worker);
-  };
+  const agents = agentDirectory.createAgentDirectory({
+    link: options.link,
+    clock: time,
+    log,
+    workers,
+    createWorker: (agentId, url) =>
+      workerTable.createWorkerEntry(
+        agentId,
+        url,
+        fences.firstFence(term.epoch),
+        nowMs(),
+        previousLeasesExpireAtMs,
+      ),
+    grantMs,
+    onUpdate: applyUpdate,
+  });
 
   const applyCancellation = (entry: jobState.JobEntry | undefined): void => {
     if (entry?.isCancelled !== true) return;
@@ -278,7 +248,7 @@
       // The term ends as soon as another one is observed.
       if (record.revision !== term.condition.revision) options.onDidConflict('another term began');
     } else if (record.key.startsWith(poolKeys.AGENTS)) {
-      handleAgentRecord(record);
+      agents.handleRecord(record);
     } else {
       handleJobRecord(record, 'watch');
     }
@@ -286,7 +256,7 @@
 
   const handleRemoval = (key: string): void => {
     if (key === poolKeys.LEADER) options.onDidConflict('the leadership record is gone');
-    if (key.startsWith(poolKeys.AGENTS)) listedAgents.delete(key.slice(poolKeys.AGENTS.length));
+    if (key.startsWith(poolKeys.AGENTS)) agents.handleRemoval(key);
   };
 
   const handleLoaded = (revision: number): void => {
@@ -307,17 +277,6 @@
     driver.schedule();
   };
 
-  const removeAgents = (): void => {
-    for (const worker of workers.values()) {
-      const isUnreachable = nowMs() - worker.contactedAtMs > REMOVE_AGENT_MS;
-      if (isUnreachable && !listedAgents.has(worker.agentId) && worker.runs.size === 0) {
-        void sessions.get(worker.agentId)?.dispose();
-        sessions.delete(worker.agentId);
-        workers.delete(worker.agentId);
-      }
-    }
-  };
-
   const storeCheckpoints = (): void => {
     if (nowMs() - checkpointedAtMs < CHECKPOINT_PERIOD_MS) return;
     checkpointedAtMs = nowMs();
@@ -340,7 +299,7 @@
     control.inspect();
     storeCheckpoints();
     control.declareLost();
-    removeAgents();
+    agents.removeGone();
     driver.schedule();
     void removeEndedJobs();
     time.after(TICK_MS, tick);
@@ -350,9 +309,7 @@
     dispose: () => {
       writer.dispose();
       sender.dispose();
-      sessions.forEach((it) => {
-        void it.dispose();
-      });
+      void agents.dispose();
     },
   });
   const feed: recordFeed.RecordFeed = owned.add(
