Start nothing in a zone that the operators evacuate

Cause: nothing read the operators' evacuations.

Change: the leader follows the evacuations in the store, by a listing and then by watches, for its term; it plans nothing before the first listing. Workers in an evacuated zone accept no tasks: nothing is placed, reserved, relocated or tried again there, and advice is asked for no worker there. What runs there runs on. Each message with starts carries a time on the worker's clock until which the leader's knowledge suffices (the promised time less 1.5 s, counted from the last instant at which its copy was certainly complete), and agents refuse starts and further copies after it. So no agent needs to read the store: a leader that is cut off, frozen, new or misled by a lost watch can't cause a late start, nor can an order on its way. A start that is stored waits until the knowledge is fresh, and is not sent into a zone that was evacuated meanwhile. Deployments without such a promise follow nothing.

Weighed: agents that watch the store each (50 waiting watches more, and an agent that the store turns away knows nothing); a condition on the absence of the record in the write that stores a start (covers no order on its way, and one write holds several jobs).

Logs: zoneEvacuated, zoneTakenBack, evacuatedZoneEmpty, evacuationOfUnknownZone and evacuationUnreadable (once a key), the zones with each wait; a gauge of the runs left.

--- a/src/coordination/common/pool/leaseClock.ts
+++ b/src/coordination/common/pool/leaseClock.ts
@@ -17,6 +17,14 @@
 /** Time in milliseconds until a run that is killed at the end of its lease has ended. */
 const KILL_MS = 200;
 
+/**
+ * @param sample - a reading of the worker's clock
+ * @param atMs - an instant on the leader's clock
+ * @returns the same instant on the worker's clock, or one somewhat earlier, in whole milliseconds
+ */
+export const toWorkerClockMs = (sample: ClockSample, atMs: number): number =>
+  Math.floor(sample.clockMs + (atMs - sample.atMs));
+
 /**
  * @param sample - a reading of the worker's clock
  * @param nowMs - the leader's clock
@@ -24,7 +32,7 @@
  * @returns the end of the lease on the worker's clock, in whole milliseconds
  */
 export const leaseUntil = (sample: ClockSample, nowMs: number, leaseMs: number): number =>
-  Math.floor(sample.clockMs + (nowMs - sample.atMs) + leaseMs);
+  toWorkerClockMs(sample, nowMs + leaseMs);
 
 /**
  * @param sample - a reading of the worker's clock
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -67,6 +67,8 @@
 /** An agent with its worker. */
 export interface WorkerEntry {
   readonly agentId: string;
+  /** Zones where nothing starts now; always the same set, its content changes. */
+  readonly evacuatedZones: ReadonlySet<string>;
   url: string;
   bootId: string;
   info: poolWorker.WorkerInfo | undefined;
@@ -111,6 +113,7 @@
  * @param fence - first fence of the leader's epoch
  * @param nowMs - the leader's clock
  * @param previousLeasesExpireAtMs - time by which every lease that a previous leader granted here has expired
+ * @param evacuatedZones - zones where nothing starts now; its content may change
  * @returns an agent whose worker is not known yet
  */
 export const createWorkerEntry = (
@@ -119,8 +122,10 @@
   fence: number,
   nowMs: number,
   previousLeasesExpireAtMs: number,
+  evacuatedZones: ReadonlySet<string> = new Set(),
 ): WorkerEntry => ({
   agentId,
+  evacuatedZones,
   url,
   bootId: '',
   info: undefined,
@@ -298,6 +303,13 @@
   return free;
 };
 
+/**
+ * @param worker - an agent with its worker
+ * @returns whether the worker is in a zone that the operators evacuate
+ */
+export const isInEvacuatedZone = ({ info, evacuatedZones }: WorkerEntry): boolean =>
+  info !== undefined && evacuatedZones.has(info.zone);
+
 /**
  * @param worker - an agent with its worker
  * @returns whether the worker may get new tasks
@@ -305,7 +317,8 @@
 export const acceptsTasks = (worker: WorkerEntry): boolean =>
   worker.isReachable &&
   worker.info?.state === poolWorker.WorkerState.ready &&
-  worker.sample?.incarnationMs === worker.info.incarnationMs;
+  worker.sample?.incarnationMs === worker.info.incarnationMs &&
+  !isInEvacuatedZone(worker);
 
 /**
  * @param workers - agents with their workers
--- a/src/coordination/node/pool/orderDelivery.ts
+++ b/src/coordination/node/pool/orderDelivery.ts
@@ -20,6 +20,8 @@
   readonly info: () => poolWorker.WorkerInfo | undefined;
   /** The worker's newest report. */
   readonly report: () => poolWorker.WorkerReport | undefined;
+  /** The clock of an incarnation of the worker, at least; undefined for one that has not reported yet. */
+  readonly clockMsOf: (incarnationMs: number) => number | undefined;
   /** @returns the fence to send to the worker with an order of this fence of the leader */
   readonly workerFence: (leaderFence: number) => number;
   /** Start orders whose copies may still arrive. */
@@ -52,6 +54,14 @@
   reason: string,
 ): agentContract.OrderResult => ({ task, run, outcome: 'refused', reason, hasOpenCopy: false });
 
+/** What may end the attempts to deliver an order. */
+interface AttemptOptions {
+  /** Whether the worker is known to have carried it out. */
+  readonly isCarriedOut?: () => boolean;
+  /** Whether it may be sent again after an attempt without an answer. */
+  readonly mayRepeat?: () => boolean;
+}
+
 /**
  * @param options - its dependencies
  * @returns the delivery
@@ -68,6 +78,22 @@
     return undefined;
   };
 
+  /** The order may have been on its way while its zone was evacuated. */
+  const isTooLateToStart = ({
+    incarnationMs,
+    startsUntilMs,
+  }: agentContract.OrderRequest): boolean =>
+    startsUntilMs !== undefined && (options.clockMsOf(incarnationMs) ?? Infinity) > startsUntilMs;
+
+  const startRefusalOf = (request: agentContract.OrderRequest): string | undefined => {
+    const refusal = refusalOf(request);
+    if (refusal !== undefined) return refusal;
+    if (options.info()?.state !== poolWorker.WorkerState.ready) {
+      return 'the worker is not ready for new tasks';
+    }
+    return isTooLateToStart(request) ? 'the zone may have been evacuated since' : undefined;
+  };
+
   /** @returns whether a report shows that the worker has carried out a start, although its answer is missing */
   const isReported = (
     { incarnationMs }: agentContract.OrderRequest,
@@ -81,13 +107,13 @@
   const attempt = async (
     request: agentContract.OrderRequest,
     send: () => Promise<agentContract.WorkerAnswer>,
-    isCarriedOut: () => boolean = () => false,
+    { isCarriedOut = () => false, mayRepeat = () => true }: AttemptOptions = {},
   ): Promise<agentContract.DeliveryResult> => {
     let answer = await send();
     const hasOpenCopy = answer.outcome === 'unknown';
     for (let tries = 1; tries < ORDER_ATTEMPTS && answer.outcome === 'unknown'; tries += 1) {
       // A new incarnation would execute again what the previous one may already have executed.
-      if (refusalOf(request) !== undefined) break;
+      if (refusalOf(request) !== undefined || !mayRepeat()) break;
       // A run that has ended here would begin again in a new incarnation that no heartbeat has announced yet.
       answer = isCarriedOut() ? { outcome: 'accepted', reason: 'reported' } : await send();
     }
@@ -99,11 +125,8 @@
 
   const start: OrderDelivery['start'] = async (request, command) => {
     const { task, run, jobId, leaseUntilMs, saved, ticket } = command;
-    const refusal = refusalOf(request);
+    const refusal = startRefusalOf(request);
     if (refusal !== undefined) return refused(command, refusal);
-    if (options.info()?.state !== poolWorker.WorkerState.ready) {
-      return refused(command, 'the worker is not ready for new tasks');
-    }
     if (leaseUntilMs === 0) return refused(command, 'no lease was granted');
     const payload = request.payloads[jobId] ?? '';
     const order = { task, run, payload, leaseUntilMs, saved, ticket };
@@ -113,7 +136,10 @@
     const answer = await attempt(
       request,
       () => worker.start(request.workerId, { ...order, fence: workerFence(request.fence) }),
-      () => isReported(request, command),
+      {
+        isCarriedOut: () => isReported(request, command),
+        mayRepeat: () => !isTooLateToStart(request),
+      },
     );
     settle(answer.hasOpenCopy);
     settleRun(answer.outcome);
--- a/src/coordination/node/pool/orderSender.ts
+++ b/src/coordination/node/pool/orderSender.ts
@@ -5,6 +5,7 @@
 import * as errors from '../../../base/common/errors.js';
 import type * as logging from '../../../base/common/logging.js';
 import * as agentContract from '../../../state/common/pool/agentContract.js';
+import * as leaseClock from '../../common/pool/leaseClock.js';
 import type * as workerTable from '../../common/pool/workerTable.js';
 
 import * as agentSession from './agentSession.js';
@@ -42,6 +43,8 @@
   readonly log: logging.Log;
   /** Duration of the leases granted; 0 while the leadership is not certain. */
   readonly grantMs: () => number;
+  /** Leader's clock until which starts are certainly allowed; Infinity without a limit. */
+  readonly startsUntilMs: () => number;
   readonly onSettled: (settled: SettledOrders) => void;
 }
 
@@ -67,6 +70,12 @@
   ...(order.ticket === undefined ? {} : { ticket: order.ticket }),
 });
 
+/** @returns an instant on the clock of the worker's current incarnation; 0, which is past, where it is not known */
+const toWorkerClockMs = ({ info, sample }: workerTable.WorkerEntry, atMs: number): number =>
+  sample === undefined || sample.incarnationMs !== info?.incarnationMs
+    ? 0
+    : Math.max(0, leaseClock.toWorkerClockMs(sample, atMs));
+
 const toResults = (
   runs: readonly workerTable.ActiveRun[],
   results: readonly agentContract.OrderResult[],
@@ -89,6 +98,7 @@
   const requestOf = (its: PendingOrders, info: { workerId: string; incarnationMs: number }) => {
     const nowMs = options.clock.monotonicMs();
     const leaseUntilMs = agentSession.grantLease(its.worker, nowMs, options.grantMs());
+    const startsUntilMs = options.startsUntilMs();
     const payloads: Record<string, string> = {};
     for (const { run } of its.starts) {
       payloads[run.entry.job.jobId] = run.entry.job.payload;
@@ -97,6 +107,9 @@
       fence: its.worker.fence,
       workerId: info.workerId,
       incarnationMs: info.incarnationMs,
+      ...(startsUntilMs === Infinity
+        ? {}
+        : { startsUntilMs: toWorkerClockMs(its.worker, startsUntilMs) }),
       payloads,
       // Nothing may run without a lease: if none was granted, `leaseUntilMs` is 0 and the agent refuses the start.
       starts: its.starts.map((order) => toStartCommand(order, leaseUntilMs)),
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -6,6 +6,7 @@
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
 import type * as poolConfiguration from '../../../state/common/pool/poolConfiguration.js';
+import type * as evacuations from '../../common/pool/evacuations.js';
 import type * as runtimeEstimates from '../../common/pool/runtimeEstimates.js';
 import * as gangPlacement from '../../common/pool/gangPlacement.js';
 import * as stragglers from '../../common/pool/stragglers.js';
@@ -42,6 +43,7 @@
   readonly askAdvice: ticketCache.TicketCacheOptions['ask'];
   /** Age of the leader's state: all jobs and cancellations stored before then have certainly been received. */
   readonly recordsAgeMs: () => number;
+  readonly evacuations: evacuations.Evacuations;
   /** Whether all jobs are loaded and the term has not ended. */
   readonly isReady: () => boolean;
 }
@@ -84,15 +86,19 @@
     onDidAdvise: schedule,
   });
 
+  /** The leadership is certain, and so is which zones are evacuated. */
+  const isCertain = (): boolean =>
+    options.term.isLeaseValid() && nowMs() < options.evacuations.startsUntilMs();
+
   /**
-   * Stores starts and waits until the leadership is certain. A cancellation during that wait may not be received
+   * Stores starts and waits until nothing is in doubt. A cancellation during that wait may not be received
    * while the store is unavailable, so the job is stored once more afterwards, which reveals a cancellation.
    */
   const storeUntilCertain = async (jobId: string): Promise<void> => {
     for (;;) {
       await options.save(jobId);
-      if (!options.isReady() || options.term.isLeaseValid()) return;
-      while (options.isReady() && !options.term.isLeaseValid()) await clock.sleep(time, RECHECK_MS);
+      if (!options.isReady() || isCertain()) return;
+      while (options.isReady() && !isCertain()) await clock.sleep(time, RECHECK_MS);
     }
   };
 
@@ -103,7 +109,7 @@
     ticket: string | undefined,
   ): void => {
     if (!options.isReady() || run.phase !== workerTable.RunPhase.ordering) return;
-    if (!options.control().isWanted(run)) {
+    if (!options.control().isWanted(run) || workerTable.isInEvacuatedZone(worker)) {
       worker.runs.delete(workerTable.runKey(run.name, run.run));
       jobState.recordNotBegun(run.task, run.run);
       options.control().markLost(run, 'notSent');
@@ -166,9 +172,16 @@
   };
 
   const logWait = ({ unit, reason }: planTypes.Wait): void => {
-    if (waitReasons.get(unit.groupKey) === reason) return;
-    waitReasons.set(unit.groupKey, reason);
-    log('info', 'waits', { job: unit.unit.entry.job.jobId, group: unit.groupKey, reason });
+    const evacuatedZones = [...options.evacuations.zones].sort().join(',');
+    const cause = `${reason} ${evacuatedZones}`;
+    if (waitReasons.get(unit.groupKey) === cause) return;
+    waitReasons.set(unit.groupKey, cause);
+    log('info', 'waits', {
+      job: unit.unit.entry.job.jobId,
+      group: unit.groupKey,
+      reason,
+      ...(evacuatedZones === '' ? {} : { evacuatedZones }),
+    });
   };
 
   const guarantees = (): planTypes.Guarantees =>
--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -263,6 +263,10 @@
     ...options,
     info: () => info,
     report: () => latest?.view,
+    clockMsOf: (incarnationMs) =>
+      latest?.view.incarnationMs === incarnationMs
+        ? latest.view.clockMs + (time.monotonicMs() - latest.receivedAtMs)
+        : undefined,
     workerFence,
     sentStarts,
     history,
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -12,6 +12,7 @@
 import * as progressRecord from '../../../state/common/pool/progressRecord.js';
 import type * as recordStore from '../../../state/common/pool/recordStore.js';
 import type * as store from '../../../state/common/store.js';
+import * as evacuations from '../../common/pool/evacuations.js';
 import type * as doneRuns from '../../common/pool/doneRuns.js';
 import * as fences from '../../common/pool/fences.js';
 import * as runtimeEstimates from '../../common/pool/runtimeEstimates.js';
@@ -23,7 +24,9 @@
 
 import type * as ticketCache from './ticketCache.js';
 import * as agentDirectory from './agentDirectory.js';
+import * as evacuationFeed from './evacuationFeed.js';
 import * as endedJobsRemoval from './endedJobsRemoval.js';
+import * as evacuationReport from './evacuationReport.js';
 import * as orderSender from './orderSender.js';
 import * as planDriver from './planDriver.js';
 import type * as poolLeadership from './poolLeadership.js';
@@ -58,6 +61,8 @@
   readonly doneRuns: doneRuns.DoneRuns;
   /** Another process leads or changed a record: the term is over. */
   readonly onDidConflict: (reason: string) => void;
+  /** Absent where zones are never evacuated. */
+  readonly evacuation?: evacuationFeed.EvacuationLimits;
   /** Requests from the policy service which workers may run a step. */
   readonly askAdvice: ticketCache.TicketCacheOptions['ask'];
 }
@@ -109,7 +114,23 @@
   let checkpointedAtMs = startedAtMs;
 
   const nowMs = (): number => time.monotonicMs();
-  const isReady = (): boolean => isLoaded && !owned.isDisposed();
+  const followEvacuations = (limits: evacuationFeed.EvacuationLimits): evacuations.Evacuations =>
+    owned.add(
+      evacuationFeed.startEvacuationFeed({
+        ...limits,
+        store: options.store,
+        clock: time,
+        log,
+        onDidChange: () => driver.schedule(),
+      }),
+    );
+  const evacuated =
+    options.evacuation === undefined
+      ? evacuations.NO_EVACUATIONS
+      : followEvacuations(options.evacuation);
+  /** The jobs and the evacuations are known. */
+  const isReady = (): boolean =>
+    isLoaded && evacuated.startsUntilMs() !== -Infinity && !owned.isDisposed();
   const fullGrantMs = options.limits.maxLeaseMs - LEASE_SLACK_MS;
   const grantMs = (): number => (term.isLeaseValid() ? fullGrantMs : 0);
 
@@ -157,6 +178,7 @@
     clock: time,
     log,
     grantMs,
+    startsUntilMs: evacuated.startsUntilMs,
     onSettled: control.applyOrderResults,
   });
   const driver = planDriver.createPlanDriver({
@@ -173,6 +195,7 @@
     save: writer.save,
     configuration: options.configuration,
     askAdvice: options.askAdvice,
+    evacuations: evacuated,
     recordsAgeMs: () => feed.ageMs(),
     isReady,
   });
@@ -216,6 +239,7 @@
         fences.firstFence(term.epoch),
         nowMs(),
         previousLeasesExpireAtMs,
+        evacuated.zones,
       ),
     grantMs,
     onUpdate: applyUpdate,
@@ -284,6 +308,13 @@
     checkpointedJobs.clear();
   };
 
+  const reportEvacuations = evacuationReport.createEvacuationReport({
+    log,
+    metrics,
+    evacuations: evacuated,
+    workers,
+  });
+
   const removeEndedJobs = endedJobsRemoval.createEndedJobsRemoval({
     store: options.store,
     clock: time,
@@ -300,6 +331,7 @@
     storeCheckpoints();
     control.declareLost();
     agents.removeGone();
+    reportEvacuations();
     driver.schedule();
     void removeEndedJobs();
     time.after(TICK_MS, tick);
--- a/src/platform/bootSettings.ts
+++ b/src/platform/bootSettings.ts
@@ -28,6 +28,8 @@
   ip: Schema.String,
   zone: Schema.String,
   region: Schema.String,
+  /** Regions by zone. */
+  zones: Schema.optionalKey(Schema.Record(Schema.String, Schema.Unknown)),
   /** First and last port for connections between the system's processes. */
   port_range: Schema.Tuple([Positive, Positive]),
   heartbeat_ms: Positive,
@@ -55,6 +57,8 @@
     /** Time in which the end of a run has to be acknowledged. */
     ack_ms: Schema.optionalKey(Positive),
     gang_ms: Positive,
+    /** Time after which nothing starts in an evacuated zone. */
+    evacuate_ms: Schema.optionalKey(Positive),
   }),
 });
 
@@ -94,6 +98,7 @@
   nodeId: file.node,
   zone: file.zone,
   region: file.region,
+  zones: Object.keys(file.zones ?? {}),
   peers: peerAddress(file, program),
   ...(program === 'scheduler' ? { ownEntry: peerAddress(file, 'entry') } : {}),
   ...optionalAddress('front', file.listen.front),
@@ -111,6 +116,7 @@
   maxRevocationMs: file.bounds.revoke_ms,
   maxAcknowledgementMs: file.bounds.ack_ms ?? 0,
   gangStartTimeoutMs: file.bounds.gang_ms,
+  ...(file.bounds.evacuate_ms === undefined ? {} : { maxEvacuationMs: file.bounds.evacuate_ms }),
   minStoreLeaseMs: file.platform.ttl_min_ms,
 });
 
--- a/src/platform/operatorConfiguration.ts
+++ b/src/platform/operatorConfiguration.ts
@@ -7,6 +7,9 @@
 import * as schemaIssues from '../base/common/schemaIssues.js';
 import type * as poolConfiguration from '../state/common/pool/poolConfiguration.js';
 
+/** Prefix of the records that evacuate zones; the rest of a key is the zone. Their values mean nothing. */
+export const EVACUATIONS_PREFIX = 'op/evacuate/';
+
 /** Key of the record with the newest configuration. */
 export const CONFIGURATION_KEY = 'op/config';
 
--- a/src/platform/test/decoding.test.ts
+++ b/src/platform/test/decoding.test.ts
@@ -61,6 +61,23 @@
     });
   }
 
+  const EVACUATION: readonly [string, string, number | undefined, readonly string[]][] = [
+    [
+      'named',
+      `${SETTINGS.replace('gang_ms', 'evacuate_ms = 5000\ngang_ms')}[zones]\nz = "r"\ny = "r"\n`,
+      5000,
+      ['z', 'y'],
+    ],
+    ['not named', SETTINGS, undefined, []],
+  ];
+  for (const [name, text, expectedMs, zones] of EVACUATION) {
+    test.it(`give the zones and the time for evacuations, ${name}`, () => {
+      const settings = bootSettings.parseBootSettings(text, 'local.toml', 'scheduler');
+      assert.equal(settings.maxEvacuationMs, expectedMs);
+      assert.deepEqual(settings.zones, zones);
+    });
+  }
+
   test.it('assign each program on a machine its own port', () => {
     const ports = (['entry', 'scheduler'] as const).map(
       (program) => bootSettings.parseBootSettings(SETTINGS, 'f', program).peers.port,
--- a/src/programs/poolScheduler.ts
+++ b/src/programs/poolScheduler.ts
@@ -14,6 +14,7 @@
 import type * as agentContract from '../state/common/pool/agentContract.js';
 import * as http from '../base/common/http.js';
 import * as poolKeys from '../state/common/pool/poolKeys.js';
+import type * as poolSettings from '../state/common/pool/poolSettings.js';
 import type * as recordStore from '../state/common/pool/recordStore.js';
 import * as rpcClient from '../transport/node/rpcClient.js';
 
@@ -74,6 +75,15 @@
   });
 };
 
+const evacuationOf = ({
+  maxEvacuationMs,
+  zones,
+}: poolSettings.PoolSettings): Pick<poolLeader.PoolLeaderOptions, 'evacuation'> => {
+  if (maxEvacuationMs === undefined) return {};
+  const prefix = operatorConfiguration.EVACUATIONS_PREFIX;
+  return { evacuation: { prefix, maxStartMs: maxEvacuationMs, zones } };
+};
+
 /**
  * @param ctx - shared services of the program
  * @returns the running scheduler
@@ -145,6 +155,7 @@
             remoteFactor: settings.remoteFactor,
           },
           configuration: () => feed.current()?.configuration,
+          ...evacuationOf(settings),
           askAdvice: adviceClient.createAdviceClient({
             address: () => ctx.settings().advice,
             call: ctx.call,
--- a/src/standins/test/poolHarness.ts
+++ b/src/standins/test/poolHarness.ts
@@ -21,6 +21,7 @@
 import * as progressRecord from '../../state/common/pool/progressRecord.js';
 import * as memoryPoolWorker from '../memoryPoolWorker.js';
 import * as memoryStore from '../memoryStore.js';
+import * as poolPromises from './poolPromises.js';
 
 /** Initial time of the fake clock. */
 const START_MS = 1_000_000;
@@ -300,6 +301,11 @@
             remoteFactor: 3,
           },
           configuration: () => configuration,
+          evacuation: {
+            prefix: EVACUATIONS_PREFIX,
+            maxStartMs: poolPromises.EVACUATE_MS,
+            zones,
+          },
           askAdvice: (...asked) =>
             options.askAdvice?.(...asked, time) ??
             Promise.reject(new Error('no policy is configured')),
--- a/src/state/common/pool/agentContract.ts
+++ b/src/state/common/pool/agentContract.ts
@@ -127,6 +127,8 @@
   fence: units.Count,
   workerId: Schema.String,
   incarnationMs: units.Count,
+  /** On the worker's clock; starts are refused later: the leader may not know of an evacuation. Absent without a limit. */
+  startsUntilMs: Schema.optionalKey(units.Count),
   /** Payloads by job id. */
   payloads: Schema.Record(Schema.String, Schema.String),
   starts: Schema.Array(StartCommand),
--- a/src/state/common/pool/poolSettings.ts
+++ b/src/state/common/pool/poolSettings.ts
@@ -9,6 +9,8 @@
   readonly nodeId: string;
   readonly zone: string;
   readonly region: string;
+  /** All zones of the deployment; empty if they are not known. */
+  readonly zones: readonly string[];
   /** Address for other processes of the system. */
   readonly peers: http.Address;
   /** Address of the entry on a scheduler's own machine; absent for other programs. */
@@ -41,6 +43,8 @@
   readonly maxAcknowledgementMs: number;
   /** How long a gang's members wait for each other. */
   readonly gangStartTimeoutMs: number;
+  /** Nothing starts in a zone later than this after its evacuation; absent where zones are never evacuated. */
+  readonly maxEvacuationMs?: number;
   /** Shortest lease that the store grants. */
   readonly minStoreLeaseMs: number;
 }
