--- a/src/standins/memoryStore.ts
+++ b/src/standins/memoryStore.ts
@@ -19,6 +19,8 @@
   /** This many of the next transactions get no answer and are applied after `lateByMs` if their conditions still hold. */
   delayTransactions: number;
   lateByMs: number;
+  /** Reads and watches of keys with this prefix fail; undefined for none. */
+  refusedPrefix: string | undefined;
   /** Watches report no changes and end empty when their wait is over. */
   areWatchesSilent: boolean;
   /** Watches sent now are never answered, even after the fault has ended; their callers time out. */
@@ -77,6 +79,7 @@
     loseWriteAnswers: 0,
     delayTransactions: 0,
     lateByMs: 2000,
+    refusedPrefix: undefined,
     areWatchesSilent: false,
     areWatchesLost: false,
     skipNextWatch: false,
@@ -121,6 +124,12 @@
     expireLeases();
     if (faults.isDown) throw errors.fail('storeUnavailable', 'the stand-in is down');
   };
+  const checkPrefix = (prefix: string): void => {
+    const { refusedPrefix } = faults;
+    if (refusedPrefix !== undefined && prefix.startsWith(refusedPrefix)) {
+      throw errors.fail('storeUnavailable', `the stand-in refuses reads of ${prefix}`);
+    }
+  };
   const entryOf = (key: string): store.StoreEntry | undefined => {
     const stored = values.get(key);
     return stored === undefined
@@ -229,6 +238,7 @@
     },
     list: async (prefix) => {
       await enter('list');
+      checkPrefix(prefix);
       return { entries: entriesOf(prefix), revision };
     },
     compareAndSwap: async (request) => {
@@ -277,6 +287,7 @@
     },
     watch: async (prefix, afterRevision, waitMs, signal) => {
       await enter('watch');
+      checkPrefix(prefix);
       if (signal.aborted) throw errors.fail('storeUnavailable', 'the watch was withdrawn');
       return watch(prefix, afterRevision, waitMs, signal);
     },
--- a/src/standins/test/poolEvacuations.test.ts
+++ b/src/standins/test/poolEvacuations.test.ts
@@ -467,3 +467,81 @@
   assert.ok((emptyAtMs[0] ?? 0) >= lastEndMs);
   pool.dispose();
 });
+
+/** Events of the leader that concern starts. */
+const START_EVENTS = ['placed', 'startNotTaken'];
+
+interface DoubtCase {
+  readonly name: string;
+  readonly act: (scene: Scene) => Promise<void>;
+  /** Which events may not occur meanwhile. */
+  readonly event: string;
+}
+
+const refuseReads = (pool: poolHarness.Pool): void => {
+  pool.store.faults.refusedPrefix = poolHarness.EVACUATIONS_PREFIX;
+};
+
+const DOUBT_CASES: readonly DoubtCase[] = [
+  {
+    // Guards against runs that are preempted in favor of a start in an evacuated zone, which is not sent.
+    name: 'places nothing before it has read them',
+    act: async ({ pool, killLeader, work }) => {
+      refuseReads(pool);
+      killLeader();
+      await work(8000);
+    },
+    event: 'placed',
+  },
+  {
+    // Guards against starts that each worker's agent refuses, again and again.
+    name: 'sends no starts while they may have changed',
+    act: async ({ pool, work }) => {
+      refuseReads(pool);
+      await work(8000);
+    },
+    event: 'startNotTaken',
+  },
+];
+
+test.describe('a leader that can not read the evacuations', () => {
+  for (const { name, act, event } of DOUBT_CASES) {
+    test.it(name, async () => {
+      const events: string[] = [];
+      const scene = createScene({
+        log: (_level, seen) => {
+          if (START_EVENTS.includes(seen)) events.push(seen);
+        },
+      });
+      const { pool, submitted } = scene;
+      await scene.work(1000);
+      assert.ok(events.includes('placed'));
+      events.length = 0;
+      await act(scene);
+      assert.ok(!events.includes(event), events.join(' '));
+      poolHarness.clearFaults(pool);
+      await pool.clock.advance(SETTLE_MS);
+      for (const jobId of submitted) {
+        assert.equal((await pool.progress(jobId))?.state, 'complete', jobId);
+      }
+      pool.dispose();
+    });
+  }
+});
+
+// Guards against a start that is sent into a zone of which the leader knows that it is evacuated.
+test.test('a start whose zone is evacuated while it is stored goes to another zone', async () => {
+  const scene = createScene();
+  const { pool } = scene;
+  await pool.clock.advance(1000);
+  await scene.submit('first', { count: WORKERS, ...WHOLE_WORKER });
+  pool.store.faults.delayMs = 400;
+  await pool.clock.advance(100);
+  await withoutDelays(pool, () => scene.evacuate('north'));
+  await pool.clock.advance(3000);
+  pool.store.faults.delayMs = 0;
+  await pool.clock.advance(SETTLE_MS);
+  assert.deepEqual(startsIn(pool, 'north'), []);
+  assert.equal((await pool.progress('first'))?.state, 'complete');
+  pool.dispose();
+});
--- a/src/standins/test/poolHarness.ts
+++ b/src/standins/test/poolHarness.ts
@@ -373,6 +373,7 @@
   const { faults } = pool.store;
   faults.isDown = false;
   faults.areWatchesLost = false;
+  faults.refusedPrefix = undefined;
   faults.loseWriteAnswers = 0;
   faults.delayTransactions = 0;
   for (const site of pool.sites) {
