Let a member of a gang that has done its part wait for the others

Cause: each member of a gang reports the progress of its own part.

What it misled: the stall (gangs stopped), the suspicion of the workers of the fast members, their speed (0, so stragglers), the time that is left (0, so reservations waited for a run that "ends now", and a gang was kept on a worker that leaves before its slowest member is done).

Change: a member at 100 per cent stalls only if no member is below, and then from the last one's end on; it keeps its speed; its end is that of the slowest member. A worker that truly stands still is found as before, by its own member, and a task that is done and doesn't end as well.

--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -12,6 +12,7 @@
 import type * as planTypes from '../../coordination/common/pool/planTypes.js';
 import * as readyQueue from '../../coordination/common/pool/readyQueue.js';
 import * as runPace from '../../coordination/common/pool/runPace.js';
+import * as runProgress from '../../coordination/common/pool/runProgress.js';
 import * as workerSuspicion from '../../coordination/common/pool/workerSuspicion.js';
 import * as workerTable from '../../coordination/common/pool/workerTable.js';
 import * as eventQueue from '../eventQueue.js';
@@ -163,6 +164,7 @@
       run.firstProgress ??= { percent, atMs: nowMs };
       if (percent > run.percent) run.progressedAtMs = nowMs;
       run.percent = percent;
+      run.reportedAtMs = nowMs;
       runPace.recordProgress(run.pace, nowMs, percent, run.step.estimatedMs);
     }
   };
@@ -334,8 +336,10 @@
     );
     const stragglerRuns = stragglers.findStragglers(workers, estimates, nowMs);
     if (units.length === 0 && stragglerRuns.length === 0) return;
+    const { remainingMsOf } = runProgress.createGroupProgress(workers, nowMs);
+    const times = { nowMs, boundMsOf: () => 0, remainingMsOf };
     const planWorkers = workers
-      .map((it) => workerTable.toPlanWorker(it, nowMs))
+      .map((it) => workerTable.toPlanWorker(it, times))
       .filter((it) => it !== undefined);
     const round = planner({
       nowMs,
--- a/src/coordination/common/pool/reportReconciliation.ts
+++ b/src/coordination/common/pool/reportReconciliation.ts
@@ -33,12 +33,13 @@
   run: workerTable.ActiveRun,
   listed: poolWorker.RunningTask,
   clockMs: number,
-  nowMs: number,
+  { nowMs, reportedAtMs }: { readonly nowMs: number; readonly reportedAtMs: number },
 ): boolean => {
   if (run.phase === workerTable.RunPhase.ordering || run.phase === workerTable.RunPhase.closing) {
     run.phase = workerTable.RunPhase.present;
   }
-  run.firstProgress ??= { percent: listed.percent, atMs: nowMs };
+  run.firstProgress ??= { percent: listed.percent, atMs: reportedAtMs };
+  run.reportedAtMs = reportedAtMs;
   if (listed.percent > run.percent) run.progressedAtMs = nowMs;
   run.percent = listed.percent;
   runPace.recordProgress(run.pace, clockMs, listed.percent, run.step.estimatedMs);
@@ -74,6 +75,7 @@
       worker.appliedUpTo = end.sequence;
     }
   }
+  const times = { nowMs, reportedAtMs: worker.sample?.atMs ?? nowMs };
   const unknownRuns: poolWorker.RunningTask[] = [];
   const saved: workerTable.ActiveRun[] = [];
   const listed = new Set<string>();
@@ -82,7 +84,7 @@
     listed.add(key);
     const run = worker.runs.get(key);
     if (run === undefined) unknownRuns.push(running);
-    else if (updateRun(run, running, view.clockMs, nowMs)) saved.push(run);
+    else if (updateRun(run, running, view.clockMs, times)) saved.push(run);
   }
   const gone: workerTable.ActiveRun[] = [];
   const missing: workerTable.ActiveRun[] = [];
--- a/src/coordination/common/pool/runPace.ts
+++ b/src/coordination/common/pool/runPace.ts
@@ -14,6 +14,9 @@
   speed: number | undefined;
 }
 
+/** Progress of a run whose part is done. */
+const DONE_PERCENT = 100;
+
 /**
  * Shortest conclusive span: reports come most of a second apart, and progress is reported in whole
  * per cent, which is about a tenth of what a task of ten seconds does in this time.
@@ -36,6 +39,9 @@
 });
 
 /**
+ * Leaves out reports of 100 per cent: the part was done at some time since the last one, and a member of a gang waits
+ * for the others from then on.
+ *
  * @param pace - a run's speed
  * @param clockMs - worker's clock at its report
  * @param percent - progress that it reported
@@ -47,6 +53,7 @@
   percent: number,
   estimatedMs: number,
 ): void => {
+  if (percent >= DONE_PERCENT) return;
   const { sampledAtClockMs } = pace;
   const spanMs = sampledAtClockMs === undefined ? 0 : clockMs - sampledAtClockMs;
   if (sampledAtClockMs !== undefined && spanMs < MIN_SPAN_MS) return;
--- /dev/null
+++ b/src/coordination/common/pool/runProgress.ts
@@ -0,0 +1,89 @@
+/**
+ * How far runs are: expected time to their end, and for how long they have made no progress.
+ *
+ * Each member of a gang reports the progress of its own part. At 100 per cent it waits for the slowest member: it
+ * neither stalls nor is its worker slow, and its end is that of the gang.
+ */
+import * as groupBy from '../../../base/common/groupBy.js';
+import * as workerTable from './workerTable.js';
+
+/** Progress of a run whose own part is done. */
+const DONE_PERCENT = 100;
+
+/** From this much progress on, in per cent, only the run's own speed counts; before, it is averaged with the expected one. */
+const CONCLUSIVE_PERCENT = 25;
+
+/** Share of the remaining time below which it does not fall until the worker reports again. */
+const MIN_LEFT_SHARE = 0.25;
+
+/** Remaining time at the instant of the last report. */
+const remainingAtReportMs = (run: workerTable.ActiveRun): number => {
+  const { percent, isResumed, firstProgress } = run;
+  const expectedMs = (run.expectedMs * (DONE_PERCENT - percent)) / DONE_PERCENT;
+  // The percentage of a resumed run includes earlier runs: only progress since its first report shows its own speed.
+  const since = isResumed ? firstProgress : { percent: 0, atMs: run.startedAtMs };
+  const madePercent = since === undefined ? 0 : percent - since.percent;
+  if (since === undefined || madePercent <= 0 || expectedMs === 0) return expectedMs;
+  const ownMs = ((run.reportedAtMs - since.atMs) * (DONE_PERCENT - percent)) / madePercent;
+  if (ownMs <= 0) return expectedMs;
+  // A geometric mean, since speeds are off by factors: a task may take ten times what it declares.
+  const weight = Math.min(1, madePercent / CONCLUSIVE_PERCENT);
+  return ownMs ** weight * expectedMs ** (1 - weight);
+};
+
+/**
+ * @param run - a run
+ * @param nowMs - the leader's clock
+ * @returns expected time until its own part is done
+ */
+export const remainingMsOf = (run: workerTable.ActiveRun, nowMs: number): number => {
+  const atReportMs = remainingAtReportMs(run);
+  const sinceMs = Math.max(0, nowMs - run.reportedAtMs);
+  return Math.max(atReportMs - sinceMs, atReportMs * MIN_LEFT_SHARE);
+};
+
+/** Progress of runs with the members of their gangs on all workers. */
+export interface GroupProgress {
+  /** @returns expected time to the end of the run, and so to that of its gang's slowest member */
+  readonly remainingMsOf: (run: workerTable.ActiveRun) => number;
+  /** @returns for how long the run has made no progress; 0 while it waits for other members of its gang */
+  readonly stalledMsOf: (run: workerTable.ActiveRun) => number;
+}
+
+const isActive = ({ phase }: workerTable.ActiveRun): boolean =>
+  phase === workerTable.RunPhase.ordering || phase === workerTable.RunPhase.present;
+
+/**
+ * @param workers - all workers with their runs
+ * @param nowMs - the leader's clock
+ * @returns the progress of their runs now
+ */
+export const createGroupProgress = (
+  workers: Iterable<workerTable.WorkerEntry>,
+  nowMs: number,
+): GroupProgress => {
+  const gangRuns = [...workers].flatMap(({ runs }) =>
+    [...runs.values()].filter((run) => run.step.isGang && isActive(run)),
+  );
+  const gangs = groupBy.groupBy(gangRuns, ({ groupKey }) => groupKey);
+  const remainingByGang = new Map<string, number>();
+  const membersOf = (run: workerTable.ActiveRun): readonly workerTable.ActiveRun[] =>
+    gangs.get(run.groupKey) ?? [run];
+
+  return {
+    remainingMsOf: (run) => {
+      if (!run.step.isGang) return remainingMsOf(run, nowMs);
+      const known = remainingByGang.get(run.groupKey);
+      if (known !== undefined) return known;
+      const remainingMs = Math.max(...membersOf(run).map((it) => remainingMsOf(it, nowMs)));
+      remainingByGang.set(run.groupKey, remainingMs);
+      return remainingMs;
+    },
+    stalledMsOf: (run) => {
+      if (run.percent < DONE_PERCENT) return nowMs - run.progressedAtMs;
+      const members = membersOf(run);
+      if (members.some(({ percent }) => percent < DONE_PERCENT)) return 0;
+      return nowMs - Math.max(...members.map(({ progressedAtMs }) => progressedAtMs));
+    },
+  };
+};
--- a/src/coordination/common/pool/stragglers.ts
+++ b/src/coordination/common/pool/stragglers.ts
@@ -38,6 +38,7 @@
 /** Time to its end on its present worker. */
 const remainingIfKeptMs = (run: workerTable.ActiveRun): number => {
   const leftMs = estimateLeftMs(run);
+  if (leftMs === 0) return 0;
   const afterRecoveryMs = RECOVERY_MS + leftMs;
   const { speed = 1 } = run.pace;
   return speed > 0 ? Math.min(afterRecoveryMs, leftMs / speed) : afterRecoveryMs;
--- a/src/coordination/common/pool/test/workerTable.test.ts
+++ b/src/coordination/common/pool/test/workerTable.test.ts
@@ -15,6 +15,12 @@
 /** Time by which the previous leader's leases have expired. */
 const PREVIOUS_EXPIRY_MS = 6500;
 
+const TIMES: workerTable.AllocationTimes = {
+  nowMs: NOW_MS,
+  boundMsOf: () => 0,
+  remainingMsOf: () => 0,
+};
+
 const createWorker = (): workerTable.WorkerEntry => {
   const worker = workerTable.createWorkerEntry('agent', 'http://a:1', 1, 0, PREVIOUS_EXPIRY_MS);
   worker.isReachable = true;
@@ -41,7 +47,7 @@
     test.it(name, () => {
       const worker = createWorker();
       addRun(worker, step);
-      const [allocation] = workerTable.toPlanWorker(worker, NOW_MS)?.allocations ?? [];
+      const [allocation] = workerTable.toPlanWorker(worker, TIMES)?.allocations ?? [];
       assert.equal(allocation?.unsavedMs, unsavedMs);
     });
   }
@@ -77,34 +83,6 @@
     assert.equal(workerTable.observedWorkMs(run, NOW_MS + 1000), 1000);
   });
 
-  const REMAINING: readonly [
-    name: string,
-    run: { percent: number; saved?: string; first?: { percent: number; atMs: number } },
-    remainingMs: number,
-  ][] = [
-    ['by its own progress', { percent: 50 }, NOW_MS],
-    ['by its expected runtime before its progress is conclusive', { percent: 2 }, 250],
-    // Guards against the progress of earlier runs being taken for the speed of this one.
-    ['of a resumed run before it has made progress', { percent: 60, saved: 's' }, 400],
-    [
-      'of a resumed run by its own progress',
-      { percent: 60, saved: 's', first: { percent: 50, atMs: NOW_MS - 1000 } },
-      4000,
-    ],
-  ];
-  for (const [name, { percent, saved = '', first }, remainingMs] of REMAINING) {
-    test.it(`remaining time ${name}`, () => {
-      const entry = jobState.createJobEntry(fixtures.makeJob([{}]), 0);
-      const [task] = jobState.tasksOf(entry);
-      assert.ok(task);
-      task.saved = saved;
-      const run = workerTable.createActiveRun(entry, task, workerTable.RunPhase.present, 0);
-      run.percent = percent;
-      run.firstProgress = first;
-      assert.equal(workerTable.remainingMsOf(run, NOW_MS), remainingMs);
-    });
-  }
-
   // Guards against tasks that run twice: after a takeover an unreachable worker runs on under the previous
   // leader's leases. Declared lost immediately, its tasks would start on other workers as well.
   const EXPIRIES: readonly [
@@ -149,7 +127,7 @@
     test.it(`a worker ${name} accepts no tasks`, () => {
       const worker = createWorker();
       change(worker);
-      assert.equal(workerTable.toPlanWorker(worker, NOW_MS), undefined);
+      assert.equal(workerTable.toPlanWorker(worker, TIMES), undefined);
     });
   }
 });
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -53,6 +53,8 @@
   /** Fence under which the worker must have answered before the run counts as gone. */
   closeFence: number;
   percent: number;
+  /** Leader's clock when its worker last reported it; that of its start before. */
+  reportedAtMs: number;
   saved: string;
   /** It resumes from a checkpoint of an earlier run. */
   readonly isResumed: boolean;
@@ -187,6 +189,7 @@
     phase,
     closeFence: 0,
     percent: 0,
+    reportedAtMs: nowMs,
     saved: task.saved,
     isResumed: task.saved !== '',
     progressedAtMs: nowMs,
@@ -201,9 +204,6 @@
  */
 const RESTORE_MS = 250;
 
-/** Below this percentage the progress is not conclusive for the entire task. */
-const MIN_CONCLUSIVE_PERCENT = 5;
-
 /** Above this percentage the rest is not conclusive for the entire task. */
 const MAX_CONCLUSIVE_PERCENT = 90;
 
@@ -235,25 +235,6 @@
   setExpectedWork(run, runtimeEstimates.expectedWorkMs(estimates, queue, step.estimatedMs));
 };
 
-/**
- * @param run - a run
- * @param nowMs - the leader's clock
- * @returns expected time to its end, from its own progress where that is conclusive
- */
-export const remainingMsOf = (run: ActiveRun, nowMs: number): number => {
-  const elapsedMs = nowMs - run.startedAtMs;
-  const { firstProgress: first, percent } = run;
-  if (run.isResumed) {
-    // Its percentage includes earlier runs: only progress since its first report shows its own speed.
-    const done = first === undefined ? 0 : percent - first.percent;
-    return first !== undefined && done >= MIN_CONCLUSIVE_PERCENT
-      ? ((nowMs - first.atMs) * (100 - percent)) / done
-      : (run.expectedMs * (100 - percent)) / 100;
-  }
-  if (percent >= MIN_CONCLUSIVE_PERCENT) return (elapsedMs * (100 - percent)) / percent;
-  return Math.max(run.expectedMs - elapsedMs, run.expectedMs / 4);
-};
-
 /**
  * @param run - a run that is done
  * @param nowMs - the leader's clock
@@ -275,7 +256,20 @@
 export const workLostByStopMs = (step: poolJob.Step, heldMs: number): number =>
   step.isCheckpointing ? Math.min(RESTORE_MS, heldMs) : heldMs;
 
-const toAllocation = (run: ActiveRun, nowMs: number, boundMs: number): planTypes.Allocation => ({
+/** Times that a planning round considers for runs. */
+export interface AllocationTimes {
+  /** The leader's clock. */
+  readonly nowMs: number;
+  /** For how much longer a task may start only on the worker where it runs. */
+  readonly boundMsOf: (task: jobState.TaskEntry) => number;
+  /** Expected time to the end of a run. */
+  readonly remainingMsOf: (run: ActiveRun) => number;
+}
+
+const toAllocation = (
+  run: ActiveRun,
+  { nowMs, boundMsOf, remainingMsOf }: AllocationTimes,
+): planTypes.Allocation => ({
   jobId: run.entry.job.jobId,
   task: run.name,
   run: run.run,
@@ -289,8 +283,8 @@
   preemptions: run.entry.preemptions,
   isCheckpointing: run.step.isCheckpointing,
   unsavedMs: workLostByStopMs(run.step, nowMs - run.startedAtMs),
-  boundMs,
-  remainingMs: remainingMsOf(run, nowMs),
+  boundMs: boundMsOf(run.task),
+  remainingMs: remainingMsOf(run),
 });
 
 /**
@@ -358,14 +352,12 @@
 
 /**
  * @param worker - an agent with its worker
- * @param nowMs - the leader's clock
- * @param boundMsOf - for how much longer a task may start only on the worker where it runs
+ * @param times - the leader's clock and times of the worker's runs
  * @returns the worker as input of a planning round, or undefined where it accepts no tasks
  */
 export const toPlanWorker = (
   worker: WorkerEntry,
-  nowMs: number,
-  boundMsOf: (task: jobState.TaskEntry) => number = () => 0,
+  times: AllocationTimes,
 ): planTypes.PlanWorker | undefined => {
   const { info } = worker;
   if (info === undefined || !acceptsTasks(worker)) return undefined;
@@ -378,11 +370,9 @@
     labels: info.labels,
     capacity: info.capacity,
     free: freeCapacity(worker),
-    allocations: [...worker.runs.values()].map((run) =>
-      toAllocation(run, nowMs, boundMsOf(run.task)),
-    ),
-    isSuspect: workerSuspicion.isSuspect(worker.suspicion, nowMs),
+    allocations: [...worker.runs.values()].map((run) => toAllocation(run, times)),
+    isSuspect: workerSuspicion.isSuspect(worker.suspicion, times.nowMs),
     placedSteps: new Map(),
-    exclusiveJobId: exclusiveJobOf(worker, nowMs),
+    exclusiveJobId: exclusiveJobOf(worker, times.nowMs),
   };
 };
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -15,6 +15,7 @@
 import * as planRound from '../../common/pool/planRound.js';
 import type * as planTypes from '../../common/pool/planTypes.js';
 import * as readyQueue from '../../common/pool/readyQueue.js';
+import * as runProgress from '../../common/pool/runProgress.js';
 import * as startPlaces from '../../common/pool/startPlaces.js';
 import * as workerTable from '../../common/pool/workerTable.js';
 
@@ -249,9 +250,14 @@
     const units = withStartPlaces(waiting, now);
     const stragglerGroups = findStragglers(now);
     if (units.length === 0 && stragglerGroups.length === 0) return;
-    const boundMsOf = (task: jobState.TaskEntry): number => startPlaces.boundMs(workers, task, now);
+    const { remainingMsOf } = runProgress.createGroupProgress(workers.values(), startedAtMs);
+    const times: workerTable.AllocationTimes = {
+      nowMs: startedAtMs,
+      boundMsOf: (task) => startPlaces.boundMs(workers, task, now),
+      remainingMsOf,
+    };
     const planWorkers = [...workers.values()]
-      .map((it) => workerTable.toPlanWorker(it, startedAtMs, boundMsOf))
+      .map((it) => workerTable.toPlanWorker(it, times))
       .filter((it) => it !== undefined);
     const entries = registry.all();
     startPlaces.holdRetryRooms({ workers, entries, planWorkers, units, now });
--- a/src/coordination/node/pool/runInspection.ts
+++ b/src/coordination/node/pool/runInspection.ts
@@ -4,6 +4,7 @@
 import type * as clock from '../../../base/common/clock.js';
 import * as crashAttribution from '../../common/pool/crashAttribution.js';
 import * as jobState from '../../common/pool/jobState.js';
+import * as runProgress from '../../common/pool/runProgress.js';
 import * as workerSuspicion from '../../common/pool/workerSuspicion.js';
 import * as workerTable from '../../common/pool/workerTable.js';
 
@@ -54,13 +55,14 @@
 export const createRunInspection = (options: RunInspectionOptions): RunInspection => {
   const nowMs = (): number => options.clock.monotonicMs();
 
-  const inspectRun = (worker: workerTable.WorkerEntry, run: workerTable.ActiveRun): void => {
+  const inspectRun = (
+    worker: workerTable.WorkerEntry,
+    run: workerTable.ActiveRun,
+    progress: runProgress.GroupProgress,
+  ): void => {
     if (run.phase !== workerTable.RunPhase.present || !options.isWanted(run)) return;
     const { estimatedMs, isLongRunning } = run.step;
-    if (
-      nowMs() + workerTable.remainingMsOf(run, nowMs()) >
-      worker.drainEndsAtMs - STOP_RESERVE_MS
-    ) {
+    if (nowMs() + progress.remainingMsOf(run) > worker.drainEndsAtMs - STOP_RESERVE_MS) {
       // It would be killed with its worker; if stopped now it can resume elsewhere from a checkpoint.
       options.stopGroup(run.groupKey, 'workerLeaves');
       return;
@@ -70,7 +72,7 @@
       if (isCleared) jobState.forgetCrashes(run.task);
       return;
     }
-    const stalledMs = nowMs() - run.progressedAtMs;
+    const stalledMs = progress.stalledMsOf(run);
     if (stalledMs > STALL.suspectMs + STALL.suspectShare * estimatedMs) {
       workerSuspicion.recordStall(worker.suspicion, nowMs());
     }
@@ -82,9 +84,10 @@
 
   return {
     inspect: () => {
+      const progress = runProgress.createGroupProgress(options.workers.values(), nowMs());
       for (const worker of options.workers.values()) {
         if (worker.isReachable) {
-          for (const run of [...worker.runs.values()]) inspectRun(worker, run);
+          for (const run of [...worker.runs.values()]) inspectRun(worker, run, progress);
         }
       }
     },
