Let a run that ends before its worker leaves run on

Cause: a run on a draining worker was stopped unless it would end 0.8 s before the worker leaves, time that only a checkpoint by the stop needs; and at the next tick, up to 0.2 s after the news. On the shifted deployment an urgent gang of 18 that had worked for 3.0 s of 4.5 was stopped with 1.8 s left and came 0.7 s too late; one that had 4.6 of 9.8 s to go was stopped with 5.5 s left.

Change: runs without checkpoints may use all the time that is left, and a drain is looked at when it is learnt.

--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -297,6 +297,12 @@
   return free;
 };
 
+/**
+ * @param worker - an agent with its worker
+ * @returns whether the worker has announced that it shuts down
+ */
+export const isDraining = ({ drainEndsAtMs }: WorkerEntry): boolean => drainEndsAtMs !== Infinity;
+
 /**
  * @param worker - an agent with its worker
  * @returns whether the worker is in a zone that the operators evacuate
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -339,12 +339,15 @@
     worker.bootId = news.bootId;
     openOrders.recordReported(worker.agentId, news.openStarts ?? []);
     crashes.recordUpdate(worker, news, receivedAtMs);
+    const wasDraining = workerTable.isDraining(worker);
     applyInfo(worker, news.worker);
     const stored = applyReport(worker, news, receivedAtMs);
     worker.isReachable = worker.sample !== undefined && news.viewAgeMs <= MAX_VIEW_AGE_MS;
     const hasDeparted =
       worker.info?.state === poolWorker.WorkerState.gone && news.viewAgeMs > DEPARTED_MS;
     if (hasDeparted && worker.runs.size > 0) detector.markWorkerLost(worker);
+    // At once: a run that can't end there starts again elsewhere, and urgent work tolerates less than a second.
+    if (workerTable.isDraining(worker) && !wasDraining) inspect();
     if (worker.isReachable !== wasReachable) options.onDidChange();
     return stored;
   };
--- a/src/coordination/node/pool/runInspection.ts
+++ b/src/coordination/node/pool/runInspection.ts
@@ -33,8 +33,11 @@
 /** A stop takes a few hundred milliseconds; one without effect is repeated after this time. */
 const REPEAT_STOP_MS = 700;
 
-/** Part of a draining worker's remaining time reserved for the stop and its round trip. */
-const STOP_RESERVE_MS = 800;
+/**
+ * Part of a draining worker's remaining time reserved for the stop of a run that saves a checkpoint by it, with its
+ * round trip. Other runs lose all their work by a stop, so they may use the time to its end.
+ */
+const CHECKPOINT_RESERVE_MS = 800;
 
 /**
  * A run counts as stalled after this time plus this share of its declared work without any progress: its worker
@@ -61,8 +64,9 @@
     progress: runProgress.GroupProgress,
   ): void => {
     if (run.phase !== workerTable.RunPhase.present || !options.isWanted(run)) return;
-    const { estimatedMs, isLongRunning } = run.step;
-    if (nowMs() + progress.remainingMsOf(run) > worker.drainEndsAtMs - STOP_RESERVE_MS) {
+    const { estimatedMs, isLongRunning, isCheckpointing } = run.step;
+    const reserveMs = isCheckpointing || isLongRunning ? CHECKPOINT_RESERVE_MS : 0;
+    if (nowMs() + progress.remainingMsOf(run) > worker.drainEndsAtMs - reserveMs) {
       // It would be killed with its worker; if stopped now it can resume elsewhere from a checkpoint.
       options.stopGroup(run.groupKey, 'workerLeaves');
       return;
