Prefer workers that have shown that they work

Cause: a faulty worker looks healthy and fails what it starts within 0.1 s. It is suspected after failures of two jobs; until then a gang that failed on one meets the next.

Two ways, with the standing one: suspicion alone (standing); where there is room now, workers on which the last run has not failed in the last 8 s, and for a unit that has failed before first those where a start of the last 6 s went well (kept). Where there is no such room, all are used as before, so nothing waits for it.

--- a/src/bench/planningBench.ts
+++ b/src/bench/planningBench.ts
@@ -103,6 +103,8 @@
     free: { cpuMillicores: CORES / (runs + 1), memoryMb: MEMORY_MB / (runs + 1), accelerators: 0 },
     allocations: holdings,
     isSuspect: false,
+    isDoubtful: false,
+    isProven: false,
     placedSteps: new Map(),
   };
 };
--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -14,6 +14,7 @@
 import * as runPace from '../../coordination/common/pool/runPace.js';
 import * as runProgress from '../../coordination/common/pool/runProgress.js';
 import * as workerSuspicion from '../../coordination/common/pool/workerSuspicion.js';
+import * as planWorker from '../../coordination/common/pool/planWorker.js';
 import * as workerTable from '../../coordination/common/pool/workerTable.js';
 import * as eventQueue from '../eventQueue.js';
 import type * as mixes from './mixes.js';
@@ -179,7 +180,7 @@
     const heldMs = events.nowMs() - replayedRun.startedAtMs;
     usedCoreMs += heldMs * planRound.weightInCores(run.step.resources);
     if (isLost) {
-      const lostMs = workerTable.workLostByStopMs(run.step, heldMs);
+      const lostMs = planWorker.workLostByStopMs(run.step, heldMs);
       wastedCoreMs += lostMs * planRound.weightInCores(run.step.resources);
     }
     const isSaved = how === 'stopped' && run.step.isCheckpointing;
@@ -189,7 +190,7 @@
       const workMs = workerTable.observedWorkMs(run, events.nowMs());
       runtimeEstimates.recordTask(estimates, run.entry.job, run.step, workMs);
     }
-    if (how === 'done') workerSuspicion.recordSuccess(worker.suspicion);
+    if (how === 'done') workerSuspicion.recordSuccess(worker.suspicion, events.nowMs());
     if (how === 'failed') workerSuspicion.recordFailure(worker.suspicion, jobId, events.nowMs());
     const wallMs = events.nowMs();
     jobTransitions.recordRunEnd(
@@ -339,7 +340,7 @@
     const { remainingMsOf } = runProgress.createGroupProgress(workers, nowMs);
     const times = { nowMs, boundMsOf: () => 0, remainingMsOf };
     const planWorkers = workers
-      .map((it) => workerTable.toPlanWorker(it, times))
+      .map((it) => planWorker.toPlanWorker(it, times))
       .filter((it) => it !== undefined);
     const round = planner({
       nowMs,
--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -170,12 +170,7 @@
   return { localGroups, remoteGroups: [...oneRack, usable] };
 };
 
-/**
- * @param groups - groups of workers; of equally good ones the first is used
- * @param unit - a unit
- * @returns a worker for each task, or undefined where no group has capacity for all of them now
- */
-export const placeNow = (
+const placeIn = (
   groups: CandidateGroups,
   unit: planTypes.PlanUnit,
 ): planTypes.Placement | undefined => {
@@ -194,6 +189,42 @@
   return best === undefined ? undefined : { unit, workers: best };
 };
 
+/** Whether a worker is among those preferred for a unit. */
+type Preference = (worker: planTypes.PlanWorker) => boolean;
+
+/**
+ * What a unit prefers, in this order. A faulty worker fails what it starts at once; a gang over many workers meets one
+ * after the other until its attempts are used up, unless it keeps to those that have shown that they work.
+ */
+const preferencesOf = ({ unit, boundWorkerIds }: planTypes.PlanUnit): readonly Preference[] => {
+  if (boundWorkerIds !== undefined) return [];
+  const isSound: Preference = ({ isDoubtful }) => !isDoubtful;
+  const hasFailed = unit.tasks.some(({ failures }) => failures > 0);
+  return hasFailed ? [(worker) => worker.isProven && isSound(worker), isSound] : [isSound];
+};
+
+/**
+ * @param groups - groups of workers; of equally good ones the first is used
+ * @param unit - a unit
+ * @returns a worker for each task, preferred ones where they have the capacity, or undefined where no group has
+ *   capacity for all of them now
+ */
+export const placeNow = (
+  groups: CandidateGroups,
+  unit: planTypes.PlanUnit,
+): planTypes.Placement | undefined => {
+  for (const isPreferred of preferencesOf(unit)) {
+    if (!groups.flat().every(isPreferred)) {
+      const placement = placeIn(
+        groups.map((its) => its.filter(isPreferred)),
+        unit,
+      );
+      if (placement !== undefined) return placement;
+    }
+  }
+  return placeIn(groups, unit);
+};
+
 /** Free accelerators of a group, as a share of each worker: a fuller rack is preferred to an empty one. */
 const freeShareOf = (group: readonly planTypes.PlanWorker[]): number =>
   group.reduce((sum, it) => sum + it.free.accelerators / Math.max(1, it.capacity.accelerators), 0);
--- a/src/coordination/common/pool/planTypes.ts
+++ b/src/coordination/common/pool/planTypes.ts
@@ -45,6 +45,10 @@
   readonly allocations: readonly Allocation[];
   /** Suspected of failing or slowing its runs; used only where no other worker can ever hold a unit. */
   readonly isSuspect: boolean;
+  /** A run failed here since the last one that was done: used only where the others have no room now. */
+  readonly isDoubtful: boolean;
+  /** A run that started here lately went well: preferred by units that failed before. */
+  readonly isProven: boolean;
   /** Tasks of each step that the round has placed here. */
   readonly placedSteps: Map<string, number>;
   /** The only job whose tasks may start here; absent where there is no such limit. */
--- a/src/coordination/common/pool/test/planRound.test.ts
+++ b/src/coordination/common/pool/test/planRound.test.ts
@@ -53,6 +53,19 @@
     jobs: [fixtures.makeJob([{ count: 2 }])],
     starts: { 'job.0.0.0': ['w2'], 'job.0.0.1': ['w2'] },
   },
+  {
+    // Guards against a worker that fails what it starts and, free again, attracts the next task.
+    name: 'a worker where a run has just failed is used only where no other has room',
+    workers: () => [
+      fixtures.makeWorker('w1', {
+        isDoubtful: true,
+        allocations: [fixtures.makeAllocation('a', 6)],
+      }),
+      fixtures.makeWorker('w2', { allocations: [fixtures.makeAllocation('b', 7)] }),
+    ],
+    jobs: [fixtures.makeJob([{ count: 2 }])],
+    starts: { 'job.0.0.0': ['w2'], 'job.0.0.1': ['w1'] },
+  },
   {
     name: 'a gang starts completely or not at all',
     workers: () => [fixtures.makeWorker('w1'), fixtures.makeWorker('w2')],
--- a/src/coordination/common/pool/test/poolFixtures.ts
+++ b/src/coordination/common/pool/test/poolFixtures.ts
@@ -75,6 +75,8 @@
     free: capacity,
     allocations: [],
     isSuspect: false,
+    isDoubtful: false,
+    isProven: false,
     placedSteps: new Map(),
     ...changes,
   };
--- a/src/coordination/common/pool/test/poolGuards.test.ts
+++ b/src/coordination/common/pool/test/poolGuards.test.ts
@@ -81,7 +81,7 @@
     test.it(name, () => {
       const suspicion = workerSuspicion.createWorkerSuspicion();
       for (const [jobId, isDone] of ends) {
-        if (isDone) workerSuspicion.recordSuccess(suspicion);
+        if (isDone) workerSuspicion.recordSuccess(suspicion, 0);
         else workerSuspicion.recordFailure(suspicion, jobId, 0);
       }
       assert.equal(workerSuspicion.isSuspect(suspicion, 1), isSuspect);
--- a/src/coordination/common/pool/test/workerTable.test.ts
+++ b/src/coordination/common/pool/test/workerTable.test.ts
@@ -7,6 +7,7 @@
 import type * as poolJob from '../../../../state/common/pool/poolJob.js';
 import * as runtimeEstimates from '../runtimeEstimates.js';
 import * as jobState from '../jobState.js';
+import * as planWorker from '../planWorker.js';
 import * as workerTable from '../workerTable.js';
 import * as fixtures from './poolFixtures.js';
 
@@ -15,7 +16,7 @@
 /** Time by which the previous leader's leases have expired. */
 const PREVIOUS_EXPIRY_MS = 6500;
 
-const TIMES: workerTable.AllocationTimes = {
+const TIMES: planWorker.AllocationTimes = {
   nowMs: NOW_MS,
   boundMsOf: () => 0,
   remainingMsOf: () => 0,
@@ -47,7 +48,7 @@
     test.it(name, () => {
       const worker = createWorker();
       addRun(worker, step);
-      const [allocation] = workerTable.toPlanWorker(worker, TIMES)?.allocations ?? [];
+      const [allocation] = planWorker.toPlanWorker(worker, TIMES)?.allocations ?? [];
       assert.equal(allocation?.unsavedMs, unsavedMs);
     });
   }
@@ -127,7 +128,7 @@
     test.it(`a worker ${name} accepts no tasks`, () => {
       const worker = createWorker();
       change(worker);
-      assert.equal(workerTable.toPlanWorker(worker, TIMES), undefined);
+      assert.equal(planWorker.toPlanWorker(worker, TIMES), undefined);
     });
   }
 });
--- a/src/coordination/common/pool/workerSuspicion.ts
+++ b/src/coordination/common/pool/workerSuspicion.ts
@@ -11,6 +11,11 @@
 export interface WorkerSuspicion {
   /** Jobs whose tasks failed here since the last success. */
   failedJobs: string[];
+  /** Leader's clock of the last failure and of the last success; -Infinity where there is none. */
+  failedAtMs: number;
+  succeededAtMs: number;
+  /** Leader's clock of the last start of a run that was done; -Infinity where there is none. */
+  provenStartAtMs: number;
   /** Leader's clock until which the worker gets tasks only where no other worker can hold them. */
   suspectUntilMs: number;
   /** How often it was suspected since its last success. */
@@ -34,6 +39,9 @@
  */
 export const createWorkerSuspicion = (): WorkerSuspicion => ({
   failedJobs: [],
+  failedAtMs: -Infinity,
+  succeededAtMs: -Infinity,
+  provenStartAtMs: -Infinity,
   suspectUntilMs: 0,
   suspicions: 0,
 });
@@ -46,10 +54,45 @@
 export const isSuspect = (suspicion: WorkerSuspicion, nowMs: number): boolean =>
   nowMs < suspicion.suspectUntilMs;
 
+/** How long a failure without a success after it counts against a worker: most faults of a worker pass within it. */
+const DOUBT_MS = 8000;
+
+/**
+ * One failure is no proof against a worker, but the next unit does better elsewhere where it has the choice.
+ *
+ * @param suspicion - a worker's suspicion record
+ * @param nowMs - the leader's clock
+ * @returns whether a run failed here lately, and none has been done since
+ */
+export const isDoubtful = (suspicion: WorkerSuspicion, nowMs: number): boolean =>
+  suspicion.failedAtMs > suspicion.succeededAtMs && nowMs - suspicion.failedAtMs < DOUBT_MS;
+
 /**
  * @param suspicion - a worker's suspicion record
+ * @param startedAtMs - leader's clock of the start of a run that was done
+ */
+export const recordGoodStart = (suspicion: WorkerSuspicion, startedAtMs: number): void => {
+  suspicion.provenStartAtMs = Math.max(suspicion.provenStartAtMs, startedAtMs);
+};
+
+/** How long a start that went well speaks for a worker. */
+const PROOF_MS = 6000;
+
+/**
+ * @param suspicion - a worker's suspicion record
+ * @param startedAtMs - leader's clock of the worker's last start that went well
+ * @param nowMs - the leader's clock
+ * @returns whether it was lately, and nothing has failed since
+ */
+export const isProven = (suspicion: WorkerSuspicion, startedAtMs: number, nowMs: number): boolean =>
+  startedAtMs > suspicion.failedAtMs && nowMs - startedAtMs < PROOF_MS;
+
+/**
+ * @param suspicion - a worker's suspicion record
+ * @param nowMs - the leader's clock
  */
-export const recordSuccess = (suspicion: WorkerSuspicion): void => {
+export const recordSuccess = (suspicion: WorkerSuspicion, nowMs: number): void => {
+  suspicion.succeededAtMs = nowMs;
   suspicion.failedJobs = [];
   suspicion.suspicions = 0;
 };
@@ -77,6 +120,7 @@
   jobId: string,
   nowMs: number,
 ): boolean => {
+  suspicion.failedAtMs = nowMs;
   if (!suspicion.failedJobs.includes(jobId)) suspicion.failedJobs.push(jobId);
   // After a suspicion period one failure is enough: the fault has lasted.
   const needed = suspicion.suspicions > 0 ? 1 : JOBS_TO_SUSPECT;
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -3,13 +3,11 @@
  */
 import * as poolJob from '../../../state/common/pool/poolJob.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
-import * as crashAttribution from './crashAttribution.js';
 import * as endTracker from './endTracker.js';
 import * as runtimeEstimates from './runtimeEstimates.js';
 import type * as jobState from './jobState.js';
 import type * as jobChain from './jobChain.js';
 import type * as leaseClock from './leaseClock.js';
-import type * as planTypes from './planTypes.js';
 import * as runPace from './runPace.js';
 import * as workerSuspicion from './workerSuspicion.js';
 
@@ -198,12 +196,6 @@
   };
 };
 
-/**
- * Work that a checkpointing task loses by a stop, which saves a checkpoint: the time to resume from it.
- * Counted from its last checkpoint instead, its loss looked as high as that of a task that loses everything.
- */
-const RESTORE_MS = 250;
-
 /** Above this percentage the rest is not conclusive for the entire task. */
 const MAX_CONCLUSIVE_PERCENT = 90;
 
@@ -248,45 +240,6 @@
   return ((nowMs - first.atMs) * 100) / (100 - first.percent) / distanceFactor;
 };
 
-/**
- * @param step - step of a run
- * @param heldMs - how long it has run
- * @returns work that a stop loses
- */
-export const workLostByStopMs = (step: poolJob.Step, heldMs: number): number =>
-  step.isCheckpointing ? Math.min(RESTORE_MS, heldMs) : heldMs;
-
-/** Times that a planning round considers for runs. */
-export interface AllocationTimes {
-  /** The leader's clock. */
-  readonly nowMs: number;
-  /** For how much longer a task may start only on the worker where it runs. */
-  readonly boundMsOf: (task: jobState.TaskEntry) => number;
-  /** Expected time to the end of a run. */
-  readonly remainingMsOf: (run: ActiveRun) => number;
-}
-
-const toAllocation = (
-  run: ActiveRun,
-  { nowMs, boundMsOf, remainingMsOf }: AllocationTimes,
-): planTypes.Allocation => ({
-  jobId: run.entry.job.jobId,
-  task: run.name,
-  run: run.run,
-  room: run.room,
-  stepKey: run.stepKey,
-  groupKey: run.groupKey,
-  priority: run.entry.job.policy.priority,
-  customerId: run.entry.job.customerId,
-  isLeaving: run.phase === RunPhase.stopping || run.phase === RunPhase.closing,
-  isProtected: run.step.maxUnavailable !== undefined || crashAttribution.isLimited(run.task),
-  preemptions: run.entry.preemptions,
-  isCheckpointing: run.step.isCheckpointing,
-  unsavedMs: workLostByStopMs(run.step, nowMs - run.startedAtMs),
-  boundMs: boundMsOf(run.task),
-  remainingMs: remainingMsOf(run),
-});
-
 /**
  * @param worker - an agent with its worker
  * @returns capacity that no run occupies
@@ -349,36 +302,3 @@
  */
 export const haveRunsExpired = (worker: WorkerEntry, nowMs: number): boolean =>
   !worker.isReachable && nowMs > worker.leasesExpireAtMs;
-
-/** Job of the runs on probation here, beside which no other job's tasks may start. */
-const exclusiveJobOf = (worker: WorkerEntry, nowMs: number): string | undefined =>
-  [...worker.runs.values()].find(({ task, startedAtMs }) =>
-    crashAttribution.isOnProbation(task, nowMs - startedAtMs),
-  )?.entry.job.jobId;
-
-/**
- * @param worker - an agent with its worker
- * @param times - the leader's clock and times of the worker's runs
- * @returns the worker as input of a planning round, or undefined where it accepts no tasks
- */
-export const toPlanWorker = (
-  worker: WorkerEntry,
-  times: AllocationTimes,
-): planTypes.PlanWorker | undefined => {
-  const { info } = worker;
-  if (info === undefined || !acceptsTasks(worker)) return undefined;
-  return {
-    workerId: info.workerId,
-    agentId: worker.agentId,
-    incarnationMs: info.incarnationMs,
-    service: info.service,
-    rack: info.rack ?? '',
-    labels: info.labels,
-    capacity: info.capacity,
-    free: freeCapacity(worker),
-    allocations: [...worker.runs.values()].map((run) => toAllocation(run, times)),
-    isSuspect: workerSuspicion.isSuspect(worker.suspicion, times.nowMs),
-    placedSteps: new Map(),
-    exclusiveJobId: exclusiveJobOf(worker, times.nowMs),
-  };
-};
--- a/src/coordination/node/pool/endRecorder.ts
+++ b/src/coordination/node/pool/endRecorder.ts
@@ -109,13 +109,17 @@
       });
     },
     updateSuspicion: (worker, end, jobId) => {
-      if (end.how === poolWorker.EndKind.done) workerSuspicion.recordSuccess(worker.suspicion);
+      const { suspicion } = worker;
+      if (end.how === poolWorker.EndKind.done) workerSuspicion.recordSuccess(suspicion, nowMs());
       if (end.how !== poolWorker.EndKind.failed) return;
-      if (workerSuspicion.recordFailure(worker.suspicion, jobId, nowMs())) recordSuspicion(worker);
+      if (workerSuspicion.recordFailure(suspicion, jobId, nowMs())) recordSuspicion(worker);
     },
     recordSuspicion,
     recordRuntimes: (worker, done) => {
-      for (const run of done) run.task.workMs = workerTable.observedWorkMs(run, nowMs());
+      for (const run of done) {
+        run.task.workMs = workerTable.observedWorkMs(run, nowMs());
+        workerSuspicion.recordGoodStart(worker.suspicion, run.startedAtMs);
+      }
       // The runtime on a suspected worker says more about the worker than about the declared work.
       if (workerSuspicion.isSuspect(worker.suspicion, nowMs())) return;
       for (const { entry, step, task } of done) {
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -17,6 +17,7 @@
 import * as readyQueue from '../../common/pool/readyQueue.js';
 import * as runProgress from '../../common/pool/runProgress.js';
 import * as startPlaces from '../../common/pool/startPlaces.js';
+import * as planWorker from '../../common/pool/planWorker.js';
 import * as workerTable from '../../common/pool/workerTable.js';
 
 import * as ticketCache from './ticketCache.js';
@@ -251,13 +252,13 @@
     const stragglerGroups = findStragglers(now);
     if (units.length === 0 && stragglerGroups.length === 0) return;
     const { remainingMsOf } = runProgress.createGroupProgress(workers.values(), startedAtMs);
-    const times: workerTable.AllocationTimes = {
+    const times: planWorker.AllocationTimes = {
       nowMs: startedAtMs,
       boundMsOf: (task) => startPlaces.boundMs(workers, task, now),
       remainingMsOf,
     };
     const planWorkers = [...workers.values()]
-      .map((it) => workerTable.toPlanWorker(it, times))
+      .map((it) => planWorker.toPlanWorker(it, times))
       .filter((it) => it !== undefined);
     const entries = registry.all();
     startPlaces.holdRetryRooms({ workers, entries, planWorkers, units, now });
