Put a job aside whose progress can't be read

Cause: such a record was skipped when it was read. The job then counted as one without progress: its task was placed again, and the write expected no record, which is a conflict and ended the term of each leader in turn.

Change: the job leaves the registry and later records of it are ignored, so it is neither started nor written; its running task goes on and ends.

Test: poolLeaderFaults, red before (the second leader's term ended).

--- a/src/coordination/common/pool/jobRegistry.ts
+++ b/src/coordination/common/pool/jobRegistry.ts
@@ -38,6 +38,8 @@
 export const createJobRegistry = (log: logging.Log): JobRegistry => {
   const jobs = new Map<string, jobState.JobEntry>();
   const cancelled = new Set<string>();
+  /** Jobs whose progress can't be read: their tasks may run or be done, so they are neither started nor written. */
+  const setAside = new Set<string>();
 
   const parse = <T>(record: store.StoreEntry, decode: (text: string) => T): T | undefined => {
     try {
@@ -50,7 +52,7 @@
   };
 
   const submit = (record: store.StoreEntry, jobId: string, nowMs: number): RecordEffect => {
-    if (jobs.has(jobId)) return RecordEffect.none;
+    if (jobs.has(jobId) || setAside.has(jobId)) return RecordEffect.none;
     const entry = parse(record, (text) =>
       jobState.createJobEntry(JSON.parse(text) as poolJob.PoolJob, nowMs),
     );
@@ -78,13 +80,19 @@
       return key.part === poolKeys.JobPart.cancel ? cancel(key.jobId) : RecordEffect.none;
     },
     applyProgress: (record) => {
-      const entry = jobs.get(record.key.slice(poolKeys.PROGRESS.length));
+      const jobId = record.key.slice(poolKeys.PROGRESS.length);
+      const entry = jobs.get(jobId);
       const progress = parse(record, progressRecord.decodeProgress);
-      if (entry === undefined || progress === undefined) return;
-      jobState.restoreProgress(entry, progress, record.revision);
+      if (progress === undefined) {
+        setAside.add(jobId);
+        jobs.delete(jobId);
+      } else if (entry !== undefined) {
+        jobState.restoreProgress(entry, progress, record.revision);
+      }
     },
     remove: (jobId) => {
       cancelled.delete(jobId);
+      setAside.delete(jobId);
       return jobs.delete(jobId);
     },
     pendingByQueue: () => {
--- a/src/standins/test/poolLeaderFaults.test.ts
+++ b/src/standins/test/poolLeaderFaults.test.ts
@@ -43,6 +43,27 @@
     states: { a: 'complete' },
     runs: 1,
   },
+  {
+    // Guards against progress that can't be read and ends the term of each leader in turn: the next write of its job
+    // expected no record, which is a conflict. Its task runs, so it must not be started again either.
+    name: 'progress that can not be read does not end the terms of leaders',
+    options: { workers: 2, workMs: () => 3000 },
+    jobs: [[[{}], { jobId: 'a' }]],
+    act: async (pool, first) => {
+      await pool.clock.advance(1000);
+      const key = poolKeys.progressKey('a');
+      await pool.store.transact({ conditions: [], puts: [{ key, value: '{' }], removes: [] });
+      first.kill();
+      const next = pool.addCandidate();
+      await pool.clock.advance(4000);
+      const leader = next.leader();
+      await pool.submit(fixtures.makeJob([{}], { jobId: 'b' }));
+      await pool.clock.advance(5000);
+      assert.ok(leader !== undefined && next.leader() === leader);
+    },
+    states: { b: 'complete' },
+    runs: 2,
+  },
   {
     // The leader is killed while one of its workers is cut off. The next leader does not know the leases
     // granted there, and may start the task on another worker only after the longest possible lease.
