Let the soak evacuate zones

Each soak evacuates one of two zones again and again, beside all other faults and from a generator of its own, so that the faults of a seed stay as they were. A new invariant: nothing starts in a zone later than 5 s after the store confirmed its evacuation and before it is taken back, but for orders that a worker carries out late; its check fails on evidence made to break it.

--- a/src/platform/test/bootFile.ts
+++ b/src/platform/test/bootFile.ts
@@ -18,6 +18,8 @@
   /** Port on which an agent receives its worker's heartbeats. */
   readonly control?: number;
   readonly workerAddress?: string;
+  /** Zones that may be evacuated, and the time after which nothing starts there; absent where none are. */
+  readonly evacuation?: { readonly zones: readonly string[]; readonly evacuateMs: number };
 }
 
 /**
@@ -31,6 +33,15 @@
     .map((name) => `${name} = "127.0.0.1:${String(file[name])}"`);
   const worker =
     file.workerAddress === undefined ? '' : `app = "${file.workerAddress}"\nbackend = "service"`;
+  const { zones = [], evacuateMs = 0 } = file.evacuation ?? {};
+  const evacuation =
+    file.evacuation === undefined
+      ? ''
+      : [
+          `evacuate_ms = ${evacuateMs}`,
+          '[zones]',
+          ...zones.map((zone) => `${zone} = "region"`),
+        ].join('\n');
   const text = `
 node = "${file.nodeId}"
 ip = "127.0.0.1"
@@ -51,6 +62,7 @@
 revoke_ms = 5000
 ack_ms = 5000
 gang_ms = 3000
+${evacuation}
 `;
   const target = path.join(folder, `${file.nodeId}.toml`);
   fs.writeFileSync(target, text);
--- a/src/soak/evidence.ts
+++ b/src/soak/evidence.ts
@@ -52,6 +52,16 @@
 /** A run with the index of its worker. */
 export interface WorkerRun extends memoryPoolWorker.RecordedRun {
   readonly workerIndex: number;
+  readonly zone: string;
+}
+
+/** A zone that was evacuated and taken back. */
+export interface Evacuation {
+  readonly zone: string;
+  /** When the store had confirmed it. */
+  readonly fromMs: number;
+  /** When it began to be taken back. */
+  readonly untilMs: number;
 }
 
 /** A revoked API key. */
@@ -74,9 +84,12 @@
   readonly runs: readonly WorkerRun[];
   readonly revocations: readonly Revocation[];
   readonly disturbances: readonly Disturbance[];
+  readonly evacuations: readonly Evacuation[];
   /** Processes that exited without having been asked to. */
   readonly failures: readonly string[];
   readonly acceleratorsPerWorker: number;
+  /** Nothing starts in a zone later than this after its evacuation. */
+  readonly evacuateMs: number;
   /** Time within which every entry must refuse a revoked key. */
   readonly revokeMs: number;
   /** Failed runs after which a task is abandoned. */
--- a/src/soak/invariants.ts
+++ b/src/soak/invariants.ts
@@ -195,6 +195,15 @@
     )
     .map((it) => `${it.entry}: cut off ${it.method} ${it.jobId} during a planned stop`);
 
+/** Orders that the worker executes late are no starts of the system. */
+const noStartInEvacuatedZone: Check = (seen) =>
+  seen.evacuations.flatMap(({ zone, fromMs, untilMs }) =>
+    seen.runs
+      .filter((it) => it.zone === zone && !it.isLate)
+      .filter((it) => it.startedAtMs > fromMs + seen.evacuateMs && it.startedAtMs < untilMs)
+      .map((it) => `${it.task}: run ${it.run} began in ${zone}, which was evacuated`),
+  );
+
 const noUnexpectedExit: Check = (seen) => [...seen.failures];
 
 const CHECKS: readonly Check[] = [
@@ -210,6 +219,7 @@
   payloadsAsSubmitted,
   revokedKeysAreRefused,
   noCallCutByPlannedStop,
+  noStartInEvacuatedZone,
   noUnexpectedExit,
 ];
 
--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -59,6 +59,10 @@
 /** Share of seeds with low-bandwidth links; drawn from a separate generator, so a seed's faults don't change. */
 const LOW_BANDWIDTH_SHARE = 0.4;
 
+/** Longest pause between two evacuations, and longest evacuation. */
+const MAX_EVACUATION_GAP_MS = 6000;
+const MAX_EVACUATION_MS = 10_000;
+
 /** Time until the entries accept calls and a leader has received the workers' reports. */
 const START_MS = 4000;
 
@@ -131,6 +135,22 @@
     setTimeout(end, lastsMs);
   };
 
+  const evacuations: evidence.Evacuation[] = [];
+  // From a generator of their own, so that the faults of a seed don't change.
+  const nextZone = random.createRandom(options.seed + 4);
+  const evacuateZones = async (): Promise<void> => {
+    while (isLoadRunning) {
+      await clock.sleep(time, nextZone() * MAX_EVACUATION_GAP_MS);
+      const zone = random.pick(nextZone, soakSite.ZONES);
+      await site.setEvacuated(zone, true);
+      const fromMs = time.monotonicMs();
+      const evacuatedUntilMs = fromMs + nextZone() * MAX_EVACUATION_MS;
+      while (isLoadRunning && time.monotonicMs() < evacuatedUntilMs) await clock.sleep(time, 100);
+      evacuations.push({ zone, fromMs, untilMs: time.monotonicMs() });
+      await site.setEvacuated(zone, false);
+    }
+  };
+
   const gaps = random.createRandom(options.seed + 2);
   const runLoad = async (act: () => Promise<void>, share: number): Promise<void> => {
     while (isLoadRunning) {
@@ -148,6 +168,7 @@
       runLoad(soakCallers.readAny, 1),
       runLoad(soakCallers.readAny, 1),
       runLoad(soakCallers.cancelAny, 0.1),
+      evacuateZones(),
     ];
     const untilMs = time.monotonicMs() + options.faultsMs;
     while (time.monotonicMs() < untilMs) {
@@ -167,6 +188,8 @@
       runs: site.runs(),
       revocations,
       disturbances,
+      evacuations,
+      evacuateMs: soakSite.EVACUATE_MS,
       failures: site.failures,
       acceleratorsPerWorker: soakSite.ACCELERATORS,
       revokeMs: REVOKE_MS,
--- a/src/soak/soakSite.ts
+++ b/src/soak/soakSite.ts
@@ -63,12 +63,20 @@
   readonly failures: readonly string[];
   /** Writes the next version of the configuration, with these keys. */
   readonly configure: (apiKeys: readonly string[]) => Promise<void>;
+  /** Evacuates a zone, or takes it back; settled once the store has confirmed it. */
+  readonly setEvacuated: (zone: string, isEvacuated: boolean) => Promise<void>;
   readonly runs: () => evidence.WorkerRun[];
 }
 
 /** Accelerators of each worker. */
 export const ACCELERATORS = 8;
 
+/** Zones of the workers, in turn. */
+export const ZONES = ['zone-a', 'zone-b'] as const;
+
+/** Nothing starts in a zone later than this after its evacuation. */
+export const EVACUATE_MS = 5000;
+
 /** Host name, path and attempts of the one queue. */
 export const QUEUE = { host: 'h', pathPrefix: '/q/', attempts: 3 } as const;
 
@@ -203,6 +211,7 @@
       storeAddress: `127.0.0.1:${storeLink.port}`,
       ...ports,
       ...worker,
+      evacuation: { zones: ZONES, evacuateMs: EVACUATE_MS },
     });
     const process = owned.add(
       supervisedProcess.supervise({
@@ -227,7 +236,7 @@
           workerId: `w${index}`,
           incarnationMs: 1,
           service: 'service',
-          zone: 'zone',
+          zone: ZONES[index % ZONES.length] ?? '',
           state: 'ready',
           capacity: { cpuMillicores: 64_000, memoryMb: 64_000, accelerators: ACCELERATORS },
           labels: ['a', 'r1'],
@@ -292,6 +301,22 @@
     return lastWrite;
   };
 
+  const setEvacuated = async (zone: string, isEvacuated: boolean): Promise<void> => {
+    const key = `${operatorConfiguration.EVACUATIONS_PREFIX}${zone}`;
+    const change = isEvacuated
+      ? { puts: [{ key, value: '{}' }], removes: [] }
+      : { puts: [], removes: [key] };
+    for (;;) {
+      try {
+        const result = await store.transact({ conditions: [], ...change });
+        if (result.isCommitted) return;
+      } catch {
+        // The injected store fault may have failed the call; it is repeated until it is confirmed.
+      }
+      await clock.sleep(systemClock.systemClock, WRITE_RETRY_MS);
+    }
+  };
+
   await configure([]);
   const { sizes } = options;
   const startEach = <T>(length: number, make: (index: number) => Promise<T>): Promise<T[]> =>
@@ -313,8 +338,12 @@
     readyPorts: entries.map((it) => it.readyPort),
     failures,
     configure,
+    setEvacuated,
     runs: () =>
-      workers.flatMap((worker, workerIndex) => worker.runs.map((run) => ({ ...run, workerIndex }))),
+      workers.flatMap((worker, workerIndex) => {
+        const { zone } = worker.info();
+        return worker.runs.map((run) => ({ ...run, workerIndex, zone }));
+      }),
     dispose: () => owned.dispose(),
   };
 };
--- a/src/soak/test/invariants.test.ts
+++ b/src/soak/test/invariants.test.ts
@@ -40,6 +40,7 @@
   hasLapsedSince: false,
   isLate: false,
   workerIndex: 0,
+  zone: 'z',
   ...changes,
 });
 
@@ -54,6 +55,8 @@
   runs: [FIRST, SECOND],
   revocations: [],
   disturbances: [],
+  evacuations: [{ zone: 'z', fromMs: 200, untilMs: 9000 }],
+  evacuateMs: 5000,
   failures: [],
   acceleratorsPerWorker: 8,
   revokeMs: 5000,
@@ -132,6 +135,14 @@
     { runs: [FIRST, run({ task: 'aa.0.1.0', startedAtMs: 150, workerIndex: 1 })] },
     /step 1 began before aa.0.0.0/,
   ],
+  [
+    'a start in a zone that was evacuated long before',
+    {
+      calls: [SUBMIT, call({ sentAtMs: 6000, endedAtMs: 6010, state: 'complete' })],
+      runs: [FIRST, run({ task: 'aa.0.1.0', startedAtMs: 5300, endedAtMs: 5400 })],
+    },
+    /aa.0.1.0: run 1 began in z, which was evacuated/,
+  ],
   [
     'a worker over its capacity',
     { runs: [FIRST, run({ task: 'aa.0.1.0', startedAtMs: 150 })] },
