Place gangs by best fit again

Tried: gangs on as few workers as possible, best fit only among equal ones, so that fewer workers can break a gang by leaving.

--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -88,22 +88,7 @@
 const boundCountOn = ({ boundWorkerIds }: planTypes.PlanUnit, workerId: string): number =>
   boundWorkerIds?.filter((it) => it === workerId).length ?? 0;
 
-interface Slots {
-  readonly worker: planTypes.PlanWorker;
-  /** How many of the unit's tasks it takes. */
-  readonly count: number;
-  /** Capacity that it has left then. */
-  readonly left: number;
-}
-
-/**
- * Single tasks go where the least capacity is left. A gang ends with the first worker that it loses, so it goes to as
- * few workers as it can, and only among equal ones to those with the least left.
- */
-const compareSlots = (isGang: boolean, a: Slots, b: Slots): number =>
-  (isGang ? b.count - a.count : 0) || a.left - b.left;
-
-/** Fills the best workers first; bound tasks go to their workers. */
+/** Fills the workers first that are left with the least free capacity; bound tasks go to their workers. */
 const fill = (
   workers: readonly planTypes.PlanWorker[],
   unit: planTypes.PlanUnit,
@@ -115,7 +100,7 @@
   if (slots.reduce((sum, { count }) => sum + count, 0) < tasks.length) return undefined;
   const ranked = slots
     .map((slot) => ({ ...slot, left: leftoverShare(slot.worker, unit.room, slot.count) }))
-    .sort((a, b) => compareSlots(unit.unit.step.isGang, a, b));
+    .sort((a, b) => a.left - b.left);
   const ofBound = new Map<string | undefined, planTypes.PlanWorker>();
   const ofOthers: planTypes.PlanWorker[] = [];
   for (const { worker, count } of ranked) {
--- a/src/coordination/common/pool/test/planRound.test.ts
+++ b/src/coordination/common/pool/test/planRound.test.ts
@@ -53,18 +53,6 @@
     jobs: [fixtures.makeJob([{ count: 2 }])],
     starts: { 'job.0.0.0': ['w2'], 'job.0.0.1': ['w2'] },
   },
-  {
-    // Guards against a gang of small tasks that fills the gaps of many workers and is broken by each one that leaves.
-    name: 'a gang goes to as few workers as it can',
-    workers: () => [
-      fixtures.makeWorker('w1', { allocations: [fixtures.makeAllocation('a', 7)] }),
-      fixtures.makeWorker('w2', { allocations: [fixtures.makeAllocation('b', 6)] }),
-      fixtures.makeWorker('w3', { allocations: [fixtures.makeAllocation('c', 4)] }),
-      fixtures.makeWorker('w4'),
-    ],
-    jobs: [fixtures.makeJob([{ count: 4, isGang: true }])],
-    starts: { 'job.0.0': ['w3', 'w3', 'w3', 'w3'] },
-  },
   {
     // Guards against a worker that fails what it starts and, free again, attracts the next task.
     name: 'a worker where a run has just failed is used only where no other has room',
