--- a/src/bench/planningBench.ts
+++ b/src/bench/planningBench.ts
@@ -106,6 +106,7 @@
     isDoubtful: false,
     isProven: false,
     placedSteps: new Map(),
+    placedJobIds: new Set(),
   };
 };
 
--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -2,6 +2,7 @@
  * Replays a load on a pool in virtual time. The queue, job state, worker table and planning round are
  * the product's own; only the workers, their clocks and the callers are simulated.
  */
+import * as poolWorker from '../../state/common/pool/poolWorker.js';
 import * as random from '../../base/common/random.js';
 import * as runtimeEstimates from '../../coordination/common/pool/runtimeEstimates.js';
 import * as gangPlacement from '../../coordination/common/pool/gangPlacement.js';
@@ -176,7 +177,7 @@
     isLost: boolean,
   ): void => {
     const { run, worker, group } = replayedRun;
-    worker.runs.delete(workerTable.runKey(run.name, run.run));
+    worker.runs.delete(poolWorker.runKey(run.name, run.run));
     const heldMs = events.nowMs() - replayedRun.startedAtMs;
     usedCoreMs += heldMs * planRound.weightInCores(run.step.resources);
     if (isLost) {
@@ -273,7 +274,7 @@
       const worker = workerAt(task.agentId);
       const run = workerTable.createActiveRun(entry, task, workerTable.RunPhase.present, nowMs);
       workerTable.setExpectedWork(run, placement.unit.expectedMs);
-      worker.runs.set(workerTable.runKey(run.name, run.run), run);
+      worker.runs.set(poolWorker.runKey(run.name, run.run), run);
       group.members.push({ worker, run, group, startedAtMs: nowMs });
     }
     groups.add(group);
--- a/src/coordination/common/pool/crashAttribution.ts
+++ b/src/coordination/common/pool/crashAttribution.ts
@@ -9,10 +9,14 @@
  * Whatever the evidence, starts are limited after the third crash.
  */
 import * as progressRecord from '../../../state/common/pool/progressRecord.js';
-import type * as jobState from './jobState.js';
 
 /** What is known of a task's crashes. */
-export type CrashHistory = Pick<jobState.TaskEntry, 'crashes' | 'limitedStarts'>;
+export interface CrashHistory {
+  /** Ordered by run. */
+  readonly crashes: readonly progressRecord.WorkerCrash[];
+  /** Starts since the crash from which on its starts are limited. */
+  readonly limitedStarts: number;
+}
 
 /** From this many crashes on the starts of a task are limited. */
 export const CRASHES_TO_LIMIT = 3;
--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -266,5 +266,6 @@
     isolation.keepFor(worker, placement.unit);
     worker.free = poolJob.addResources(worker.free, room, -1);
     worker.placedSteps.set(stepKey, (worker.placedSteps.get(stepKey) ?? 0) + 1);
+    worker.placedJobIds.add(placement.unit.unit.entry.job.jobId);
   }
 };
--- a/src/coordination/common/pool/incarnationHistory.ts
+++ b/src/coordination/common/pool/incarnationHistory.ts
@@ -52,8 +52,6 @@
 /** Limits the size of an update. */
 const MAX_FORMER = 4;
 
-const keyOf = (task: string, run: number): string => `${task}#${run}`;
-
 const toInterruptedRun = (
   { task, run, startedAtMs }: BegunRun,
   endedAtMs: number,
@@ -85,7 +83,7 @@
 
   return {
     trackStart: (task, run) => {
-      const key = keyOf(task, run);
+      const key = poolWorker.runKey(task, run);
       const ofIncarnation = runs;
       const wasSilent = silentSinceMs !== undefined;
       const begun: BegunRun = { task, run, startedAtMs: nowMs(), settledAtMs: undefined };
@@ -100,11 +98,11 @@
     },
     recordReport: (view, requestedAtMs) => {
       silentSinceMs = undefined;
-      for (const { task, run } of view.ended) runs.delete(keyOf(task, run));
-      const listed = new Set(view.running.map(({ task, run }) => keyOf(task, run)));
+      for (const { task, run } of view.ended) runs.delete(poolWorker.runKey(task, run));
+      const listed = new Set(view.running.map(({ task, run }) => poolWorker.runKey(task, run)));
       removeUnlisted(listed, requestedAtMs);
       for (const { task, run } of view.running) {
-        const key = keyOf(task, run);
+        const key = poolWorker.runKey(task, run);
         const unknownStart = { task, run, startedAtMs: undefined, settledAtMs: requestedAtMs };
         if (!runs.has(key)) runs.set(key, unknownStart);
       }
--- a/src/coordination/common/pool/isolation.ts
+++ b/src/coordination/common/pool/isolation.ts
@@ -38,8 +38,8 @@
     ? worker.allocations.filter(({ jobId }) => jobId !== jobIdOf(unit))
     : [];
 
-const hasPlacedOthers = ({ placedSteps }: planTypes.PlanWorker, jobId: string): boolean =>
-  [...placedSteps.keys()].some((stepKey) => !stepKey.startsWith(`${jobId}.`));
+const hasPlacedOthers = ({ placedJobIds }: planTypes.PlanWorker, jobId: string): boolean =>
+  [...placedJobIds].some((it) => it !== jobId);
 
 /**
  * @param worker - a worker
--- a/src/coordination/common/pool/planTypes.ts
+++ b/src/coordination/common/pool/planTypes.ts
@@ -51,6 +51,8 @@
   readonly isProven: boolean;
   /** Tasks of each step that the round has placed here. */
   readonly placedSteps: Map<string, number>;
+  /** Jobs of these tasks. */
+  readonly placedJobIds: Set<string>;
   /** The only job whose tasks may start here; absent where there is no such limit. */
   exclusiveJobId?: string | undefined;
 }
--- a/src/coordination/common/pool/planWorker.ts
+++ b/src/coordination/common/pool/planWorker.ts
@@ -100,6 +100,7 @@
       times.nowMs,
     ),
     placedSteps: new Map(),
+    placedJobIds: new Set(),
     exclusiveJobId: exclusiveJobOf(worker, times.nowMs),
   };
 };
--- a/src/coordination/common/pool/reportReconciliation.ts
+++ b/src/coordination/common/pool/reportReconciliation.ts
@@ -2,7 +2,7 @@
  * Reconciles the leader's state of a worker's runs with the worker's own report. Pure: returns what
  * changed, the leader acts on it.
  */
-import type * as poolWorker from '../../../state/common/pool/poolWorker.js';
+import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as runPace from './runPace.js';
 import * as workerTable from './workerTable.js';
 
@@ -68,7 +68,7 @@
   for (const end of view.ended) {
     if (end.sequence > worker.appliedUpTo) {
       ends.push(end);
-      const key = workerTable.runKey(end.task, end.run);
+      const key = poolWorker.runKey(end.task, end.run);
       const run = worker.runs.get(key);
       if (run !== undefined && end.how === 'done') done.push(run);
       worker.runs.delete(key);
@@ -80,7 +80,7 @@
   const saved: workerTable.ActiveRun[] = [];
   const listed = new Set<string>();
   for (const running of view.running) {
-    const key = workerTable.runKey(running.task, running.run);
+    const key = poolWorker.runKey(running.task, running.run);
     listed.add(key);
     const run = worker.runs.get(key);
     if (run === undefined) unknownRuns.push(running);
@@ -95,6 +95,6 @@
       else if (run.phase === workerTable.RunPhase.present) missing.push(run);
     }
   }
-  gone.forEach((run) => worker.runs.delete(workerTable.runKey(run.name, run.run)));
+  gone.forEach((run) => worker.runs.delete(poolWorker.runKey(run.name, run.run)));
   return { ends, done, unknownRuns, gone, missing, saved };
 };
--- a/src/coordination/common/pool/test/poolFixtures.ts
+++ b/src/coordination/common/pool/test/poolFixtures.ts
@@ -78,6 +78,7 @@
     isDoubtful: false,
     isProven: false,
     placedSteps: new Map(),
+    placedJobIds: new Set(),
     ...changes,
   };
   for (const { room } of worker.allocations) {
--- a/src/coordination/common/pool/test/runProgress.test.ts
+++ b/src/coordination/common/pool/test/runProgress.test.ts
@@ -1,10 +1,12 @@
 /**
+import * as poolWorker from '../../../../state/common/pool/poolWorker.js';
  * Expected time to the end of runs, and which of them make no progress.
  */
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
 import type * as poolJob from '../../../../state/common/pool/poolJob.js';
+import * as poolWorker from '../../../../state/common/pool/poolWorker.js';
 import * as jobState from '../jobState.js';
 import * as runPace from '../runPace.js';
 import * as runProgress from '../runProgress.js';
@@ -26,7 +28,7 @@
 const workersOf = (runs: readonly workerTable.ActiveRun[]): workerTable.WorkerEntry[] =>
   runs.map((run, index) => {
     const worker = workerTable.createWorkerEntry(`agent-${index}`, '', 1, 0, 0);
-    worker.runs.set(workerTable.runKey(run.name, run.run), run);
+    worker.runs.set(poolWorker.runKey(run.name, run.run), run);
     return worker;
   });
 
--- a/src/coordination/common/pool/test/stragglers.test.ts
+++ b/src/coordination/common/pool/test/stragglers.test.ts
@@ -4,6 +4,7 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
+import * as poolWorker from '../../../../state/common/pool/poolWorker.js';
 import type * as poolJob from '../../../../state/common/pool/poolJob.js';
 import * as runtimeEstimates from '../runtimeEstimates.js';
 import * as stragglers from '../stragglers.js';
@@ -47,7 +48,7 @@
     runPace.recordProgress(run.pace, 0, 0, run.step.estimatedMs);
     runPace.recordProgress(run.pace, 1000, percent, run.step.estimatedMs);
     run.percent = percent;
-    assigned[index]?.runs.set(workerTable.runKey(run.name, run.run), run);
+    assigned[index]?.runs.set(poolWorker.runKey(run.name, run.run), run);
   });
 };
 
--- a/src/coordination/common/pool/test/workerTable.test.ts
+++ b/src/coordination/common/pool/test/workerTable.test.ts
@@ -4,6 +4,7 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
+import * as poolWorker from '../../../../state/common/pool/poolWorker.js';
 import type * as poolJob from '../../../../state/common/pool/poolJob.js';
 import * as runtimeEstimates from '../runtimeEstimates.js';
 import * as jobState from '../jobState.js';
@@ -35,7 +36,7 @@
   const [task] = jobState.tasksOf(entry);
   assert.ok(task);
   const run = workerTable.createActiveRun(entry, task, workerTable.RunPhase.present, 0);
-  worker.runs.set(workerTable.runKey(run.name, run.run), run);
+  worker.runs.set(poolWorker.runKey(run.name, run.run), run);
 };
 
 test.describe('a worker in a planning round', () => {
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -100,13 +100,6 @@
   silentSinceMs?: number | undefined;
 }
 
-/**
- * @param name - a task's name
- * @param run - number of its start
- * @returns the key of the run among a worker's runs
- */
-export const runKey = (name: string, run: number): string => `${name}#${run}`;
-
 /**
  * @param agentId - the agent
  * @param url - URL of the agent
--- a/src/coordination/node/pool/lostRunDetector.ts
+++ b/src/coordination/node/pool/lostRunDetector.ts
@@ -5,6 +5,7 @@
  * incarnation of it has seen no fence, and may execute a start ordered from the previous one as long as a delayed
  * duplicate of that order can arrive.
  */
+import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as clock from '../../../base/common/clock.js';
 import type * as logging from '../../../base/common/logging.js';
 import * as fences from '../../common/pool/fences.js';
@@ -54,7 +55,7 @@
   ): void => {
     if (runs.length === 0) return;
     fences.raiseFence(worker);
-    for (const run of runs) worker.runs.delete(workerTable.runKey(run.name, run.run));
+    for (const run of runs) worker.runs.delete(poolWorker.runKey(run.name, run.run));
     runs.forEach((run) => options.markLost(run, cause));
   };
 
--- a/src/coordination/node/pool/orderResultHandler.ts
+++ b/src/coordination/node/pool/orderResultHandler.ts
@@ -1,6 +1,7 @@
 /**
  * Applies the results of the leader's orders to its state of the runs.
  */
+import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import type * as clock from '../../../base/common/clock.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
@@ -76,7 +77,7 @@
     const { run, outcome, reason, hasOpenCopy } = it;
     if (run.task.orderedRun === run.run) run.task.orderedRun = 0;
     if (hasOpenCopy) recordOpenOrder(worker, run);
-    const isOpen = worker.runs.get(workerTable.runKey(run.name, run.run)) === run;
+    const isOpen = worker.runs.get(poolWorker.runKey(run.name, run.run)) === run;
     if (!isOpen) return;
     if (outcome === agentContract.OrderOutcome.accepted) {
       if (run.phase === workerTable.RunPhase.ordering) run.phase = workerTable.RunPhase.present;
@@ -101,7 +102,7 @@
 
   const handleStop = (settled: orderSender.SettledOrders, it: orderSender.SettledOrder): void => {
     const { worker, isNewsLater, news } = settled;
-    const key = workerTable.runKey(it.run.name, it.run.run);
+    const key = poolWorker.runKey(it.run.name, it.run.run);
     const isOpen = worker.runs.get(key) === it.run;
     if (!isOpen || it.outcome !== agentContract.OrderOutcome.accepted || !isNewsLater) return;
     // The report of an incarnation that no heartbeat has announced yet is applied later, with the ends that it lists.
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -2,6 +2,7 @@
  * Runs planning rounds and executes their results: stores each start, sends it once it is stored, and stops runs
  * that are preempted or relocated.
  */
+import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as clock from '../../../base/common/clock.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
@@ -112,7 +113,7 @@
   ): void => {
     if (!options.isReady() || run.phase !== workerTable.RunPhase.ordering) return;
     if (!options.control().isWanted(run) || workerTable.isInEvacuatedZone(worker)) {
-      worker.runs.delete(workerTable.runKey(run.name, run.run));
+      worker.runs.delete(poolWorker.runKey(run.name, run.run));
       jobState.recordNotBegun(run.task, run.run);
       options.control().markLost(run, 'notSent');
       schedule();
@@ -138,7 +139,7 @@
       if (worker === undefined) return [];
       const run = workerTable.createActiveRun(entry, task, workerTable.RunPhase.ordering, nowMs());
       workerTable.setExpectedWork(run, unit.expectedMs);
-      worker.runs.set(workerTable.runKey(run.name, run.run), run);
+      worker.runs.set(poolWorker.runKey(run.name, run.run), run);
       return [{ worker, run }];
     });
     waitReasons.delete(unit.groupKey);
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -2,6 +2,7 @@
  * The leader of the pools for one term: connects the record feed, planning, the progress writer and the agents,
  * and declares unreachable runs lost.
  */
+import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import type * as clock from '../../../base/common/clock.js';
 import * as disposable from '../../../base/common/disposable.js';
 import type * as logging from '../../../base/common/logging.js';
@@ -206,7 +207,7 @@
       for (const task of jobState.tasksOf(entry)) {
         const isHere = task.phase === 'assigned' && task.agentId === worker.agentId;
         const { name } = workerTable.keysOf(entry, task);
-        const isKnown = worker.runs.has(workerTable.runKey(name, task.run));
+        const isKnown = worker.runs.has(poolWorker.runKey(name, task.run));
         if (isHere && !isKnown) control.adoptAssigned(worker, entry, task);
       }
     }
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -245,7 +245,7 @@
       percent: listed.percent,
       saved: listed.saved,
     };
-    worker.runs.set(workerTable.runKey(run.name, run.run), run);
+    worker.runs.set(poolWorker.runKey(run.name, run.run), run);
     if (!runState.isWanted(run)) stopRun(worker, run, 'notWanted');
   };
 
@@ -392,7 +392,7 @@
         wallMs: time.wallMs(),
       });
       run.closeFence = worker.fence;
-      worker.runs.set(workerTable.runKey(run.name, run.run), run);
+      worker.runs.set(poolWorker.runKey(run.name, run.run), run);
     },
     declareLost: detector.declareLost,
     repeatStops,
--- a/src/standins/test/poolParts.test.ts
+++ b/src/standins/test/poolParts.test.ts
@@ -15,7 +15,7 @@
 import * as poolAgent from '../../coordination/node/pool/poolAgent.js';
 import * as progressWriter from '../../coordination/node/pool/progressWriter.js';
 import type * as agentContract from '../../state/common/pool/agentContract.js';
-import type * as poolWorker from '../../state/common/pool/poolWorker.js';
+import * as poolWorker from '../../state/common/pool/poolWorker.js';
 import * as memoryStore from '../memoryStore.js';
 
 const put = (store: memoryStore.MemoryStore, key: string, value: string) =>
@@ -64,7 +64,7 @@
       assert.ok(task);
       const run = workerTable.createActiveRun(entry, task, workerTable.RunPhase.closing, 0);
       run.closeFence = 5;
-      worker.runs.set(workerTable.runKey(run.name, run.run), run);
+      worker.runs.set(poolWorker.runKey(run.name, run.run), run);
       const view = { incarnationMs: 1, clockMs: 1, running: [], ended: [] };
       const facts = reportReconciliation.applyReport(worker, { view, viewFence }, 0);
       assert.equal(facts.gone.length, isGone ? 1 : 0);
--- a/src/state/common/pool/poolWorker.ts
+++ b/src/state/common/pool/poolWorker.ts
@@ -113,3 +113,10 @@
   if (jobId === undefined) return undefined;
   return { jobId, occurrence: Number(occurrence), step: Number(step), index: Number(index) };
 };
+
+/**
+ * @param name - a task's name
+ * @param run - number of its start
+ * @returns the key of the run among a worker's runs
+ */
+export const runKey = (name: string, run: number): string => `${name}#${run}`;
