Let plans count no progress since the last report

Cause: the remaining time by the last report, less the time since, predicts ends better, but a unit that waits for a run which ends later than expected loses more than one that preempts or starts elsewhere at once.

The drain and the stall keep the accurate figure.

--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -338,8 +338,8 @@
     );
     const stragglerRuns = stragglers.findStragglers(workers, estimates, nowMs);
     if (units.length === 0 && stragglerRuns.length === 0) return;
-    const { remainingMsOf } = runProgress.createGroupProgress(workers, nowMs);
-    const times = { nowMs, boundMsOf: () => 0, remainingMsOf };
+    const { cautiousRemainingMsOf } = runProgress.createGroupProgress(workers, nowMs);
+    const times = { nowMs, boundMsOf: () => 0, remainingMsOf: cautiousRemainingMsOf };
     const planWorkers = workers
       .map((it) => planWorker.toPlanWorker(it, times))
       .filter((it) => it !== undefined);
--- a/src/coordination/common/pool/runProgress.ts
+++ b/src/coordination/common/pool/runProgress.ts
@@ -10,24 +10,37 @@
 /** Progress of a run whose own part is done. */
 const DONE_PERCENT = 100;
 
-/** From this much progress on, in per cent, only the run's own speed counts; before, it is averaged with the expected one. */
+/** How the remaining time is estimated. */
+interface Estimation {
+  /** Leader's clock up to which the progress counts as made. */
+  readonly atMs: number;
+  /** From this much progress on, in per cent, only the run's own speed counts; before, it is mixed with the expected one. */
+  readonly conclusivePercent: number;
+}
+
+/** Below it, the own speed was further off than the learnt one: a run takes some time to begin. */
 const CONCLUSIVE_PERCENT = 25;
 
+/** The same for plans, which lose more by a time that is too short. */
+const CAUTIOUS_CONCLUSIVE_PERCENT = 5;
+
 /** Share of the remaining time below which it does not fall until the worker reports again. */
 const MIN_LEFT_SHARE = 0.25;
 
-/** Remaining time at the instant of the last report. */
-const remainingAtReportMs = (run: workerTable.ActiveRun): number => {
+const estimateMs = (
+  run: workerTable.ActiveRun,
+  { atMs, conclusivePercent }: Estimation,
+): number => {
   const { percent, isResumed, firstProgress } = run;
   const expectedMs = (run.expectedMs * (DONE_PERCENT - percent)) / DONE_PERCENT;
   // The percentage of a resumed run includes earlier runs: only progress since its first report shows its own speed.
   const since = isResumed ? firstProgress : { percent: 0, atMs: run.startedAtMs };
   const madePercent = since === undefined ? 0 : percent - since.percent;
   if (since === undefined || madePercent <= 0 || expectedMs === 0) return expectedMs;
-  const ownMs = ((run.reportedAtMs - since.atMs) * (DONE_PERCENT - percent)) / madePercent;
+  const ownMs = ((atMs - since.atMs) * (DONE_PERCENT - percent)) / madePercent;
   if (ownMs <= 0) return expectedMs;
   // A geometric mean, since speeds are off by factors: a task may take ten times what it declares.
-  const weight = Math.min(1, madePercent / CONCLUSIVE_PERCENT);
+  const weight = Math.min(1, madePercent / conclusivePercent);
   return ownMs ** weight * expectedMs ** (1 - weight);
 };
 
@@ -37,15 +50,31 @@
  * @returns expected time until its own part is done
  */
 export const remainingMsOf = (run: workerTable.ActiveRun, nowMs: number): number => {
-  const atReportMs = remainingAtReportMs(run);
+  const atReportMs = estimateMs(run, {
+    atMs: run.reportedAtMs,
+    conclusivePercent: CONCLUSIVE_PERCENT,
+  });
   const sinceMs = Math.max(0, nowMs - run.reportedAtMs);
   return Math.max(atReportMs - sinceMs, atReportMs * MIN_LEFT_SHARE);
 };
 
+/**
+ * @param run - a run
+ * @param nowMs - the leader's clock
+ * @returns expected time until its own part is done, if it has made no progress since its worker's last report
+ */
+const cautiousRemainingMsOf = (run: workerTable.ActiveRun, nowMs: number): number =>
+  estimateMs(run, { atMs: nowMs, conclusivePercent: CAUTIOUS_CONCLUSIVE_PERCENT });
+
 /** Progress of runs with the members of their gangs on all workers. */
 export interface GroupProgress {
   /** @returns expected time to the end of the run, and so to that of its gang's slowest member */
   readonly remainingMsOf: (run: workerTable.ActiveRun) => number;
+  /**
+   * @returns the same, as if no run had made progress since its last report, for plans that wait for the end: a unit
+   *   that waits in vain loses more than one that starts elsewhere
+   */
+  readonly cautiousRemainingMsOf: (run: workerTable.ActiveRun) => number;
   /** @returns for how long the run has made no progress; 0 while it waits for other members of its gang */
   readonly stalledMsOf: (run: workerTable.ActiveRun) => number;
 }
@@ -66,19 +95,26 @@
     [...runs.values()].filter((run) => run.step.isGang && isActive(run)),
   );
   const gangs = groupBy.groupBy(gangRuns, ({ groupKey }) => groupKey);
-  const remainingByGang = new Map<string, number>();
   const membersOf = (run: workerTable.ActiveRun): readonly workerTable.ActiveRun[] =>
     gangs.get(run.groupKey) ?? [run];
 
-  return {
-    remainingMsOf: (run) => {
-      if (!run.step.isGang) return remainingMsOf(run, nowMs);
+  /** Computed once for each gang. */
+  const ofSlowest = (
+    remainingOf: (run: workerTable.ActiveRun) => number,
+  ): ((run: workerTable.ActiveRun) => number) => {
+    const remainingByGang = new Map<string, number>();
+    return (run) => {
       const known = remainingByGang.get(run.groupKey);
       if (known !== undefined) return known;
-      const remainingMs = Math.max(...membersOf(run).map((it) => remainingMsOf(it, nowMs)));
-      remainingByGang.set(run.groupKey, remainingMs);
+      const remainingMs = Math.max(...membersOf(run).map(remainingOf));
+      if (run.step.isGang) remainingByGang.set(run.groupKey, remainingMs);
       return remainingMs;
-    },
+    };
+  };
+
+  return {
+    remainingMsOf: ofSlowest((run) => remainingMsOf(run, nowMs)),
+    cautiousRemainingMsOf: ofSlowest((run) => cautiousRemainingMsOf(run, nowMs)),
     stalledMsOf: (run) => {
       if (run.percent < DONE_PERCENT) return nowMs - run.progressedAtMs;
       const members = membersOf(run);
--- a/src/coordination/common/pool/test/runProgress.test.ts
+++ b/src/coordination/common/pool/test/runProgress.test.ts
@@ -1,12 +1,11 @@
 /**
-import * as poolWorker from '../../../../state/common/pool/poolWorker.js';
  * Expected time to the end of runs, and which of them make no progress.
  */
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
-import type * as poolJob from '../../../../state/common/pool/poolJob.js';
 import * as poolWorker from '../../../../state/common/pool/poolWorker.js';
+import type * as poolJob from '../../../../state/common/pool/poolJob.js';
 import * as jobState from '../jobState.js';
 import * as runPace from '../runPace.js';
 import * as runProgress from '../runProgress.js';
@@ -177,6 +176,16 @@
   }
 });
 
+// Guards against a claim that waits for a run which ends somewhat later than it is expected to, and then preempts it.
+test.test('a plan that waits for a run counts no progress since the last report', () => {
+  const [run] = createRuns({});
+  assert.ok(run);
+  Object.assign(run, { percent: 50, reportedAtMs: NOW_MS - 800 });
+  const progress = runProgress.createGroupProgress(workersOf([run]), NOW_MS);
+  assert.equal(progress.remainingMsOf(run), 8400);
+  assert.equal(progress.cautiousRemainingMsOf(run), 10_000);
+});
+
 // Guards against a run that has done its part and does not end: it has to be found as any other.
 test.test('a task that is done and does not end stalls', () => {
   const [run] = createRuns({});
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -252,11 +252,11 @@
     const units = withStartPlaces(waiting, now);
     const stragglerGroups = findStragglers(now);
     if (units.length === 0 && stragglerGroups.length === 0) return;
-    const { remainingMsOf } = runProgress.createGroupProgress(workers.values(), startedAtMs);
+    const progress = runProgress.createGroupProgress(workers.values(), startedAtMs);
     const times: planWorker.AllocationTimes = {
       nowMs: startedAtMs,
       boundMsOf: (task) => startPlaces.boundMs(workers, task, now),
-      remainingMsOf,
+      remainingMsOf: progress.cautiousRemainingMsOf,
     };
     const planWorkers = [...workers.values()]
       .map((it) => planWorker.toPlanWorker(it, times))
