--- a/tools/guards.js
+++ b/tools/guards.js
@@ -16,6 +16,7 @@
   'standins/test/poolDepartures.test.js',
   'standins/test/poolDrains.test.js',
   'standins/test/poolEvacuations.test.js',
+  'standins/test/poolEvacuationEffects.test.js',
   'standins/test/poolAgentStarts.test.js',
   'standins/test/poolCrashingTasks.test.js',
   'standins/test/poolCrashExploration.test.js',
