Look at progress only where it is needed

My inspection of runs worked out the expected end of every run five times a second, with an index of all gangs, although only runs on draining workers need the one and only members at 100 per cent the other.

Now the end is worked out on draining workers only, and gangs are indexed when one is asked for.

--- a/src/coordination/common/pool/planWorker.ts
+++ b/src/coordination/common/pool/planWorker.ts
@@ -63,13 +63,16 @@
 /** A run that has lasted this long shows that its worker works: a faulty one fails what it starts at once. */
 const PROVING_RUN_MS = 1000;
 
-const lastGoodStartMs = ({ suspicion, runs }: workerTable.WorkerEntry, nowMs: number): number =>
-  [...runs.values()]
-    .filter(
-      ({ phase, startedAtMs }) =>
-        phase === workerTable.RunPhase.present && nowMs - startedAtMs >= PROVING_RUN_MS,
-    )
-    .reduce((last, { startedAtMs }) => Math.max(last, startedAtMs), suspicion.provenStartAtMs);
+const lastGoodStartMs = ({ suspicion, runs }: workerTable.WorkerEntry, nowMs: number): number => {
+  let lastMs = suspicion.provenStartAtMs;
+  for (const { phase, startedAtMs } of runs.values()) {
+    const hasLasted = nowMs - startedAtMs >= PROVING_RUN_MS;
+    if (startedAtMs > lastMs && hasLasted && phase === workerTable.RunPhase.present) {
+      lastMs = startedAtMs;
+    }
+  }
+  return lastMs;
+};
 
 /**
  * @param worker - an agent with its worker
--- a/src/coordination/common/pool/runProgress.ts
+++ b/src/coordination/common/pool/runProgress.ts
@@ -40,7 +40,8 @@
   const ownMs = ((atMs - since.atMs) * (DONE_PERCENT - percent)) / madePercent;
   if (ownMs <= 0) return expectedMs;
   // A geometric mean, since speeds are off by factors: a task may take ten times what it declares.
-  const weight = Math.min(1, madePercent / conclusivePercent);
+  const weight = madePercent / conclusivePercent;
+  if (weight >= 1) return ownMs;
   return ownMs ** weight * expectedMs ** (1 - weight);
 };
 
@@ -82,8 +83,18 @@
 const isActive = ({ phase }: workerTable.ActiveRun): boolean =>
   phase === workerTable.RunPhase.ordering || phase === workerTable.RunPhase.present;
 
+const indexGangs = (
+  workers: Iterable<workerTable.WorkerEntry>,
+): ReadonlyMap<string, readonly workerTable.ActiveRun[]> => {
+  const runs: workerTable.ActiveRun[] = [];
+  for (const worker of workers) {
+    for (const run of worker.runs.values()) if (run.step.isGang && isActive(run)) runs.push(run);
+  }
+  return groupBy.groupBy(runs, ({ groupKey }) => groupKey);
+};
+
 /**
- * @param workers - all workers with their runs
+ * @param workers - all workers with their runs; looked through once, when a gang is asked for
  * @param nowMs - the leader's clock
  * @returns the progress of their runs now
  */
@@ -91,12 +102,11 @@
   workers: Iterable<workerTable.WorkerEntry>,
   nowMs: number,
 ): GroupProgress => {
-  const gangRuns = [...workers].flatMap(({ runs }) =>
-    [...runs.values()].filter((run) => run.step.isGang && isActive(run)),
-  );
-  const gangs = groupBy.groupBy(gangRuns, ({ groupKey }) => groupKey);
-  const membersOf = (run: workerTable.ActiveRun): readonly workerTable.ActiveRun[] =>
-    gangs.get(run.groupKey) ?? [run];
+  let gangs: ReturnType<typeof indexGangs> | undefined;
+  const membersOf = (run: workerTable.ActiveRun): readonly workerTable.ActiveRun[] => {
+    gangs ??= indexGangs(workers);
+    return gangs.get(run.groupKey) ?? [run];
+  };
 
   /** Computed once for each gang. */
   const ofSlowest = (
@@ -104,10 +114,11 @@
   ): ((run: workerTable.ActiveRun) => number) => {
     const remainingByGang = new Map<string, number>();
     return (run) => {
+      if (!run.step.isGang) return remainingOf(run);
       const known = remainingByGang.get(run.groupKey);
       if (known !== undefined) return known;
       const remainingMs = Math.max(...membersOf(run).map(remainingOf));
-      if (run.step.isGang) remainingByGang.set(run.groupKey, remainingMs);
+      remainingByGang.set(run.groupKey, remainingMs);
       return remainingMs;
     };
   };
@@ -117,7 +128,7 @@
     cautiousRemainingMsOf: ofSlowest((run) => cautiousRemainingMsOf(run, nowMs)),
     stalledMsOf: (run) => {
       if (run.percent < DONE_PERCENT) return nowMs - run.progressedAtMs;
-      const members = membersOf(run);
+      const members = run.step.isGang ? membersOf(run) : [run];
       if (members.some(({ percent }) => percent < DONE_PERCENT)) return 0;
       return nowMs - Math.max(...members.map(({ progressedAtMs }) => progressedAtMs));
     },
--- a/src/coordination/node/pool/runInspection.ts
+++ b/src/coordination/node/pool/runInspection.ts
@@ -66,7 +66,8 @@
     if (run.phase !== workerTable.RunPhase.present || !options.isWanted(run)) return;
     const { estimatedMs, isLongRunning, isCheckpointing } = run.step;
     const reserveMs = isCheckpointing || isLongRunning ? CHECKPOINT_RESERVE_MS : 0;
-    if (nowMs() + progress.remainingMsOf(run) > worker.drainEndsAtMs - reserveMs) {
+    const leftMs = worker.drainEndsAtMs - reserveMs - nowMs();
+    if (workerTable.isDraining(worker) && progress.remainingMsOf(run) > leftMs) {
       // It would be killed with its worker; if stopped now it can resume elsewhere from a checkpoint.
       options.stopGroup(run.groupKey, 'workerLeaves');
       return;
