Let work start where the promise on evacuations is short

Cause: 1.5 s of the promised time were kept in reserve whatever that time was, and a watch waited 0.8 s. With a promise of 1.5 s or less nothing ever started; all deployments so far promise 5 s.

Change: the reserve is at most three tenths of the promise, a watch waits at most a quarter of the time for which the knowledge suffices. With 5 s both are what they were: 1.5 s and 0.8 s.

--- a/src/coordination/node/pool/evacuationFeed.ts
+++ b/src/coordination/node/pool/evacuationFeed.ts
@@ -34,8 +34,14 @@
 /** The evacuations as this process knows them. */
 export type EvacuationFeed = evacuations.Evacuations & disposable.Disposable;
 
-/** Wait of a watch. With a second for the answer, a lost watch is followed by a reading within the promised time. */
-const WATCH_MS = 800;
+/**
+ * Longest wait of a watch. With a second for the answer, a lost watch is followed by a reading within the promised time of
+ * some seconds.
+ */
+const MAX_WATCH_MS = 800;
+
+/** Share of the time for which the knowledge suffices that a watch waits at most. */
+const WATCH_SHARE = 0.25;
 
 /** Short wait of a watch that confirms the copy as current immediately, after a reading and after a change. */
 const CONFIRM_WATCH_MS = 50;
@@ -47,7 +53,10 @@
  * Part of the promised time that is left for a start to arrive, and for watches that report nothing for up to a second
  * while changes are made.
  */
-const START_RESERVE_MS = 1500;
+const MAX_START_RESERVE_MS = 1500;
+
+/** Largest share of the promised time for this reserve: with more, a short promise would let nothing start. */
+const START_RESERVE_SHARE = 0.3;
 
 /**
  * @param options - its dependencies
@@ -59,7 +68,8 @@
   const reportedKeys = new Set<string>();
   const age = snapshotAge.createSnapshotAge(time);
   const aborter = new AbortController();
-  const maxAgeMs = options.maxStartMs - START_RESERVE_MS;
+  const reserveMs = Math.min(MAX_START_RESERVE_MS, options.maxStartMs * START_RESERVE_SHARE);
+  const maxAgeMs = options.maxStartMs - reserveMs;
   let isAnswered = true;
 
   const reportOnce = (key: string, event: string): void => {
@@ -127,7 +137,7 @@
       {
         store: options.store,
         prefix,
-        waitMs: WATCH_MS,
+        waitMs: Math.min(MAX_WATCH_MS, Math.floor(maxAgeMs * WATCH_SHARE)),
         confirmWaitMs: CONFIRM_WATCH_MS,
         signal: aborter.signal,
         age,
--- a/src/standins/test/poolEvacuationEffects.test.ts
+++ b/src/standins/test/poolEvacuationEffects.test.ts
@@ -211,3 +211,27 @@
   assert.equal((await pool.progress('first'))?.state, 'complete');
   pool.dispose();
 });
+
+/** Promises of a deployment that are far shorter than the usual one. */
+const SHORT_PROMISES_MS = [500, 1000, 2000];
+
+// Guards against a deployment on which nothing ever starts, since the knowledge of its leader is never fresh enough.
+test.describe('work starts and is done where nothing may start in an evacuated zone after', () => {
+  for (const evacuateMs of SHORT_PROMISES_MS) {
+    test.it(`${evacuateMs} ms`, async () => {
+      const scene = evacuationScene.createScene({ evacuateMs });
+      const { pool, submitted } = scene;
+      await scene.work(6000);
+      const doneCount = pool.runs().filter(({ how }) => how === 'done').length;
+      assert.ok(doneCount >= submitted.length / 2, `${doneCount} of ${submitted.length} done`);
+      await scene.evacuate('north');
+      const evacuatedAtMs = pool.clock.monotonicMs();
+      await scene.work(6000);
+      const late = evacuationScene
+        .startsIn(pool, 'north')
+        .filter(({ startedAtMs }) => startedAtMs > evacuatedAtMs + evacuateMs);
+      assert.deepEqual(late, []);
+      pool.dispose();
+    });
+  }
+});
--- a/src/standins/test/poolHarness.ts
+++ b/src/standins/test/poolHarness.ts
@@ -92,6 +92,8 @@
   readonly acceleratorsPerWorker?: number;
   readonly workMs?: (task: string) => number;
   readonly guarantees?: Readonly<Record<string, number>>;
+  /** Nothing starts in a zone later than this after its evacuation. */
+  readonly evacuateMs?: number;
   /** Zones of the workers, in turn; all are in one zone by default. */
   readonly zones?: readonly string[];
   readonly jobs?: readonly poolJob.PoolJob[];
@@ -303,7 +305,7 @@
           configuration: () => configuration,
           evacuation: {
             prefix: EVACUATIONS_PREFIX,
-            maxStartMs: poolPromises.EVACUATE_MS,
+            maxStartMs: options.evacuateMs ?? poolPromises.EVACUATE_MS,
             zones,
           },
           askAdvice: (...asked) =>
