Name what is done once, and check remaining times exactly

DONE_PERCENT stood in two files; the limit for starts was worked out in two steps under the name of a function of leaseClock. Behaviour unchanged.

The tests of remaining times that came with runProgress gave a range where those before them gave a figure, and had one case for plans. They give the figure of each case now, for runs and for plans, by the formula worked out by hand.

--- a/src/coordination/common/pool/runPace.ts
+++ b/src/coordination/common/pool/runPace.ts
@@ -14,8 +14,8 @@
   speed: number | undefined;
 }
 
-/** Progress of a run whose part is done. */
-const DONE_PERCENT = 100;
+/** Progress of a run whose part is done; a member of a gang waits for the others then. */
+export const DONE_PERCENT = 100;
 
 /**
  * Shortest conclusive span: reports come most of a second apart, and progress is reported in whole
--- a/src/coordination/common/pool/runProgress.ts
+++ b/src/coordination/common/pool/runProgress.ts
@@ -5,11 +5,9 @@
  * neither stalls nor is its worker slow, and its end is that of the gang.
  */
 import * as groupBy from '../../../base/common/groupBy.js';
+import * as runPace from './runPace.js';
 import * as workerTable from './workerTable.js';
 
-/** Progress of a run whose own part is done. */
-const DONE_PERCENT = 100;
-
 /** How the remaining time is estimated. */
 interface Estimation {
   /** Leader's clock up to which the progress counts as made. */
@@ -32,12 +30,12 @@
   { atMs, conclusivePercent }: Estimation,
 ): number => {
   const { percent, isResumed, firstProgress } = run;
-  const expectedMs = (run.expectedMs * (DONE_PERCENT - percent)) / DONE_PERCENT;
+  const expectedMs = (run.expectedMs * (runPace.DONE_PERCENT - percent)) / runPace.DONE_PERCENT;
   // The percentage of a resumed run includes earlier runs: only progress since its first report shows its own speed.
   const since = isResumed ? firstProgress : { percent: 0, atMs: run.startedAtMs };
   const madePercent = since === undefined ? 0 : percent - since.percent;
   if (since === undefined || madePercent <= 0 || expectedMs === 0) return expectedMs;
-  const ownMs = ((atMs - since.atMs) * (DONE_PERCENT - percent)) / madePercent;
+  const ownMs = ((atMs - since.atMs) * (runPace.DONE_PERCENT - percent)) / madePercent;
   if (ownMs <= 0) return expectedMs;
   // A geometric mean, since speeds are off by factors: a task may take ten times what it declares.
   const weight = madePercent / conclusivePercent;
@@ -127,9 +125,9 @@
     remainingMsOf: ofSlowest((run) => remainingMsOf(run, nowMs)),
     cautiousRemainingMsOf: ofSlowest((run) => cautiousRemainingMsOf(run, nowMs)),
     stalledMsOf: (run) => {
-      if (run.percent < DONE_PERCENT) return nowMs - run.progressedAtMs;
+      if (run.percent < runPace.DONE_PERCENT) return nowMs - run.progressedAtMs;
       const members = run.step.isGang ? membersOf(run) : [run];
-      if (members.some(({ percent }) => percent < DONE_PERCENT)) return 0;
+      if (members.some(({ percent }) => percent < runPace.DONE_PERCENT)) return 0;
       return nowMs - Math.max(...members.map(({ progressedAtMs }) => progressedAtMs));
     },
   };
--- a/src/coordination/common/pool/test/runProgress.test.ts
+++ b/src/coordination/common/pool/test/runProgress.test.ts
@@ -69,19 +69,26 @@
   const CASES: readonly [
     name: string,
     changes: Partial<workerTable.ActiveRun>,
-    fromMs: number,
-    toMs: number,
+    remainingMs: number,
+    /** The same for a plan that waits for the end. */
+    cautiousMs: number,
   ][] = [
-    ['before a report is the expected one', { expectedMs: 20_000 }, 10_000, 10_000],
-    ['that is over due and silent is a part of the expected one', { expectedMs: 4000 }, 1000, 1000],
+    ['before a report is the expected one', { expectedMs: 20_000 }, 10_000, 20_000],
+    ['that is over due and silent is a part of the expected one', { expectedMs: 4000 }, 1000, 4000],
     [
       'at a few per cent lies between the expected and its own',
       { percent: 5, reportedAtMs: NOW_MS },
-      9500,
+      17_295,
       190_000,
     ],
+    [
+      'at less than a few per cent lies between them for a plan as well',
+      { percent: 2, reportedAtMs: NOW_MS },
+      13_401,
+      46_861,
+    ],
     ['by its own progress', { percent: 50, reportedAtMs: NOW_MS }, 10_000, 10_000],
-    ['is less by the time since the report', { percent: 50, reportedAtMs: 8000 }, 6000, 6000],
+    ['is less by the time since the report', { percent: 50, reportedAtMs: 8000 }, 6000, 10_000],
     ['whose part is done is nothing', { percent: 100, reportedAtMs: NOW_MS }, 0, 0],
     // Guards against the progress of earlier runs being taken for the speed of this one.
     [
@@ -102,12 +109,15 @@
       10_000,
     ],
   ];
-  for (const [name, changes, fromMs, toMs] of CASES) {
+  for (const [name, changes, remainingMs, cautiousMs] of CASES) {
     test.it(name, () => {
-      const [run] = createRuns({});
-      assert.ok(run);
-      const remainingMs = runProgress.remainingMsOf({ ...run, ...changes }, NOW_MS);
-      assert.ok(remainingMs >= fromMs && remainingMs <= toMs, `${remainingMs} ms`);
+      const [created] = createRuns({});
+      assert.ok(created);
+      const run = { ...created, ...changes };
+      const progress = runProgress.createGroupProgress(workersOf([run]), NOW_MS);
+      assert.equal(Math.round(runProgress.remainingMsOf(run, NOW_MS)), remainingMs);
+      assert.equal(Math.round(progress.remainingMsOf(run)), remainingMs);
+      assert.equal(Math.round(progress.cautiousRemainingMsOf(run)), cautiousMs);
     });
   }
 });
--- a/src/coordination/node/pool/orderSender.ts
+++ b/src/coordination/node/pool/orderSender.ts
@@ -70,11 +70,17 @@
   ...(order.ticket === undefined ? {} : { ticket: order.ticket }),
 });
 
-/** @returns an instant on the clock of the worker's current incarnation; 0, which is past, where it is not known */
-const toWorkerClockMs = ({ info, sample }: workerTable.WorkerEntry, atMs: number): number =>
-  sample === undefined || sample.incarnationMs !== info?.incarnationMs
-    ? 0
-    : Math.max(0, leaseClock.toWorkerClockMs(sample, atMs));
+/** @returns the limit for starts on the clock of the worker's incarnation; 0, which is past, where it is not known */
+const startLimitOf = (
+  { info, sample }: workerTable.WorkerEntry,
+  startsUntilMs: number,
+): Pick<agentContract.OrderRequest, 'startsUntilMs'> => {
+  if (startsUntilMs === Infinity) return {};
+  if (sample === undefined || sample.incarnationMs !== info?.incarnationMs) {
+    return { startsUntilMs: 0 };
+  }
+  return { startsUntilMs: Math.max(0, leaseClock.toWorkerClockMs(sample, startsUntilMs)) };
+};
 
 const toResults = (
   runs: readonly workerTable.ActiveRun[],
@@ -98,7 +104,6 @@
   const requestOf = (its: PendingOrders, info: { workerId: string; incarnationMs: number }) => {
     const nowMs = options.clock.monotonicMs();
     const leaseUntilMs = agentSession.grantLease(its.worker, nowMs, options.grantMs());
-    const startsUntilMs = options.startsUntilMs();
     const payloads: Record<string, string> = {};
     for (const { run } of its.starts) {
       payloads[run.entry.job.jobId] = run.entry.job.payload;
@@ -107,9 +112,7 @@
       fence: its.worker.fence,
       workerId: info.workerId,
       incarnationMs: info.incarnationMs,
-      ...(startsUntilMs === Infinity
-        ? {}
-        : { startsUntilMs: toWorkerClockMs(its.worker, startsUntilMs) }),
+      ...startLimitOf(its.worker, options.startsUntilMs()),
       payloads,
       // Nothing may run without a lease: if none was granted, `leaseUntilMs` is 0 and the agent refuses the start.
       starts: its.starts.map((order) => toStartCommand(order, leaseUntilMs)),
