Tell what a late job's run took longer on a slow worker

Change: a cause of its own, runningSlow, by the factor that the leader logs with the end of a run; lines without it count as before. Test: timeSplit, a run of factor 2.5.

--- a/src/cli/logs/jobHistory.ts
+++ b/src/cli/logs/jobHistory.ts
@@ -27,6 +27,8 @@
   endedAtMs: number | undefined;
   /** How it ended, as recorded by the leader. */
   how: string | undefined;
+  /** Factor by which the slowest of its workers takes longer than the mean one, as far as was known at its end. */
+  speedFactor: number;
   /** Core-seconds of a run that neither finished nor wrote a checkpoint. */
   wastedCoreSeconds: number;
 }
@@ -129,6 +131,7 @@
     listedAtMs: undefined,
     endedAtMs: undefined,
     how: undefined,
+    speedFactor: 1,
     wastedCoreSeconds: 0,
   });
   group.openWaits = [];
@@ -188,6 +191,8 @@
     if (run === undefined) return;
     run.endedAtMs ??= event.atMs;
     run.how ??= textOf(event, 'how');
+    // Absent in the logs of leaders that learn no speeds.
+    run.speedFactor = Math.max(1, numberOf(event, 'speedFactor') || 1);
     const isUseful = run.how === 'done' || textOf(event, 'checkpointing') === 'true';
     const coreMs = numberOf(event, 'heldMs') * numberOf(event, 'cores');
     if (!isUseful && !Number.isNaN(coreMs)) run.wastedCoreSeconds = coreMs / 1000;
@@ -209,6 +214,7 @@
   'group',
   'run',
   'away',
+  'speedFactor',
   'queue',
   'customer',
   'reason',
--- a/src/cli/logs/test/timeSplit.test.ts
+++ b/src/cli/logs/test/timeSplit.test.ts
@@ -115,6 +115,23 @@
     ],
     split: { learnt: 5, begunAgain: 1000, runningAway: 3000 },
   },
+  {
+    // Guards against a job that is late for its slow worker and counts as late for its own work.
+    name: 'a run on a worker that takes two and a half times as long',
+    lines: [
+      accepted,
+      learnt,
+      placed(5, 1),
+      taken(5, 1),
+      at(
+        5005,
+        'runEnded',
+        'job=j group=j.0.0.0 step=0 index=0 run=1 how=done heldMs=5000 cores=8 checkpointing=false speedFactor=2.5',
+      ),
+      jobEnded(5005),
+    ],
+    split: { learnt: 5, running: 2000, runningSlow: 3000 },
+  },
   {
     name: 'a run that ended with its worker, whose task was given up',
     lines: [
--- a/src/cli/logs/timeSplit.ts
+++ b/src/cli/logs/timeSplit.ts
@@ -22,6 +22,8 @@
   running: 'running',
   /** The last run of a group, remote from its data or outside its rack. */
   runningAway: 'runningAway',
+  /** What the last run of a group took longer since its slowest worker is slower than the pool's mean. */
+  runningSlow: 'runningSlow',
   /** Runs that ended before their work was done and were restarted. */
   begunAgain: 'begunAgain',
   /** A worker had listed the end and the leader had not recorded it yet. */
@@ -94,14 +96,21 @@
   const isDone = run.how === 'done';
   const listedMs = isDone ? Math.min(endMs, Math.max(startMs, run.listedAtMs ?? endMs)) : endMs;
   const running = run.remoteTasks > 0 ? Cause.runningAway : Cause.running;
+  const slowFromMs = isDone ? startMs + (listedMs - startMs) / run.speedFactor : listedMs;
   return [
     { fromMs: run.placedAtMs, untilMs: startMs, cause: Cause.store, detail: 'stored and sent' },
     {
       fromMs: startMs,
-      untilMs: listedMs,
+      untilMs: slowFromMs,
       cause: isDone || run.how === undefined ? running : Cause.begunAgain,
       detail: run.stop?.cause ?? run.how ?? 'runs',
     },
+    {
+      fromMs: slowFromMs,
+      untilMs: listedMs,
+      cause: Cause.runningSlow,
+      detail: `worker of factor ${run.speedFactor}`,
+    },
     {
       fromMs: listedMs,
       untilMs: endMs,
@@ -195,6 +204,7 @@
 const LEADER_INDEPENDENT: ReadonlySet<Cause> = new Set([
   Cause.running,
   Cause.runningAway,
+  Cause.runningSlow,
   Cause.begunAgain,
 ]);
 
