--- a/src/bench/benches.ts
+++ b/src/bench/benches.ts
@@ -8,6 +8,7 @@
 import * as requestsBench from './requestsBench.js';
 import * as rpcBench from './rpcBench.js';
 import * as saturationBench from './saturationBench.js';
+import * as speedBench from './speedBench.js';
 
 /** Runs a bench with its command-line arguments and prints the results line by line. */
 export type Bench = (args: readonly string[], print: (line: string) => void) => Promise<void>;
@@ -21,4 +22,5 @@
   rpc: rpcBench.runRpcBench,
   planning: planningBench.runPlanningBench,
   saturation: saturationBench.runSaturationBench,
+  speeds: (_, print) => speedBench.runSpeedBench(print),
 };
--- a/src/bench/planningBench.ts
+++ b/src/bench/planningBench.ts
@@ -105,6 +105,7 @@
     isSuspect: false,
     isDoubtful: false,
     isProven: false,
+    speedFactor: 1,
     placedSteps: new Map(),
     placedJobIds: new Set(),
   };
--- a/src/bench/saturation/mixes.ts
+++ b/src/bench/saturation/mixes.ts
@@ -318,6 +318,8 @@
   /** Share of the workers that are slow for seven seconds; `slowFactor` is their slowdown. */
   readonly slowShare: number;
   readonly slowFactor: number;
+  /** Times of a task on a worker relative to its work, one of which each worker has for good; 1 if absent. */
+  readonly lastingFactors?: readonly number[];
   /** Share of the workers that fail all their tasks for six seconds. */
   readonly failingShare: number;
   /** Intervals without planning: there is no leader, or the store is unavailable. */
@@ -382,4 +384,11 @@
     takenShare: 0.15,
     failingShare: 0.08,
   },
+  { ...ORDINARY, name: 'unequal workers', lastingFactors: [0.7, 0.7, 1.7] },
+  {
+    ...ORDINARY,
+    name: 'urgent burst on unequal workers',
+    urgentBurst: 2.4,
+    lastingFactors: [0.7, 0.7, 1.7],
+  },
 ];
--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -3,6 +3,7 @@
  * the product's own; only the workers, their clocks and the callers are simulated.
  */
 import * as poolWorker from '../../state/common/pool/poolWorker.js';
+import * as metrics from '../../base/common/metrics.js';
 import * as random from '../../base/common/random.js';
 import * as runtimeEstimates from '../../coordination/common/pool/runtimeEstimates.js';
 import * as gangPlacement from '../../coordination/common/pool/gangPlacement.js';
@@ -12,13 +13,15 @@
 import * as planRound from '../../coordination/common/pool/planRound.js';
 import type * as planTypes from '../../coordination/common/pool/planTypes.js';
 import * as readyQueue from '../../coordination/common/pool/readyQueue.js';
-import * as runPace from '../../coordination/common/pool/runPace.js';
 import * as runProgress from '../../coordination/common/pool/runProgress.js';
 import * as workerSuspicion from '../../coordination/common/pool/workerSuspicion.js';
 import * as planWorker from '../../coordination/common/pool/planWorker.js';
 import * as workerTable from '../../coordination/common/pool/workerTable.js';
+import * as speedRecorder from '../../coordination/node/pool/speed/speedRecorder.js';
 import * as eventQueue from '../eventQueue.js';
 import type * as mixes from './mixes.js';
+import * as replayedGroup from './replayedGroup.js';
+import * as replayedWorkers from './replayedWorkers.js';
 import type * as workload from './workload.js';
 
 /** Plans one round. */
@@ -58,33 +61,13 @@
 /** When the workers that are taken announce their shutdown, and how long before it. */
 const TAKEN = { atMs: 12_700, noticeMs: 6500 } as const;
 
-interface ReplayedRun {
-  readonly worker: workerTable.WorkerEntry;
-  readonly run: workerTable.ActiveRun;
-  readonly group: Group;
-  readonly startedAtMs: number;
-}
-
-/** The runs of a unit, which start together. */
-interface Group {
-  readonly members: ReplayedRun[];
-  /** Work left at the start, with local data. */
-  readonly workMs: number;
-  /** Work saved by previous runs. */
-  readonly savedMs: number;
-  doneMs: number;
-  /** Slowdown by remote placement. */
-  factor: number;
-  advancedAtMs: number;
-  isEnded: boolean;
-}
-
 /**
  * @param mix - the user's load
  * @param strain - the scenario applied to it
  * @param arrivals - the jobs of the load
  * @param planner - plans each round
  * @param seed - determines which runs fail and which workers are slow or failing
+ * @param learnsSpeeds - whether the leader learns how fast its workers are
  * @returns final states of the jobs, wasted and used work
  */
 export const replay = (
@@ -93,12 +76,13 @@
   arrivals: readonly workload.Arrival[],
   planner: Planner,
   seed: number,
+  learnsSpeeds = true,
 ): ReplayResult => {
   const next = random.createRandom(seed);
   const events = eventQueue.createEventQueue();
   const entries = new Map<string, jobState.JobEntry>();
   const arrivalOf = new Map(arrivals.map((it) => [it.job.jobId, it]));
-  const groups = new Set<Group>();
+  const groups = new Set<replayedGroup.Group>();
   const savedMs = new Map<string, number>();
   const estimates = runtimeEstimates.createRuntimeEstimates();
   const queue = readyQueue.createReadyQueue(estimates);
@@ -112,28 +96,22 @@
   let usedCoreMs = 0;
   let isDue = false;
 
-  const workers = Array.from({ length: mix.workers }, (_, index): workerTable.WorkerEntry => {
-    const rack = `rack-${Math.floor(index / mix.rackSize)}`;
-    const worker = workerTable.createWorkerEntry(`agent-${index}`, '', 1, 0, 0);
-    worker.isReachable = true;
-    worker.sample = { incarnationMs: 1, clockMs: 0, atMs: 0 };
-    worker.info = {
-      workerId: `worker-${index}`,
-      incarnationMs: 1,
-      service: 'service',
-      zone: rack,
-      state: 'ready',
-      capacity: mix.capacity,
-      labels: [rack],
-      rack,
-    };
-    return worker;
-  });
+  const workers = replayedWorkers.createWorkers(mix);
   const drawWorkers = (share: number): ReadonlySet<workerTable.WorkerEntry> =>
     new Set(workers.filter(() => next() < share));
   const slow = drawWorkers(strain.slowShare);
   const failing = drawWorkers(strain.failingShare);
   const taken = drawWorkers(strain.takenShare ?? 0);
+  const lastingFactors = replayedWorkers.drawFactors(workers, strain.lastingFactors ?? [1], seed);
+  const speeds = learnsSpeeds
+    ? speedRecorder.createSpeedRecorder({
+        clock: { monotonicMs: events.nowMs },
+        log: () => undefined,
+        metrics: metrics.createMetrics(),
+        workers: new Map(workers.map((it) => [it.agentId, it])),
+        leaderFence: 1,
+      })
+    : speedRecorder.EQUAL_SPEEDS;
   const workerAt = (agentId: string): workerTable.WorkerEntry =>
     workers[Number(agentId.slice('agent-'.length))] as workerTable.WorkerEntry;
 
@@ -148,31 +126,21 @@
     events.at(events.nowMs() + 1, plan);
   };
 
-  /** Advances a group's progress to the present time at the pace of its slowest member. */
-  const advance = (group: Group): void => {
-    const nowMs = events.nowMs();
-    const slowest = group.members.some(({ worker }) => isSlowNow(worker)) ? strain.slowFactor : 1;
-    group.doneMs += Math.max(0, nowMs - group.advancedAtMs) / (group.factor * slowest);
-    group.advancedAtMs = Math.max(nowMs, group.advancedAtMs);
-  };
+  const slownessOf = (worker: workerTable.WorkerEntry): number =>
+    (lastingFactors.get(worker) ?? 1) * (isSlowNow(worker) ? strain.slowFactor : 1);
+  const advance = (group: replayedGroup.Group): void =>
+    replayedGroup.advance(group, events.nowMs(), slownessOf);
 
   /** Updates the leader's state with the group's progress. */
-  const reportProgress = (group: Group): void => {
+  const reportProgress = (group: replayedGroup.Group): void => {
     advance(group);
-    const nowMs = events.nowMs();
-    const share = Math.min(1, (group.savedMs + group.doneMs) / (group.savedMs + group.workMs));
-    const percent = Math.floor(100 * share);
-    for (const { run } of group.members) {
-      run.firstProgress ??= { percent, atMs: nowMs };
-      if (percent > run.percent) run.progressedAtMs = nowMs;
-      run.percent = percent;
-      run.reportedAtMs = nowMs;
-      runPace.recordProgress(run.pace, nowMs, percent, run.step.estimatedMs);
+    for (const { worker, run } of replayedGroup.report(group, events.nowMs())) {
+      speeds.recordRuns(worker, [run], []);
     }
   };
 
   const endRun = (
-    replayedRun: ReplayedRun,
+    replayedRun: replayedGroup.ReplayedRun,
     how: 'done' | 'failed' | 'stopped',
     isLost: boolean,
   ): void => {
@@ -185,10 +153,12 @@
       wastedCoreMs += lostMs * planRound.weightInCores(run.step.resources);
     }
     const isSaved = how === 'stopped' && run.step.isCheckpointing;
-    if (isSaved) savedMs.set(run.name, group.savedMs + group.doneMs);
+    if (isSaved) savedMs.set(run.name, group.savedMs + replayedGroup.doneMsOf(group));
     const { jobId } = run.entry.job;
+    if (how === 'done') speeds.recordRuns(worker, [], [run]);
     if (how === 'done' && !workerSuspicion.isSuspect(worker.suspicion, events.nowMs())) {
-      const workMs = workerTable.observedWorkMs(run, events.nowMs());
+      const factor = speeds.slowestFactorOf(jobState.groupOf(run.entry, run.task));
+      const workMs = workerTable.observedWorkMs(run, events.nowMs()) / factor;
       runtimeEstimates.recordTask(estimates, run.entry.job, run.step, workMs);
     }
     if (how === 'done') workerSuspicion.recordSuccess(worker.suspicion, events.nowMs());
@@ -202,7 +172,11 @@
     );
   };
 
-  const endGroup = (group: Group, how: 'done' | 'failed' | 'stopped', isLost: boolean): void => {
+  const endGroup = (
+    group: replayedGroup.Group,
+    how: 'done' | 'failed' | 'stopped',
+    isLost: boolean,
+  ): void => {
     if (group.isEnded) return;
     advance(group);
     group.isEnded = true;
@@ -216,7 +190,7 @@
     schedule();
   };
 
-  const stopGroup = (group: Group): void => {
+  const stopGroup = (group: replayedGroup.Group): void => {
     if (group.members.some(({ run }) => run.phase === workerTable.RunPhase.stopping)) return;
     for (const { run } of group.members) run.phase = workerTable.RunPhase.stopping;
     events.at(events.nowMs() + START_MS + mix.stopMs, () => endGroup(group, 'stopped', true));
@@ -229,10 +203,10 @@
     }
   };
 
-  const watchGroup = (group: Group): void => {
+  const watchGroup = (group: replayedGroup.Group): void => {
     if (group.isEnded) return;
     advance(group);
-    const leftMs = group.workMs - group.doneMs;
+    const leftMs = group.workMs - replayedGroup.doneMsOf(group);
     if (leftMs <= 0.5) {
       const [first] = group.members;
       const arrival = arrivalOf.get(first?.run.entry.job.jobId ?? '');
@@ -240,7 +214,7 @@
       endGroup(group, fails ? 'failed' : 'done', fails);
       return;
     }
-    if (group.members.some(({ worker }) => isFailingNow(worker)) && group.doneMs > 0) {
+    if (group.members.some(({ worker }) => isFailingNow(worker)) && leftMs < group.workMs) {
       endGroup(group, 'failed', true);
       return;
     }
@@ -261,11 +235,11 @@
     const distanceFactor = gangPlacement.countRemoteTasks(step, racks) > 0 ? mix.remoteFactor : 1;
     const startTime = { wallMs: nowMs, distanceFactor };
     jobState.assign(entry, gangPlacement.assignmentsOf(placement), startTime);
-    const group: Group = {
+    const speedFactor = Math.max(...placement.workers.map((it) => it.speedFactor));
+    const group: replayedGroup.Group = {
       members: [],
       workMs: Math.max(1, totalWorkMs - saved),
       savedMs: saved,
-      doneMs: 0,
       factor: distanceFactor,
       advancedAtMs: nowMs + START_MS,
       isEnded: false,
@@ -273,9 +247,9 @@
     for (const task of tasks) {
       const worker = workerAt(task.agentId);
       const run = workerTable.createActiveRun(entry, task, workerTable.RunPhase.present, nowMs);
-      workerTable.setExpectedWork(run, placement.unit.expectedMs);
+      workerTable.setExpectedWork(run, placement.unit.expectedMs, speedFactor);
       worker.runs.set(poolWorker.runKey(run.name, run.run), run);
-      group.members.push({ worker, run, group, startedAtMs: nowMs });
+      group.members.push({ worker, run, group, startedAtMs: nowMs, doneMs: 0 });
     }
     groups.add(group);
     const isFailing = group.members.some(({ worker }) => isFailingNow(worker));
@@ -330,16 +304,22 @@
     isDue = false;
     const nowMs = events.nowMs();
     if (isInGap(nowMs)) return;
+    speeds.learn();
     const units = queue.units(
       entries.values(),
       nowMs,
       nowMs,
       workerTable.createSlotCounter(workers),
     );
-    const stragglerRuns = stragglers.findStragglers(workers, estimates, nowMs);
+    const stragglerRuns = stragglers.findStragglers(workers, estimates, nowMs, speeds.factorOf);
     if (units.length === 0 && stragglerRuns.length === 0) return;
     const { cautiousRemainingMsOf } = runProgress.createGroupProgress(workers, nowMs);
-    const times = { nowMs, boundMsOf: () => 0, remainingMsOf: cautiousRemainingMsOf };
+    const times = {
+      nowMs,
+      boundMsOf: () => 0,
+      remainingMsOf: cautiousRemainingMsOf,
+      speedFactorOf: speeds.factorOf,
+    };
     const planWorkers = workers
       .map((it) => planWorker.toPlanWorker(it, times))
       .filter((it) => it !== undefined);
--- a/src/coordination/common/pool/claimHeadroom.ts
+++ b/src/coordination/common/pool/claimHeadroom.ts
@@ -6,6 +6,7 @@
  */
 import * as gangPlacement from './gangPlacement.js';
 import type * as planTypes from './planTypes.js';
+import type * as speedChoice from './speed/speedChoice.js';
 
 /** Share of the workers that deferrable work leaves for claims. */
 const HEADROOM_SHARE = 0.25;
@@ -13,6 +14,11 @@
 /** Work with no more slack than this is placed wherever there is capacity. */
 const HEADROOM_SLACK_MS = 2000;
 
+/**
+ * A slower worker is no room for a claim: urgent work is owed in little more than its time on a worker of mean speed.
+ */
+const MAX_CLAIM_FACTOR = 1.25;
+
 /** Tracks the capacity left for claims during one round. */
 export interface ClaimHeadroom {
   /**
@@ -37,6 +43,9 @@
   return reclaimable >= worker.capacity.accelerators && worker.capacity.accelerators > 0;
 };
 
+const isRoomForClaims = (worker: planTypes.PlanWorker): boolean =>
+  worker.speedFactor <= MAX_CLAIM_FACTOR && isReclaimableWithoutLoss(worker);
+
 const canWait = (unit: planTypes.PlanUnit, nowMs: number): boolean =>
   unit.priority > 0 &&
   !unit.unit.step.isCheckpointing &&
@@ -45,15 +54,15 @@
 /**
  * @param workers - workers at the start of a round
  * @param nowMs - the leader's clock
+ * @param speeds - which workers a unit prefers for their speed
  * @returns a tracker of the capacity left for claims
  */
 export const createClaimHeadroom = (
   workers: readonly planTypes.PlanWorker[],
   nowMs: number,
+  speeds: Pick<speedChoice.SpeedChoice, 'tiersOf'>,
 ): ClaimHeadroom => {
-  const reclaimableIds = new Set(
-    workers.filter(isReclaimableWithoutLoss).map(({ workerId }) => workerId),
-  );
+  const reclaimableIds = new Set(workers.filter(isRoomForClaims).map(({ workerId }) => workerId));
   const minReclaimable = Math.floor(HEADROOM_SHARE * workers.length);
   const isReclaimable = ({ workerId }: planTypes.PlanWorker): boolean =>
     reclaimableIds.has(workerId);
@@ -64,7 +73,7 @@
       const isEnoughLeft = taken.size === 0 || reclaimableIds.size - taken.size >= minReclaimable;
       if (isEnoughLeft || !canWait(placement.unit, nowMs)) return placement;
       const others = localGroups.map((its) => its.filter((it) => !isReclaimable(it)));
-      return gangPlacement.placeNow(others, placement.unit);
+      return gangPlacement.placeNow(others, placement.unit, speeds.tiersOf(placement.unit));
     },
     recordStart: ({ unit, workers: its }) => {
       if (unit.unit.step.isCheckpointing) return;
--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -10,6 +10,7 @@
 import * as isolation from './isolation.js';
 import type * as jobState from './jobState.js';
 import type * as planTypes from './planTypes.js';
+import type * as speedChoice from './speed/speedChoice.js';
 
 /** Capacity left on a worker as a share of its total, summed over the kinds of resources. */
 const leftoverShare = (
@@ -189,31 +190,48 @@
   return best === undefined ? undefined : { unit, workers: best };
 };
 
-/** Whether a worker is among those preferred for a unit. */
-type Preference = (worker: planTypes.PlanWorker) => boolean;
-
 /**
  * What a unit prefers, in this order. A faulty worker fails what it starts at once; a gang over many workers meets one
  * after the other until its attempts are used up, unless it keeps to those that have shown that they work.
  */
-const preferencesOf = ({ unit, boundWorkerIds }: planTypes.PlanUnit): readonly Preference[] => {
+const preferencesOf = ({
+  unit,
+  boundWorkerIds,
+}: planTypes.PlanUnit): readonly speedChoice.Preference[] => {
   if (boundWorkerIds !== undefined) return [];
-  const isSound: Preference = ({ isDoubtful }) => !isDoubtful;
+  const isSound: speedChoice.Preference = ({ isDoubtful }) => !isDoubtful;
   const hasFailed = unit.tasks.some(({ failures }) => failures > 0);
   return hasFailed ? [(worker) => worker.isProven && isSound(worker), isSound] : [isSound];
 };
 
+/** Speed counts before soundness within what is sound at all. */
+const combine = (
+  tiers: readonly speedChoice.Preference[],
+  preferences: readonly speedChoice.Preference[],
+): speedChoice.Preference[] => [
+  ...tiers.flatMap((isInTier) =>
+    preferences.map(
+      (isPreferred): speedChoice.Preference =>
+        (worker) =>
+          isInTier(worker) && isPreferred(worker),
+    ),
+  ),
+  ...preferences,
+];
+
 /**
  * @param groups - groups of workers; of equally good ones the first is used
  * @param unit - a unit
+ * @param tiers - workers preferred for their speed, most preferred ones first
  * @returns a worker for each task, preferred ones where they have the capacity, or undefined where no group has
  *   capacity for all of them now
  */
 export const placeNow = (
   groups: CandidateGroups,
   unit: planTypes.PlanUnit,
+  tiers: readonly speedChoice.Preference[] = [],
 ): planTypes.Placement | undefined => {
-  for (const isPreferred of preferencesOf(unit)) {
+  for (const isPreferred of combine(tiers, preferencesOf(unit))) {
     if (!groups.flat().every(isPreferred)) {
       const placement = placeIn(
         groups.map((its) => its.filter(isPreferred)),
--- a/src/coordination/common/pool/localityChoice.ts
+++ b/src/coordination/common/pool/localityChoice.ts
@@ -9,6 +9,7 @@
 import * as gangPlacement from './gangPlacement.js';
 import type * as planTypes from './planTypes.js';
 import * as futurePlacement from './futurePlacement.js';
+import type * as speedChoice from './speed/speedChoice.js';
 
 /** Inputs of the choice. */
 export interface LocalityChoiceInput {
@@ -20,6 +21,7 @@
   readonly waitCosts: futurePlacement.CostOfGroup;
   /** Factor by which a task takes longer remote from its data or rack. */
   readonly remoteFactor: number;
+  readonly speeds: speedChoice.SpeedChoice;
 }
 
 /** Locality decisions of one round. */
@@ -48,7 +50,7 @@
  * @returns the choice; each unit is decided once, by the free capacity at that time
  */
 export const createLocalityChoice = (input: LocalityChoiceInput): LocalityChoice => {
-  const { nowMs, workers, runs, waitCosts, remoteFactor } = input;
+  const { nowMs, workers, runs, waitCosts, remoteFactor, speeds } = input;
   const candidatesOf = memoizeByUnit((unit) => gangPlacement.candidateGroups(workers, unit));
 
   const isRemoteFaster = memoizeByUnit((unit) => {
@@ -72,9 +74,10 @@
     },
     findNow: (unit) => {
       const { localGroups, remoteGroups } = candidatesOf(unit);
-      const placement = gangPlacement.placeNow(localGroups, unit);
+      const tiers = speeds.tiersOf(unit);
+      const placement = gangPlacement.placeNow(localGroups, unit, tiers);
       if (placement !== undefined || !isRemoteFaster(unit)) return placement;
-      return gangPlacement.placeNow(remoteGroups, unit);
+      return gangPlacement.placeNow(remoteGroups, unit, tiers);
     },
   };
 };
--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -13,6 +13,7 @@
 import * as localityChoice from './localityChoice.js';
 import type * as planTypes from './planTypes.js';
 import * as futurePlacement from './futurePlacement.js';
+import * as speedChoice from './speed/speedChoice.js';
 
 /** Least limit of concurrent reservations; each one takes workers from all units behind it. */
 const MIN_RESERVATION_LIMIT = 2;
@@ -155,14 +156,16 @@
     ),
   );
 
+  const speeds = speedChoice.createSpeedChoice(workers, nowMs);
   const places = localityChoice.createLocalityChoice({
     nowMs,
     workers,
     runs,
     waitCosts,
     remoteFactor,
+    speeds,
   });
-  const headroom = claimHeadroom.createClaimHeadroom(workers, nowMs);
+  const headroom = claimHeadroom.createClaimHeadroom(workers, nowMs, speeds);
 
   const start = (placement: planTypes.Placement | undefined): boolean => {
     if (placement === undefined) return false;
@@ -172,11 +175,6 @@
     return true;
   };
 
-  const startNow = (unit: planTypes.PlanUnit): boolean => {
-    const found = places.findNow(unit);
-    return start(found && headroom.spare(found, places.localGroupsOf(unit)));
-  };
-
   // A retry takes back the room that its run has just left, before other units are placed there.
   const retried = new Set(
     [...claims, ...others].filter((unit) => isRetry(unit) && start(places.findNow(unit))),
@@ -184,21 +182,17 @@
   const isWaiting = (unit: planTypes.PlanUnit): boolean => !retried.has(unit);
 
   /** Reserves capacity that becomes free by itself soon enough; preempting a run would waste its work. */
-  const waitForFreeCapacity = (unit: planTypes.PlanUnit): boolean => {
-    const untilMs = Math.min(
-      unit.latestStartMs - STOP_AND_START_MS,
-      unit.releaseTimeMs + MAX_DEFERRED_MS,
-    );
-    if (nowMs >= untilMs) return false;
-    const future = futurePlacement.findFuturePlacement(
-      runs,
-      places.groupsOf(unit),
-      unit,
-      waitCosts,
-    );
+  const waitForFreeCapacity = (
+    unit: planTypes.PlanUnit,
+    groups: gangPlacement.CandidateGroups,
+  ): boolean => {
+    const untilMs = (latestStartMs: number): number =>
+      Math.min(latestStartMs - STOP_AND_START_MS, unit.releaseTimeMs + MAX_DEFERRED_MS);
+    if (nowMs >= untilMs(speeds.latestStartAnywhereMs(unit))) return false;
+    const future = futurePlacement.findFuturePlacement(runs, groups, unit, waitCosts);
     if (future === undefined) return false;
     const remainingMs = futurePlacement.longestWaitMs(runs, future.leaving);
-    if (nowMs + remainingMs > untilMs) return false;
+    if (nowMs + remainingMs > untilMs(speeds.latestStartMs(future.placement))) return false;
     gangPlacement.reserveCapacity(future.placement);
     waits.push({ unit, reason: 'room for it becomes free in time' });
     return true;
@@ -211,9 +205,44 @@
     waits.push({ unit, reason: `waits for ${future.leaving.size} groups to leave` });
   };
 
+  /** Preempts what loses no more than the unit's own work. */
+  const preemptWithin = (
+    unit: planTypes.PlanUnit,
+    groups: gangPlacement.CandidateGroups,
+    costOfGroup: futurePlacement.CostOfGroup,
+  ): boolean => {
+    const future = futurePlacement.findFuturePlacement(runs, groups, unit, costOfGroup);
+    const ownWork = unit.expectedMs * weightInCores(unit.room) * unit.unit.tasks.length;
+    if (future === undefined || future.cost > MAX_LOSS_SHARE * ownWork) return false;
+    preemptFor(unit, future);
+    return true;
+  };
+
+  /** Takes or awaits capacity on the workers on which urgent work is in time, where others are too slow for it. */
+  const waitForFasterWorkers = (
+    unit: planTypes.PlanUnit,
+    costOfGroup: futurePlacement.CostOfGroup,
+  ): boolean => {
+    if (unit.priority !== 0 || unit.isIsolated === true) return false;
+    const groups = speeds.inTimeGroups(unit, places.localGroupsOf(unit));
+    if (groups === undefined || groups.length === 0) return false;
+    return waitForFreeCapacity(unit, groups) || preemptWithin(unit, groups, costOfGroup);
+  };
+
+  const startNow = (
+    unit: planTypes.PlanUnit,
+    costOfGroup: futurePlacement.CostOfGroup,
+  ): boolean => {
+    const found = places.findNow(unit);
+    const isLate = found !== undefined && !speeds.isInTime(found);
+    if (isLate && waitForFasterWorkers(unit, costOfGroup)) return true;
+    return start(found && headroom.spare(found, places.localGroupsOf(unit)));
+  };
+
   const claim = (unit: planTypes.PlanUnit): void => {
-    if (waitForFreeCapacity(unit)) return;
+    if (waitForFasterWorkers(unit, claimCosts)) return;
     const groups = places.groupsOf(unit);
+    if (waitForFreeCapacity(unit, groups)) return;
     const anywhere = workers.filter((it) => gangPlacement.isSuitable(it, unit));
     const future =
       futurePlacement.findFuturePlacement(runs, groups, unit, claimCosts) ??
@@ -230,23 +259,15 @@
     starts.push(future.placement);
   };
 
-  for (const unit of claims.filter(isWaiting)) if (!startNow(unit)) claim(unit);
+  for (const unit of claims.filter(isWaiting)) if (!startNow(unit, claimCosts)) claim(unit);
 
   /** Urgent work that can still be in time may preempt what loses no more than its own work. */
   const preempt = (unit: planTypes.PlanUnit): boolean => {
     if (unit.priority !== 0 || unit.isIsolated === true) return false;
+    if (waitForFasterWorkers(unit, preemptCosts)) return true;
     if (nowMs > unit.latestStartMs) return false;
-    if (waitForFreeCapacity(unit)) return true;
-    const future = futurePlacement.findFuturePlacement(
-      runs,
-      places.groupsOf(unit),
-      unit,
-      preemptCosts,
-    );
-    const ownWork = unit.expectedMs * weightInCores(unit.room) * unit.unit.tasks.length;
-    if (future === undefined || future.cost > MAX_LOSS_SHARE * ownWork) return false;
-    preemptFor(unit, future);
-    return true;
+    const groups = places.groupsOf(unit);
+    return waitForFreeCapacity(unit, groups) || preemptWithin(unit, groups, preemptCosts);
   };
 
   const fullSteps = new Set<string>();
@@ -260,7 +281,7 @@
     const isSpecial = unit.boundWorkerIds !== undefined || unit.isIsolated === true;
     const isKnownNotToFit =
       unit.unit.tasks.length === 1 && !isSpecial && fullSteps.has(unit.stepKey);
-    if (!isKnownNotToFit && !startNow(unit) && !preempt(unit)) {
+    if (!isKnownNotToFit && !startNow(unit, preemptCosts) && !preempt(unit)) {
       if (!isSpecial) fullSteps.add(unit.stepKey);
       const isReserving = reservations < reservationLimit && unit.waitedMs >= RESERVE_AFTER_MS;
       const future = isReserving
@@ -278,7 +299,7 @@
   for (const { unit, workerIds } of input.stragglerUnits) {
     const elsewhere = workers.filter((it) => !workerIds.has(it.workerId));
     const { localGroups } = gangPlacement.candidateGroups(elsewhere, unit);
-    const placement = gangPlacement.placeNow(localGroups, unit);
+    const placement = gangPlacement.placeNow(localGroups, unit, speeds.tiersOf(unit));
     const isHealthy = placement?.workers.every((it) => !it.isSuspect) === true;
     if (placement !== undefined && isHealthy) {
       gangPlacement.reserveCapacity(placement);
--- a/src/coordination/common/pool/planTypes.ts
+++ b/src/coordination/common/pool/planTypes.ts
@@ -49,6 +49,8 @@
   readonly isDoubtful: boolean;
   /** A run that started here lately went well: preferred by units that failed before. */
   readonly isProven: boolean;
+  /** Time of a task here relative to a worker of mean speed. */
+  readonly speedFactor: number;
   /** Tasks of each step that the round has placed here. */
   readonly placedSteps: Map<string, number>;
   /** Jobs of these tasks. */
@@ -65,7 +67,7 @@
   readonly priority: number;
   readonly customerId: string;
   readonly room: poolJob.Resources;
-  /** Latest start, on the leader's clock, with which the job is in time. */
+  /** Latest start, on the leader's clock, with which the job is in time on workers of mean speed. */
   readonly latestStartMs: number;
   /** Latest start, on the leader's clock, with which the job still has value to the caller. */
   readonly latestUsefulStartMs: number;
@@ -73,7 +75,7 @@
   readonly releaseTimeMs: number;
   /** How long it has been ready. */
   readonly waitedMs: number;
-  /** Expected runtime of one task with local data. */
+  /** Expected runtime of one task with local data on a worker of mean speed. */
   readonly expectedMs: number;
   /** Policy service's consent by worker that may run it; absent where none is needed. */
   readonly ticketsByWorker?: ReadonlyMap<string, string>;
--- a/src/coordination/common/pool/planWorker.ts
+++ b/src/coordination/common/pool/planWorker.ts
@@ -30,6 +30,8 @@
   readonly boundMsOf: (task: jobState.TaskEntry) => number;
   /** Expected time to the end of a run. */
   readonly remainingMsOf: (run: workerTable.ActiveRun) => number;
+  /** Time of a task on a worker relative to one of mean speed. */
+  readonly speedFactorOf: (worker: workerTable.WorkerEntry) => number;
 }
 
 const toAllocation = (
@@ -102,6 +104,7 @@
       lastGoodStartMs(worker, times.nowMs),
       times.nowMs,
     ),
+    speedFactor: times.speedFactorOf(worker),
     placedSteps: new Map(),
     placedJobIds: new Set(),
     exclusiveJobId: exclusiveJobOf(worker, times.nowMs),
--- a/src/coordination/common/pool/reportReconciliation.ts
+++ b/src/coordination/common/pool/reportReconciliation.ts
@@ -4,6 +4,7 @@
  */
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as runPace from './runPace.js';
+import * as runTiming from './speed/runTiming.js';
 import * as workerTable from './workerTable.js';
 
 /** A worker's report with the fence under which it was given. */
@@ -27,14 +28,17 @@
   readonly missing: readonly workerTable.ActiveRun[];
   /** Runs that have a new checkpoint. */
   readonly saved: readonly workerTable.ActiveRun[];
+  /** Runs whose progress has shown anew how long their task takes. */
+  readonly timed: readonly workerTable.ActiveRun[];
 }
 
+/** @returns whether the run has a new checkpoint, and whether its progress has shown anew how long its task takes */
 const updateRun = (
   run: workerTable.ActiveRun,
   listed: poolWorker.RunningTask,
   clockMs: number,
   { nowMs, reportedAtMs }: { readonly nowMs: number; readonly reportedAtMs: number },
-): boolean => {
+): { readonly isSaved: boolean; readonly isTimed: boolean } => {
   if (run.phase === workerTable.RunPhase.ordering || run.phase === workerTable.RunPhase.closing) {
     run.phase = workerTable.RunPhase.present;
   }
@@ -43,9 +47,11 @@
   if (listed.percent > run.percent) run.progressedAtMs = nowMs;
   run.percent = listed.percent;
   runPace.recordProgress(run.pace, clockMs, listed.percent, run.step.estimatedMs);
-  if (listed.saved === '' || listed.saved === run.saved) return false;
-  run.saved = listed.saved;
-  return true;
+  const timedMs = runTiming.recordSample(run.timing, { percent: listed.percent, clockMs });
+  run.timedMs = timedMs ?? run.timedMs;
+  const isSaved = listed.saved !== '' && listed.saved !== run.saved;
+  if (isSaved) run.saved = listed.saved;
+  return { isSaved, isTimed: timedMs !== undefined };
 };
 
 /**
@@ -78,13 +84,19 @@
   const times = { nowMs, reportedAtMs: worker.sample?.atMs ?? nowMs };
   const unknownRuns: poolWorker.RunningTask[] = [];
   const saved: workerTable.ActiveRun[] = [];
+  const timed: workerTable.ActiveRun[] = [];
   const listed = new Set<string>();
   for (const running of view.running) {
     const key = poolWorker.runKey(running.task, running.run);
     listed.add(key);
     const run = worker.runs.get(key);
-    if (run === undefined) unknownRuns.push(running);
-    else if (updateRun(run, running, view.clockMs, times)) saved.push(run);
+    if (run === undefined) {
+      unknownRuns.push(running);
+    } else {
+      const { isSaved, isTimed } = updateRun(run, running, view.clockMs, times);
+      if (isSaved) saved.push(run);
+      if (isTimed) timed.push(run);
+    }
   }
   const gone: workerTable.ActiveRun[] = [];
   const missing: workerTable.ActiveRun[] = [];
@@ -96,5 +108,5 @@
     }
   }
   gone.forEach((run) => worker.runs.delete(poolWorker.runKey(run.name, run.run)));
-  return { ends, done, unknownRuns, gone, missing, saved };
+  return { ends, done, unknownRuns, gone, missing, saved, timed };
 };
--- a/src/coordination/common/pool/runPace.ts
+++ b/src/coordination/common/pool/runPace.ts
@@ -66,7 +66,8 @@
 
 /**
  * @param pace - a run's speed
+ * @param speedFactor - lasting factor of its worker: on a slow one the same speed is no sign of trouble
  * @returns whether the run is a straggler, as far as is known
  */
-export const isStraggler = (pace: RunPace): boolean =>
-  pace.speed !== undefined && pace.speed < SLOW_SPEED;
+export const isStraggler = (pace: RunPace, speedFactor = 1): boolean =>
+  pace.speed !== undefined && pace.speed * speedFactor < SLOW_SPEED;
--- a/src/coordination/common/pool/stragglers.ts
+++ b/src/coordination/common/pool/stragglers.ts
@@ -93,17 +93,21 @@
  * @param workers - workers with their runs
  * @param estimates - tells whose declared work is reliable
  * @param wallMs - Unix milliseconds now
+ * @param speedFactorOf - lasting factor of a worker
  * @returns groups that would be late where they are and in time on other workers
  */
 export const findStragglers = (
   workers: readonly workerTable.WorkerEntry[],
   estimates: runtimeEstimates.RuntimeEstimates,
   wallMs: number,
+  speedFactorOf: (worker: workerTable.WorkerEntry) => number = () => 1,
 ): StragglerGroup[] => {
   const all = workers.flatMap((worker) =>
     [...worker.runs.values()].map((run): PlacedRun => ({ worker, run })),
   );
-  const candidates = all.filter((it) => runPace.isStraggler(it.run.pace));
+  const candidates = all.filter(({ worker, run }) =>
+    runPace.isStraggler(run.pace, speedFactorOf(worker)),
+  );
   if (candidates.length === 0) return [];
   const queues = new Set(candidates.map(({ run }) => run.entry.job.policy.queue));
   const reliableQueues = new Set(
--- a/src/coordination/common/pool/test/poolFixtures.ts
+++ b/src/coordination/common/pool/test/poolFixtures.ts
@@ -77,6 +77,7 @@
     isSuspect: false,
     isDoubtful: false,
     isProven: false,
+    speedFactor: 1,
     placedSteps: new Map(),
     placedJobIds: new Set(),
     ...changes,
--- a/src/coordination/common/pool/test/workerTable.test.ts
+++ b/src/coordination/common/pool/test/workerTable.test.ts
@@ -21,6 +21,7 @@
   nowMs: NOW_MS,
   boundMsOf: () => 0,
   remainingMsOf: () => 0,
+  speedFactorOf: () => 1,
 };
 
 const createWorker = (): workerTable.WorkerEntry => {
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -9,6 +9,7 @@
 import type * as jobChain from './jobChain.js';
 import type * as leaseClock from './leaseClock.js';
 import * as runPace from './runPace.js';
+import * as runTiming from './speed/runTiming.js';
 import * as workerSuspicion from './workerSuspicion.js';
 
 /** Where a run is between its start order and its reported end. */
@@ -43,6 +44,8 @@
   startedAtMs: number;
   /** Expected runtime where it is, from its start; used until its own progress is conclusive. */
   expectedMs: number;
+  /** Expected runtime with local data on a worker of mean speed. */
+  expectedWorkMs: number;
   /** Factor by which it takes longer than with local data; 0 where unknown. */
   readonly distanceFactor: number;
   /** The first progress that its worker reported, and the leader's clock then; undefined before. */
@@ -60,6 +63,10 @@
   progressedAtMs: number;
   /** Its speed. */
   readonly pace: runPace.RunPace;
+  /** Progress from which the worker's lasting speed is learnt. */
+  readonly timing: runTiming.RunTiming;
+  /** Time that its entire task takes where it is, by its progress; undefined before that shows it. */
+  timedMs: number | undefined;
   /** Leader's clock of the last stop order. */
   stopSentAtMs: number;
 }
@@ -175,6 +182,7 @@
     room: poolJob.consumedResources(step),
     startedAtMs: nowMs,
     expectedMs: step.estimatedMs,
+    expectedWorkMs: step.estimatedMs,
     distanceFactor: task.distanceFactor,
     firstProgress: undefined,
     phase,
@@ -185,6 +193,8 @@
     isResumed: task.saved !== '',
     progressedAtMs: nowMs,
     pace: runPace.createRunPace(),
+    timing: runTiming.createRunTiming(),
+    timedMs: undefined,
     stopSentAtMs: 0,
   };
 };
@@ -194,10 +204,12 @@
 
 /**
  * @param run - a run
- * @param workMs - expected runtime of its task with local data
+ * @param workMs - expected runtime of its task with local data on a worker of mean speed
+ * @param speedFactor - factor of its worker, or of its gang's slowest one
  */
-export const setExpectedWork = (run: ActiveRun, workMs: number): void => {
-  run.expectedMs = workMs * Math.max(1, run.distanceFactor);
+export const setExpectedWork = (run: ActiveRun, workMs: number, speedFactor = 1): void => {
+  run.expectedWorkMs = workMs;
+  run.expectedMs = workMs * speedFactor * Math.max(1, run.distanceFactor);
 };
 
 /**
@@ -207,17 +219,20 @@
  * @param run - a run that another leader started
  * @param estimates - runtime estimates of tasks
  * @param now - the leader's clock and Unix milliseconds
+ * @param speedFactor - factor of its worker
  */
 export const restoreStartTime = (
   run: ActiveRun,
   estimates: runtimeEstimates.RuntimeEstimates,
   now: { readonly nowMs: number; readonly wallMs: number },
+  speedFactor = 1,
 ): void => {
   const { task, entry, step } = run;
   const heldMs = task.startedAtWallMs === 0 ? 0 : Math.max(0, now.wallMs - task.startedAtWallMs);
   run.startedAtMs = now.nowMs - heldMs;
   const { queue } = entry.job.policy;
-  setExpectedWork(run, runtimeEstimates.expectedWorkMs(estimates, queue, step.estimatedMs));
+  const workMs = runtimeEstimates.expectedWorkMs(estimates, queue, step.estimatedMs);
+  setExpectedWork(run, workMs, speedFactor);
 };
 
 /**
--- a/src/coordination/node/pool/agentDirectory.ts
+++ b/src/coordination/node/pool/agentDirectory.ts
@@ -22,6 +22,8 @@
   readonly createWorker: (agentId: string, url: string) => workerTable.WorkerEntry;
   /** Duration of the leases granted; 0 while the leadership is not certain. */
   readonly grantMs: () => number;
+  /** What a worker's agent keeps of its speed for the next leader; undefined where nothing is known. */
+  readonly speedRecordOf: (worker: workerTable.WorkerEntry) => string | undefined;
   /** @returns settled once the run ends in the update may be acknowledged */
   readonly onUpdate: (
     worker: workerTable.WorkerEntry,
@@ -57,6 +59,7 @@
       log,
       worker,
       grantMs: options.grantMs,
+      speedRecordOf: options.speedRecordOf,
       onUpdate: (news, receivedAtMs) => options.onUpdate(worker, news, receivedAtMs),
       onDidLoseAgent: () => {
         worker.isReachable = false;
--- a/src/coordination/node/pool/agentSession.ts
+++ b/src/coordination/node/pool/agentSession.ts
@@ -18,6 +18,8 @@
   readonly worker: workerTable.WorkerEntry;
   /** Duration of the leases granted; 0 while the leadership is not certain. */
   readonly grantMs: () => number;
+  /** What the agent keeps of its worker's speed for the next leader; undefined where nothing is known. */
+  readonly speedRecordOf: (worker: workerTable.WorkerEntry) => string | undefined;
   /** @returns settled once the run ends in the update may be acknowledged */
   readonly onUpdate: (news: agentContract.WorkerUpdate, receivedAtMs: number) => Promise<unknown>;
   readonly onDidLoseAgent: () => void;
@@ -71,18 +73,26 @@
   let isDisposed = false;
   let knownVersion = 0;
   let bootId = '';
+  let keptRecord: string | undefined;
 
-  const requestOf = (): agentContract.SyncRequest => ({
+  const newRecord = (): string | undefined => {
+    const record = options.speedRecordOf(worker);
+    return record === keptRecord ? undefined : record;
+  };
+  const requestOf = (record: string | undefined): agentContract.SyncRequest => ({
     fence: worker.fence,
     incarnationMs: worker.sample?.incarnationMs ?? 0,
     leaseUntilMs: grantLease(worker, time.monotonicMs(), options.grantMs()),
     seenUpTo: worker.seenUpTo,
     knownVersion,
     waitMs: SYNC_WAIT_MS,
+    ...(record === undefined ? {} : { speedRecord: record }),
   });
   const apply = (news: agentContract.WorkerUpdate): Promise<unknown> => {
     knownVersion = news.version;
     if (news.bootId !== bootId) {
+      // A restarted agent has kept nothing.
+      keptRecord = undefined;
       options.log('info', 'agentFound', { agent: worker.agentId, boot: news.bootId });
     }
     bootId = news.bootId;
@@ -91,7 +101,9 @@
   const run = async (): Promise<void> => {
     while (!isDisposed) {
       try {
-        const news = await options.link.sync(worker.url, requestOf());
+        const record = newRecord();
+        const news = await options.link.sync(worker.url, requestOf(record));
+        if (news.bootId === bootId) keptRecord = record ?? keptRecord;
         if (!isDisposed) await Promise.race([apply(news), clock.sleep(time, STORE_WAIT_MS)]);
       } catch (thrown) {
         if (isDisposed) return;
--- a/src/coordination/node/pool/endRecorder.ts
+++ b/src/coordination/node/pool/endRecorder.ts
@@ -15,6 +15,8 @@
 import * as workerSuspicion from '../../common/pool/workerSuspicion.js';
 import * as workerTable from '../../common/pool/workerTable.js';
 
+import type * as speedRecorder from './speed/speedRecorder.js';
+
 /** Dependencies of the recorder. */
 export interface EndRecorderOptions {
   readonly clock: clock.Clock;
@@ -24,6 +26,7 @@
   readonly workers: ReadonlyMap<string, workerTable.WorkerEntry>;
   /** Runtime estimates, updated from completed runs. */
   readonly estimates: runtimeEstimates.RuntimeEstimates;
+  readonly speeds: Pick<speedRecorder.SpeedRecorder, 'slowestFactorOf'>;
 }
 
 /** Records ends. */
@@ -92,6 +95,7 @@
       const { jobId, steps } = entry.job;
       const { resources, isCheckpointing } = steps[task.step] as poolJob.Step;
       const { startedAtWallMs } = task;
+      const members = jobState.groupOf(entry, task);
       log('info', 'runEnded', {
         job: jobId,
         group: workerTable.keysOf(entry, task).groupKey,
@@ -100,8 +104,9 @@
         run,
         how,
         heldMs: startedAtWallMs === 0 ? undefined : time.wallMs() - startedAtWallMs,
-        cores: planRound.weightInCores(resources) * jobState.groupOf(entry, task).length,
+        cores: planRound.weightInCores(resources) * members.length,
         checkpointing: isCheckpointing,
+        speedFactor: Number(options.speeds.slowestFactorOf(members).toFixed(2)),
         worker: task.workerId,
         failures: task.failures,
         crashes: task.crashes.length === 0 ? undefined : task.crashes.length,
@@ -117,7 +122,9 @@
     recordSuspicion,
     recordRuntimes: (worker, done) => {
       for (const run of done) {
-        run.task.workMs = workerTable.observedWorkMs(run, nowMs());
+        const tasks = jobState.groupOf(run.entry, run.task);
+        const factor = options.speeds.slowestFactorOf(tasks);
+        run.task.workMs = workerTable.observedWorkMs(run, nowMs()) / factor;
         workerSuspicion.recordGoodStart(worker.suspicion, run.startedAtMs);
       }
       // The runtime on a suspected worker says more about the worker than about the declared work.
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -25,6 +25,7 @@
 import type * as orderSender from './orderSender.js';
 import type * as poolLeadership from './poolLeadership.js';
 import type * as runControl from './runControl.js';
+import type * as speedRecorder from './speed/speedRecorder.js';
 
 /** Dependencies of the driver. */
 export interface PlanDriverOptions {
@@ -36,6 +37,7 @@
   readonly workers: ReadonlyMap<string, workerTable.WorkerEntry>;
   /** Runtime estimates, and which declared work is reliable. */
   readonly estimates: runtimeEstimates.RuntimeEstimates;
+  readonly speeds: speedRecorder.SpeedRecorder;
   /** Factor by which a task takes longer away from its data or its rack. */
   readonly remoteFactor: number;
   readonly control: () => runControl.RunControl;
@@ -132,13 +134,14 @@
     const racks = placement.workers.map((it) => it.rack);
     const away = gangPlacement.countRemoteTasks(unit.unit.step, racks);
     const distanceFactor = away > 0 ? options.remoteFactor : 1;
+    const speedFactor = Math.max(...placement.workers.map((it) => it.speedFactor));
     const assignment = { wallMs: time.wallMs(), distanceFactor };
     jobState.assign(entry, gangPlacement.assignmentsOf(placement), assignment);
     const runs = tasks.flatMap((task) => {
       const worker = workers.get(task.agentId);
       if (worker === undefined) return [];
       const run = workerTable.createActiveRun(entry, task, workerTable.RunPhase.ordering, nowMs());
-      workerTable.setExpectedWork(run, unit.expectedMs);
+      workerTable.setExpectedWork(run, unit.expectedMs, speedFactor);
       worker.runs.set(poolWorker.runKey(run.name, run.run), run);
       return [{ worker, run }];
     });
@@ -153,6 +156,8 @@
       workers: tasks.map((it) => it.workerId).join(','),
       waitedMs: Math.round(unit.waitedMs),
       away,
+      expectedMs: Math.round(unit.expectedMs * speedFactor * distanceFactor),
+      speedFactor: Number(speedFactor.toFixed(2)),
       configVersion: options.configuration()?.version,
       recordsAgeMs: Math.round(recordsAgeMs),
     });
@@ -226,7 +231,7 @@
   /** Running groups that are worth relocating; bound ones would have to start again where they are. */
   const findStragglers = (now: clock.ClockReadings): stragglers.StragglerGroup[] =>
     stragglers
-      .findStragglers([...workers.values()], options.estimates, now.wallMs)
+      .findStragglers([...workers.values()], options.estimates, now.wallMs, options.speeds.factorOf)
       .filter(({ unit }) => !startPlaces.isBound(workers, unit.tasks, now));
 
   const addDueOccurrences = (wallMs: number): void => {
@@ -242,6 +247,7 @@
     if (!options.isReady()) return;
     const now = clock.readClocks(time);
     const { monotonicMs: startedAtMs, wallMs } = now;
+    options.speeds.learn();
     addDueOccurrences(wallMs);
     const waiting = queue.units(
       registry.all(),
@@ -257,6 +263,7 @@
       nowMs: startedAtMs,
       boundMsOf: (task) => startPlaces.boundMs(workers, task, now),
       remainingMsOf: progress.cautiousRemainingMsOf,
+      speedFactorOf: options.speeds.factorOf,
     };
     const planWorkers = [...workers.values()]
       .map((it) => planWorker.toPlanWorker(it, times))
--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -10,6 +10,7 @@
 import * as agentContract from '../../../state/common/pool/agentContract.js';
 import * as poolJob from '../../../state/common/pool/poolJob.js';
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
+import * as speedRecord from '../../../state/common/pool/speedRecord.js';
 import * as incarnationHistory from '../../common/pool/incarnationHistory.js';
 import * as openStarts from '../../common/pool/openStarts.js';
 
@@ -86,6 +87,8 @@
   let acknowledged = { incarnationMs: 0, upTo: 0 };
   /** Run ends of the worker's current incarnation that have been logged. */
   let logged = { incarnationMs: 0, upTo: 0 };
+  /** What a leader has learnt of the worker's speed, with the leader's fence. */
+  let keptSpeed: { readonly text: string; readonly fence: number } | undefined;
   let version = 1;
   let isPolling = false;
   /** The worker answered the last request for its report. */
@@ -125,6 +128,7 @@
     if (incarnationMs <= newestIncarnationMs) return;
     if (newestIncarnationMs !== 0) raiseWorkerFence();
     newestIncarnationMs = incarnationMs;
+    keptSpeed = undefined;
     if (former === undefined) return;
     const { workerId, hasCrashed, endedAgoMs, runs } = history.recordSuccessor(former);
     log(hasCrashed ? 'warn' : 'info', 'incarnationEnded', {
@@ -242,6 +246,11 @@
     fenceSteps = 0;
   };
 
+  const keepSpeed = ({ speedRecord: text, fence: givenUnder }: agentContract.SyncRequest): void => {
+    if (text === undefined || text.length > speedRecord.MAX_RECORD_LENGTH) return;
+    keptSpeed = { text, fence: givenUnder };
+  };
+
   const buildUpdate = (): agentContract.WorkerUpdate => {
     const openOrders = sentStarts.ofEarlierLeaders(fence);
     const formerIncarnations = history.former();
@@ -256,6 +265,9 @@
       ...(silentForMs === undefined ? {} : { silentForMs }),
       ...(openOrders.length === 0 ? {} : { openStarts: openOrders }),
       ...(formerIncarnations.length === 0 ? {} : { formerIncarnations }),
+      ...(keptSpeed === undefined || keptSpeed.fence >= fence
+        ? {}
+        : { speedRecord: keptSpeed.text }),
     };
   };
 
@@ -310,6 +322,7 @@
     },
     sync: async (request) => {
       raiseFence(request.fence);
+      keepSpeed(request);
       const { incarnationMs } = request;
       if (request.leaseUntilMs > 0) {
         const isSame = lease.incarnationMs === incarnationMs;
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -34,6 +34,7 @@
 import * as progressWriter from './progressWriter.js';
 import * as recordFeed from './recordFeed.js';
 import * as runControl from './runControl.js';
+import * as speedRecorder from './speed/speedRecorder.js';
 import * as storedRecordReader from './storedRecordReader.js';
 
 /** Limits of the deployment that apply to the leader. */
@@ -62,6 +63,8 @@
   readonly doneRuns: doneRuns.DoneRuns;
   /** Another process leads or changed a record: the term is over. */
   readonly onDidConflict: (reason: string) => void;
+  /** Whether it learns how fast its workers are; otherwise they count as equal. */
+  readonly learnsSpeeds: boolean;
   /** Absent where zones are never evacuated. */
   readonly evacuation?: evacuationFeed.EvacuationLimits;
   /** Requests from the policy service which workers may run a step. */
@@ -108,6 +111,10 @@
   const workers = new Map<string, workerTable.WorkerEntry>();
   const checkpointedJobs = new Set<string>();
   const estimates = runtimeEstimates.createRuntimeEstimates();
+  const leaderFence = fences.firstFence(term.epoch);
+  const speeds = options.learnsSpeeds
+    ? speedRecorder.createSpeedRecorder({ clock: time, log, metrics, workers, leaderFence })
+    : speedRecorder.EQUAL_SPEEDS;
   const startedAtMs = time.monotonicMs();
   const previousLeasesExpireAtMs =
     startedAtMs + leaseClock.previousLeasesExpiryMs(options.limits.maxLeaseMs);
@@ -169,6 +176,7 @@
     previousLeasesExpireAtMs,
     doneRuns: options.doneRuns,
     estimates,
+    speeds,
     save: writer.save,
     whenStored: writer.whenStored,
     onDidCheckpoint: (jobId) => checkpointedJobs.add(jobId),
@@ -190,6 +198,7 @@
     registry,
     workers,
     estimates,
+    speeds,
     remoteFactor: options.limits.remoteFactor,
     control: () => control,
     orderSender: () => sender,
@@ -222,6 +231,8 @@
     const isFirst = worker.info === undefined && news.worker !== undefined;
     if (isFirst) {
       worker.info = news.worker;
+      if (news.speedRecord !== undefined) speeds.restore(worker, news.speedRecord);
+      speeds.learn();
       adoptRuns(worker);
       driver.schedule();
     }
@@ -237,12 +248,13 @@
       workerTable.createWorkerEntry(
         agentId,
         url,
-        fences.firstFence(term.epoch),
+        leaderFence,
         nowMs(),
         previousLeasesExpireAtMs,
         evacuated.zones,
       ),
     grantMs,
+    speedRecordOf: speeds.recordOf,
     onUpdate: applyUpdate,
   });
 
@@ -331,6 +343,7 @@
     control.inspect();
     storeCheckpoints();
     control.declareLost();
+    speeds.learn();
     agents.removeGone();
     reportEvacuations();
     driver.schedule();
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -31,7 +31,9 @@
 import * as openOrderRecorder from './openOrderRecorder.js';
 import type * as orderSender from './orderSender.js';
 import * as orderResultHandler from './orderResultHandler.js';
+import * as runAdoption from './runAdoption.js';
 import * as runInspection from './runInspection.js';
+import type * as speedRecorder from './speed/speedRecorder.js';
 import * as workerInfoHandler from './workerInfoHandler.js';
 
 /** Dependencies of run control. */
@@ -50,6 +52,7 @@
   readonly previousLeasesExpireAtMs: number;
   /** Runtime estimates, updated from completed runs. */
   readonly estimates: runtimeEstimates.RuntimeEstimates;
+  readonly speeds: speedRecorder.SpeedRecorder;
   readonly doneRuns: doneRuns.DoneRuns;
   /** Stores a job's progress; settled once it is stored. */
   readonly save: (jobId: string) => Promise<void>;
@@ -72,12 +75,7 @@
   readonly applyOrderResults: (settled: orderSender.SettledOrders) => void;
   /** Applies completed runs that this process received in an earlier term and could not store. */
   readonly applyDoneRuns: () => void;
-  /** Registers a run that a previous leader ordered; the worker's next report shows whether it exists. */
-  readonly adoptAssigned: (
-    worker: workerTable.WorkerEntry,
-    entry: jobState.JobEntry,
-    task: jobState.TaskEntry,
-  ) => void;
+  readonly adoptAssigned: runAdoption.RunAdoption['adoptAssigned'];
   readonly stopRun: (
     worker: workerTable.WorkerEntry,
     run: workerTable.ActiveRun,
@@ -225,29 +223,11 @@
     return end.how === 'done' ? trackUntilStored(end, stored) : stored;
   };
 
-  const adoptUnknownRun = (
-    worker: workerTable.WorkerEntry,
-    listed: poolWorker.RunningTask,
-  ): void => {
-    const known = findTask(listed.task);
-    if (known === undefined) {
-      log('error', 'unknownTaskRuns', { task: listed.task, agent: worker.agentId });
-      return;
-    }
-    const run = {
-      ...workerTable.createActiveRun(
-        known.entry,
-        known.task,
-        workerTable.RunPhase.present,
-        nowMs(),
-      ),
-      run: listed.run,
-      percent: listed.percent,
-      saved: listed.saved,
-    };
-    worker.runs.set(poolWorker.runKey(run.name, run.run), run);
-    if (!runState.isWanted(run)) stopRun(worker, run, 'notWanted');
-  };
+  const { adoptAssigned, adoptUnknown } = runAdoption.createRunAdoption({
+    ...options,
+    findTask,
+    stopRun,
+  });
 
   const recordCheckpoint = (run: workerTable.ActiveRun): void => {
     if (!runState.isWanted(run)) return;
@@ -297,11 +277,12 @@
     };
     const facts = reportReconciliation.applyReport(worker, { view, viewFence }, nowMs());
     facts.saved.forEach(recordCheckpoint);
+    options.speeds.recordRuns(worker, facts.timed, facts.done);
     recorder.recordRuntimes(worker, facts.done);
     const stored = acknowledge(worker, facts.ends);
     facts.gone.forEach((run) => markLost(run, causeOfLoss(run)));
     facts.missing.forEach((run) => markClosing(worker, run));
-    if (isNewer) facts.unknownRuns.forEach((listed) => adoptUnknownRun(worker, listed));
+    if (isNewer) facts.unknownRuns.forEach((listed) => adoptUnknown(worker, listed));
     for (const run of worker.runs.values()) {
       const isStale =
         run.phase === workerTable.RunPhase.present &&
@@ -341,6 +322,7 @@
     crashes.recordUpdate(worker, news, receivedAtMs);
     const wasDraining = workerTable.isDraining(worker);
     applyInfo(worker, news.worker);
+    if (news.speedRecord !== undefined) options.speeds.restore(worker, news.speedRecord);
     const stored = applyReport(worker, news, receivedAtMs);
     worker.isReachable = worker.sample !== undefined && news.viewAgeMs <= MAX_VIEW_AGE_MS;
     const hasDeparted =
@@ -385,15 +367,7 @@
       if (news !== undefined) void applyUpdate(worker, news, receivedAtMs);
       settled.stops.forEach((it) => orderResults.handleStop(settled, it));
     },
-    adoptAssigned: (worker, entry, task) => {
-      const run = workerTable.createActiveRun(entry, task, workerTable.RunPhase.closing, nowMs());
-      workerTable.restoreStartTime(run, options.estimates, {
-        nowMs: nowMs(),
-        wallMs: time.wallMs(),
-      });
-      run.closeFence = worker.fence;
-      worker.runs.set(poolWorker.runKey(run.name, run.run), run);
-    },
+    adoptAssigned,
     declareLost: detector.declareLost,
     repeatStops,
   };
--- a/src/platform/bootSettings.ts
+++ b/src/platform/bootSettings.ts
@@ -15,6 +15,12 @@
 /** Environment variable with the path of the settings file. */
 const PATH_VARIABLE = 'AUBURNLIFT_BOOT';
 
+/** Environment variable of the deploy file that switches the learning of workers' speeds. */
+const SPEEDS_VARIABLE = 'AUBURNLIFT_WORKER_SPEEDS';
+
+/** Values of {@link SPEEDS_VARIABLE}, and whether speeds are learnt with them; without the variable they are. */
+const LEARNS_SPEEDS: Readonly<Record<string, boolean>> = { learn: true, equal: false };
+
 const AddressText = Schema.String.check(
   Schema.isPattern(/^[0-9.]+:\d{1,5}$/, { expected: 'ip:port' }),
 );
@@ -94,7 +100,23 @@
   port: file.port_range[0] + PORT_OFFSETS[program],
 });
 
-const toSettings = (file: BootFile, program: PoolProgram): poolSettings.PoolSettings => ({
+const parseSpeedsVariable = (text = 'learn'): boolean => {
+  const learns = LEARNS_SPEEDS[text];
+  if (learns !== undefined) return learns;
+  const names = Object.keys(LEARNS_SPEEDS).join(' or ');
+  throw errors.fail('invalidRequest', `${SPEEDS_VARIABLE} must be ${names}, not "${text}"`, {
+    field: SPEEDS_VARIABLE,
+  });
+};
+
+/** Environment of a process. */
+type Environment = Readonly<Record<string, string | undefined>>;
+
+const toSettings = (
+  file: BootFile,
+  program: PoolProgram,
+  environment: Environment,
+): poolSettings.PoolSettings => ({
   nodeId: file.node,
   zone: file.zone,
   region: file.region,
@@ -117,6 +139,7 @@
   maxAcknowledgementMs: file.bounds.ack_ms ?? 0,
   gangStartTimeoutMs: file.bounds.gang_ms,
   ...(file.bounds.evacuate_ms === undefined ? {} : { maxEvacuationMs: file.bounds.evacuate_ms }),
+  learnsWorkerSpeeds: parseSpeedsVariable(environment[SPEEDS_VARIABLE]),
   minStoreLeaseMs: file.platform.ttl_min_ms,
 });
 
@@ -124,13 +147,15 @@
  * @param text - content of the settings file
  * @param path - its path, for error messages
  * @param program - which program reads it
+ * @param environment - the process's environment variables
  * @returns the program's settings
- * @throws AuburnliftError `invalidRequest` that names the file and the field
+ * @throws AuburnliftError `invalidRequest` that names the file, or the variable, and the field
  */
 export const parseBootSettings = (
   text: string,
   path: string,
   program: PoolProgram,
+  environment: Environment = {},
 ): poolSettings.PoolSettings => {
   let parsed: unknown;
   try {
@@ -139,7 +164,7 @@
     throw errors.fail('invalidRequest', `${path}: not TOML: ${errors.normalize(thrown).message}`);
   }
   const file = schemaIssues.decodeOrFail(BootFile, parsed, path, schemaIssues.Excess.ignore);
-  return toSettings(file, program);
+  return toSettings(file, program, environment);
 };
 
 /**
@@ -169,5 +194,5 @@
   } catch (thrown) {
     throw errors.fail('invalidRequest', `${path}: ${errors.normalize(thrown).message}`);
   }
-  return parseBootSettings(text, path, program);
+  return parseBootSettings(text, path, program, process.env);
 };
--- a/src/platform/test/decoding.test.ts
+++ b/src/platform/test/decoding.test.ts
@@ -96,6 +96,24 @@
     ['text that is not TOML', '= = =', /local\.toml: not TOML/],
   ];
   for (const [name, text, expected] of BROKEN) {
+    const SPEEDS: readonly [value: string | undefined, learns: boolean | undefined][] = [
+      [undefined, true],
+      ['learn', true],
+      ['equal', false],
+      ['off', undefined],
+      ['', undefined],
+    ];
+    for (const [value, learns] of SPEEDS) {
+      test.it(`AUBURNLIFT_WORKER_SPEEDS = ${value ?? '(unset)'}`, () => {
+        const parse = (): boolean =>
+          bootSettings.parseBootSettings(SETTINGS, 'f', 'scheduler', {
+            AUBURNLIFT_WORKER_SPEEDS: value,
+          }).learnsWorkerSpeeds;
+        if (learns === undefined) assert.throws(parse, /AUBURNLIFT_WORKER_SPEEDS must be/);
+        else assert.equal(parse(), learns);
+      });
+    }
+
     test.it(`${name} is reported with file and field`, () => {
       const message = messageOf(() => bootSettings.parseBootSettings(text, 'local.toml', 'agent'));
       assert.match(message, expected);
--- a/src/programs/poolScheduler.ts
+++ b/src/programs/poolScheduler.ts
@@ -154,6 +154,7 @@
             statusMs: settings.statusRetentionMs,
             remoteFactor: settings.remoteFactor,
           },
+          learnsSpeeds: settings.learnsWorkerSpeeds,
           configuration: () => feed.current()?.configuration,
           ...evacuationOf(settings),
           askAdvice: adviceClient.createAdviceClient({
--- a/src/standins/test/poolHarness.ts
+++ b/src/standins/test/poolHarness.ts
@@ -38,6 +38,7 @@
 /** A worker with its agent and the link between leader and agent. */
 export interface Site {
   readonly worker: memoryPoolWorker.MemoryPoolWorker;
+  readonly agent: poolAgent.PoolAgent;
   /** Cuts the link between leaders and the agent. */
   isCut: boolean;
   /** How long orders of leaders take to reach the agent. */
@@ -99,6 +100,8 @@
   readonly jobs?: readonly poolJob.PoolJob[];
   readonly log?: logging.Log;
   readonly seed?: number;
+  /** Whether leaders learn how fast workers are; they do by default. */
+  readonly learnsSpeeds?: boolean;
   /** Answers for the policy service, on the clock of the pool. */
   readonly askAdvice?: (
     ...asked: [...Parameters<ticketCache.TicketCacheOptions['ask']>, clock.Clock]
@@ -302,6 +305,7 @@
             statusMs: 120_000,
             remoteFactor: 3,
           },
+          learnsSpeeds: options.learnsSpeeds ?? true,
           configuration: () => configuration,
           evacuation: {
             prefix: EVACUATIONS_PREFIX,
--- a/src/state/common/pool/agentContract.ts
+++ b/src/state/common/pool/agentContract.ts
@@ -25,6 +25,8 @@
   /** Version of the worker state that the leader has; the answer waits for a later one. */
   knownVersion: units.Count,
   waitMs: units.DurationMs,
+  /** The agent keeps it for the next leader, as it is; absent where it has not changed. */
+  speedRecord: Schema.optionalKey(Schema.String),
 });
 
 /** See {@link SyncRequest}. */
@@ -84,6 +86,8 @@
   openStarts: Schema.optionalKey(Schema.Array(OpenStart)),
   /** Recent former incarnations, the same ones repeatedly; absent where there are none. */
   formerIncarnations: Schema.optionalKey(Schema.Array(FormerIncarnation)),
+  /** What an earlier leader had learnt of the worker's speed; absent where there is none. */
+  speedRecord: Schema.optionalKey(Schema.String),
 });
 
 /** See {@link WorkerUpdate}. */
--- a/src/state/common/pool/poolSettings.ts
+++ b/src/state/common/pool/poolSettings.ts
@@ -45,6 +45,8 @@
   readonly gangStartTimeoutMs: number;
   /** Nothing starts in a zone later than this after its evacuation; absent where zones are never evacuated. */
   readonly maxEvacuationMs?: number;
+  /** Whether the leader learns how fast workers are; otherwise all count as equal. */
+  readonly learnsWorkerSpeeds: boolean;
   /** Shortest lease that the store grants. */
   readonly minStoreLeaseMs: number;
 }
--- a/tools/mechanismList.js
+++ b/tools/mechanismList.js
@@ -80,7 +80,12 @@
     'a.left - b.left',
     '0',
   ],
-  ['straggler detection', `${POOL}/stragglers.js`, 'runPace.isStraggler(it.run.pace)', 'false'],
+  [
+    'straggler detection',
+    `${POOL}/stragglers.js`,
+    'runPace.isStraggler(run.pace, speedFactorOf(worker))',
+    'false',
+  ],
   [
     'suspicion of workers',
     `${POOL}/workerSuspicion.js`,
