Keep the times of runs in fixed memory, and learn less often on large fleets

Cause: the runs of 670 workers took 3.3 MB as objects with their names, and learning them 11.5 ms once a second. Change: hashes and logarithms in fixed arrays; the precision of a step is summed once; the period grows by 5 ms a worker.

--- a/src/coordination/common/pool/speed/speedModel.ts
+++ b/src/coordination/common/pool/speed/speedModel.ts
@@ -10,7 +10,7 @@
 /** How long one task took on one worker, in logarithms. */
 export interface TimedTask {
   /** Identifies the step of one occurrence. */
-  readonly stepKey: string;
+  readonly stepKey: number;
   /** Logarithm of its time in milliseconds, converted to local data. */
   readonly logTime: number;
   /** Logarithm of its time as expected on a worker of mean speed. */
@@ -61,6 +61,9 @@
 /** Degrees of freedom of the noise: few, for a heavy tail. */
 const TAIL = 4;
 
+/** Least weight of a task, so that its inverse is finite. */
+const MIN_WEIGHT = 1e-3;
+
 /** Rounds over steps and workers; each starts from the estimates of the last solution, which changes little. */
 const ROUNDS = 5;
 
@@ -70,7 +73,7 @@
 /** Mutable state of one solution. */
 interface Draft {
   readonly workers: ReadonlyMap<string, DraftWorker>;
-  readonly steps: ReadonlyMap<string, DraftStep>;
+  readonly steps: ReadonlyMap<number, DraftStep>;
 }
 
 interface DraftWorker {
@@ -91,6 +94,8 @@
   readonly tasks: DraftTask[];
   logExpected: number;
   logWork: number;
+  /** Of the work, with the declared one. */
+  precision: number;
 }
 
 const createDraft = (
@@ -98,14 +103,14 @@
   known: ReadonlyMap<string, SpeedEstimate>,
 ): Draft & { readonly tasksByWorker: ReadonlyMap<DraftWorker, readonly DraftTask[]> } => {
   const workers = new Map<string, DraftWorker>();
-  const steps = new Map<string, DraftStep>();
+  const steps = new Map<number, DraftStep>();
   const tasksByWorker = new Map<DraftWorker, DraftTask[]>();
   for (const [id, its] of observed) {
     const logFactor = (known.get(id) ?? its.earlier)?.logFactor ?? 0;
     const worker: DraftWorker = { id, observed: its, logFactor, precision: 0 };
     const tasks: DraftTask[] = [];
     for (const { stepKey, logTime, logExpected } of its.tasks) {
-      const step = steps.get(stepKey) ?? { tasks: [], logExpected: 0, logWork: 0 };
+      const step = steps.get(stepKey) ?? { tasks: [], logExpected: 0, logWork: 0, precision: 0 };
       const task = { worker, step, logTime, weight: 1 };
       step.logExpected += (logExpected - step.logExpected) / (step.tasks.length + 1);
       step.tasks.push(task);
@@ -137,15 +142,14 @@
       precision += weight;
     }
     step.logWork = sum / precision;
+    step.precision = precision;
   }
 };
 
 /** What a task tells of its worker; less, the fewer others tell of its step's work. */
 const precisionOfTask = ({ step, weight }: DraftTask, spread: Spread): number => {
-  let others = 1 / spread.ofSteps;
-  for (const it of step.tasks) others += it.weight / spread.ofTasks;
-  others -= weight / spread.ofTasks;
-  return 1 / (spread.ofTasks / Math.max(weight, 1e-3) + 1 / others);
+  const others = step.precision - weight / spread.ofTasks;
+  return 1 / (spread.ofTasks / Math.max(weight, MIN_WEIGHT) + 1 / others);
 };
 
 const fitWorkers = (
--- a/src/coordination/common/pool/speed/workerSpeeds.ts
+++ b/src/coordination/common/pool/speed/workerSpeeds.ts
@@ -4,6 +4,7 @@
  * Workers of one pool may differ in speed by a factor of two or more, and nothing that they say of themselves tells so.
  * An urgent job that is owed in one and a half times its work can't be in time on a worker that takes twice as long.
  */
+import * as runHistory from './runHistory.js';
 import * as speedModel from './speedModel.js';
 
 /** How long one run takes on its worker. */
@@ -51,9 +52,6 @@
   readonly learn: (workerKeys: ReadonlySet<string>) => boolean;
 }
 
-/** Runs remembered of each worker: enough for an error of a tenth, few enough for 670 workers in under a megabyte. */
-const MAX_RUNS = 12;
-
 /** A factor counts as different from 1 if it is beyond this many standard deviations of its estimate. */
 const MIN_DEVIATIONS = 1;
 
@@ -70,13 +68,15 @@
 const MIN_MEAN_RUNS = 2;
 
 interface Observations {
-  readonly tasks: Map<string, speedModel.TimedTask>;
+  readonly history: runHistory.RunHistory;
   earlier: speedModel.SpeedEstimate | undefined;
 }
 
 /** What a previous leader learnt counts like the runs that it takes to learn it. */
-const countRuns = ({ tasks, earlier }: Observations): number =>
-  earlier === undefined ? tasks.size : Math.max(tasks.size, MIN_MEAN_RUNS);
+const countRuns = ({ history, earlier }: Observations): number => {
+  const runs = runHistory.countRuns(history);
+  return earlier === undefined ? runs : Math.max(runs, MIN_MEAN_RUNS);
+};
 
 /** Whether the pool's workers certainly differ by more than its urgent work can bear. */
 const doWorkersDiffer = (
@@ -105,20 +105,24 @@
   let hasNews = false;
 
   const observationsOf = (workerKey: string): Observations => {
-    const known = observed.get(workerKey) ?? { tasks: new Map(), earlier: undefined };
+    const known = observed.get(workerKey) ?? {
+      history: runHistory.createRunHistory(),
+      earlier: undefined,
+    };
     observed.set(workerKey, known);
     return known;
   };
 
+  const observedRunsOf = (workerKey: string): number => {
+    const history = observed.get(workerKey)?.history;
+    return history === undefined ? 0 : runHistory.countRuns(history);
+  };
+
   return {
     recordRun: (workerKey, { runKey, stepKey, timeMs, expectedMs }) => {
       if (!(timeMs > 0 && expectedMs > 0 && Number.isFinite(timeMs))) return;
-      const { tasks } = observationsOf(workerKey);
-      // A run that is observed again moves to the end, so that the runs that ended longest ago are forgotten first.
-      tasks.delete(runKey);
-      tasks.set(runKey, { stepKey, logTime: Math.log(timeMs), logExpected: Math.log(expectedMs) });
-      const [oldest] = tasks.keys();
-      if (tasks.size > MAX_RUNS && oldest !== undefined) tasks.delete(oldest);
+      const times = { logTime: Math.log(timeMs), logExpected: Math.log(expectedMs) };
+      runHistory.recordRun(observationsOf(workerKey).history, runKey, stepKey, times);
       hasNews = true;
     },
     restore: (workerKey, earlier) => {
@@ -135,9 +139,9 @@
       if (!hasNews) return false;
       hasNews = false;
       const workers = new Map(
-        [...observed].map(([key, { tasks, earlier }]) => [
+        [...observed].map(([key, { history, earlier }]) => [
           key,
-          { tasks: [...tasks.values()], earlier },
+          { tasks: runHistory.tasksOf(history), earlier },
         ]),
       );
       model = speedModel.solve(workers, model);
@@ -147,7 +151,7 @@
         speeds.set(key, {
           factor: isUnequal ? factorOf(estimate) : 1,
           trust: Math.max(0, 1 - estimate.variance / model.spread.ofWorkers),
-          observedRuns: observed.get(key)?.tasks.size ?? 0,
+          observedRuns: observedRunsOf(key),
         });
       }
       return true;
--- a/src/coordination/node/pool/speed/speedRecorder.ts
+++ b/src/coordination/node/pool/speed/speedRecorder.ts
@@ -38,7 +38,7 @@
     timed: readonly workerTable.ActiveRun[],
     done: readonly workerTable.ActiveRun[],
   ) => void;
-  /** Learns from what was recorded: at once from an earlier leader's records, and from runs every second. */
+  /** Learns from what was recorded: at once from an earlier leader's records, and from runs every few seconds. */
   readonly learn: () => void;
   /** @returns what the worker's agent keeps for the next leader; undefined before anything is known */
   readonly recordOf: (worker: workerTable.WorkerEntry) => string | undefined;
@@ -56,8 +56,11 @@
   restore: () => undefined,
 };
 
-/** Learning 670 workers takes some milliseconds; a task takes seconds. */
-const LEARN_PERIOD_MS = 1000;
+/** A task takes seconds, so that learning more often shows nothing new. */
+const MIN_LEARN_PERIOD_MS = 1000;
+
+/** Learning takes a time that grows with the workers: with this, a quarter of a per cent of a core at most. */
+const LEARN_PERIOD_PER_WORKER_MS = 5;
 
 /** Shorter times are as much those of the orders as of the tasks. */
 const MIN_TIMED_MS = 500;
@@ -161,7 +164,8 @@
     },
     learn: () => {
       const nowMs = options.clock.monotonicMs();
-      if (!hasRestored && nowMs - learntAtMs < LEARN_PERIOD_MS) return;
+      const periodMs = Math.max(MIN_LEARN_PERIOD_MS, LEARN_PERIOD_PER_WORKER_MS * workers.size);
+      if (!hasRestored && nowMs - learntAtMs < periodMs) return;
       hasRestored = false;
       learntAtMs = nowMs;
       const keys = new Map<string, workerTable.WorkerEntry>();
