--- a/src/coordination/common/pool/speed/workerSpeeds.ts
+++ b/src/coordination/common/pool/speed/workerSpeeds.ts
@@ -65,7 +65,7 @@
 const MIN_POOL_VARIANCE = 0.09;
 
 /** Below this mean number of runs a worker, slow workers can't be told from tasks that take long. */
-const MIN_MEAN_RUNS = 2;
+const MIN_MEAN_RUNS = 1.5;
 
 interface Observations {
   readonly history: runHistory.RunHistory;
