Time a run from the last report before it made progress

Cause: the first report with progress served as the base only, so that a run was first timed a report later, most of a second, while urgent gangs of the first seconds met slow workers. The report of a start, taken with the order, tells the base: work began between it and the next one.

--- a/src/coordination/common/pool/speed/runTiming.ts
+++ b/src/coordination/common/pool/speed/runTiming.ts
@@ -8,8 +8,9 @@
 
 /** Progress of a run since the report from which it is timed. */
 export interface RunTiming {
-  /** Report from which it is timed; undefined before it has made any progress. */
+  /** Report from which it is timed: the last one without progress, or else the first one with some. */
   from: ProgressSample | undefined;
+  /** The last report with progress since then. */
   latest: ProgressSample | undefined;
 }
 
@@ -47,19 +48,22 @@
  */
 export const recordSample = (timing: RunTiming, sample: ProgressSample): number | undefined => {
   const { from, latest } = timing;
-  if (sample.percent <= 0 || sample.percent >= runPace.DONE_PERCENT) return undefined;
-  if (latest !== undefined && sample.clockMs <= latest.clockMs) return undefined;
+  const before = latest ?? from;
+  if (sample.percent >= runPace.DONE_PERCENT) return undefined;
+  if (before !== undefined && sample.clockMs <= before.clockMs) return undefined;
   const goesOn =
-    from !== undefined && latest !== undefined && sample.percent >= latest.percent
-      ? !stoodStill(latest, sample)
-      : false;
+    before !== undefined &&
+    sample.percent > 0 &&
+    sample.percent >= before.percent &&
+    !stoodStill(before, sample);
   if (!goesOn) {
     timing.from = sample;
-    timing.latest = sample;
+    timing.latest = undefined;
     return undefined;
   }
-  if (sample.percent > (latest?.percent ?? 0)) timing.latest = sample;
+  if (sample.percent === before.percent) return undefined;
+  timing.latest = sample;
   const madePercent = sample.percent - (from?.percent ?? 0);
-  if (madePercent < MIN_PERCENT || sample !== timing.latest) return undefined;
+  if (madePercent < MIN_PERCENT) return undefined;
   return ((sample.clockMs - (from?.clockMs ?? 0)) * runPace.DONE_PERCENT) / madePercent;
 };
--- a/src/coordination/common/pool/speed/test/runTiming.test.ts
+++ b/src/coordination/common/pool/speed/test/runTiming.test.ts
@@ -24,6 +24,14 @@
     ],
     timedMs: 5000,
   },
+  {
+    name: 'a run is timed from the last report before it made progress',
+    samples: [
+      [100, 0],
+      [1000, 45],
+    ],
+    timedMs: 2000,
+  },
   {
     name: 'little progress says nothing yet',
     samples: [
