Compare workers with those of their own service only, and resume times from the settings

Cause: one leader serves all pools, and its recorder compared the workers of all services with each other, by declared work alone: a service whose work is declared too short made all its workers look slow. And a stop was counted as a loss of 250 ms for work that saves itself, while the settings tell 100 to 600 (restore_ms). Change: an estimator for each service, the metrics labelled by it; restoreMs from the settings, 250 where they are silent. The weight of a task is written as the fraction that it is; same value.

--- a/src/bench/saturation/mixes.ts
+++ b/src/bench/saturation/mixes.ts
@@ -57,6 +57,8 @@
   /** Slowdown of a task that is remote from its data or its rack. */
   readonly remoteFactor: number;
   readonly stopMs: number;
+  /** Time to resume from a checkpoint. */
+  readonly restoreMs: number;
 }
 
 const MIXED_ACCELERATORS = [1, 2, 4, 8, 8];
@@ -144,6 +146,7 @@
   checkpointMs: 2000,
   remoteFactor: 3,
   stopMs: 300,
+  restoreMs: 250,
   kinds: [PLACEMENT_PLAN, PUMP_ROUTE, CREW_ROSTER],
 };
 
--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -149,7 +149,7 @@
     const heldMs = events.nowMs() - replayedRun.startedAtMs;
     usedCoreMs += heldMs * planRound.weightInCores(run.step.resources);
     if (isLost) {
-      const lostMs = planWorker.workLostByStopMs(run.step, heldMs);
+      const lostMs = planWorker.workLostByStopMs(run.step, heldMs, mix.restoreMs);
       wastedCoreMs += lostMs * planRound.weightInCores(run.step.resources);
     }
     const isSaved = how === 'stopped' && run.step.isCheckpointing;
@@ -319,6 +319,7 @@
       boundMsOf: () => 0,
       remainingMsOf: cautiousRemainingMsOf,
       speedFactorOf: speeds.factorOf,
+      restoreMs: mix.restoreMs,
     };
     const planWorkers = workers
       .map((it) => planWorker.toPlanWorker(it, times))
--- a/src/coordination/common/pool/planWorker.ts
+++ b/src/coordination/common/pool/planWorker.ts
@@ -9,18 +9,16 @@
 import * as workerTable from './workerTable.js';
 
 /**
- * Work that a checkpointing task loses by a stop, which saves a checkpoint: the time to resume from it.
- * Counted from its last checkpoint instead, its loss looked as high as that of a task that loses everything.
- */
-const RESTORE_MS = 250;
-
-/**
+ * A checkpointing task saves a checkpoint by a stop and loses the time to resume from it. Counted from its last
+ * checkpoint instead, its loss looked as high as that of a task that loses everything.
+ *
  * @param step - step of a run
  * @param heldMs - how long it has run
+ * @param restoreMs - time to resume from a checkpoint
  * @returns work that a stop loses
  */
-export const workLostByStopMs = (step: poolJob.Step, heldMs: number): number =>
-  step.isCheckpointing ? Math.min(RESTORE_MS, heldMs) : heldMs;
+export const workLostByStopMs = (step: poolJob.Step, heldMs: number, restoreMs: number): number =>
+  step.isCheckpointing ? Math.min(restoreMs, heldMs) : heldMs;
 
 /** Times that a planning round considers for runs. */
 export interface AllocationTimes {
@@ -32,11 +30,13 @@
   readonly remainingMsOf: (run: workerTable.ActiveRun) => number;
   /** Time of a task on a worker relative to one of mean speed. */
   readonly speedFactorOf: (worker: workerTable.WorkerEntry) => number;
+  /** Time to resume from a checkpoint. */
+  readonly restoreMs: number;
 }
 
 const toAllocation = (
   run: workerTable.ActiveRun,
-  { nowMs, boundMsOf, remainingMsOf }: AllocationTimes,
+  { nowMs, boundMsOf, remainingMsOf, restoreMs }: AllocationTimes,
 ): planTypes.Allocation => ({
   jobId: run.entry.job.jobId,
   task: run.name,
@@ -51,7 +51,7 @@
   isProtected: run.step.maxUnavailable !== undefined || crashAttribution.isLimited(run.task),
   preemptions: run.entry.preemptions,
   isCheckpointing: run.step.isCheckpointing,
-  unsavedMs: workLostByStopMs(run.step, nowMs - run.startedAtMs),
+  unsavedMs: workLostByStopMs(run.step, nowMs - run.startedAtMs, restoreMs),
   boundMs: boundMsOf(run.task),
   remainingMs: remainingMsOf(run),
 });
--- a/src/coordination/common/pool/speed/speedModel.ts
+++ b/src/coordination/common/pool/speed/speedModel.ts
@@ -129,7 +129,7 @@
 
 /** Weight of a task by how far it is from what its step and its worker make expect; 1 where it fits. */
 const weightOf = (residual: number, variance: number): number =>
-  (TAIL + 1) / (TAIL + (residual * residual) / variance) / ((TAIL + 1) / TAIL);
+  TAIL / (TAIL + (residual * residual) / variance);
 
 const fitSteps = (steps: Iterable<DraftStep>, spread: Spread): void => {
   for (const step of steps) {
--- a/src/coordination/common/pool/test/workerTable.test.ts
+++ b/src/coordination/common/pool/test/workerTable.test.ts
@@ -22,6 +22,7 @@
   boundMsOf: () => 0,
   remainingMsOf: () => 0,
   speedFactorOf: () => 1,
+  restoreMs: 250,
 };
 
 const createWorker = (): workerTable.WorkerEntry => {
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -40,6 +40,8 @@
   readonly speeds: speedRecorder.SpeedRecorder;
   /** Factor by which a task takes longer away from its data or its rack. */
   readonly remoteFactor: number;
+  /** Time that a task takes to resume from a checkpoint. */
+  readonly restoreMs: number;
   readonly control: () => runControl.RunControl;
   readonly orderSender: () => orderSender.OrderSender;
   /** Stores a job's progress; settled once it is stored. */
@@ -264,6 +266,7 @@
       boundMsOf: (task) => startPlaces.boundMs(workers, task, now),
       remainingMsOf: progress.cautiousRemainingMsOf,
       speedFactorOf: options.speeds.factorOf,
+      restoreMs: options.restoreMs,
     };
     const planWorkers = [...workers.values()]
       .map((it) => planWorker.toPlanWorker(it, times))
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -47,6 +47,8 @@
   readonly statusMs: number;
   /** Factor by which a task takes longer away from its data or its rack. */
   readonly remoteFactor: number;
+  /** Time that a task takes to resume from a checkpoint. */
+  readonly restoreMs: number;
 }
 
 /** Dependencies of a leader. */
@@ -200,6 +202,7 @@
     estimates,
     speeds,
     remoteFactor: options.limits.remoteFactor,
+    restoreMs: options.limits.restoreMs,
     control: () => control,
     orderSender: () => sender,
     save: writer.save,
--- a/src/coordination/node/pool/speed/speedRecorder.ts
+++ b/src/coordination/node/pool/speed/speedRecorder.ts
@@ -71,8 +71,8 @@
 /** A worker with a higher factor counts as slow in the metrics: urgent work is late there or nearly so. */
 const SLOW_FACTOR = 1.25;
 
-const keyOf = ({ info }: workerTable.WorkerEntry): string | undefined =>
-  info === undefined ? undefined : `${info.workerId} ${info.incarnationMs}`;
+const keyOf = ({ workerId, incarnationMs }: poolWorker.WorkerInfo): string =>
+  `${workerId} ${incarnationMs}`;
 
 const roundTo = (value: number, digits: number): number => Number(value.toFixed(digits));
 
@@ -89,15 +89,22 @@
  */
 export const createSpeedRecorder = (options: SpeedRecorderOptions): SpeedRecorder => {
   const { log, metrics, workers } = options;
-  const speeds = workerSpeeds.createWorkerSpeeds();
+  /** Workers of one service run the same work and are compared with each other only. */
+  const speedsByService = new Map<string, workerSpeeds.WorkerSpeeds>();
   const loggedFactors = new Map<string, number>();
   const keptTexts = new Map<string, string>();
   let learntAtMs = -Infinity;
   let hasRestored = false;
 
+  const speedsOf = (service: string): workerSpeeds.WorkerSpeeds => {
+    const known = speedsByService.get(service) ?? workerSpeeds.createWorkerSpeeds();
+    speedsByService.set(service, known);
+    return known;
+  };
+
   const factorOf = (worker: workerTable.WorkerEntry): number => {
-    const key = keyOf(worker);
-    return key === undefined ? 1 : speeds.speedOf(key).factor;
+    const { info } = worker;
+    return info === undefined ? 1 : speedsOf(info.service).speedOf(keyOf(info)).factor;
   };
 
   const recordRun = (
@@ -105,9 +112,9 @@
     run: workerTable.ActiveRun,
     timeMs: number,
   ): void => {
-    const key = keyOf(worker);
-    if (key === undefined || timeMs < MIN_TIMED_MS) return;
-    speeds.recordRun(key, {
+    const { info } = worker;
+    if (info === undefined || timeMs < MIN_TIMED_MS) return;
+    speedsOf(info.service).recordRun(keyOf(info), {
       runKey: poolWorker.runKey(run.name, run.run),
       stepKey: run.stepKey,
       timeMs,
@@ -116,29 +123,48 @@
     metrics.count('auburnlift_timed_runs_total');
   };
 
-  const logChange = (worker: workerTable.WorkerEntry, key: string): void => {
-    const { factor, trust, observedRuns } = speeds.speedOf(key);
+  const logChange = (
+    { agentId, info }: workerTable.WorkerEntry,
+    key: string,
+    { factor, trust, observedRuns }: workerSpeeds.WorkerSpeed,
+  ): void => {
     const logged = loggedFactors.get(key) ?? 1;
     if (Math.abs(factor / logged - 1) < LOGGED_CHANGE) return;
     loggedFactors.set(key, factor);
     log('info', 'workerSpeed', {
-      agent: worker.agentId,
-      worker: worker.info?.workerId,
+      agent: agentId,
+      worker: info?.workerId,
       factor: roundTo(factor, 2),
       trust: roundTo(trust, 2),
       observedRuns,
     });
   };
 
-  const report = (keys: ReadonlyMap<string, workerTable.WorkerEntry>): void => {
-    for (const key of loggedFactors.keys()) if (!keys.has(key)) loggedFactors.delete(key);
+  const report = (
+    service: string,
+    speeds: workerSpeeds.WorkerSpeeds,
+    its: ReadonlyMap<string, workerTable.WorkerEntry>,
+  ): void => {
     let slow = 0;
-    for (const [key, worker] of keys) {
-      logChange(worker, key);
-      if (speeds.speedOf(key).factor > SLOW_FACTOR) slow += 1;
+    for (const [key, worker] of its) {
+      const speed = speeds.speedOf(key);
+      logChange(worker, key, speed);
+      if (speed.factor > SLOW_FACTOR) slow += 1;
     }
-    metrics.gauge('auburnlift_slow_workers', slow);
-    metrics.gauge('auburnlift_worker_speed_deviation', roundTo(speeds.deviation(), 3));
+    metrics.gauge('auburnlift_slow_workers', slow, { service });
+    metrics.gauge('auburnlift_worker_speed_deviation', roundTo(speeds.deviation(), 3), { service });
+  };
+
+  const workersByKey = (service: string): ReadonlyMap<string, workerTable.WorkerEntry> =>
+    new Map(
+      [...workers.values()].flatMap((worker): [string, workerTable.WorkerEntry][] =>
+        worker.info?.service === service ? [[keyOf(worker.info), worker]] : [],
+      ),
+    );
+
+  const forgetLogged = (): void => {
+    const keys = new Set([...workers.values()].flatMap(({ info }) => (info ? [keyOf(info)] : [])));
+    for (const key of loggedFactors.keys()) if (!keys.has(key)) loggedFactors.delete(key);
   };
 
   const refuse = (worker: workerTable.WorkerEntry, reason: string): void => {
@@ -168,21 +194,21 @@
       if (!hasRestored && nowMs - learntAtMs < periodMs) return;
       hasRestored = false;
       learntAtMs = nowMs;
-      const keys = new Map<string, workerTable.WorkerEntry>();
-      for (const worker of workers.values()) {
-        const key = keyOf(worker);
-        if (key !== undefined) keys.set(key, worker);
+      forgetLogged();
+      for (const [service, speeds] of speedsByService) {
+        const its = workersByKey(service);
+        if (speeds.learn(new Set(its.keys()))) report(service, speeds, its);
       }
-      if (speeds.learn(new Set(keys.keys()))) report(keys);
     },
     recordOf: (worker) => {
-      const key = keyOf(worker);
-      const estimate = key === undefined ? undefined : speeds.estimateOf(key);
-      if (worker.info === undefined || estimate === undefined) return undefined;
+      const { info } = worker;
+      if (info === undefined) return undefined;
+      const estimate = speedsOf(info.service).estimateOf(keyOf(info));
+      if (estimate === undefined) return undefined;
       return speedRecord.encodeSpeed({
         leaderFence: options.leaderFence,
-        workerId: worker.info.workerId,
-        incarnationMs: worker.info.incarnationMs,
+        workerId: info.workerId,
+        incarnationMs: info.incarnationMs,
         factor: roundTo(Math.exp(estimate.logFactor), 2),
         variance: roundTo(estimate.variance, 3),
       });
@@ -199,12 +225,14 @@
       const { info } = worker;
       const isOfThisLife =
         info?.workerId === record.workerId && info.incarnationMs === record.incarnationMs;
-      const key = keyOf(worker);
-      if (!isOfThisLife || key === undefined) {
+      if (info === undefined || !isOfThisLife) {
         refuse(worker, 'formerIncarnation');
         return;
       }
-      speeds.restore(key, { logFactor: Math.log(record.factor), variance: record.variance });
+      speedsOf(info.service).restore(keyOf(info), {
+        logFactor: Math.log(record.factor),
+        variance: record.variance,
+      });
       hasRestored = true;
     },
   };
--- a/src/platform/bootSettings.ts
+++ b/src/platform/bootSettings.ts
@@ -63,6 +63,8 @@
     /** Time in which the end of a run has to be acknowledged. */
     ack_ms: Schema.optionalKey(Positive),
     gang_ms: Positive,
+    /** Time in which a task resumes from a checkpoint. */
+    restore_ms: Schema.optionalKey(Positive),
     /** Time after which nothing starts in an evacuated zone. */
     evacuate_ms: Schema.optionalKey(Positive),
   }),
@@ -78,6 +80,9 @@
 
 const MS_PER_S = 1000;
 
+/** Where the platform does not tell how long a task takes to resume; the known ones say 100 to 600 ms. */
+const DEFAULT_RESTORE_MS = 250;
+
 /**
  * @param text - `ip:port`
  * @returns the address
@@ -134,6 +139,7 @@
   graceMs: file.bounds.grace_s * MS_PER_S,
   maxLeaseMs: file.bounds.hold_max_ms,
   remoteFactor: Math.max(1, file.bounds.far_x ?? 1),
+  restoreMs: file.bounds.restore_ms ?? DEFAULT_RESTORE_MS,
   statusRetentionMs: file.bounds.status_s * MS_PER_S,
   maxRevocationMs: file.bounds.revoke_ms,
   maxAcknowledgementMs: file.bounds.ack_ms ?? 0,
--- a/src/platform/test/decoding.test.ts
+++ b/src/platform/test/decoding.test.ts
@@ -96,6 +96,16 @@
     ['text that is not TOML', '= = =', /local\.toml: not TOML/],
   ];
   for (const [name, text, expected] of BROKEN) {
+    test.it('reads how long a task takes to resume from a checkpoint', () => {
+      const told = SETTINGS.replace('gang_ms', 'restore_ms = 600\ngang_ms');
+      assert.deepEqual(
+        [told, SETTINGS].map(
+          (it) => bootSettings.parseBootSettings(it, 'f', 'scheduler').restoreMs,
+        ),
+        [600, 250],
+      );
+    });
+
     const SPEEDS: readonly [value: string | undefined, learns: boolean | undefined][] = [
       [undefined, true],
       ['learn', true],
--- a/src/programs/poolScheduler.ts
+++ b/src/programs/poolScheduler.ts
@@ -153,6 +153,7 @@
             maxAcknowledgementMs: settings.maxAcknowledgementMs,
             statusMs: settings.statusRetentionMs,
             remoteFactor: settings.remoteFactor,
+            restoreMs: settings.restoreMs,
           },
           learnsSpeeds: settings.learnsWorkerSpeeds,
           configuration: () => feed.current()?.configuration,
--- a/src/standins/test/poolHarness.ts
+++ b/src/standins/test/poolHarness.ts
@@ -304,6 +304,7 @@
             maxAcknowledgementMs: MAX_ACKNOWLEDGEMENT_MS,
             statusMs: 120_000,
             remoteFactor: 3,
+            restoreMs: 250,
           },
           learnsSpeeds: options.learnsSpeeds ?? true,
           configuration: () => configuration,
--- a/src/state/common/pool/poolSettings.ts
+++ b/src/state/common/pool/poolSettings.ts
@@ -35,6 +35,8 @@
   readonly maxLeaseMs: number;
   /** Factor by which a task takes longer on remote data or when its gang spans racks. */
   readonly remoteFactor: number;
+  /** Time that a task takes to resume from a checkpoint. */
+  readonly restoreMs: number;
   /** A job's state must be available for at least this long after its end. */
   readonly statusRetentionMs: number;
   /** A revoked credential must be refused within this time after its revocation. */
