--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -59,6 +59,10 @@
 /** Share of seeds with low-bandwidth links; drawn from a separate generator, so a seed's faults don't change. */
 const LOW_BANDWIDTH_SHARE = 0.4;
 
+/** Times of a task on a worker relative to its work, one of which each worker has, and how long it keeps it. */
+const WORKER_FACTORS = [0.7, 0.7, 1, 2.4] as const;
+const FACTOR_MS = 12_000;
+
 /** Longest pause between two evacuations, and longest evacuation. */
 const MAX_EVACUATION_GAP_MS = 6000;
 const MAX_EVACUATION_MS = 10_000;
@@ -151,6 +155,20 @@
     }
   };
 
+  // From a generator of their own, so that the faults of a seed don't change.
+  const nextFactor = random.createRandom(options.seed + 5);
+  /** Workers differ in speed, and another one turns slow from time to time: what leaders have learnt is then wrong. */
+  const changeSpeeds = async (): Promise<void> => {
+    for (const { faults: its } of site.workers) {
+      its.slowFactor = random.pick(nextFactor, WORKER_FACTORS);
+    }
+    while (isLoadRunning) {
+      await clock.sleep(time, nextFactor() * FACTOR_MS);
+      const worker = random.pick(nextFactor, site.workers);
+      worker.faults.slowFactor = random.pick(nextFactor, WORKER_FACTORS);
+    }
+  };
+
   const gaps = random.createRandom(options.seed + 2);
   const runLoad = async (act: () => Promise<void>, share: number): Promise<void> => {
     while (isLoadRunning) {
@@ -169,6 +187,7 @@
       runLoad(soakCallers.readAny, 1),
       runLoad(soakCallers.cancelAny, 0.1),
       evacuateZones(),
+      changeSpeeds(),
     ];
     const untilMs = time.monotonicMs() + options.faultsMs;
     while (time.monotonicMs() < untilMs) {
