Share one memoize, one mean and one normal draw

Found in a last reading: ranking the runs brought a third memoize beside those of localityChoice and rpcClient, and the loads for learnt speeds a second normal draw and two more means beside three. One of each stands in base/common now.

--- a/src/base/common/random.ts
+++ b/src/base/common/random.ts
@@ -34,6 +34,19 @@
  */
 export const integerBelow = (random: Random, below: number): number => Math.floor(random() * below);
 
+/** Uniform draws whose sum is nearly normal: the sum of twelve has a variance of one. */
+const DRAWS = 12;
+
+/**
+ * @param random - source of randomness
+ * @returns a nearly normal value with mean 0 and standard deviation 1; never beyond 6 of them
+ */
+export const normal = (random: Random): number => {
+  let sum = 0;
+  for (let draw = 0; draw < DRAWS; draw += 1) sum += random();
+  return sum - DRAWS / 2;
+};
+
 /**
  * @param random - source of randomness
  * @param items - at least one
--- a/src/bench/capacity/slopes.ts
+++ b/src/bench/capacity/slopes.ts
@@ -1,6 +1,7 @@
 /**
  * Fits straight lines to measured points.
  */
+import * as statistics from '../../base/common/statistics.js';
 
 /** One measured point. */
 export interface Point {
@@ -18,9 +19,6 @@
   readonly points: readonly Point[];
 }
 
-const mean = (values: readonly number[]): number =>
-  values.reduce((sum, it) => sum + it, 0) / values.length;
-
 /**
  * Fits a line by least squares.
  *
@@ -28,10 +26,12 @@
  * @returns the line
  */
 export const fitSlope = (points: readonly Point[]): Slope => {
-  const meanSize = mean(points.map((it) => it.size));
-  const meanValue = mean(points.map((it) => it.value));
-  const covariance = mean(points.map((it) => (it.size - meanSize) * (it.value - meanValue)));
-  const variance = mean(points.map((it) => (it.size - meanSize) ** 2));
+  const meanSize = statistics.mean(points.map((it) => it.size));
+  const meanValue = statistics.mean(points.map((it) => it.value));
+  const covariance = statistics.mean(
+    points.map((it) => (it.size - meanSize) * (it.value - meanValue)),
+  );
+  const variance = statistics.mean(points.map((it) => (it.size - meanSize) ** 2));
   const perUnit = variance === 0 ? 0 : covariance / variance;
   const intercept = meanValue - perUnit * meanSize;
   const largest = Math.max(...points.map((it) => Math.abs(it.value)), Number.MIN_VALUE);
--- a/src/bench/saturation/outcomes.ts
+++ b/src/bench/saturation/outcomes.ts
@@ -3,6 +3,7 @@
  * size and customer.
  */
 import * as groupBy from '../../base/common/groupBy.js';
+import * as statistics from '../../base/common/statistics.js';
 import * as jobChain from '../../coordination/common/pool/jobChain.js';
 import * as jobOutcome from '../../coordination/common/pool/jobOutcome.js';
 import * as poolJob from '../../state/common/pool/poolJob.js';
@@ -112,9 +113,6 @@
   return (first + second) / 2;
 };
 
-const mean = (values: readonly number[]): number =>
-  values.reduce((sum, it) => sum + it, 0) / Math.max(1, values.length);
-
 /**
  * @param mix - the user's load
  * @param results - replays of the load
@@ -135,7 +133,7 @@
     byKind: new Map([...byKind].map(([kind, its]) => [kind, shareOf(its)])),
     largest: shareOf(largestOf(credits)),
     worstCustomer: Math.min(...[...byCustomer.values()].map(shareOf)),
-    worstSpans: mean(each.map(worstSpansOf)),
+    worstSpans: statistics.mean(each.map(worstSpansOf)),
     wastedShare: wastedCoreMs / Math.max(1, usedCoreMs),
   };
 };
--- a/src/bench/saturation/workload.ts
+++ b/src/bench/saturation/workload.ts
@@ -28,15 +28,8 @@
 /** Interval of the burst of urgent jobs. */
 const BURST = { fromMs: 8000, untilMs: 14_000 } as const;
 
-/** Draws an approximately drawNormal value as a sum of uniform ones, which is accurate enough for sizes. */
-const drawNormal = (next: random.Random): number => {
-  let sum = 0;
-  for (let draw = 0; draw < 12; draw += 1) sum += next();
-  return sum - 6;
-};
-
 const drawSize = (next: random.Random, { mean, spread, max }: mixes.JobKind['workMs']): number =>
-  Math.min(max, mean * Math.exp(spread * drawNormal(next) - (spread * spread) / 2));
+  Math.min(max, mean * Math.exp(spread * randoms.normal(next) - (spread * spread) / 2));
 
 /** Draws the rack that holds a step's data, if its data is on a single rack. */
 const drawDataRack = (
--- a/src/bench/speedBench.ts
+++ b/src/bench/speedBench.ts
@@ -1,6 +1,8 @@
 /**
  * `npm run bench -- speeds`: the error of learnt speeds of workers against the true ones, and what learning costs.
  */
+import * as statistics from '../base/common/statistics.js';
+
 import * as speedLoads from './speedLoads.js';
 
 const SPREADS: readonly (readonly number[])[] = [
@@ -18,9 +20,6 @@
 
 const figure = (value: number): string => value.toFixed(3).padStart(9);
 
-const meanOf = (values: readonly number[]): number =>
-  values.reduce((sum, it) => sum + it, 0) / values.length;
-
 /**
  * @param print - called with each line of the results
  * @returns a promise that resolves when all results are printed
@@ -40,9 +39,9 @@
             String(workers).padStart(7),
             String(runsPerWorker).padStart(5),
             `  ${factors.join(' ').padEnd(16)}`,
-            figure(meanOf(errors.map((it) => it.logError))),
-            figure(meanOf(errors.map((it) => it.logErrorUnlearnt))),
-            figure(meanOf(errors.map((it) => it.equalShare))),
+            figure(statistics.mean(errors.map((it) => it.logError))),
+            figure(statistics.mean(errors.map((it) => it.logErrorUnlearnt))),
+            figure(statistics.mean(errors.map((it) => it.equalShare))),
             figure(tookMs),
           ].join(' '),
         );
--- a/src/bench/speedLoads.ts
+++ b/src/bench/speedLoads.ts
@@ -2,6 +2,7 @@
  * Generated loads for the estimate of workers' speeds: workers of known factors and the times of their tasks.
  */
 import * as random from '../base/common/random.js';
+import * as statistics from '../base/common/statistics.js';
 import * as workerSpeeds from '../coordination/common/pool/speed/workerSpeeds.js';
 
 /** A pool whose workers' factors are known. */
@@ -23,12 +24,6 @@
 const TAIL_FACTOR = 7;
 const MEAN_WORK_MS = 6000;
 
-const drawNormal = (next: random.Random): number => {
-  let sum = 0;
-  for (let draw = 0; draw < 12; draw += 1) sum += next();
-  return sum - 6;
-};
-
 /** How far the learnt factors are from the true ones. */
 export interface SpeedError {
   /** Square root of the mean square of the logarithm. */
@@ -40,10 +35,7 @@
 }
 
 const rootMeanSquare = (values: readonly number[]): number =>
-  Math.sqrt(values.reduce((sum, it) => sum + it * it, 0) / values.length);
-
-const meanOf = (values: readonly number[]): number =>
-  values.reduce((sum, it) => sum + it, 0) / values.length;
+  Math.sqrt(statistics.mean(values.map((it) => it * it)));
 
 /**
  * @param load - the load
@@ -67,14 +59,14 @@
     if (left === 0) {
       step += 1;
       left = 1 + random.integerBelow(next, 2 * load.tasksPerStep - 1);
-      workMs = MEAN_WORK_MS * Math.exp(0.5 * drawNormal(next));
-      expectedMs = workMs * Math.exp(load.declarationError * drawNormal(next));
+      workMs = MEAN_WORK_MS * Math.exp(0.5 * random.normal(next));
+      expectedMs = workMs * Math.exp(load.declarationError * random.normal(next));
     }
     left -= 1;
     // Each worker gets the same number of tasks, in an order that mixes workers within a step.
     const worker = (run * 7) % load.workers;
     const tail = next() < load.tailShare ? TAIL_FACTOR : 1;
-    const ownMs = workMs * tail * Math.exp(load.unevenness * drawNormal(next));
+    const ownMs = workMs * tail * Math.exp(load.unevenness * random.normal(next));
     speeds.recordRun(`worker-${worker}`, {
       runKey: String(run),
       stepKey: String(step),
@@ -86,7 +78,7 @@
   speeds.learn(ids);
   const learnt = factors.map((_, index) => speeds.speedOf(`worker-${index}`).factor);
   const trueLogs = factors.map(Math.log);
-  const meanLog = meanOf(trueLogs);
+  const meanLog = statistics.mean(trueLogs);
   const errors = learnt.map((it, index) => Math.log(it) - (trueLogs[index] ?? 0) + meanLog);
   return {
     logError: rootMeanSquare(errors),
--- a/src/bench/test/speedLoads.test.ts
+++ b/src/bench/test/speedLoads.test.ts
@@ -5,6 +5,7 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
+import * as statistics from '../../base/common/statistics.js';
 import * as speedLoads from '../speedLoads.js';
 
 const BASE = { tasksPerStep: 6, unevenness: 0.3, declarationError: 0.2, tailShare: 0.03 } as const;
@@ -34,8 +35,8 @@
         const { logError, logErrorUnlearnt } = speedLoads.measureError({ ...BASE, ...load }, seed);
         return logError / logErrorUnlearnt;
       });
-      const mean = shares.reduce((sum, it) => sum + it, 0) / shares.length;
-      assert.ok(mean <= leftShare, `${mean} of the error is left`);
+      const left = statistics.mean(shares);
+      assert.ok(left <= leftShare, `${left} of the error is left`);
     });
   }
 
--- a/src/coordination/common/pool/futurePlacement.ts
+++ b/src/coordination/common/pool/futurePlacement.ts
@@ -3,6 +3,7 @@
  * a guarantee; soonest, for a wide unit that must not starve.
  */
 import * as groupBy from '../../../base/common/groupBy.js';
+import * as memoize from '../../../base/common/memoize.js';
 import * as poolJob from '../../../state/common/pool/poolJob.js';
 import * as gangPlacement from './gangPlacement.js';
 import * as isolation from './isolation.js';
@@ -75,17 +76,6 @@
   readonly candidatesOn: (worker: planTypes.PlanWorker) => readonly Candidate[];
 }
 
-const memoize = <K, V>(compute: (key: K) => V): ((key: K) => V) => {
-  const known = new Map<K, V>();
-  return (key) => {
-    const found = known.get(key);
-    if (found !== undefined) return found;
-    const value = compute(key);
-    known.set(key, value);
-    return value;
-  };
-};
-
 /**
  * All runs of a gang end together, so the cost of one member is that of all. Computed once for all units of a round,
  * which ask for the same groups and workers: for each unit anew, a round of 670 workers took several times as long.
@@ -97,8 +87,10 @@
 export const createGroupCosts = (runs: RunsByGroup, costOf: CostOf): GroupCosts => {
   const add = (sum: number, { allocation }: PlacedRun): number =>
     sum + (allocation.isLeaving ? 0 : (costOf(allocation) ?? Infinity));
-  const of = memoize((groupKey: string): number => (runs.get(groupKey) ?? []).reduce(add, 0));
-  const candidatesOn = memoize((worker: planTypes.PlanWorker): readonly Candidate[] =>
+  const of = memoize.memoize((groupKey: string): number =>
+    (runs.get(groupKey) ?? []).reduce(add, 0),
+  );
+  const candidatesOn = memoize.memoize((worker: planTypes.PlanWorker): readonly Candidate[] =>
     worker.allocations
       .map((allocation) => ({ allocation, cost: of(allocation.groupKey) }))
       .filter(({ cost }) => Number.isFinite(cost))
--- a/src/coordination/common/pool/localityChoice.ts
+++ b/src/coordination/common/pool/localityChoice.ts
@@ -6,6 +6,7 @@
  * can be in time on local workers alone don't use remote ones: in a burst of urgent gangs each of them would occupy its
  * workers for a multiple of its time, still be late, and make others late. They preempt local runs instead.
  */
+import * as memoize from '../../../base/common/memoize.js';
 import * as gangPlacement from './gangPlacement.js';
 import type * as planTypes from './planTypes.js';
 import * as futurePlacement from './futurePlacement.js';
@@ -34,26 +35,17 @@
   readonly findNow: (unit: planTypes.PlanUnit) => planTypes.Placement | undefined;
 }
 
-const memoizeByUnit = <T>(
-  compute: (unit: planTypes.PlanUnit) => T,
-): ((unit: planTypes.PlanUnit) => T) => {
-  const known = new Map<planTypes.PlanUnit, T>();
-  return (unit) => {
-    const found = known.get(unit) ?? compute(unit);
-    known.set(unit, found);
-    return found;
-  };
-};
-
 /**
  * @param input - inputs of the choice
  * @returns the choice; each unit is decided once, by the free capacity at that time
  */
 export const createLocalityChoice = (input: LocalityChoiceInput): LocalityChoice => {
   const { nowMs, workers, runs, waitCosts, remoteFactor, speeds } = input;
-  const candidatesOf = memoizeByUnit((unit) => gangPlacement.candidateGroups(workers, unit));
+  const candidatesOf = memoize.memoize((unit: planTypes.PlanUnit) =>
+    gangPlacement.candidateGroups(workers, unit),
+  );
 
-  const isRemoteFaster = memoizeByUnit((unit) => {
+  const isRemoteFaster = memoize.memoize((unit: planTypes.PlanUnit) => {
     const { localGroups, remoteGroups } = candidatesOf(unit);
     if (remoteGroups.length === 0) return false;
     const slowdownMs = (remoteFactor - 1) * unit.expectedMs;
--- a/src/coordination/common/pool/runtimeEstimates.ts
+++ b/src/coordination/common/pool/runtimeEstimates.ts
@@ -5,6 +5,7 @@
  * declares a sixth of its work seems past its deadline while it is still in time, and is deprioritized
  * behind everything else; tasks that declare a fraction seem to be stragglers on every worker.
  */
+import * as statistics from '../../../base/common/statistics.js';
 import type * as poolJob from '../../../state/common/pool/poolJob.js';
 
 /** Declared and observed work of one task. */
@@ -56,14 +57,12 @@
  */
 export const createRuntimeEstimates = (): RuntimeEstimates => ({ queues: new Map() });
 
-const mean = (values: readonly number[]): number =>
-  values.reduce((sum, it) => sum + it, 0) / values.length;
-
-const meanSquare = (values: readonly number[]): number => mean(values.map((it) => it * it));
+const meanSquare = (values: readonly number[]): number =>
+  statistics.mean(values.map((it) => it * it));
 
 /** Variance about the mean, shrunk towards the prior. */
 const varianceOf = (values: readonly number[], priorVariance: number): number => {
-  const center = mean(values);
+  const center = statistics.mean(values);
   const squares = values.reduce((sum, it) => sum + (it - center) ** 2, 0);
   return (PRIOR_JOBS * priorVariance + squares) / (PRIOR_JOBS + values.length);
 };
@@ -75,8 +74,8 @@
   // The prior variance of declarations is the mean square error of this queue's own.
   const errorVariance = varianceOf(errors, meanSquare(errors));
   return {
-    meanWork: mean(works),
-    meanError: mean(errors) * (observed.length / (observed.length + PRIOR_JOBS)),
+    meanWork: statistics.mean(works),
+    meanError: statistics.mean(errors) * (observed.length / (observed.length + PRIOR_JOBS)),
     declaredShare: workVariance / (workVariance + errorVariance),
   };
 };
--- a/src/transport/node/rpcClient.ts
+++ b/src/transport/node/rpcClient.ts
@@ -8,6 +8,7 @@
 
 import * as errors from '../../base/common/errors.js';
 import * as http from '../../base/common/http.js';
+import * as memoize from '../../base/common/memoize.js';
 import type * as agentRouter from '../../protocol/node/agentRouter.js';
 import type * as entryRouter from '../../protocol/node/entryRouter.js';
 import type * as poolRouters from '../../protocol/node/poolRouters.js';
@@ -203,24 +204,15 @@
   readonly poolEntry: (url: string) => PoolEntryClient;
 }
 
-const memoize = <T>(make: (url: string) => T): ((url: string) => T) => {
-  const clients = new Map<string, T>();
-  return (url) => {
-    const client = clients.get(url) ?? make(url);
-    clients.set(url, client);
-    return client;
-  };
-};
-
 /**
  * @param options - transport, limits and shared secret
  * @returns client factories; each client is created once per URL
  */
 export const createRpcClients = (options: RpcClientOptions): RpcClients => ({
-  agent: memoize((url) => agentClient(options, url)),
-  entry: memoize((url) => entryClient(options, url)),
-  scheduler: memoize((url) => schedulerClient(options, url)),
-  poolAgent: memoize((url) => poolAgentClient(options, url)),
-  poolScheduler: memoize((url) => poolSchedulerClient(options, url)),
-  poolEntry: memoize((url) => poolEntryClient(options, url)),
+  agent: memoize.memoize((url) => agentClient(options, url)),
+  entry: memoize.memoize((url) => entryClient(options, url)),
+  scheduler: memoize.memoize((url) => schedulerClient(options, url)),
+  poolAgent: memoize.memoize((url) => poolAgentClient(options, url)),
+  poolScheduler: memoize.memoize((url) => poolSchedulerClient(options, url)),
+  poolEntry: memoize.memoize((url) => poolEntryClient(options, url)),
 });
