Keep the types of placement in one place, and compute a placement's slowest factor once

Found in a last reading: speedChoice wrote candidate groups down again so as not to import gangPlacement, which took its Preference from there; both stand in planTypes now. The slowest factor of a placement was computed in three places. speedChoice looked whether a unit is bound, which gangPlacement does for all preferences.

--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -14,6 +14,7 @@
 import type * as planTypes from '../../coordination/common/pool/planTypes.js';
 import * as readyQueue from '../../coordination/common/pool/readyQueue.js';
 import * as runProgress from '../../coordination/common/pool/runProgress.js';
+import * as speedChoice from '../../coordination/common/pool/speed/speedChoice.js';
 import * as workerSuspicion from '../../coordination/common/pool/workerSuspicion.js';
 import * as planWorker from '../../coordination/common/pool/planWorker.js';
 import * as workerTable from '../../coordination/common/pool/workerTable.js';
@@ -235,7 +236,7 @@
     const distanceFactor = gangPlacement.countRemoteTasks(step, racks) > 0 ? mix.remoteFactor : 1;
     const startTime = { wallMs: nowMs, distanceFactor };
     jobState.assign(entry, gangPlacement.assignmentsOf(placement), startTime);
-    const speedFactor = Math.max(...placement.workers.map((it) => it.speedFactor));
+    const speedFactor = speedChoice.slowestFactor(placement);
     const group: replayedGroup.Group = {
       members: [],
       workMs: Math.max(1, totalWorkMs - saved),
--- a/src/coordination/common/pool/claimHeadroom.ts
+++ b/src/coordination/common/pool/claimHeadroom.ts
@@ -28,7 +28,7 @@
    */
   readonly spare: (
     placement: planTypes.Placement,
-    localGroups: gangPlacement.CandidateGroups,
+    localGroups: planTypes.CandidateGroups,
   ) => planTypes.Placement | undefined;
   readonly recordStart: (placement: planTypes.Placement) => void;
 }
--- a/src/coordination/common/pool/futurePlacement.ts
+++ b/src/coordination/common/pool/futurePlacement.ts
@@ -240,7 +240,7 @@
  */
 export const findFuturePlacement = (
   runs: RunsByGroup,
-  groups: gangPlacement.CandidateGroups,
+  groups: planTypes.CandidateGroups,
   unit: planTypes.PlanUnit,
   costs: GroupCosts,
 ): FuturePlacement | undefined => {
--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -10,7 +10,6 @@
 import * as isolation from './isolation.js';
 import type * as jobState from './jobState.js';
 import type * as planTypes from './planTypes.js';
-import type * as speedChoice from './speed/speedChoice.js';
 
 /** Capacity left on a worker as a share of its total, summed over the kinds of resources. */
 const leftoverShare = (
@@ -117,15 +116,12 @@
   return chosen.every((it) => it !== undefined) ? chosen : undefined;
 };
 
-/** Groups of workers; a unit is placed within one group. */
-export type CandidateGroups = readonly (readonly planTypes.PlanWorker[])[];
-
 /** Where a unit may be placed. */
 export interface Candidates {
   /** Local: single racks, where a rack is preferred or a gang asks for one; otherwise all usable workers. */
-  readonly localGroups: CandidateGroups;
+  readonly localGroups: planTypes.CandidateGroups;
   /** Remote: where it takes several times as long; empty where locality does not matter. */
-  readonly remoteGroups: CandidateGroups;
+  readonly remoteGroups: planTypes.CandidateGroups;
 }
 
 const couldEverFit = (
@@ -172,7 +168,7 @@
 };
 
 const placeIn = (
-  groups: CandidateGroups,
+  groups: planTypes.CandidateGroups,
   unit: planTypes.PlanUnit,
 ): planTypes.Placement | undefined => {
   let best: planTypes.PlanWorker[] | undefined;
@@ -197,21 +193,21 @@
 const preferencesOf = ({
   unit,
   boundWorkerIds,
-}: planTypes.PlanUnit): readonly speedChoice.Preference[] => {
+}: planTypes.PlanUnit): readonly planTypes.Preference[] => {
   if (boundWorkerIds !== undefined) return [];
-  const isSound: speedChoice.Preference = ({ isDoubtful }) => !isDoubtful;
+  const isSound: planTypes.Preference = ({ isDoubtful }) => !isDoubtful;
   const hasFailed = unit.tasks.some(({ failures }) => failures > 0);
   return hasFailed ? [(worker) => worker.isProven && isSound(worker), isSound] : [isSound];
 };
 
 /** Speed counts before soundness within what is sound at all. */
 const combine = (
-  tiers: readonly speedChoice.Preference[],
-  preferences: readonly speedChoice.Preference[],
-): speedChoice.Preference[] => [
+  tiers: readonly planTypes.Preference[],
+  preferences: readonly planTypes.Preference[],
+): planTypes.Preference[] => [
   ...tiers.flatMap((isInTier) =>
     preferences.map(
-      (isPreferred): speedChoice.Preference =>
+      (isPreferred): planTypes.Preference =>
         (worker) =>
           isInTier(worker) && isPreferred(worker),
     ),
@@ -227,9 +223,9 @@
  *   capacity for all of them now
  */
 export const placeNow = (
-  groups: CandidateGroups,
+  groups: planTypes.CandidateGroups,
   unit: planTypes.PlanUnit,
-  tiers: readonly speedChoice.Preference[] = [],
+  tiers: readonly planTypes.Preference[] = [],
 ): planTypes.Placement | undefined => {
   for (const isPreferred of combine(tiers, preferencesOf(unit))) {
     if (!groups.flat().every(isPreferred)) {
--- a/src/coordination/common/pool/localityChoice.ts
+++ b/src/coordination/common/pool/localityChoice.ts
@@ -28,9 +28,9 @@
 /** Locality decisions of one round. */
 export interface LocalityChoice {
   /** Groups of workers local to a unit's data or rack. */
-  readonly localGroupsOf: (unit: planTypes.PlanUnit) => gangPlacement.CandidateGroups;
+  readonly localGroupsOf: (unit: planTypes.PlanUnit) => planTypes.CandidateGroups;
   /** Groups of workers on which it waits for capacity. */
-  readonly groupsOf: (unit: planTypes.PlanUnit) => gangPlacement.CandidateGroups;
+  readonly groupsOf: (unit: planTypes.PlanUnit) => planTypes.CandidateGroups;
   /** A placement on capacity that is free now. */
   readonly findNow: (unit: planTypes.PlanUnit) => planTypes.Placement | undefined;
 }
--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -184,7 +184,7 @@
   /** Reserves capacity that becomes free by itself soon enough; preempting a run would waste its work. */
   const waitForFreeCapacity = (
     unit: planTypes.PlanUnit,
-    groups: gangPlacement.CandidateGroups,
+    groups: planTypes.CandidateGroups,
   ): boolean => {
     const untilMs = (latestStartMs: number): number =>
       Math.min(latestStartMs - STOP_AND_START_MS, unit.releaseTimeMs + MAX_DEFERRED_MS);
@@ -208,7 +208,7 @@
   /** Preempts what loses no more than the unit's own work. */
   const preemptWithin = (
     unit: planTypes.PlanUnit,
-    groups: gangPlacement.CandidateGroups,
+    groups: planTypes.CandidateGroups,
     costs: futurePlacement.GroupCosts,
   ): boolean => {
     const future = futurePlacement.findFuturePlacement(runs, groups, unit, costs);
--- a/src/coordination/common/pool/planTypes.ts
+++ b/src/coordination/common/pool/planTypes.ts
@@ -59,6 +59,12 @@
   exclusiveJobId?: string | undefined;
 }
 
+/** Groups of workers; a unit is placed within one group. */
+export type CandidateGroups = readonly (readonly PlanWorker[])[];
+
+/** Whether a worker is among those preferred for a unit. */
+export type Preference = (worker: PlanWorker) => boolean;
+
 /** Tasks that start together or not at all. */
 export interface PlanUnit {
   readonly unit: jobState.ReadyUnit;
--- a/src/coordination/common/pool/speed/speedChoice.ts
+++ b/src/coordination/common/pool/speed/speedChoice.ts
@@ -8,16 +8,10 @@
  */
 import type * as planTypes from '../planTypes.js';
 
-/** Whether a worker is among those preferred for a unit. */
-export type Preference = (worker: planTypes.PlanWorker) => boolean;
-
-/** Groups of workers; a unit is placed within one group. */
-type Groups = readonly (readonly planTypes.PlanWorker[])[];
-
 /** Decisions of one round that rest on the workers' speeds. */
 export interface SpeedChoice {
   /** @returns preferred workers of a unit, most preferred ones first; empty where all workers are equally fast */
-  readonly tiersOf: (unit: planTypes.PlanUnit) => readonly Preference[];
+  readonly tiersOf: (unit: planTypes.PlanUnit) => readonly planTypes.Preference[];
   /** @returns whether its job is in time if the unit starts there now */
   readonly isInTime: (placement: planTypes.Placement) => boolean;
   /** @returns latest start of a unit on the placement's workers with which its job is in time */
@@ -25,7 +19,10 @@
   /** @returns latest start of a unit on any worker with which its job is in time */
   readonly latestStartAnywhereMs: (unit: planTypes.PlanUnit) => number;
   /** @returns the groups with only the sound workers on which the unit is in time; undefined where all are fast enough */
-  readonly inTimeGroups: (unit: planTypes.PlanUnit, groups: Groups) => Groups | undefined;
+  readonly inTimeGroups: (
+    unit: planTypes.PlanUnit,
+    groups: planTypes.CandidateGroups,
+  ) => planTypes.CandidateGroups | undefined;
 }
 
 /** Runs of work with slack take up to this much longer than expected on a slow worker that still counts as in time. */
@@ -39,9 +36,13 @@
 const latestStartWith = (unit: planTypes.PlanUnit, speedFactor: number): number =>
   unit.latestStartMs - (speedFactor - 1) * unit.expectedMs;
 
-const isFast: Preference = ({ speedFactor }) => speedFactor < 1;
+const isFast: planTypes.Preference = ({ speedFactor }) => speedFactor < 1;
 
-const slowestOf = ({ workers }: planTypes.Placement): number =>
+/**
+ * @param placement - a placement
+ * @returns factor of its slowest worker, at whose speed a gang goes
+ */
+export const slowestFactor = ({ workers }: planTypes.Placement): number =>
   Math.max(...workers.map(({ speedFactor }) => speedFactor));
 
 /**
@@ -56,15 +57,15 @@
   const fastest = Math.min(1, ...workers.map(({ speedFactor }) => speedFactor));
   const areEqual = workers.every(({ speedFactor }) => speedFactor === 1);
   const latestStartMs = (placement: planTypes.Placement): number =>
-    latestStartWith(placement.unit, slowestOf(placement));
+    latestStartWith(placement.unit, slowestFactor(placement));
 
   return {
     tiersOf: (unit) => {
-      if (areEqual || unit.boundWorkerIds !== undefined) return [];
+      if (areEqual) return [];
       const margin = unit.priority === 0 ? 1 : SLACK_MARGIN;
-      const isInTime: Preference = ({ speedFactor }) =>
+      const isInTime: planTypes.Preference = ({ speedFactor }) =>
         nowMs <= latestStartWith(unit, speedFactor * margin);
-      const isFastAndInTime: Preference = (worker) => isFast(worker) && isInTime(worker);
+      const isFastAndInTime: planTypes.Preference = (worker) => isFast(worker) && isInTime(worker);
       if (unit.priority === 0) return [isFastAndInTime, isInTime, isFast];
       return [
         (worker) => !isFast(worker) && isInTime(worker),
@@ -78,7 +79,8 @@
     latestStartAnywhereMs: (unit) => latestStartWith(unit, fastest),
     inTimeGroups: (unit, groups) => {
       if (areEqual) return undefined;
-      const isInTime: Preference = ({ speedFactor }) => nowMs <= latestStartWith(unit, speedFactor);
+      const isInTime: planTypes.Preference = ({ speedFactor }) =>
+        nowMs <= latestStartWith(unit, speedFactor);
       if (groups.every((its) => its.every(isInTime))) return undefined;
       return groups
         .map((its) => its.filter((worker) => isInTime(worker) && !worker.isDoubtful))
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -17,6 +17,7 @@
 import type * as planTypes from '../../common/pool/planTypes.js';
 import * as readyQueue from '../../common/pool/readyQueue.js';
 import * as runProgress from '../../common/pool/runProgress.js';
+import * as speedChoice from '../../common/pool/speed/speedChoice.js';
 import * as startPlaces from '../../common/pool/startPlaces.js';
 import * as planWorker from '../../common/pool/planWorker.js';
 import * as workerTable from '../../common/pool/workerTable.js';
@@ -136,7 +137,7 @@
     const racks = placement.workers.map((it) => it.rack);
     const away = gangPlacement.countRemoteTasks(unit.unit.step, racks);
     const distanceFactor = away > 0 ? options.remoteFactor : 1;
-    const speedFactor = Math.max(...placement.workers.map((it) => it.speedFactor));
+    const speedFactor = speedChoice.slowestFactor(placement);
     const assignment = { wallMs: time.wallMs(), distanceFactor };
     jobState.assign(entry, gangPlacement.assignmentsOf(placement), assignment);
     const runs = tasks.flatMap((task) => {
