Take over kept speeds at once, in one place and without solving for each worker

A kept record says whether the former leader placed work by it, and so counts at once; the regular learning comes later. Records were taken over in two places, and so had to be told apart by text and by the leader's fence; agents give them with the first update, so the one place in poolLeader suffices, and the texts, the fence in the record and the flag go. Learning was called with each tick and with each round, which the tick schedules; the round's call stays. The time that a run's progress shows is passed on and no longer kept in the run. What was logged of workers is kept beside their service's model. Tests: what was learnt counts before learning, and equal workers stay equal after a take-over.

--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -110,7 +110,6 @@
         log: () => undefined,
         metrics: metrics.createMetrics(),
         workers: new Map(workers.map((it) => [it.agentId, it])),
-        leaderFence: 1,
       })
     : speedRecorder.EQUAL_SPEEDS;
   const workerAt = (agentId: string): workerTable.WorkerEntry =>
@@ -135,8 +134,8 @@
   /** Updates the leader's state with the group's progress. */
   const reportProgress = (group: replayedGroup.Group): void => {
     advance(group);
-    for (const { worker, run } of replayedGroup.report(group, events.nowMs())) {
-      speeds.recordRuns(worker, [run], []);
+    for (const timed of replayedGroup.report(group, events.nowMs())) {
+      speeds.recordRuns(workerAt(timed.run.task.agentId), [timed], []);
     }
   };
 
--- a/src/bench/saturation/replayedGroup.ts
+++ b/src/bench/saturation/replayedGroup.ts
@@ -2,6 +2,7 @@
  * Runs that start and end together in a replay, and their progress in virtual time.
  */
 import * as runPace from '../../coordination/common/pool/runPace.js';
+import type * as reportReconciliation from '../../coordination/common/pool/reportReconciliation.js';
 import * as runTiming from '../../coordination/common/pool/speed/runTiming.js';
 import type * as workerTable from '../../coordination/common/pool/workerTable.js';
 
@@ -58,8 +59,8 @@
  * @param nowMs - virtual time
  * @returns runs whose progress has shown anew how long their tasks take
  */
-export const report = (group: Group, nowMs: number): ReplayedRun[] =>
-  group.members.filter(({ run, doneMs }) => {
+export const report = (group: Group, nowMs: number): reportReconciliation.TimedRun[] =>
+  group.members.flatMap(({ run, doneMs }) => {
     const share = Math.min(1, (group.savedMs + doneMs) / (group.savedMs + group.workMs));
     const percent = Math.floor(100 * share);
     run.firstProgress ??= { percent, atMs: nowMs };
@@ -67,7 +68,6 @@
     run.percent = percent;
     run.reportedAtMs = nowMs;
     runPace.recordProgress(run.pace, nowMs, percent, run.step.estimatedMs);
-    const timedMs = runTiming.recordSample(run.timing, { percent, clockMs: nowMs });
-    run.timedMs = timedMs ?? run.timedMs;
-    return timedMs !== undefined;
+    const taskMs = runTiming.recordSample(run.timing, { percent, clockMs: nowMs });
+    return taskMs === undefined ? [] : [{ run, taskMs }];
   });
--- a/src/coordination/common/pool/reportReconciliation.ts
+++ b/src/coordination/common/pool/reportReconciliation.ts
@@ -14,6 +14,13 @@
   readonly viewFence: number;
 }
 
+/** A run whose progress has shown anew how long its task takes. */
+export interface TimedRun {
+  readonly run: workerTable.ActiveRun;
+  /** Time that the entire task takes where it is. */
+  readonly taskMs: number;
+}
+
 /** Changes that follow from a worker's report. */
 export interface ReportChanges {
   /** Ends that were not reported before, in their order. */
@@ -28,17 +35,16 @@
   readonly missing: readonly workerTable.ActiveRun[];
   /** Runs that have a new checkpoint. */
   readonly saved: readonly workerTable.ActiveRun[];
-  /** Runs whose progress has shown anew how long their task takes. */
-  readonly timed: readonly workerTable.ActiveRun[];
+  readonly timed: readonly TimedRun[];
 }
 
-/** @returns whether the run has a new checkpoint, and whether its progress has shown anew how long its task takes */
+/** @returns whether the run has a new checkpoint, and how long its task takes where its progress has shown that anew */
 const updateRun = (
   run: workerTable.ActiveRun,
   listed: poolWorker.RunningTask,
   clockMs: number,
   { nowMs, reportedAtMs }: { readonly nowMs: number; readonly reportedAtMs: number },
-): { readonly isSaved: boolean; readonly isTimed: boolean } => {
+): { readonly isSaved: boolean; readonly taskMs: number | undefined } => {
   if (run.phase === workerTable.RunPhase.ordering || run.phase === workerTable.RunPhase.closing) {
     run.phase = workerTable.RunPhase.present;
   }
@@ -47,11 +53,10 @@
   if (listed.percent > run.percent) run.progressedAtMs = nowMs;
   run.percent = listed.percent;
   runPace.recordProgress(run.pace, clockMs, listed.percent, run.step.estimatedMs);
-  const timedMs = runTiming.recordSample(run.timing, { percent: listed.percent, clockMs });
-  run.timedMs = timedMs ?? run.timedMs;
+  const taskMs = runTiming.recordSample(run.timing, { percent: listed.percent, clockMs });
   const isSaved = listed.saved !== '' && listed.saved !== run.saved;
   if (isSaved) run.saved = listed.saved;
-  return { isSaved, isTimed: timedMs !== undefined };
+  return { isSaved, taskMs };
 };
 
 /**
@@ -84,7 +89,7 @@
   const times = { nowMs, reportedAtMs: worker.sample?.atMs ?? nowMs };
   const unknownRuns: poolWorker.RunningTask[] = [];
   const saved: workerTable.ActiveRun[] = [];
-  const timed: workerTable.ActiveRun[] = [];
+  const timed: TimedRun[] = [];
   const listed = new Set<string>();
   for (const running of view.running) {
     const key = poolWorker.runKey(running.task, running.run);
@@ -93,9 +98,9 @@
     if (run === undefined) {
       unknownRuns.push(running);
     } else {
-      const { isSaved, isTimed } = updateRun(run, running, view.clockMs, times);
+      const { isSaved, taskMs } = updateRun(run, running, view.clockMs, times);
       if (isSaved) saved.push(run);
-      if (isTimed) timed.push(run);
+      if (taskMs !== undefined) timed.push({ run, taskMs });
     }
   }
   const gone: workerTable.ActiveRun[] = [];
--- a/src/coordination/common/pool/speed/test/workerSpeeds.test.ts
+++ b/src/coordination/common/pool/speed/test/workerSpeeds.test.ts
@@ -146,16 +146,31 @@
     assert.deepEqual(speeds.speedOf('worker-1'), workerSpeeds.UNKNOWN_SPEED);
   });
 
+  // Guards against a take-over after which workers differ that did not before.
+  test.it('what another leader had learnt of equal workers changes nothing', () => {
+    const before = learn({ runsPerWorker: 8 });
+    const after = workerSpeeds.createWorkerSpeeds();
+    for (const id of IDS) {
+      const learnt = before.learntOf(id);
+      assert.ok(learnt);
+      after.restore(id, learnt);
+    }
+    assert.deepEqual(new Set(IDS.map((id) => after.speedOf(id).factor)), new Set([1]));
+    after.learn(new Set(IDS));
+    assert.deepEqual(new Set(IDS.map((id) => after.speedOf(id).factor)), new Set([1]));
+  });
+
   // Guards against a new leader that sends urgent work to workers which the one before knew to be slow.
   test.it('what another leader had learnt counts at once', () => {
     const slow = ['worker-1', 'worker-4', 'worker-7'];
     const before = learn({ slowIds: slow });
     const after = workerSpeeds.createWorkerSpeeds();
     for (const id of IDS) {
-      const estimate = before.estimateOf(id);
-      assert.ok(estimate);
-      after.restore(id, estimate);
+      const learnt = before.learntOf(id);
+      assert.ok(learnt);
+      after.restore(id, learnt);
     }
+    assert.deepEqual(slowIds(after), slow);
     after.learn(new Set(IDS));
     assert.deepEqual(slowIds(after), slow);
   });
--- a/src/coordination/common/pool/speed/workerSpeeds.ts
+++ b/src/coordination/common/pool/speed/workerSpeeds.ts
@@ -29,6 +29,12 @@
   readonly observedRuns: number;
 }
 
+/** What a leader has learnt of a worker. */
+export interface LearntSpeed extends speedModel.SpeedEstimate {
+  /** Whether the workers of the pool certainly differ; its factor counts only then. */
+  readonly isApplied: boolean;
+}
+
 /** The speed of a worker of which nothing is known. */
 export const UNKNOWN_SPEED: WorkerSpeed = { factor: 1, trust: 0, observedRuns: 0 };
 
@@ -37,9 +43,9 @@
   /** Records a run, or replaces what was recorded of it. */
   readonly recordRun: (workerKey: string, run: ObservedRun) => void;
   /** Takes over what a previous leader had learnt of a worker, unless something is known of it already. */
-  readonly restore: (workerKey: string, earlier: speedModel.SpeedEstimate) => void;
-  /** @returns the estimate to hand to a next leader; undefined where nothing was observed */
-  readonly estimateOf: (workerKey: string) => speedModel.SpeedEstimate | undefined;
+  readonly restore: (workerKey: string, earlier: LearntSpeed) => void;
+  /** @returns what to hand to a next leader; undefined where nothing was observed */
+  readonly learntOf: (workerKey: string) => LearntSpeed | undefined;
   readonly speedOf: (workerKey: string) => WorkerSpeed;
   /** @returns standard deviation of the logarithms of the factors, as far as is known */
   readonly deviation: () => number;
@@ -102,6 +108,7 @@
     spread: speedModel.INITIAL_SPREAD,
     estimates: new Map(),
   };
+  let areUnequal = false;
   let hasNews = false;
 
   const observationsOf = (workerKey: string): Observations => {
@@ -126,12 +133,17 @@
       hasNews = true;
     },
     restore: (workerKey, earlier) => {
-      const known = observationsOf(workerKey);
-      if (known.earlier !== undefined) return;
-      known.earlier = earlier;
+      if (observed.has(workerKey)) return;
+      observationsOf(workerKey).earlier = earlier;
+      // Counts at once: to learn it anew for each of 670 workers would hold up a take-over for half a second.
+      const factor = earlier.isApplied ? factorOf(earlier) : 1;
+      speeds.set(workerKey, { ...UNKNOWN_SPEED, factor });
       hasNews = true;
     },
-    estimateOf: (workerKey) => model.estimates.get(workerKey),
+    learntOf: (workerKey) => {
+      const estimate = model.estimates.get(workerKey);
+      return estimate && { ...estimate, isApplied: areUnequal };
+    },
     deviation: () => Math.sqrt(model.spread.ofWorkers),
     speedOf: (workerKey) => speeds.get(workerKey) ?? UNKNOWN_SPEED,
     learn: (workerKeys) => {
@@ -146,10 +158,10 @@
       );
       model = speedModel.solve(workers, model);
       speeds.clear();
-      const isUnequal = doWorkersDiffer(observed, model.spread);
+      areUnequal = doWorkersDiffer(observed, model.spread);
       for (const [key, estimate] of model.estimates) {
         speeds.set(key, {
-          factor: isUnequal ? factorOf(estimate) : 1,
+          factor: areUnequal ? factorOf(estimate) : 1,
           trust: Math.max(0, 1 - estimate.variance / model.spread.ofWorkers),
           observedRuns: observedRunsOf(key),
         });
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -65,8 +65,6 @@
   readonly pace: runPace.RunPace;
   /** Progress from which the worker's lasting speed is learnt. */
   readonly timing: runTiming.RunTiming;
-  /** Time that its entire task takes where it is, by its progress; undefined before that shows it. */
-  timedMs: number | undefined;
   /** Leader's clock of the last stop order. */
   stopSentAtMs: number;
 }
@@ -194,7 +192,6 @@
     progressedAtMs: nowMs,
     pace: runPace.createRunPace(),
     timing: runTiming.createRunTiming(),
-    timedMs: undefined,
     stopSentAtMs: 0,
   };
 };
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -113,9 +113,8 @@
   const workers = new Map<string, workerTable.WorkerEntry>();
   const checkpointedJobs = new Set<string>();
   const estimates = runtimeEstimates.createRuntimeEstimates();
-  const leaderFence = fences.firstFence(term.epoch);
   const speeds = options.learnsSpeeds
-    ? speedRecorder.createSpeedRecorder({ clock: time, log, metrics, workers, leaderFence })
+    ? speedRecorder.createSpeedRecorder({ clock: time, log, metrics, workers })
     : speedRecorder.EQUAL_SPEEDS;
   const startedAtMs = time.monotonicMs();
   const previousLeasesExpireAtMs =
@@ -235,7 +234,6 @@
     if (isFirst) {
       worker.info = news.worker;
       if (news.speedRecord !== undefined) speeds.restore(worker, news.speedRecord);
-      speeds.learn();
       adoptRuns(worker);
       driver.schedule();
     }
@@ -251,7 +249,7 @@
       workerTable.createWorkerEntry(
         agentId,
         url,
-        leaderFence,
+        fences.firstFence(term.epoch),
         nowMs(),
         previousLeasesExpireAtMs,
         evacuated.zones,
@@ -346,7 +344,6 @@
     control.inspect();
     storeCheckpoints();
     control.declareLost();
-    speeds.learn();
     agents.removeGone();
     reportEvacuations();
     driver.schedule();
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -322,7 +322,6 @@
     crashes.recordUpdate(worker, news, receivedAtMs);
     const wasDraining = workerTable.isDraining(worker);
     applyInfo(worker, news.worker);
-    if (news.speedRecord !== undefined) options.speeds.restore(worker, news.speedRecord);
     const stored = applyReport(worker, news, receivedAtMs);
     worker.isReachable = worker.sample !== undefined && news.viewAgeMs <= MAX_VIEW_AGE_MS;
     const hasDeparted =
--- a/src/coordination/node/pool/speed/speedRecorder.ts
+++ b/src/coordination/node/pool/speed/speedRecorder.ts
@@ -8,6 +8,7 @@
 import * as poolWorker from '../../../../state/common/pool/poolWorker.js';
 import * as speedRecord from '../../../../state/common/pool/speedRecord.js';
 import type * as jobState from '../../../common/pool/jobState.js';
+import type * as reportReconciliation from '../../../common/pool/reportReconciliation.js';
 import * as workerSpeeds from '../../../common/pool/speed/workerSpeeds.js';
 import * as workerSuspicion from '../../../common/pool/workerSuspicion.js';
 import * as workerTable from '../../../common/pool/workerTable.js';
@@ -18,8 +19,6 @@
   readonly log: logging.Log;
   readonly metrics: metrics.Metrics;
   readonly workers: ReadonlyMap<string, workerTable.WorkerEntry>;
-  /** First fence of the leader: tells its own records from those of others. */
-  readonly leaderFence: number;
 }
 
 /** What the leader knows of its workers' speeds. */
@@ -35,14 +34,14 @@
    */
   readonly recordRuns: (
     worker: workerTable.WorkerEntry,
-    timed: readonly workerTable.ActiveRun[],
+    timed: readonly reportReconciliation.TimedRun[],
     done: readonly workerTable.ActiveRun[],
   ) => void;
-  /** Learns from what was recorded: at once from an earlier leader's records, and from runs every few seconds. */
+  /** Learns from what was recorded, every few seconds. */
   readonly learn: () => void;
   /** @returns what the worker's agent keeps for the next leader; undefined before anything is known */
   readonly recordOf: (worker: workerTable.WorkerEntry) => string | undefined;
-  /** Takes over a record that an agent has kept; one that does not fit is logged once and left out. */
+  /** Takes over the record that a worker's agent has kept; one that does not fit is logged and left out. */
   readonly restore: (worker: workerTable.WorkerEntry, text: string) => void;
 }
 
@@ -79,42 +78,44 @@
 const isTelling = ({ step, distanceFactor }: workerTable.ActiveRun): boolean =>
   !step.isLongRunning && !step.isFiller && distanceFactor > 0;
 
-/** Time of a run that is done, with local data; a gang's end tells of its slowest member only. */
+/** Time of a task that is done, with local data; a gang's end tells of its slowest member only. */
 const doneTimeMs = (run: workerTable.ActiveRun, nowMs: number): number =>
   run.step.isGang ? 0 : workerTable.observedWorkMs(run, nowMs);
 
+/** What is known of one service's workers; they run the same work and are compared with each other only. */
+interface ServiceSpeeds {
+  readonly speeds: workerSpeeds.WorkerSpeeds;
+  /** Factors as logged last, by the workers' keys. */
+  loggedFactors: ReadonlyMap<string, number>;
+}
+
 /**
  * @param options - its dependencies
  * @returns the recorder, which knows nothing yet
  */
 export const createSpeedRecorder = (options: SpeedRecorderOptions): SpeedRecorder => {
   const { log, metrics, workers } = options;
-  /** Workers of one service run the same work and are compared with each other only. */
-  const speedsByService = new Map<string, workerSpeeds.WorkerSpeeds>();
-  const loggedFactors = new Map<string, number>();
-  const keptTexts = new Map<string, string>();
+  const services = new Map<string, ServiceSpeeds>();
   let learntAtMs = -Infinity;
-  let hasRestored = false;
 
-  const speedsOf = (service: string): workerSpeeds.WorkerSpeeds => {
-    const known = speedsByService.get(service) ?? workerSpeeds.createWorkerSpeeds();
-    speedsByService.set(service, known);
-    return known;
+  const speedsOf = ({ service }: poolWorker.WorkerInfo): workerSpeeds.WorkerSpeeds => {
+    const known = services.get(service);
+    if (known !== undefined) return known.speeds;
+    const speeds = workerSpeeds.createWorkerSpeeds();
+    services.set(service, { speeds, loggedFactors: new Map() });
+    return speeds;
   };
 
-  const factorOf = (worker: workerTable.WorkerEntry): number => {
-    const { info } = worker;
-    return info === undefined ? 1 : speedsOf(info.service).speedOf(keyOf(info)).factor;
-  };
+  const factorOf = ({ info }: workerTable.WorkerEntry): number =>
+    info === undefined ? 1 : speedsOf(info).speedOf(keyOf(info)).factor;
 
   const recordRun = (
-    worker: workerTable.WorkerEntry,
+    info: poolWorker.WorkerInfo,
     run: workerTable.ActiveRun,
     timeMs: number,
   ): void => {
-    const { info } = worker;
-    if (info === undefined || timeMs < MIN_TIMED_MS) return;
-    speedsOf(info.service).recordRun(keyOf(info), {
+    if (!isTelling(run) || timeMs < MIN_TIMED_MS) return;
+    speedsOf(info).recordRun(keyOf(info), {
       runKey: poolWorker.runKey(run.name, run.run),
       stepKey: run.stepKey,
       timeMs,
@@ -123,14 +124,13 @@
     metrics.count('auburnlift_timed_runs_total');
   };
 
+  /** @returns the factor as logged last */
   const logChange = (
     { agentId, info }: workerTable.WorkerEntry,
-    key: string,
     { factor, trust, observedRuns }: workerSpeeds.WorkerSpeed,
-  ): void => {
-    const logged = loggedFactors.get(key) ?? 1;
-    if (Math.abs(factor / logged - 1) < LOGGED_CHANGE) return;
-    loggedFactors.set(key, factor);
+    loggedFactor = 1,
+  ): number => {
+    if (Math.abs(factor / loggedFactor - 1) < LOGGED_CHANGE) return loggedFactor;
     log('info', 'workerSpeed', {
       agent: agentId,
       worker: info?.workerId,
@@ -138,35 +138,28 @@
       trust: roundTo(trust, 2),
       observedRuns,
     });
+    return factor;
   };
 
-  const report = (
-    service: string,
-    speeds: workerSpeeds.WorkerSpeeds,
-    its: ReadonlyMap<string, workerTable.WorkerEntry>,
-  ): void => {
+  const learnService = (service: string, known: ServiceSpeeds): void => {
+    const { speeds, loggedFactors } = known;
+    const its = new Map<string, workerTable.WorkerEntry>();
+    for (const worker of workers.values()) {
+      if (worker.info?.service === service) its.set(keyOf(worker.info), worker);
+    }
+    if (!speeds.learn(new Set(its.keys()))) return;
+    const logged = new Map<string, number>();
     let slow = 0;
     for (const [key, worker] of its) {
       const speed = speeds.speedOf(key);
-      logChange(worker, key, speed);
+      logged.set(key, logChange(worker, speed, loggedFactors.get(key)));
       if (speed.factor > SLOW_FACTOR) slow += 1;
     }
+    known.loggedFactors = logged;
     metrics.gauge('auburnlift_slow_workers', slow, { service });
     metrics.gauge('auburnlift_worker_speed_deviation', roundTo(speeds.deviation(), 3), { service });
   };
 
-  const workersByKey = (service: string): ReadonlyMap<string, workerTable.WorkerEntry> =>
-    new Map(
-      [...workers.values()].flatMap((worker): [string, workerTable.WorkerEntry][] =>
-        worker.info?.service === service ? [[keyOf(worker.info), worker]] : [],
-      ),
-    );
-
-  const forgetLogged = (): void => {
-    const keys = new Set([...workers.values()].flatMap(({ info }) => (info ? [keyOf(info)] : [])));
-    for (const key of loggedFactors.keys()) if (!keys.has(key)) loggedFactors.delete(key);
-  };
-
   const refuse = (worker: workerTable.WorkerEntry, reason: string): void => {
     metrics.count('auburnlift_speed_records_refused_total', { reason });
     log('warn', 'speedRecordRefused', { agent: worker.agentId, reason });
@@ -175,65 +168,53 @@
   return {
     factorOf,
     slowestFactorOf: (tasks) => {
-      const its = new Set(tasks.map(({ agentId }) => workers.get(agentId)));
-      const factors = [...its].flatMap((it) => (it === undefined ? [] : [factorOf(it)]));
+      const factors = tasks.flatMap(({ agentId }) => {
+        const worker = workers.get(agentId);
+        return worker === undefined ? [] : [factorOf(worker)];
+      });
       return factors.length === 0 ? 1 : Math.max(...factors);
     },
-    recordRuns: (worker, timed, done) => {
-      // What a suspect worker takes says more of its trouble, which passes, than of its speed.
-      if (workerSuspicion.isSuspect(worker.suspicion, options.clock.monotonicMs())) return;
-      for (const run of timed.filter(isTelling)) {
-        recordRun(worker, run, (run.timedMs ?? 0) / run.distanceFactor);
-      }
+    recordRuns: ({ info, suspicion }, timed, done) => {
       const nowMs = options.clock.monotonicMs();
-      for (const run of done.filter(isTelling)) recordRun(worker, run, doneTimeMs(run, nowMs));
+      // What a suspect worker takes says more of its trouble, which passes, than of its speed.
+      if (info === undefined || workerSuspicion.isSuspect(suspicion, nowMs)) return;
+      for (const { run, taskMs } of timed) recordRun(info, run, taskMs / run.distanceFactor);
+      for (const run of done) recordRun(info, run, doneTimeMs(run, nowMs));
     },
     learn: () => {
       const nowMs = options.clock.monotonicMs();
       const periodMs = Math.max(MIN_LEARN_PERIOD_MS, LEARN_PERIOD_PER_WORKER_MS * workers.size);
-      if (!hasRestored && nowMs - learntAtMs < periodMs) return;
-      hasRestored = false;
+      if (nowMs - learntAtMs < periodMs) return;
       learntAtMs = nowMs;
-      forgetLogged();
-      for (const [service, speeds] of speedsByService) {
-        const its = workersByKey(service);
-        if (speeds.learn(new Set(its.keys()))) report(service, speeds, its);
-      }
+      for (const [service, known] of services) learnService(service, known);
     },
-    recordOf: (worker) => {
-      const { info } = worker;
+    recordOf: ({ info }) => {
       if (info === undefined) return undefined;
-      const estimate = speedsOf(info.service).estimateOf(keyOf(info));
-      if (estimate === undefined) return undefined;
+      const { workerId, incarnationMs } = info;
+      const learnt = speedsOf(info).learntOf(keyOf(info));
+      if (learnt === undefined) return undefined;
       return speedRecord.encodeSpeed({
-        leaderFence: options.leaderFence,
-        workerId: info.workerId,
-        incarnationMs: info.incarnationMs,
-        factor: roundTo(Math.exp(estimate.logFactor), 2),
-        variance: roundTo(estimate.variance, 3),
+        workerId,
+        incarnationMs,
+        factor: roundTo(Math.exp(learnt.logFactor), 2),
+        variance: roundTo(learnt.variance, 3),
+        isApplied: learnt.isApplied,
       });
     },
     restore: (worker, text) => {
-      if (keptTexts.get(worker.agentId) === text) return;
-      keptTexts.set(worker.agentId, text);
+      const { info } = worker;
       const record = speedRecord.decodeSpeed(text);
       if (record === undefined) {
         refuse(worker, 'unreadable');
         return;
       }
-      if (record.leaderFence === options.leaderFence) return;
-      const { info } = worker;
-      const isOfThisLife =
-        info?.workerId === record.workerId && info.incarnationMs === record.incarnationMs;
-      if (info === undefined || !isOfThisLife) {
+      if (info?.workerId !== record.workerId || info.incarnationMs !== record.incarnationMs) {
         refuse(worker, 'formerIncarnation');
         return;
       }
-      speedsOf(info.service).restore(keyOf(info), {
-        logFactor: Math.log(record.factor),
-        variance: record.variance,
-      });
-      hasRestored = true;
+      const { factor, variance, isApplied } = record;
+      const learnt = { logFactor: Math.log(factor), variance, isApplied };
+      speedsOf(info).restore(keyOf(info), learnt);
     },
   };
 };
--- a/src/coordination/node/pool/speed/test/speedRecorder.test.ts
+++ b/src/coordination/node/pool/speed/test/speedRecorder.test.ts
@@ -44,7 +44,6 @@
     log: () => undefined,
     metrics: metrics.createMetrics(),
     workers: new Map(workers.map((it) => [it.agentId, it])),
-    leaderFence: 1,
   });
   for (let round = 0; round < ROUNDS; round += 1) {
     const step = { count: WORKERS, estimatedMs: WORK_MS, ...changes.step };
--- a/src/standins/test/poolSpeeds.test.ts
+++ b/src/standins/test/poolSpeeds.test.ts
@@ -139,18 +139,18 @@
   'another version': '{"version":2}',
   'a factor of zero': JSON.stringify({
     version: 1,
-    leaderFence: 0,
     workerId: 'w1',
     incarnationMs: 1,
     factor: 0,
     variance: 0.1,
+    isApplied: true,
   }),
   'a former life': speedRecord.encodeSpeed({
-    leaderFence: 0,
     workerId: 'w1',
     incarnationMs: 7,
     factor: 3,
     variance: 0.01,
+    isApplied: true,
   }),
 };
 
--- a/src/state/common/pool/speedRecord.ts
+++ b/src/state/common/pool/speedRecord.ts
@@ -15,14 +15,14 @@
 /** Speed of one incarnation of a worker. */
 export const SpeedRecord = Schema.Struct({
   version: Schema.Literal(VERSION),
-  /** First fence of the leader that wrote it. */
-  leaderFence: units.Count,
   workerId: Schema.String,
   incarnationMs: units.Count,
   /** Time of a task relative to a worker of mean speed. */
   factor: units.numberBetween(0.01, 100),
   /** Variance of the factor's logarithm. */
   variance: units.numberBetween(1e-4, 10),
+  /** Whether the leader placed work by it: the workers of the pool certainly differed. */
+  isApplied: Schema.Boolean,
 });
 
 /** See {@link SpeedRecord}. */
--- a/tools/guardList.js
+++ b/tools/guardList.js
@@ -630,25 +630,25 @@
   [
     'speed: a record of a former life of the worker is left out',
     `${NODE_POOL}/speed/speedRecorder.js`,
-    'info === undefined || !isOfThisLife',
+    'info?.workerId !== record.workerId || info.incarnationMs !== record.incarnationMs',
     'info === undefined',
   ],
   [
-    'speed: a record that does not fit is told once',
-    `${NODE_POOL}/speed/speedRecorder.js`,
-    'if (keptTexts.get(worker.agentId) === text)',
+    'speed: a new leader takes over what the agents have kept',
+    `${NODE_POOL}/poolLeader.js`,
+    'if (news.speedRecord !== undefined)',
     'if (false)',
   ],
   [
     'speed: workers are compared with those of their own service only',
     `${NODE_POOL}/speed/speedRecorder.js`,
-    'const speedsOf = (service) =>',
+    'const speedsOf = ({ service }) =>',
     "const speedsOf = (_, service = '') =>",
   ],
   [
     'speed: workers of a pool count as equal until they certainly differ',
     `${COMMON_POOL}/speed/workerSpeeds.js`,
-    'isUnequal ? factorOf(estimate) : 1',
+    'areUnequal ? factorOf(estimate) : 1',
     'factorOf(estimate)',
   ],
   [
--- a/tools/mechanismList.js
+++ b/tools/mechanismList.js
@@ -31,7 +31,12 @@
     'const HEADROOM_SHARE = 0.25',
     'const HEADROOM_SHARE = 0',
   ],
-  ['speeds of workers', `${POOL}/speed/workerSpeeds.js`, 'isUnequal ? factorOf(estimate) : 1', '1'],
+  [
+    'speeds of workers',
+    `${POOL}/speed/workerSpeeds.js`,
+    'areUnequal ? factorOf(estimate) : 1',
+    '1',
+  ],
   ['reservations', `${POOL}/planRound.js`, 'reservations < reservationLimit', 'false'],
   [
     'deprioritizing units without value to the caller',
