Hand on a variance that the next leader can read

Cause: the variance of a worker known for certain was rounded to 0, which the record's schema refuses, so that the next leader logged it as unreadable and took the worker for unknown. Several leaders after each other get there, as each adds its runs. Change: at least 0.001 is handed on. Test, red before: a record of variance 0.0002 taken over and handed on was {"variance":0}.

--- a/src/coordination/node/pool/speed/speedRecorder.ts
+++ b/src/coordination/node/pool/speed/speedRecorder.ts
@@ -64,6 +64,9 @@
 /** Shorter times are as much those of the orders as of the tasks. */
 const MIN_TIMED_MS = 500;
 
+/** Least variance handed on: a later leader has to be able to learn otherwise, and the record holds three digits. */
+const MIN_KEPT_VARIANCE = 0.001;
+
 /** A worker's factor is logged when it has changed by more than this share. */
 const LOGGED_CHANGE = 0.2;
 
@@ -197,7 +200,7 @@
         workerId,
         incarnationMs,
         factor: roundTo(Math.exp(learnt.logFactor), 2),
-        variance: roundTo(learnt.variance, 3),
+        variance: roundTo(Math.max(MIN_KEPT_VARIANCE, learnt.variance), 3),
         isApplied: learnt.isApplied,
       });
     },
--- a/src/coordination/node/pool/speed/test/speedRecorder.test.ts
+++ b/src/coordination/node/pool/speed/test/speedRecorder.test.ts
@@ -6,6 +6,7 @@
 
 import * as metrics from '../../../../../base/common/metrics.js';
 import type * as poolJob from '../../../../../state/common/pool/poolJob.js';
+import * as speedRecord from '../../../../../state/common/pool/speedRecord.js';
 import * as jobState from '../../../../common/pool/jobState.js';
 import * as workerSuspicion from '../../../../common/pool/workerSuspicion.js';
 import * as workerTable from '../../../../common/pool/workerTable.js';
@@ -20,6 +21,8 @@
 interface Scene {
   readonly workers: readonly workerTable.WorkerEntry[];
   readonly recorder: speedRecorder.SpeedRecorder;
+  /** Learns after some time without runs. */
+  readonly learnLater: () => void;
 }
 
 /** How the runs of a scene differ from single tasks of one service on workers of which the first is slow. */
@@ -65,7 +68,14 @@
     time.nowMs = startedAtMs + 10 * WORK_MS;
     recorder.learn();
   }
-  return { workers, recorder };
+  return {
+    workers,
+    recorder,
+    learnLater: () => {
+      time.nowMs += 10 * WORK_MS;
+      recorder.learn();
+    },
+  };
 };
 
 interface Case {
@@ -103,6 +113,21 @@
   },
 ];
 
+// Guards against a worker that each new leader takes for unknown, since what is known of it for certain can't be written.
+test.it('a record of a well known worker can be read', () => {
+  const { workers, recorder, learnLater } = scene({});
+  const [worker] = workers;
+  assert.ok(worker?.info);
+  const { workerId } = worker.info;
+  worker.info = { ...worker.info, incarnationMs: 2 };
+  const known = { workerId, incarnationMs: 2, factor: 2, variance: 2e-4, isApplied: true };
+  recorder.restore(worker, speedRecord.encodeSpeed(known));
+  learnLater();
+  const text = recorder.recordOf(worker);
+  assert.ok(text !== undefined);
+  assert.ok(speedRecord.decodeSpeed(text) !== undefined, text);
+});
+
 test.describe('speeds recorded from runs', () => {
   for (const { name, changes, slow } of CASES) {
     test.it(name, () => {
