Keep a model's tasks with their workers, and its beginning in one place

Found in a last reading: a solution kept its tasks in a map beside the workers, which one loop needed, and the model of an unknown pool was written down twice, once as a default that nobody used. What an earlier leader had learnt is set with a worker's history and not later.

--- a/src/coordination/common/pool/speed/speedModel.ts
+++ b/src/coordination/common/pool/speed/speedModel.ts
@@ -50,7 +50,10 @@
  * Before anything is observed: workers and the tasks of one step differ by a third, declared work by half. With a smaller
  * spread of workers the first slow one would pass for a tail of its tasks, and so would all others after it.
  */
-export const INITIAL_SPREAD: Spread = { ofWorkers: 0.1, ofTasks: 0.09, ofSteps: 0.25 };
+const INITIAL_SPREAD: Spread = { ofWorkers: 0.1, ofTasks: 0.09, ofSteps: 0.25 };
+
+/** The model of a pool of which nothing is known. */
+export const UNKNOWN_MODEL: SpeedModel = { spread: INITIAL_SPREAD, estimates: new Map() };
 
 /** The initial spread weighs as much as this many observed workers, tasks or steps. */
 const INITIAL_WEIGHT = 4;
@@ -72,13 +75,14 @@
 
 /** Mutable state of one solution. */
 interface Draft {
-  readonly workers: ReadonlyMap<string, DraftWorker>;
-  readonly steps: ReadonlyMap<number, DraftStep>;
+  readonly workers: readonly DraftWorker[];
+  readonly steps: readonly DraftStep[];
 }
 
 interface DraftWorker {
   readonly id: string;
-  readonly observed: ObservedWorker;
+  readonly earlier: SpeedEstimate | undefined;
+  readonly tasks: DraftTask[];
   logFactor: number;
   precision: number;
 }
@@ -101,27 +105,24 @@
 const createDraft = (
   observed: ReadonlyMap<string, ObservedWorker>,
   known: ReadonlyMap<string, SpeedEstimate>,
-): Draft & { readonly tasksByWorker: ReadonlyMap<DraftWorker, readonly DraftTask[]> } => {
-  const workers = new Map<string, DraftWorker>();
+): Draft => {
+  const workers: DraftWorker[] = [];
   const steps = new Map<number, DraftStep>();
-  const tasksByWorker = new Map<DraftWorker, DraftTask[]>();
-  for (const [id, its] of observed) {
-    const logFactor = (known.get(id) ?? its.earlier)?.logFactor ?? 0;
-    const worker: DraftWorker = { id, observed: its, logFactor, precision: 0 };
-    const tasks: DraftTask[] = [];
-    for (const { stepKey, logTime, logExpected } of its.tasks) {
+  for (const [id, { tasks, earlier }] of observed) {
+    const logFactor = (known.get(id) ?? earlier)?.logFactor ?? 0;
+    const worker: DraftWorker = { id, earlier, tasks: [], logFactor, precision: 0 };
+    for (const { stepKey, logTime, logExpected } of tasks) {
       const step = steps.get(stepKey) ?? { tasks: [], logExpected: 0, logWork: 0, precision: 0 };
       const task = { worker, step, logTime, weight: 1 };
       step.logExpected += (logExpected - step.logExpected) / (step.tasks.length + 1);
       step.tasks.push(task);
       steps.set(stepKey, step);
-      tasks.push(task);
+      worker.tasks.push(task);
     }
-    workers.set(id, worker);
-    tasksByWorker.set(worker, tasks);
+    workers.push(worker);
   }
   for (const step of steps.values()) step.logWork = step.logExpected;
-  return { workers, steps, tasksByWorker };
+  return { workers, steps: [...steps.values()] };
 };
 
 const residualOf = ({ worker, step, logTime }: DraftTask): number =>
@@ -131,7 +132,7 @@
 const weightOf = (residual: number, variance: number): number =>
   TAIL / (TAIL + (residual * residual) / variance);
 
-const fitSteps = (steps: Iterable<DraftStep>, spread: Spread): void => {
+const fitSteps = (steps: readonly DraftStep[], spread: Spread): void => {
   for (const step of steps) {
     let sum = step.logExpected / spread.ofSteps;
     let precision = 1 / spread.ofSteps;
@@ -152,47 +153,42 @@
   return 1 / (spread.ofTasks / Math.max(weight, MIN_WEIGHT) + 1 / others);
 };
 
-const fitWorkers = (
-  tasksByWorker: ReadonlyMap<DraftWorker, readonly DraftTask[]>,
-  spread: Spread,
-): void => {
-  for (const [worker, tasks] of tasksByWorker) {
-    const { earlier } = worker.observed;
-    let sum = earlier === undefined ? 0 : earlier.logFactor / earlier.variance;
-    let precision = (earlier === undefined ? 0 : 1 / earlier.variance) + 1 / spread.ofWorkers;
-    let weights = 0;
+const fitWorkers = (workers: readonly DraftWorker[], spread: Spread): void => {
+  for (const worker of workers) {
+    const { earlier, tasks } = worker;
+    const earlierPrecision = earlier === undefined ? 0 : 1 / earlier.variance;
+    let sum = earlierPrecision * (earlier?.logFactor ?? 0);
+    let weights = earlierPrecision + 1 / spread.ofWorkers;
+    worker.precision = weights;
     for (const task of tasks) {
       const weight = task.weight / spread.ofTasks;
       sum += weight * (task.logTime - task.step.logWork);
-      precision += weight;
-      weights += precisionOfTask(task, spread);
+      weights += weight;
+      worker.precision += precisionOfTask(task, spread);
     }
-    worker.logFactor = sum / precision;
-    worker.precision =
-      weights + (earlier === undefined ? 0 : 1 / earlier.variance) + 1 / spread.ofWorkers;
+    worker.logFactor = sum / weights;
   }
 };
 
 /** A pool's workers have mean factor 1: whatever slows all of them counts as work. */
-const center = (workers: Iterable<DraftWorker>, spread: Spread): void => {
-  const its = [...workers];
+const center = (workers: readonly DraftWorker[], spread: Spread): void => {
   const shareOf = ({ precision }: DraftWorker): number => 1 - 1 / (precision * spread.ofWorkers);
-  const weight = its.reduce((sum, it) => sum + shareOf(it), 0);
-  const total = its.reduce((sum, it) => sum + shareOf(it) * it.logFactor, 0);
+  const weight = workers.reduce((sum, it) => sum + shareOf(it), 0);
+  const total = workers.reduce((sum, it) => sum + shareOf(it) * it.logFactor, 0);
   const mean = total / (weight + CENTER_WEIGHT);
-  for (const worker of its) worker.logFactor -= mean;
+  for (const worker of workers) worker.logFactor -= mean;
 };
 
 const learnSpread = ({ workers, steps }: Draft): Spread => {
   const sums = { ofWorkers: 0, ofTasks: 0, ofSteps: 0 };
   const counts = { ofWorkers: 0, ofTasks: 0, ofSteps: 0 };
-  for (const { logFactor, precision, observed } of workers.values()) {
-    if (observed.tasks.length > 0 || observed.earlier !== undefined) {
+  for (const { logFactor, precision, tasks, earlier } of workers) {
+    if (tasks.length > 0 || earlier !== undefined) {
       sums.ofWorkers += logFactor ** 2 + 1 / precision;
       counts.ofWorkers += 1;
     }
   }
-  for (const step of steps.values()) {
+  for (const step of steps) {
     if (step.tasks.length > 1) {
       sums.ofSteps += (step.logWork - step.logExpected) ** 2;
       counts.ofSteps += 1;
@@ -215,19 +211,21 @@
  */
 export const solve = (
   observed: ReadonlyMap<string, ObservedWorker>,
-  known: SpeedModel = { spread: INITIAL_SPREAD, estimates: new Map() },
+  known: SpeedModel,
 ): SpeedModel => {
   const draft = createDraft(observed, known.estimates);
   let { spread } = known;
   for (let round = 0; round < ROUNDS; round += 1) {
-    fitSteps(draft.steps.values(), spread);
-    fitWorkers(draft.tasksByWorker, spread);
-    center(draft.workers.values(), spread);
+    fitSteps(draft.steps, spread);
+    fitWorkers(draft.workers, spread);
+    center(draft.workers, spread);
     spread = learnSpread(draft);
   }
-  const estimates = new Map<string, SpeedEstimate>();
-  for (const { id, logFactor, precision } of draft.workers.values()) {
-    estimates.set(id, { logFactor, variance: 1 / precision });
-  }
+  const estimates = new Map(
+    draft.workers.map(({ id, logFactor, precision }): [string, SpeedEstimate] => [
+      id,
+      { logFactor, variance: 1 / precision },
+    ]),
+  );
   return { spread, estimates };
 };
--- a/src/coordination/common/pool/speed/workerSpeeds.ts
+++ b/src/coordination/common/pool/speed/workerSpeeds.ts
@@ -75,7 +75,7 @@
 
 interface Observations {
   readonly history: runHistory.RunHistory;
-  earlier: speedModel.SpeedEstimate | undefined;
+  readonly earlier?: speedModel.SpeedEstimate;
 }
 
 /** What a previous leader learnt counts like the runs that it takes to learn it. */
@@ -104,37 +104,26 @@
 export const createWorkerSpeeds = (): WorkerSpeeds => {
   const observed = new Map<string, Observations>();
   const speeds = new Map<string, WorkerSpeed>();
-  let model: speedModel.SpeedModel = {
-    spread: speedModel.INITIAL_SPREAD,
-    estimates: new Map(),
-  };
+  let model = speedModel.UNKNOWN_MODEL;
   let areUnequal = false;
   let hasNews = false;
 
-  const observationsOf = (workerKey: string): Observations => {
-    const known = observed.get(workerKey) ?? {
-      history: runHistory.createRunHistory(),
-      earlier: undefined,
-    };
+  const historyOf = (workerKey: string): runHistory.RunHistory => {
+    const known = observed.get(workerKey) ?? { history: runHistory.createRunHistory() };
     observed.set(workerKey, known);
-    return known;
-  };
-
-  const observedRunsOf = (workerKey: string): number => {
-    const history = observed.get(workerKey)?.history;
-    return history === undefined ? 0 : runHistory.countRuns(history);
+    return known.history;
   };
 
   return {
     recordRun: (workerKey, { runKey, stepKey, timeMs, expectedMs }) => {
       if (!(timeMs > 0 && expectedMs > 0 && Number.isFinite(timeMs))) return;
       const times = { logTime: Math.log(timeMs), logExpected: Math.log(expectedMs) };
-      runHistory.recordRun(observationsOf(workerKey).history, runKey, stepKey, times);
+      runHistory.recordRun(historyOf(workerKey), runKey, stepKey, times);
       hasNews = true;
     },
     restore: (workerKey, earlier) => {
       if (observed.has(workerKey)) return;
-      observationsOf(workerKey).earlier = earlier;
+      observed.set(workerKey, { history: runHistory.createRunHistory(), earlier });
       // Counts at once: to learn it anew for each of 670 workers would hold up a take-over for half a second.
       const factor = earlier.isApplied ? factorOf(earlier) : 1;
       speeds.set(workerKey, { ...UNKNOWN_SPEED, factor });
@@ -163,7 +152,7 @@
         speeds.set(key, {
           factor: areUnequal ? factorOf(estimate) : 1,
           trust: Math.max(0, 1 - estimate.variance / model.spread.ofWorkers),
-          observedRuns: observedRunsOf(key),
+          observedRuns: runHistory.countRuns(historyOf(key)),
         });
       }
       return true;
