Run all tables of planning rounds by one runner

The table of unequal workers had a runner of its own beside that of planRound. The one for both compares the workers in the order of the tasks, as the new one did; planRound's sorted them, and its cases hold without. poolSpeeds records its log lines in one place. No case or expectation is changed.

--- a/src/coordination/common/pool/speed/test/speedChoice.test.ts
+++ b/src/coordination/common/pool/speed/test/speedChoice.test.ts
@@ -1,13 +1,9 @@
 /**
  * Planning rounds on workers that aren't equally fast: what starts where, what waits and what is preempted for it.
  */
-import * as assert from 'node:assert/strict';
-import * as test from 'node:test';
-
 import type * as poolJob from '../../../../../state/common/pool/poolJob.js';
+import * as planCases from '../../test/planCases.js';
 import * as fixtures from '../../test/poolFixtures.js';
-import * as gangPlacement from '../../gangPlacement.js';
-import * as planRound from '../../planRound.js';
 import type * as planTypes from '../../planTypes.js';
 
 const WORK_MS = 2000;
@@ -36,17 +32,7 @@
   allocations: readonly planTypes.Allocation[] = [],
 ): planTypes.PlanWorker => fixtures.makeWorker(workerId, { speedFactor, allocations });
 
-interface Case {
-  readonly name: string;
-  readonly workers: () => planTypes.PlanWorker[];
-  readonly jobs: readonly poolJob.PoolJob[];
-  /** Time since the jobs were accepted. */
-  readonly waitedMs?: number;
-  readonly starts: Readonly<Record<string, readonly string[]>>;
-  readonly preemptions?: readonly string[];
-}
-
-const CASES: readonly Case[] = [
+const CASES: readonly planCases.Case[] = [
   {
     name: 'urgent work goes to a fast worker, though a slow one is left with less room',
     workers: () => [
@@ -134,26 +120,4 @@
   },
 ];
 
-const plan = (it: Case): planTypes.RoundPlan =>
-  planRound.planRound({
-    nowMs: it.waitedMs ?? 0,
-    workers: it.workers(),
-    units: fixtures.makeUnits(it.jobs, it.waitedMs),
-    stragglerUnits: [],
-    guarantees: new Map(),
-    remoteFactor: 3,
-  });
-
-test.describe('planning on workers that are not equally fast', () => {
-  for (const it of CASES) {
-    test.it(it.name, () => {
-      const { starts, preemptions } = plan(it);
-      const placed = starts.map((placement) => [
-        placement.unit.groupKey,
-        gangPlacement.assignmentsOf(placement).map(({ workerId }) => workerId),
-      ]);
-      assert.deepEqual(Object.fromEntries(placed), it.starts);
-      assert.deepEqual([...preemptions.keys()], it.preemptions ?? []);
-    });
-  }
-});
+planCases.describeCases('planning on workers that are not equally fast', CASES);
--- a/src/coordination/common/pool/test/planRound.test.ts
+++ b/src/coordination/common/pool/test/planRound.test.ts
@@ -7,7 +7,7 @@
 import type * as poolJob from '../../../../state/common/pool/poolJob.js';
 import type * as planTypes from '../planTypes.js';
 import * as gangPlacement from '../gangPlacement.js';
-import * as planRound from '../planRound.js';
+import * as planCases from './planCases.js';
 import * as fixtures from './poolFixtures.js';
 
 /** Resources of a task that needs this number of accelerators. */
@@ -15,26 +15,9 @@
   resources: { cpuMillicores: 1000, memoryMb: 1000, accelerators },
 });
 
-interface Case {
-  readonly name: string;
-  readonly workers: () => planTypes.PlanWorker[];
-  readonly jobs: readonly poolJob.PoolJob[];
-  readonly waitedMs?: number;
-  readonly guarantees?: planTypes.Guarantees;
-  /** Group keys that start, each with its workers. */
-  readonly starts: Readonly<Record<string, readonly string[]>>;
-  readonly preemptions?: readonly string[];
-  /** Jobs whose first unit is a straggler, with the workers that run it. */
-  readonly stragglers?: readonly {
-    readonly job: poolJob.PoolJob;
-    readonly on: readonly string[];
-  }[];
-  readonly relocations?: readonly string[];
-}
-
 const guaranteed8: planTypes.Guarantees = new Map([['customer', 8]]);
 
-const CASES: readonly Case[] = [
+const CASES: readonly planCases.Case[] = [
   {
     // A customer allows one task of a step per worker, so that a lost worker never takes two with it. Two
     // that became ready in one round were placed on the same worker, because the round counted only tasks
@@ -330,31 +313,4 @@
   }
 });
 
-test.describe('planRound', () => {
-  for (const it of CASES) {
-    test.it(it.name, () => {
-      const plan = planRound.planRound({
-        nowMs: it.waitedMs ?? 0,
-        workers: it.workers(),
-        units: fixtures.makeUnits(it.jobs, it.waitedMs),
-        stragglerUnits: (it.stragglers ?? []).flatMap(({ job, on }) =>
-          fixtures.makeUnits([job]).map((unit) => ({ unit, workerIds: new Set(on) })),
-        ),
-        remoteFactor: 3,
-        guarantees: it.guarantees ?? new Map(),
-      });
-      const starts = Object.fromEntries(
-        plan.starts.map(({ unit, workers }) => [
-          unit.groupKey,
-          workers.map((worker) => worker.workerId).sort(),
-        ]),
-      );
-      assert.deepEqual(starts, it.starts);
-      assert.deepEqual([...plan.preemptions.keys()], it.preemptions ?? []);
-      assert.deepEqual(
-        plan.relocations.map((unit) => unit.groupKey),
-        it.relocations ?? [],
-      );
-    });
-  }
-});
+planCases.describeCases('planRound', CASES);
--- a/src/standins/test/poolSpeeds.test.ts
+++ b/src/standins/test/poolSpeeds.test.ts
@@ -33,13 +33,18 @@
   readonly events: Event[];
 }
 
-const eventsOf = ({ events }: Scene, name: string): Event[] =>
+const eventsOf = ({ events }: Pick<Scene, 'events'>, name: string): Event[] =>
   events.filter((it) => it.name === name);
 
+/** A log whose lines a test reads. */
+const createEventLog = (): { readonly events: Event[]; readonly log: logging.Log } => {
+  const events: Event[] = [];
+  return { events, log: (_, name, fields = {}) => events.push({ name, fields }) };
+};
+
 /** A pool in which two of six workers are slow, after its leader has seen each of them run several tasks. */
 const learntScene = async (options: Partial<poolHarness.PoolOptions> = {}): Promise<Scene> => {
-  const events: Event[] = [];
-  const log: logging.Log = (_, name, fields = {}) => events.push({ name, fields });
+  const { events, log } = createEventLog();
   const pool = poolHarness.createPool({ workers: WORKERS, workMs: () => WORK_MS, log, ...options });
   for (const index of SLOW) {
     const worker = pool.sites[index]?.worker;
@@ -154,26 +159,21 @@
   }),
 };
 
+/** A sync of a leader that knows nothing yet. */
+const SYNC = { incarnationMs: 0, leaseUntilMs: 0, seenUpTo: 0, knownVersion: 0, waitMs: 0 };
+
 test.describe('speed records that do not fit', () => {
   for (const [name, text] of Object.entries(UNFIT)) {
     // Guards against a record that stops a leader, decides placements or is logged with each update.
     test.it(`${name}: told once and left out`, async () => {
-      const events: Event[] = [];
-      const log: logging.Log = (_, event, fields = {}) => events.push({ name: event, fields });
+      const { events, log } = createEventLog();
       const pool = poolHarness.createPool({ workers: 2, log });
       await pool.ready;
-      const request = {
-        incarnationMs: 0,
-        leaseUntilMs: 0,
-        seenUpTo: 0,
-        knownVersion: 0,
-        waitMs: 0,
-      };
-      void pool.sites[1]?.agent.sync({ ...request, fence: 1, speedRecord: text });
-      const first = pool.addCandidate();
+      void pool.sites[1]?.agent.sync({ ...SYNC, fence: 1, speedRecord: text });
+      pool.addCandidate();
       await pool.submit(fixtures.makeJob([{ count: 40 }], { jobId: 'work' }));
       await pool.clock.advance(30_000);
-      const refused = eventsOf({ pool, first, events }, 'speedRecordRefused');
+      const refused = eventsOf({ events }, 'speedRecordRefused');
       assert.equal(refused.length, 1);
       assert.equal(refused[0]?.fields.agent, 'agent-1');
       assert.equal((await pool.progress('work'))?.state, 'complete');
@@ -184,11 +184,10 @@
   test.it('a record that is too long is not kept by the agent', async () => {
     const pool = poolHarness.createPool({ workers: 1 });
     await pool.ready;
-    const request = { incarnationMs: 0, leaseUntilMs: 0, seenUpTo: 0, knownVersion: 0, waitMs: 0 };
     const { agent } = pool.sites[0] ?? assert.fail('no agent');
     const speed = 'x'.repeat(speedRecord.MAX_RECORD_LENGTH + 1);
-    void agent.sync({ ...request, fence: 1, speedRecord: speed });
-    const update = agent.sync({ ...request, fence: 2 });
+    void agent.sync({ ...SYNC, fence: 1, speedRecord: speed });
+    const update = agent.sync({ ...SYNC, fence: 2 });
     await pool.clock.advance(1000);
     assert.equal((await update).speedRecord, undefined);
     pool.dispose();
