--- a/review/lib/minion.mjs
+++ b/review/lib/minion.mjs
@@ -23,6 +23,7 @@
   let leaseUntil = 0;
   let sequence = 0;
   let state = 'ready';
+  const faults = { refusesStarts: false };
   const clockMs = () => Math.floor(performance.now() - bornAt);
 
   const end = (task, how) => {
@@ -100,6 +101,7 @@
     if (expected !== undefined && expected !== id) return [421, {}];
     const body = JSON.parse(Buffer.concat(chunks).toString('utf8') || '{}');
     if ((body.fence ?? 0) < fence) return [409, { reason: 'fence' }];
+    if (faults.refusesStarts && request.url === '/-/run-start') return [503, {}];
     fence = body.fence ?? 0;
     if (request.url === '/-/run-start') return start(body);
     if (request.url === '/-/run-stop') return stop(body);
@@ -157,6 +159,7 @@
   void beat();
   return {
     id,
+    faults,
     born,
     running,
     leaseLeftMs: () => leaseUntil - clockMs(),
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -205,44 +205,65 @@
     startProgram(name, 'scheduler', writeSettings(name, index, 'scheduler', listen, {}));
   }
   const minions = [];
+  let crashes = 0;
+  const startMinion = (index, id) => {
+    const host = hosts[edges + index];
+    return minion.startMinion({
+      id,
+      host,
+      port: app,
+      control: { host, port: control },
+      backend: BACKEND,
+      zone: ZONES[(edges + index) % ZONES.length],
+      capacity,
+      labels: ['a', `r1-${Math.floor(index / 3) + 1}`],
+      holdMaxMs: BOUNDS.hold_max_ms,
+      heartbeatMs: 1500,
+      durationOf,
+      onStart: ({ id, task, run, spec }) => {
+        const it = { id, task, run, spec, startedAt: performance.now() };
+        runs.push(it);
+        runsByKey.set(`${id} ${task} ${run}`, it);
+      },
+      onEnd: ({ id, task, run, how, number }) => {
+        const it = runsByKey.get(`${id} ${task} ${run}`);
+        Object.assign(it, { how, number, endedAt: performance.now() });
+      },
+      onSeen: ({ id, task, run }) => {
+        const it = runsByKey.get(`${id} ${task} ${run}`);
+        Object.assign(it, { seenAt: performance.now() });
+      },
+      onLapse: ({ id, listed }) => {
+        const numbers = new Set(listed);
+        for (const it of runs) if (it.id === id && numbers.has(it.number)) it.hasLapsed = true;
+      },
+    });
+  };
+  /** The minion goes down with all that it runs, and another one starts in its place after this time. */
+  const crashMinion = async (id, downMs) => {
+    const index = minions.findIndex((it) => it.id === id);
+    const tasks = [...minions[index].running.keys()];
+    minions[index].close();
+    for (const it of runs) {
+      if (it.id === id && it.how === undefined) {
+        Object.assign(it, { how: 'crashed', endedAt: performance.now() });
+      }
+    }
+    crashes += 1;
+    const nextId = `i-${(0x2000 + crashes).toString(16)}`;
+    record(
+      `minion ${id} crashes under [${tasks.join(' ')}]; ${nextId} starts there after ${downMs} ms`,
+    );
+    await sleep(downMs);
+    minions[index] = await startMinion(index, nextId);
+  };
   for (let index = 0; index < sides; index += 1) {
     const name = `side-${index + 1}`;
     const host = hosts[edges + index];
     const extra = { app: `${host}:${app}`, backend: BACKEND };
     const listen = { control: `${host}:${control}` };
     startProgram(name, 'agent', writeSettings(name, edges + index, 'agent', listen, extra));
-    minions.push(
-      await minion.startMinion({
-        id: `i-${(0x1000 + index).toString(16)}`,
-        host,
-        port: app,
-        control: { host, port: control },
-        backend: BACKEND,
-        zone: ZONES[(edges + index) % ZONES.length],
-        capacity,
-        labels: ['a', `r1-${Math.floor(index / 3) + 1}`],
-        holdMaxMs: BOUNDS.hold_max_ms,
-        heartbeatMs: 1500,
-        durationOf,
-        onStart: ({ id, task, run, spec }) => {
-          const it = { id, task, run, spec, startedAt: performance.now() };
-          runs.push(it);
-          runsByKey.set(`${id} ${task} ${run}`, it);
-        },
-        onEnd: ({ id, task, run, how, number }) => {
-          const it = runsByKey.get(`${id} ${task} ${run}`);
-          Object.assign(it, { how, number, endedAt: performance.now() });
-        },
-        onSeen: ({ id, task, run }) => {
-          const it = runsByKey.get(`${id} ${task} ${run}`);
-          Object.assign(it, { seenAt: performance.now() });
-        },
-        onLapse: ({ id, listed }) => {
-          const numbers = new Set(listed);
-          for (const it of runs) if (it.id === id && numbers.has(it.number)) it.hasLapsed = true;
-        },
-      }),
-    );
+    minions.push(await startMinion(index, `i-${(0x1000 + index).toString(16)}`));
   }
 
   /** One call of a client; status 0 stands for no answer. */
@@ -297,6 +318,7 @@
     folder,
     platform,
     minions,
+    crashMinion,
     processes,
     runs,
     exits,
