review/2: a job that lasts is failed when its machine flaps

The case now uses jobs that last, one on each minion: with idle minions beside it the planner sometimes moved the task away before the third crash.

--- a/review/lib/minion.mjs
+++ b/review/lib/minion.mjs
@@ -57,7 +57,8 @@
       return [409, { reason: 'old' }];
     const durationMs = durationOf(task);
     const it = { run, startedAt: performance.now(), durationMs };
-    it.timer = setTimeout(() => end(task, 'done'), durationMs);
+    // A task that lasts has no end of its own.
+    if (Number.isFinite(durationMs)) it.timer = setTimeout(() => end(task, 'done'), durationMs);
     running.set(task, it);
     onStart({ id, task, run, spec });
     return [200, {}];
@@ -85,10 +86,8 @@
       });
     }
     const rows = [...running].map(([task, { run, startedAt, durationMs }]) => {
-      const percent = Math.min(
-        99,
-        Math.floor((100 * (performance.now() - startedAt)) / durationMs),
-      );
+      const share = (performance.now() - startedAt) / durationMs;
+      const percent = Number.isFinite(durationMs) ? Math.min(99, Math.floor(100 * share)) : 100;
       return [task, run, '', percent, 0];
     });
     return [200, { born, running: rows, ended: ended.slice(0, MAX_LISTED_ENDS) }];
