--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -15,6 +15,8 @@
 
 const ROOT = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), '../..');
 const RESTART_MS = 500;
+/** A script runs for 120 seconds at most. */
+const MAX_RUN_MS = 115_000;
 const ZONES = ['sudvestur-a', 'nordur-a', 'austur-a'];
 
 export const BOUNDS = {
@@ -114,6 +116,15 @@
   const exits = [];
   let isClosing = false;
 
+  /** Also where the script is ended by a signal or an error, or takes too long. */
+  const killAll = () => {
+    isClosing = true;
+    for (const { child } of processes) child?.kill('SIGKILL');
+  };
+  process.once('exit', killAll);
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.once(signal, () => process.exit(2));
+  setTimeout(() => process.exit(2), MAX_RUN_MS).unref();
+
   const platform = await store.startStore({
     host: storeHost,
     port: storePort,
