Log where a count of pending jobs comes from, and what a report leaves out

A wrong count of pending jobs may come from the leader's state, from the store or from a cached count; a run that is declared lost with notOnWorker may be left out by a report that is older, of another incarnation or incomplete.

Change: pendingCounted at an entry (source, jobs, how long it took; each count is shared for half a second, so at most two lines a second), and runsNotListed at the leader (gone, missing, the length of both lists of the report, its last end, its clock and its fence).

--- a/src/coordination/node/pool/pendingCounts.ts
+++ b/src/coordination/node/pool/pendingCounts.ts
@@ -96,7 +96,18 @@
     return counts;
   };
 
-  const load = async (): Promise<Counts> => (await fromLeader()) ?? (await fromStore());
+  const load = async (): Promise<Counts> => {
+    const startedAtMs = time.monotonicMs();
+    const ofLeader = await fromLeader();
+    const counts = ofLeader ?? (await fromStore());
+    options.log('info', 'pendingCounted', {
+      source: ofLeader === undefined ? 'store' : 'leader',
+      queues: Object.keys(counts).length,
+      jobs: Object.values(counts).reduce((sum, it) => sum + it, 0),
+      durationMs: Math.round(time.monotonicMs() - startedAtMs),
+    });
+    return counts;
+  };
 
   const startCount = (): Count => {
     const count: Count = { counts: load(), startedAtMs: time.monotonicMs(), isOpen: true };
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -276,6 +276,18 @@
       atMs: receivedAtMs - viewAgeMs,
     };
     const facts = reportReconciliation.applyReport(worker, { view, viewFence }, nowMs());
+    if (facts.gone.length + facts.missing.length > 0) {
+      log('info', 'runsNotListed', {
+        agent: worker.agentId,
+        gone: facts.gone.length,
+        missing: facts.missing.length,
+        running: view.running.length,
+        ended: view.ended.length,
+        endedUpTo: view.ended.at(-1)?.sequence,
+        clockMs: view.clockMs,
+        fence: viewFence,
+      });
+    }
     facts.saved.forEach(recordCheckpoint);
     options.speeds.recordRuns(worker, facts.timed, facts.done);
     recorder.recordRuntimes(worker, facts.done);
