Count a job as pending until a worker has started a task of it

What callers saw: a job was accepted, its only free worker turned each start away with 503, and for the eight seconds until a start was accepted GET of the queue said {"pending":0} and GET of the job said running.

Cause: jobState.assign set the job to running when a task was assigned, before its order was stored or sent, and nothing took that back. An assignment was taken for a start. The leader's count (jobRegistry) and the entry's count from the store (pendingCounts) both count jobs that are queued, so both left the job out. Ruled out by the logs: a stale count, a count from the store, a leader that does not know the job (pendingCounted source=leader jobs=0 in each count, runEnded how=lost state=running after each refusal).

Change: a job is running once a task of it is known to have begun, by an order that its worker accepted, a run that its worker reports, or an end that its worker reports, whichever run it is of. A run that was lost shows nothing. The stored state follows in the batch that stores checkpoints, at most 2 s later, or with the next write of the job: a count from the store may be 2 s old, so a start costs no write of its own, and a job that was written meanwhile is not written again. New in the log: jobBegun.

Left as it is: a crash of a worker under a run is no proof, since the agent also tells of runs that may have begun.

Why our own tests did not meet it: no stand-in could refuse a start, and nothing compared a count with what had started.

--- a/src/bench/saturation/poolReplay.ts
+++ b/src/bench/saturation/poolReplay.ts
@@ -234,7 +234,7 @@
     const nowMs = events.nowMs();
     const distanceFactor = gangPlacement.countRemoteTasks(step, racks) > 0 ? mix.remoteFactor : 1;
     const startTime = { wallMs: nowMs, distanceFactor };
-    jobState.assign(entry, gangPlacement.assignmentsOf(placement), startTime);
+    jobState.assign(gangPlacement.assignmentsOf(placement), startTime);
     const speedFactor = speedChoice.slowestFactor(placement);
     const group: replayedGroup.Group = {
       members: [],
--- a/src/coordination/common/pool/jobState.ts
+++ b/src/coordination/common/pool/jobState.ts
@@ -344,16 +344,27 @@
   readonly distanceFactor: number;
 }
 
+/**
+ * Records that a task of a job has begun: its worker has accepted or reported a run of it. An assignment shows nothing,
+ * since its start may be refused, get no answer or never be sent.
+ *
+ * @param entry - the job
+ * @returns whether none of its tasks was known to have begun
+ */
+export const recordBegun = (entry: JobEntry): boolean => {
+  if (entry.state !== poolJob.PoolJobState.queued) return false;
+  entry.state = poolJob.PoolJobState.running;
+  return true;
+};
+
 /**
  * Assigns the tasks of a unit to workers, under one run number that no member has had before. A gang
  * resumes from one common checkpoint.
  *
- * @param entry - the job
  * @param assignments - one for each task of the unit
  * @param start - when they start and how remote from their data
  */
 export const assign = (
-  entry: JobEntry,
   assignments: readonly Assignment[],
   start: RunStart = { wallMs: 0, distanceFactor: 0 },
 ): void => {
@@ -370,5 +381,4 @@
     task.distanceFactor = start.distanceFactor;
     if (crashAttribution.isLimited(task)) task.limitedStarts += 1;
   }
-  if (entry.state === poolJob.PoolJobState.queued) entry.state = poolJob.PoolJobState.running;
 };
--- a/src/coordination/common/pool/jobTransitions.ts
+++ b/src/coordination/common/pool/jobTransitions.ts
@@ -47,9 +47,14 @@
   readonly saved: string;
 }
 
+/** An end that a worker reports shows that the run had begun, whichever run it is. */
+const recordBegunBy = (entry: jobState.JobEntry, { how }: RunOutcome): void => {
+  if (how !== 'lost') jobState.recordBegun(entry);
+};
+
 /**
- * Records the end of a task's run. The end of an earlier run changes nothing: that run was declared
- * lost only when it had certainly ended or could not start any more.
+ * Records the end of a task's run. The end of an earlier run changes nothing but that the job has begun: that run was
+ * declared lost only when it had certainly ended or could not start any more.
  *
  * @param entry - the job
  * @param task - the task
@@ -63,6 +68,7 @@
   outcome: RunOutcome,
   wallMs: number,
 ): boolean => {
+  recordBegunBy(entry, outcome);
   const isCurrentRun = task.phase === progressRecord.TaskPhase.assigned && task.run === outcome.run;
   if (!isCurrentRun) return false;
   const group = jobState.groupOf(entry, task);
@@ -137,9 +143,11 @@
 export const recordEarlierRunDone = (
   entry: jobState.JobEntry,
   task: jobState.TaskEntry,
-  { run, how }: RunOutcome,
+  outcome: RunOutcome,
   wallMs: number,
 ): boolean => {
+  recordBegunBy(entry, outcome);
+  const { run, how } = outcome;
   const isLongRunning = entry.job.steps[task.step]?.isLongRunning === true;
   const isUnfinished =
     task.phase === progressRecord.TaskPhase.waiting ||
--- a/src/coordination/common/pool/test/crashAttribution.test.ts
+++ b/src/coordination/common/pool/test/crashAttribution.test.ts
@@ -283,8 +283,11 @@
   return { entry, task };
 };
 
-const assign = (entry: jobState.JobEntry, task: jobState.TaskEntry): void =>
-  jobState.assign(entry, [{ task, workerId: 'w', incarnationMs: 1, agentId: 'agent' }]);
+/** Assigns the task to a worker that starts it. */
+const assign = (entry: jobState.JobEntry, task: jobState.TaskEntry): void => {
+  jobState.assign([{ task, workerId: 'w', incarnationMs: 1, agentId: 'agent' }]);
+  jobState.recordBegun(entry);
+};
 
 test.describe('starts of a task', () => {
   for (const it of STARTS) {
--- a/src/coordination/common/pool/test/jobState.test.ts
+++ b/src/coordination/common/pool/test/jobState.test.ts
@@ -32,6 +32,21 @@
 
 const CASES: readonly Case[] = [
   { name: 'nothing has started', steps: [{}], rounds: [], state: 'queued', ready: ['0.0'] },
+  {
+    // Guards against a job that counts as begun, and is left out of the pending jobs, before any task has started.
+    name: 'a task is assigned, and its worker has not started it',
+    steps: [{}],
+    rounds: [[]],
+    state: 'queued',
+    ready: [],
+  },
+  {
+    name: 'the only start did not begin',
+    steps: [{}],
+    rounds: [[[0, 0, 1, 'lost']]],
+    state: 'queued',
+    ready: ['0.0'],
+  },
   {
     name: 'a step waits for all tasks of those before it',
     steps: [{ count: 2 }, { after: [0] }],
@@ -115,10 +130,7 @@
 const assignAll = (entry: jobState.JobEntry): void => {
   for (const { tasks } of jobState.readyUnits(entry)) {
     const place = { workerId: 'w', incarnationMs: 1, agentId: 'a' };
-    jobState.assign(
-      entry,
-      tasks.map((task) => ({ task, ...place })),
-    );
+    jobState.assign(tasks.map((task) => ({ task, ...place })));
   }
 };
 
--- a/src/coordination/common/pool/test/jobTransitions.test.ts
+++ b/src/coordination/common/pool/test/jobTransitions.test.ts
@@ -87,10 +87,7 @@
 const assignAll = (entry: jobState.JobEntry): void => {
   const place = { workerId: 'w', incarnationMs: 1, agentId: 'a' };
   for (const { tasks } of jobState.readyUnits(entry)) {
-    jobState.assign(
-      entry,
-      tasks.map((task) => ({ task, ...place })),
-    );
+    jobState.assign(tasks.map((task) => ({ task, ...place })));
   }
 };
 
--- a/src/coordination/common/pool/test/stragglers.test.ts
+++ b/src/coordination/common/pool/test/stragglers.test.ts
@@ -34,7 +34,6 @@
     (_, index) => workers[index % workers.length] as workerTable.WorkerEntry,
   );
   jobState.assign(
-    entry,
     tasks.map((task, index) => ({
       task,
       workerId: assigned[index]?.info?.workerId ?? '',
--- a/src/coordination/common/pool/test/workerTable.test.ts
+++ b/src/coordination/common/pool/test/workerTable.test.ts
@@ -76,7 +76,7 @@
       incarnationMs: 1,
       agentId: 'agent',
     }));
-    jobState.assign(entry, assignments, { wallMs: 500_000, distanceFactor: 3 });
+    jobState.assign(assignments, { wallMs: 500_000, distanceFactor: 3 });
     const [task] = tasks;
     assert.ok(task);
     const run = workerTable.createActiveRun(entry, task, workerTable.RunPhase.present, NOW_MS);
--- a/src/coordination/node/pool/orderResultHandler.ts
+++ b/src/coordination/node/pool/orderResultHandler.ts
@@ -19,6 +19,8 @@
   readonly log: logging.Log;
   readonly metrics: metrics.Metrics;
   readonly openOrders: openOrderRecorder.OpenOrderRecorder;
+  /** The worker has accepted the start of the run. */
+  readonly recordBegun: (run: workerTable.ActiveRun) => void;
   readonly stopRun: (
     worker: workerTable.WorkerEntry,
     run: workerTable.ActiveRun,
@@ -77,6 +79,7 @@
     const { run, outcome, reason, hasOpenCopy } = it;
     if (run.task.orderedRun === run.run) run.task.orderedRun = 0;
     if (hasOpenCopy) recordOpenOrder(worker, run);
+    if (outcome === agentContract.OrderOutcome.accepted) options.recordBegun(run);
     const isOpen = worker.runs.get(poolWorker.runKey(run.name, run.run)) === run;
     if (!isOpen) return;
     if (outcome === agentContract.OrderOutcome.accepted) {
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -139,7 +139,7 @@
     const distanceFactor = away > 0 ? options.remoteFactor : 1;
     const speedFactor = speedChoice.slowestFactor(placement);
     const assignment = { wallMs: time.wallMs(), distanceFactor };
-    jobState.assign(entry, gangPlacement.assignmentsOf(placement), assignment);
+    jobState.assign(gangPlacement.assignmentsOf(placement), assignment);
     const runs = tasks.flatMap((task) => {
       const worker = workers.get(task.agentId);
       if (worker === undefined) return [];
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -91,10 +91,11 @@
 const TICK_MS = 200;
 
 /**
- * Interval of storing new checkpoints in batches. A power loss of all machines costs at most this much saved work;
- * stored one by one, checkpoints would be most of the leader's writes.
+ * Interval of storing new checkpoints, and which jobs have begun, in batches. A power loss of all machines costs at most
+ * this much saved work, and a count of pending jobs may be this old; stored one by one, they would be most of the
+ * leader's writes.
  */
-const CHECKPOINT_PERIOD_MS = 2000;
+const PROGRESS_PERIOD_MS = 2000;
 
 /**
  * Callers may receive counts up to two seconds old, and entries cache a count for half a second. A watch of a slow
@@ -111,7 +112,7 @@
   const owned = disposable.createDisposableStore();
   const registry = jobRegistry.createJobRegistry(log);
   const workers = new Map<string, workerTable.WorkerEntry>();
-  const checkpointedJobs = new Set<string>();
+  const progressedJobs = new Set<string>();
   const estimates = runtimeEstimates.createRuntimeEstimates();
   const speeds = options.learnsSpeeds
     ? speedRecorder.createSpeedRecorder({ clock: time, log, metrics, workers })
@@ -120,7 +121,7 @@
   const previousLeasesExpireAtMs =
     startedAtMs + leaseClock.previousLeasesExpiryMs(options.limits.maxLeaseMs);
   let isLoaded = false;
-  let checkpointedAtMs = startedAtMs;
+  let progressStoredAtMs = startedAtMs;
 
   const nowMs = (): number => time.monotonicMs();
   const followEvacuations = (limits: evacuationFeed.EvacuationLimits): evacuations.Evacuations =>
@@ -165,6 +166,11 @@
     onDidFindCancel: (record) => handleJobRecord(record, 'write'),
     onDidConflict: options.onDidConflict,
   });
+  /** Stores all that is new of the job, so nothing of it is left for the next batch. */
+  const save = (jobId: string): Promise<void> => {
+    progressedJobs.delete(jobId);
+    return writer.save(jobId);
+  };
   const control: runControl.RunControl = runControl.createRunControl({
     clock: time,
     log,
@@ -178,9 +184,9 @@
     doneRuns: options.doneRuns,
     estimates,
     speeds,
-    save: writer.save,
+    save,
     whenStored: writer.whenStored,
-    onDidCheckpoint: (jobId) => checkpointedJobs.add(jobId),
+    onDidProgress: (jobId) => progressedJobs.add(jobId),
     onDidChange: () => driver.schedule(),
   });
   const sender = orderSender.createOrderSender({
@@ -204,7 +210,7 @@
     restoreMs: options.limits.restoreMs,
     control: () => control,
     orderSender: () => sender,
-    save: writer.save,
+    save,
     configuration: options.configuration,
     askAdvice: options.askAdvice,
     evacuations: evacuated,
@@ -263,7 +269,7 @@
     if (entry?.isCancelled !== true) return;
     if (!jobTransitions.cancel(entry, time.wallMs())) return;
     control.stopUnwanted(entry, 'cancelled');
-    void writer.save(entry.job.jobId);
+    void save(entry.job.jobId);
   };
 
   /** @param source - how the leader received the record */
@@ -315,11 +321,10 @@
     driver.schedule();
   };
 
-  const storeCheckpoints = (): void => {
-    if (nowMs() - checkpointedAtMs < CHECKPOINT_PERIOD_MS) return;
-    checkpointedAtMs = nowMs();
-    for (const jobId of checkpointedJobs) void writer.save(jobId);
-    checkpointedJobs.clear();
+  const storeProgressedJobs = (): void => {
+    if (nowMs() - progressStoredAtMs < PROGRESS_PERIOD_MS) return;
+    progressStoredAtMs = nowMs();
+    for (const jobId of progressedJobs) void save(jobId);
   };
 
   const reportEvacuations = evacuationReport.createEvacuationReport({
@@ -342,7 +347,7 @@
     if (owned.isDisposed()) return;
     control.repeatStops();
     control.inspect();
-    storeCheckpoints();
+    storeProgressedJobs();
     control.declareLost();
     agents.removeGone();
     reportEvacuations();
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -58,8 +58,8 @@
   readonly save: (jobId: string) => Promise<void>;
   /** Settled once no change of a job is waiting to be stored. */
   readonly whenStored: (jobId: string) => Promise<void>;
-  /** A job has a new checkpoint, which can be stored later in a batch. */
-  readonly onDidCheckpoint: (jobId: string) => void;
+  /** A job has begun or has a new checkpoint, which can be stored later in a batch. */
+  readonly onDidProgress: (jobId: string) => void;
   /** Something changed that requires a planning round. */
   readonly onDidChange: () => void;
 }
@@ -155,12 +155,16 @@
     mayBeOfLostRun = false,
   ): Promise<void> => {
     const { jobId } = entry.job;
+    const { state } = entry;
     const hadEnded = jobState.isEnded(entry);
     // The end of another gang member may already have changed the job, and that change may not be stored yet.
     const hasChanged =
       jobTransitions.recordRunEnd(entry, task, outcome, time.wallMs()) ||
       (mayBeOfLostRun && jobTransitions.recordEarlierRunDone(entry, task, outcome, time.wallMs()));
-    if (!hasChanged) return options.whenStored(jobId);
+    if (!hasChanged) {
+      if (entry.state !== state) options.onDidProgress(jobId);
+      return options.whenStored(jobId);
+    }
     recorder.recordRunEnd(entry, task, outcome);
     const hasEnded = jobState.isEnded(entry);
     if (hasEnded && !hadEnded) recorder.recordJobEnd(entry);
@@ -169,6 +173,13 @@
     return options.save(jobId);
   };
 
+  /** @param run - a run that its worker has accepted or reports */
+  const recordBegun = ({ entry, name, run }: workerTable.ActiveRun): void => {
+    if (!jobState.recordBegun(entry)) return;
+    log('info', 'jobBegun', { job: entry.job.jobId, task: name, run });
+    options.onDidProgress(entry.job.jobId);
+  };
+
   const markLost = (run: workerTable.ActiveRun, cause: string): void => {
     log('warn', 'runLost', { task: run.name, run: run.run, cause });
     const outcome = { run: run.run, how: 'lost', saved: run.saved } as const;
@@ -232,7 +243,7 @@
   const recordCheckpoint = (run: workerTable.ActiveRun): void => {
     if (!runState.isWanted(run)) return;
     for (const member of jobState.groupOf(run.entry, run.task)) member.saved = run.saved;
-    options.onDidCheckpoint(run.entry.job.jobId);
+    options.onDidProgress(run.entry.job.jobId);
   };
 
   const applyInfo = workerInfoHandler.createWorkerInfoHandler(options);
@@ -296,6 +307,7 @@
     facts.missing.forEach((run) => markClosing(worker, run));
     if (isNewer) facts.unknownRuns.forEach((listed) => adoptUnknown(worker, listed));
     for (const run of worker.runs.values()) {
+      if (run.phase === workerTable.RunPhase.present) recordBegun(run);
       const isStale =
         run.phase === workerTable.RunPhase.present &&
         !runState.isWanted(run) &&
@@ -349,6 +361,7 @@
     ...options,
     openOrders,
     stopRun,
+    recordBegun,
     recordSuspicion: recorder.recordSuspicion,
     close: markClosing,
     markLost,
--- a/src/standins/memoryPoolWorker.ts
+++ b/src/standins/memoryPoolWorker.ts
@@ -28,6 +28,8 @@
   /** This many of the next orders get no answer and are executed after `lateByMs`. */
   delayOrders: number;
   lateByMs: number;
+  /** Every start is refused, as by an unhealthy worker; all else works. */
+  refusesStarts: boolean;
   /** Every task fails as soon as it is started. */
   failsAll: boolean;
   /** Tasks make no progress. */
@@ -132,6 +134,7 @@
     timeoutMs: 0,
     delayOrders: 0,
     lateByMs: 3000,
+    refusesStarts: false,
     failsAll: false,
     isStalled: false,
     slowFactor: 1,
@@ -251,6 +254,7 @@
   const start = (order: agentContract.WorkerStart, isLate: boolean): agentContract.WorkerAnswer => {
     const refuse = (reason: string): agentContract.WorkerAnswer => ({ outcome: 'refused', reason });
     if (order.fence < fence) return refuse('fence');
+    if (faults.refusesStarts) return refuse('unhealthy');
     fence = order.fence;
     if (order.leaseUntilMs <= clockMs()) return refuse('late');
     leaseUntilMs = Math.max(
--- a/src/standins/test/poolExploration.ts
+++ b/src/standins/test/poolExploration.ts
@@ -5,6 +5,7 @@
 
 import * as random from '../../base/common/random.js';
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
+import type * as poolLeader from '../../coordination/node/pool/poolLeader.js';
 import type * as poolJob from '../../state/common/pool/poolJob.js';
 import type * as memoryPoolWorker from '../memoryPoolWorker.js';
 import * as poolHarness from './poolHarness.js';
@@ -21,10 +22,13 @@
 /** Share of the steps at which the operators evacuate a zone or take it back. */
 const EVACUATION_SHARE = 0.15;
 
+/** Share of the steps at which a worker begins or ceases to refuse starts. */
+const REFUSAL_SHARE = 0.3;
+
 /** Time without faults within which every job must reach a final state. */
 const SETTLE_MS = 90_000;
 
-/** Time at which each job's cancellation was stored, by job id. */
+/** Time at which each job's cancellation was stored, by job id; infinite where it was not acknowledged. */
 type Cancellations = Map<string, number>;
 
 type FaultAction = (
@@ -54,9 +58,11 @@
 
 const cancelAny: FaultAction = async (pool, next, cancelled) => {
   const jobId = `j${random.integerBelow(next, JOBS)}`;
+  const earlierAtMs = cancelled.get(jobId) ?? Infinity;
+  cancelled.set(jobId, earlierAtMs);
   try {
     await pool.cancel(jobId);
-    if (!cancelled.has(jobId)) cancelled.set(jobId, pool.clock.monotonicMs());
+    cancelled.set(jobId, Math.min(earlierAtMs, pool.clock.monotonicMs()));
   } catch {
     // The cancellation was not acknowledged: the store is down or its answer was lost.
   }
@@ -170,6 +176,33 @@
   }
 };
 
+/** A count of pending jobs may be this old. */
+const MAX_COUNT_AGE_MS = 2000;
+
+/** A job with the time at which it was stored. */
+interface Submission {
+  readonly job: poolJob.PoolJob;
+  readonly storedAtMs: number;
+}
+
+/** Asserts that the leader counts each job as pending of which no task has started. */
+const assertPendingCounted = (
+  pool: poolHarness.Pool,
+  leader: poolLeader.PoolLeader | undefined,
+  submissions: readonly Submission[],
+  cancelled: Cancellations,
+): void => {
+  const counts = leader?.pendingByQueue();
+  if (counts === undefined) return;
+  const storedByMs = pool.clock.monotonicMs() - MAX_COUNT_AGE_MS;
+  const begun = new Set(pool.runs().map(runAssertions.jobIdOf));
+  const waiting = submissions
+    .filter((it) => it.storedAtMs <= storedByMs && !cancelled.has(it.job.jobId))
+    .filter((it) => !begun.has(it.job.jobId));
+  const pending = Object.values(counts).reduce((sum, it) => sum + it, 0);
+  assert.ok(pending >= waiting.length, `${pending} jobs are pending of ${waiting.length}`);
+};
+
 /** Workers that have to crash under a task before it may be given up. */
 const CRASHES_TO_GIVE_UP = 2;
 
@@ -220,17 +253,20 @@
   readonly evacuates?: boolean;
   /** Whether watches of the store can be lost as well. */
   readonly losesWatches: boolean;
+  /** Whether workers refuse all starts from time to time. */
+  readonly refusesStarts?: boolean;
 }
 
 /**
  * @param exploration - the seed and the kinds of faults
  */
 export const explore = async (exploration: Exploration): Promise<void> => {
-  const { seed, losesWatches, evacuates = false } = exploration;
+  const { seed, losesWatches, evacuates = false, refusesStarts = false } = exploration;
   const actions = losesWatches ? WATCH_FAULT_ACTIONS : FAULT_ACTIONS;
   const next = random.createRandom(seed);
-  // From a separate generator, so that the faults of a seed don't change.
+  // From separate generators, so that the faults of a seed don't change.
   const nextZone = random.createRandom(seed);
+  const nextRefusal = random.createRandom(seed);
   const pool = poolHarness.createPool({
     workers: WORKERS,
     seed,
@@ -241,7 +277,7 @@
   const jobs = Array.from({ length: JOBS }, (_, index) => makeJob(index, next));
   await pool.ready;
   let leader = pool.addCandidate();
-  const submitted: poolJob.PoolJob[] = [];
+  const submitted: Submission[] = [];
   const cancelled: Cancellations = new Map();
   const evacuations: Evacuation[] = [];
   for (let step = 0; step < STEPS; step += 1) {
@@ -250,7 +286,7 @@
       pool.store.faults.loseWriteAnswers = 0;
       pool.store.faults.delayTransactions = 0;
       await pool.submit(job);
-      submitted.push(job);
+      submitted.push({ job, storedAtMs: pool.clock.monotonicMs() });
     }
     if (next() < 0.1) {
       leader.kill();
@@ -260,7 +296,12 @@
     const action = random.pick(next, actions);
     await action(pool, next, cancelled);
     if (evacuates) await evacuateOrTakeBack(pool, nextZone, evacuations);
+    if (refusesStarts && nextRefusal() < REFUSAL_SHARE) {
+      const { faults } = random.pick(nextRefusal, pool.sites).worker;
+      faults.refusesStarts = !faults.refusesStarts;
+    }
     await pool.clock.advance(next() * MAX_PAUSE_MS);
+    assertPendingCounted(pool, leader.leader(), submitted, cancelled);
   }
   poolHarness.clearFaults(pool);
   for (const it of evacuations) await takeBack(pool, it);
@@ -268,9 +309,12 @@
   assertNoneInEvacuatedZone(pool, evacuations);
   runAssertions.assertAtMostOnce(pool.runs());
   runAssertions.assertNoStartAfterDone(pool.runs());
-  assertWithinCapacity(pool, submitted);
+  assertWithinCapacity(
+    pool,
+    submitted.map((it) => it.job),
+  );
   assertNoneAfterCancel(pool, cancelled);
-  for (const job of submitted) {
+  for (const { job } of submitted) {
     const state = (await pool.progress(job.jobId))?.state;
     assert.ok(
       state === 'complete' || state === 'cancelled' || state === 'failed',
--- a/src/standins/test/poolHarness.ts
+++ b/src/standins/test/poolHarness.ts
@@ -390,5 +390,6 @@
     site.worker.faults.areAnswersLost = false;
     site.worker.faults.delayOrders = 0;
     site.worker.faults.failsAll = false;
+    site.worker.faults.refusesStarts = false;
   }
 };
