Take no run for lost while a worker's list of ends may be incomplete

What callers saw: 25 jobs of 50 tasks each ended on two workers while the store was silent for 4.5 s, and 250 of the 1250 tasks ran a second time after they were done. Results were delivered twice, and no worker or caller had done anything wrong.

Cause: a worker lists at most 500 ends at a time. reportReconciliation took a run that is in neither list of a report for missing, and under a higher fence for gone, although a full list says nothing of later ends. markLost then ended the run, the planner started it again, and its real end, listed and acknowledged later, was ignored as that of an earlier run. Ruled out by the logs: an older report, a new incarnation, a change of the leader, expired leases (14 lines runsNotListed, each with ended=500, clocks that rise, one leader, one fence sequence).

Change: the boundary to the platform marks a report whose list of ends is full (mayOmitEnds). While a report is marked no run is missing or gone. Ends are listed in ascending order and each acknowledgement brings the next ones, so the lists become complete by themselves; until then the run holds its capacity, which is free only once its end is listed.

The same assumption elsewhere: - the result of a stop (orderResultHandler): a done run that was stopped for a claim and that the running list does not name counted as stopped before it started. Looked at and right: the agent's history of runs (a run that is not running has not been interrupted by a crash), ends that are acknowledged without a gap, lists of the store that come in pages, requests for advice on 100 workers.

Why our own tests did not meet it: the stand-in for a worker listed all its ends, and no test had 500 of them. It lists 500 now, or fewer where a test says so.

--- a/src/coordination/common/pool/reportReconciliation.ts
+++ b/src/coordination/common/pool/reportReconciliation.ts
@@ -31,7 +31,7 @@
   readonly unknownRuns: readonly poolWorker.RunningTask[];
   /** Runs that are certainly gone without a reported end. */
   readonly gone: readonly workerTable.ActiveRun[];
-  /** Runs that were present and are not reported any more. */
+  /** Runs that were present and are not reported any more; like those that are gone, none while a report may omit ends. */
   readonly missing: readonly workerTable.ActiveRun[];
   /** Runs that have a new checkpoint. */
   readonly saved: readonly workerTable.ActiveRun[];
@@ -106,7 +106,7 @@
   const gone: workerTable.ActiveRun[] = [];
   const missing: workerTable.ActiveRun[] = [];
   for (const [key, run] of worker.runs) {
-    if (!listed.has(key)) {
+    if (!listed.has(key) && view.mayOmitEnds !== true) {
       const isClosed = run.phase === workerTable.RunPhase.closing && viewFence >= run.closeFence;
       if (isClosed) gone.push(run);
       else if (run.phase === workerTable.RunPhase.present) missing.push(run);
--- a/src/coordination/node/pool/orderResultHandler.ts
+++ b/src/coordination/node/pool/orderResultHandler.ts
@@ -109,11 +109,14 @@
     const isOpen = worker.runs.get(key) === it.run;
     if (!isOpen || it.outcome !== agentContract.OrderOutcome.accepted || !isNewsLater) return;
     // The report of an incarnation that no heartbeat has announced yet is applied later, with the ends that it lists.
-    if (news?.view?.incarnationMs !== worker.info?.incarnationMs) return;
-    const isListed = news?.view?.running.some(
+    const view = news?.view;
+    if (view === undefined || view.incarnationMs !== worker.info?.incarnationMs) return;
+    // It may be done. The stop is repeated, so a later report decides.
+    if (view.mayOmitEnds === true) return;
+    const isListed = view.running.some(
       ({ task, run }) => task === it.run.name && run === it.run.run,
     );
-    if (isListed !== false) return;
+    if (isListed) return;
     // Stopped before it started: the worker permanently refuses this run.
     worker.runs.delete(key);
     markLost(it.run, 'stoppedBeforeStart');
--- a/src/coordination/node/pool/poolAgent.ts
+++ b/src/coordination/node/pool/poolAgent.ts
@@ -67,7 +67,7 @@
     ? ''
     : `${view.incarnationMs};${view.running.map((it) => `${it.task}#${it.run}`).join(',')};${
         view.ended.at(-1)?.sequence ?? 0
-      }`;
+      };${view.mayOmitEnds === true}`;
 
 /**
  * @param options - its dependencies
--- a/src/platform/test/workerClient.test.ts
+++ b/src/platform/test/workerClient.test.ts
@@ -92,6 +92,26 @@
     });
   });
 
+  // Guards against done runs that are started again since a full list of ends leaves out theirs.
+  const LISTED_ENDS: readonly [ends: number, mayOmitEnds: true | undefined][] = [
+    [499, undefined],
+    [500, true],
+  ];
+  for (const [count, mayOmitEnds] of LISTED_ENDS) {
+    test.it(`a report that lists ${count} ends`, async () => {
+      const ended = Array.from({ length: count }, (_, index) => [index + 1, 't', 1, 'done', '']);
+      const scriptedCall = scripted.createScriptedCall({
+        status: 200,
+        body: { clock_ms: 1, ended },
+      });
+      const request = { fence: 7, leaseUntilMs: 0, seenUpTo: 0, waitMs: 0 };
+      const answer = await create(scriptedCall).view('i-1', request);
+      assert.ok(answer.outcome === 'view');
+      assert.equal(answer.view.ended.length, count);
+      assert.equal(answer.view.mayOmitEnds, mayOmitEnds);
+    });
+  }
+
   const UNREADABLE: readonly [string, scripted.ScriptedAnswer][] = [
     ['bytes that are not JSON', { status: 200, body: 'garbage' }],
     // With a partial report the missing runs would count as gone and be started again.
--- a/src/platform/workerWire.ts
+++ b/src/platform/workerWire.ts
@@ -53,6 +53,9 @@
 
 const END_KINDS: readonly string[] = ['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone'];
 
+/** Ends that a worker lists at a time, at most. */
+const MAX_LISTED_ENDS = 500;
+
 /** Index of the rack in the labels, after the worker's kind. */
 const RACK_INDEX = 1;
 
@@ -148,5 +151,6 @@
     clockMs: value.clock_ms,
     running: running.filter((it) => it !== undefined),
     ended: ended.filter((it) => it !== undefined).sort((a, b) => a.sequence - b.sequence),
+    ...(ended.length < MAX_LISTED_ENDS ? {} : { mayOmitEnds: true }),
   };
 };
--- a/src/standins/memoryPoolWorker.ts
+++ b/src/standins/memoryPoolWorker.ts
@@ -85,8 +85,13 @@
   readonly gangOf: (task: string) => number;
   readonly maxLeaseMs: number;
   readonly gangMs: number;
+  /** Ends that it lists at a time; {@link MAX_LISTED_ENDS} by default. */
+  readonly maxListedEnds?: number;
 }
 
+/** Ends that a worker of the platform lists at a time. */
+export const MAX_LISTED_ENDS = 500;
+
 interface EndedRecord {
   readonly listed: poolWorker.EndedRun;
   readonly record: RecordedRun;
@@ -358,13 +363,15 @@
       return { task: record.task, run: record.run, saved: '', percent };
     });
     const { incarnationMs } = info;
+    const { maxListedEnds = MAX_LISTED_ENDS } = options;
     return {
       outcome: 'view',
       view: {
         incarnationMs,
         clockMs: clockMs(),
         running,
-        ended: ended.map(({ listed }) => listed),
+        ended: ended.slice(0, maxListedEnds).map(({ listed }) => listed),
+        ...(ended.length < maxListedEnds ? {} : { mayOmitEnds: true }),
       },
     };
   };
--- a/src/standins/test/poolExploration.ts
+++ b/src/standins/test/poolExploration.ts
@@ -255,6 +255,8 @@
   readonly losesWatches: boolean;
   /** Whether workers refuse all starts from time to time. */
   readonly refusesStarts?: boolean;
+  /** Ends that a worker lists at a time. */
+  readonly maxListedEnds?: number;
 }
 
 /**
@@ -262,6 +264,7 @@
  */
 export const explore = async (exploration: Exploration): Promise<void> => {
   const { seed, losesWatches, evacuates = false, refusesStarts = false } = exploration;
+  const { maxListedEnds } = exploration;
   const actions = losesWatches ? WATCH_FAULT_ACTIONS : FAULT_ACTIONS;
   const next = random.createRandom(seed);
   // From separate generators, so that the faults of a seed don't change.
@@ -273,6 +276,7 @@
     workMs: (task) => 500 + ((task.length * 997 + task.charCodeAt(1) * 331) % 4000),
     guarantees: { owner: 8, other: 8 },
     ...(evacuates ? { zones: ZONES } : {}),
+    ...(maxListedEnds === undefined ? {} : { maxListedEnds }),
   });
   const jobs = Array.from({ length: JOBS }, (_, index) => makeJob(index, next));
   await pool.ready;
--- a/src/standins/test/poolHarness.ts
+++ b/src/standins/test/poolHarness.ts
@@ -98,6 +98,8 @@
   /** Zones of the workers, in turn; all are in one zone by default. */
   readonly zones?: readonly string[];
   readonly jobs?: readonly poolJob.PoolJob[];
+  /** Ends that a worker lists at a time. */
+  readonly maxListedEnds?: number;
   readonly log?: logging.Log;
   readonly seed?: number;
   /** Whether leaders learn how fast workers are; they do by default. */
@@ -191,6 +193,7 @@
         gangOf: gangs.of,
         maxLeaseMs: MAX_LEASE_MS,
         gangMs: 1500,
+        ...(options.maxListedEnds === undefined ? {} : { maxListedEnds: options.maxListedEnds }),
       },
       board,
     );
--- a/src/state/common/pool/poolWorker.ts
+++ b/src/state/common/pool/poolWorker.ts
@@ -82,7 +82,10 @@
   /** The worker's own monotonic clock. */
   clockMs: units.Count,
   running: Schema.Array(RunningTask),
+  /** Ends that are not acknowledged, the earliest first. */
   ended: Schema.Array(EndedRun),
+  /** The list of ends is as long as it can be: a run that neither list names may have ended. Absent where it is complete. */
+  mayOmitEnds: Schema.optionalKey(Schema.Boolean),
 });
 
 /** See {@link WorkerReport}. */
