Take no run for stalled whose end its worker does not list yet

What callers see: with more ends on a worker than it lists at a time, a sound worker gets no new tasks for seconds, since its runs seem to stand still.

Cause: a second assumption about full lists.

Change: the inspection passes over a run that the worker's latest report does not list.

--- a/src/coordination/node/pool/runInspection.ts
+++ b/src/coordination/node/pool/runInspection.ts
@@ -51,6 +51,12 @@
   relocateShare: 0.15,
 } as const;
 
+/** @returns whether the run has ended, and its worker lists so many earlier ends that it does not list this one yet */
+const hasUnlistedEnd = (
+  { sample }: workerTable.WorkerEntry,
+  { reportedAtMs }: workerTable.ActiveRun,
+): boolean => sample !== undefined && reportedAtMs < sample.atMs;
+
 /**
  * @param options - its dependencies
  * @returns the inspection, which checks when called
@@ -64,6 +70,7 @@
     progress: runProgress.GroupProgress,
   ): void => {
     if (run.phase !== workerTable.RunPhase.present || !options.isWanted(run)) return;
+    if (hasUnlistedEnd(worker, run)) return;
     const { estimatedMs, isLongRunning, isCheckpointing } = run.step;
     const reserveMs = isCheckpointing || isLongRunning ? CHECKPOINT_RESERVE_MS : 0;
     const leftMs = worker.drainEndsAtMs - reserveMs - nowMs();
