Let the soak refuse starts, hold up hundreds of ends, and check the pending jobs

Its workers took each start, no worker had more than a few ends, and its callers never asked how many jobs are pending.

Change: from generators of their own, so that the other faults of a seed stay as they are, workers refuse all starts for 3 to 8 s, one or all of them, and in half of the seeds 650 small tasks on one worker end while the store is down. Callers read the number of pending jobs, and a new check compares it with the jobs of which nothing had started (two cases in invariants.test).

--- a/src/soak/callers.ts
+++ b/src/soak/callers.ts
@@ -19,6 +19,8 @@
 export interface CallersOptions {
   readonly clock: clock.Clock;
   readonly random: random.Random;
+  /** Chooses the entries that are asked for pending jobs, so that the jobs of a seed don't change. */
+  readonly pendingRandom: random.Random;
   readonly endpoints: readonly EntryEndpoint[];
   /** Host name and path of the queue. */
   readonly host: string;
@@ -33,7 +35,11 @@
   readonly calls: evidence.CallRecord[];
   /** Submits one job and retries until a response is final or the attempts are used up. */
   readonly submit: () => Promise<void>;
+  /** Submits jobs of many small tasks that run on the workers with this label only. */
+  readonly submitSmall: (label: string, count: number) => Promise<void>;
   readonly readAny: () => Promise<void>;
+  /** Reads the number of pending jobs. */
+  readonly readPending: () => Promise<void>;
   readonly cancelAny: () => Promise<void>;
   /** Polls every accepted job until it has ended, but no longer than this time. */
   readonly pollUntilEnded: (untilMs: number) => Promise<void>;
@@ -82,15 +88,23 @@
     request.end(body);
   });
 
-const parseState = (body: string): string | undefined => {
+interface AnswerBody {
+  readonly state?: string;
+  readonly pending?: number;
+}
+
+const parseAnswer = (body: string): AnswerBody => {
   try {
-    return (JSON.parse(body) as { state?: string }).state;
+    return JSON.parse(body) as AnswerBody;
   } catch {
-    // Not JSON, so the response contains no job state.
-    return undefined;
+    // Not JSON, so the response contains neither a state nor a count.
+    return {};
   }
 };
 
+/** Tasks of a job of small tasks. */
+const SMALL_TASKS = 50;
+
 const makeSteps = (next: random.Random): evidence.SubmittedStep[] => {
   const first = {
     count: 1 + random.integerBelow(next, 3),
@@ -104,14 +118,15 @@
 const requestBodyOf = (job: evidence.SubmittedJob): string =>
   JSON.stringify({
     spec: job.payload,
-    steps: job.steps.map(({ count, accelerators, isGang, after }) => ({
+    steps: job.steps.map(({ count, accelerators, isGang, after, requires, isSmall }) => ({
       count,
-      cpu: 1000,
-      mem_mb: 1000,
+      cpu: isSmall === true ? 10 : 1000,
+      mem_mb: isSmall === true ? 10 : 1000,
       gpu: accelerators,
       est_ms: 1000,
       gang: isGang,
       after,
+      ...(requires === undefined ? {} : { requires }),
     })),
   });
 
@@ -126,16 +141,17 @@
   const calls: evidence.CallRecord[] = [];
   const accepted = new Set<string>();
 
-  const pick = <T>(items: readonly T[]): T | undefined =>
-    items[random.integerBelow(next, items.length)];
+  const pick = <T>(items: readonly T[], from = next): T | undefined =>
+    items[random.integerBelow(from, items.length)];
 
   const call = async (
     method: evidence.CallRecord['method'],
     jobId: string,
     body = '',
+    choice = next,
   ): Promise<evidence.CallRecord> => {
-    const endpoint = pick(options.endpoints) as EntryEndpoint;
-    const apiKey = pick(options.apiKeys) ?? '';
+    const endpoint = pick(options.endpoints, choice) as EntryEndpoint;
+    const apiKey = pick(options.apiKeys, choice) ?? '';
     const sentAtMs = time.monotonicMs();
     const request = http.request({
       host: '127.0.0.1',
@@ -151,7 +167,7 @@
       },
     });
     const { end, status, body: text } = await send(request, body);
-    const state = status === 200 && method === 'GET' ? parseState(text) : undefined;
+    const { state, pending } = status === 200 && method === 'GET' ? parseAnswer(text) : {};
     const endedAtMs = time.monotonicMs();
     const record = {
       entry: endpoint.name,
@@ -163,7 +179,7 @@
       end,
       status,
     };
-    const callRecord = { ...record, state };
+    const callRecord = { ...record, state, pending };
     calls.push(callRecord);
     return callRecord;
   };
@@ -173,19 +189,29 @@
     return state !== undefined && FINAL_STATES.has(state);
   };
 
+  const submitJob = async (steps: readonly evidence.SubmittedStep[]): Promise<void> => {
+    const jobId = jobs.length.toString(16).padStart(16, 'a');
+    const job = { jobId, payload: `work of ${jobId}`, steps };
+    jobs.push(job);
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+      const { status } = await call('POST', jobId, requestBodyOf(job));
+      if (status === 200) accepted.add(jobId);
+      if (status === 200 || status === 400 || status === 404) return;
+      await clock.sleep(time, RETRY_MS);
+    }
+  };
+
   return {
     jobs,
     calls,
-    submit: async () => {
-      const jobId = jobs.length.toString(16).padStart(16, 'a');
-      const job = { jobId, payload: `work of ${jobId}`, steps: makeSteps(next) };
-      jobs.push(job);
-      for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
-        const { status } = await call('POST', jobId, requestBodyOf(job));
-        if (status === 200) accepted.add(jobId);
-        if (status === 200 || status === 400 || status === 404) return;
-        await clock.sleep(time, RETRY_MS);
-      }
+    submit: () => submitJob(makeSteps(next)),
+    submitSmall: async (requires, count) => {
+      const small = { count: SMALL_TASKS, accelerators: 0, isGang: false, after: [] };
+      const step = { ...small, requires, isSmall: true };
+      await Promise.all(Array.from({ length: count }, () => submitJob([step])));
+    },
+    readPending: async () => {
+      await call('GET', '', '', options.pendingRandom);
     },
     readAny: async () => {
       const jobId = pick([...accepted]);
--- a/src/soak/evidence.ts
+++ b/src/soak/evidence.ts
@@ -32,6 +32,8 @@
   readonly status: number;
   /** The job's state, if a GET returned it. */
   readonly state: string | undefined;
+  /** Jobs of the queue that have not started, if a GET returned them. */
+  readonly pending?: number | undefined;
 }
 
 /** A step of a submitted job. */
@@ -40,6 +42,10 @@
   readonly accelerators: number;
   readonly isGang: boolean;
   readonly after: readonly number[];
+  /** Label of the workers that its tasks need; absent for any worker. */
+  readonly requires?: string;
+  /** Its tasks need so little that hundreds run on one worker. */
+  readonly isSmall?: boolean;
 }
 
 /** A job that a caller submitted. */
@@ -90,6 +96,8 @@
   readonly acceleratorsPerWorker: number;
   /** Nothing starts in a zone later than this after its evacuation. */
   readonly evacuateMs: number;
+  /** A job counts as pending this long after it was accepted at the latest. */
+  readonly visibleMs: number;
   /** Time within which every entry must refuse a revoked key. */
   readonly revokeMs: number;
   /** Failed runs after which a task is abandoned. */
--- a/src/soak/invariants.ts
+++ b/src/soak/invariants.ts
@@ -114,6 +114,34 @@
   });
 };
 
+/** Jobs of which no task had started when the call ended, and which were accepted long before it. */
+const waitingAt = (
+  seen: evidence.Evidence,
+  { sentAtMs, endedAtMs }: evidence.CallRecord,
+): readonly string[] => {
+  const begun = new Set(
+    seen.runs
+      .filter((it) => it.startedAtMs <= endedAtMs)
+      .map((it) => poolWorker.parseTaskName(it.task)?.jobId),
+  );
+  const cancelled = new Set(
+    seen.calls.filter((it) => it.method === 'DELETE').map((it) => it.jobId),
+  );
+  return seen.jobs
+    .map((it) => it.jobId)
+    .filter((jobId) => acceptedAtMs(seen, jobId) < sentAtMs - seen.visibleMs)
+    .filter((jobId) => !begun.has(jobId) && !cancelled.has(jobId));
+};
+
+const waitingJobsArePending: Check = (seen) =>
+  seen.calls.flatMap((call) => {
+    if (call.pending === undefined) return [];
+    const waiting = waitingAt(seen, call);
+    return call.pending >= waiting.length
+      ? []
+      : [`${call.entry}: ${call.pending} jobs pending while ${waiting.join(', ')} had not started`];
+  });
+
 const acceptedJobsEnd: Check = (seen) =>
   seen.jobs.flatMap(({ jobId }) => {
     if (acceptedAtMs(seen, jobId) === Infinity) return [];
@@ -212,6 +240,7 @@
   noRunAfterRefusal,
   noAcceptedJobLost,
   reportedStatesMatchRuns,
+  waitingJobsArePending,
   acceptedJobsEnd,
   noRunLeftOver,
   stepsInOrder,
--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -13,6 +13,7 @@
 import * as faults from './faults.js';
 import * as invariants from './invariants.js';
 import * as soakSite from './soakSite.js';
+import * as workerFaults from './workerFaults.js';
 
 /** Parameters of a soak. */
 export interface SoakOptions {
@@ -63,6 +64,12 @@
 const WORKER_FACTORS = [0.7, 0.7, 1, 2.4] as const;
 const FACTOR_MS = 12_000;
 
+/** Share of seeds in which a worker has more unacknowledged ends than it lists. */
+const MANY_ENDS_SHARE = 0.5;
+
+/** A job counts as pending this long after it was accepted at the latest. */
+const VISIBLE_MS = 5000;
+
 /** Longest pause between two evacuations, and longest evacuation. */
 const MAX_EVACUATION_GAP_MS = 6000;
 const MAX_EVACUATION_MS = 10_000;
@@ -94,6 +101,7 @@
   const soakCallers = callers.createCallers({
     clock: time,
     random: random.createRandom(options.seed + 1),
+    pendingRandom: random.createRandom(options.seed + 8),
     endpoints: site.callerPorts.map((port, index) => ({ name: `edge-${index}`, port })),
     ...soakSite.QUEUE,
     apiKeys: [...PERMANENT_KEYS, ...REVOCABLE_KEYS],
@@ -169,6 +177,19 @@
     }
   };
 
+  const workerFaultContext = (seed: number): workerFaults.WorkerFaultContext => ({
+    clock: time,
+    random: random.createRandom(seed),
+    site,
+    isLoadRunning: () => isLoadRunning,
+  });
+  const hasManyEnds = random.createRandom(options.seed + 7)() < MANY_ENDS_SHARE;
+  const endMany = async (): Promise<void> => {
+    if (!hasManyEnds) return;
+    faultLog.push('many ends on one worker while the store is down');
+    await workerFaults.endManyAtOnce(workerFaultContext(options.seed + 7), soakCallers);
+  };
+
   const gaps = random.createRandom(options.seed + 2);
   const runLoad = async (act: () => Promise<void>, share: number): Promise<void> => {
     while (isLoadRunning) {
@@ -186,6 +207,9 @@
       runLoad(soakCallers.readAny, 1),
       runLoad(soakCallers.readAny, 1),
       runLoad(soakCallers.cancelAny, 0.1),
+      runLoad(soakCallers.readPending, 0.5),
+      workerFaults.refuseStarts(workerFaultContext(options.seed + 6)),
+      endMany(),
       evacuateZones(),
       changeSpeeds(),
     ];
@@ -209,6 +233,7 @@
       disturbances,
       evacuations,
       evacuateMs: soakSite.EVACUATE_MS,
+      visibleMs: VISIBLE_MS,
       failures: site.failures,
       acceleratorsPerWorker: soakSite.ACCELERATORS,
       revokeMs: REVOKE_MS,
--- a/src/soak/soakSite.ts
+++ b/src/soak/soakSite.ts
@@ -77,6 +77,12 @@
 /** Nothing starts in a zone later than this after its evacuation. */
 export const EVACUATE_MS = 5000;
 
+/**
+ * @param index - index of a worker
+ * @returns a label that no other worker has
+ */
+export const labelOf = (index: number): string => `worker-${index}`;
+
 /** Host name, path and attempts of the one queue. */
 export const QUEUE = { host: 'h', pathPrefix: '/q/', attempts: 3 } as const;
 
@@ -239,7 +245,7 @@
           zone: ZONES[index % ZONES.length] ?? '',
           state: 'ready',
           capacity: { cpuMillicores: 64_000, memoryMb: 64_000, accelerators: ACCELERATORS },
-          labels: ['a', 'r1'],
+          labels: ['a', 'r1', labelOf(index)],
         },
         workMs: workMsOf,
         gangOf: options.gangOf,
--- a/src/soak/test/invariants.test.ts
+++ b/src/soak/test/invariants.test.ts
@@ -49,6 +49,15 @@
 const SECOND = run({ task: 'aa.0.1.0', startedAtMs: 300, endedAtMs: 400 });
 const COMPLETE = call({ sentAtMs: 500, endedAtMs: 510, state: 'complete' });
 
+const WAITING = { ...JOB, jobId: 'bb' };
+const ACCEPTED = [
+  SUBMIT,
+  COMPLETE,
+  call({ method: 'POST', jobId: 'bb' }),
+  // Its state is read once it has ended, which is long after the count.
+  call({ jobId: 'bb', sentAtMs: 9000, endedAtMs: 9010, state: 'cancelled' }),
+];
+
 const VALID: evidence.Evidence = {
   jobs: [JOB],
   calls: [SUBMIT, COMPLETE],
@@ -59,6 +68,7 @@
   evacuateMs: 5000,
   failures: [],
   acceleratorsPerWorker: 8,
+  visibleMs: 5000,
   revokeMs: 5000,
   attempts: 3,
 };
@@ -120,6 +130,22 @@
     },
     /shown as failed without 3 failed runs/,
   ],
+  [
+    'a job that has not started and is not counted as pending',
+    {
+      jobs: [JOB, WAITING],
+      calls: [...ACCEPTED, call({ jobId: '', sentAtMs: 5100, endedAtMs: 5110, pending: 0 })],
+    },
+    /0 jobs pending while bb had not started/,
+  ],
+  [
+    'a job that was accepted just before the pending ones were counted',
+    {
+      jobs: [JOB, WAITING],
+      calls: [...ACCEPTED, call({ jobId: '', sentAtMs: 4900, endedAtMs: 4910, pending: 0 })],
+    },
+    undefined,
+  ],
   [
     'an accepted job that never ends',
     { calls: [SUBMIT, call({ sentAtMs: 500, endedAtMs: 510, state: 'running' })] },
--- /dev/null
+++ b/src/soak/workerFaults.ts
@@ -0,0 +1,84 @@
+/**
+ * Faults of workers that each seed draws from generators of its own, so that its other faults don't change: workers
+ * that refuse starts, and one that has more unacknowledged ends than it lists at a time.
+ */
+import * as clock from '../base/common/clock.js';
+import * as random from '../base/common/random.js';
+import type * as callers from './callers.js';
+import * as soakSite from './soakSite.js';
+
+/** What the faults act on. */
+export interface WorkerFaultContext {
+  readonly clock: clock.Clock;
+  readonly random: random.Random;
+  readonly site: soakSite.SoakSite;
+  /** Whether callers still submit jobs. */
+  readonly isLoadRunning: () => boolean;
+}
+
+/** Longest pause between two times of refusal. */
+const MAX_REFUSAL_GAP_MS = 9000;
+
+/** Longer than it takes until a job that waits must be counted as pending. */
+const REFUSAL_MS = { least: 3000, most: 8000 } as const;
+
+/** Share of the times of refusal in which all workers refuse, so that jobs wait. */
+const ALL_REFUSE_SHARE = 0.5;
+
+/** Jobs of small tasks, enough for more ends than a worker lists. */
+const SMALL_JOBS = 13;
+
+/** Runs that the worker must have before their ends are held up. */
+const MANY_RUNS = 550;
+
+/** Longest wait for these runs; less than the time after which runs without progress are stopped. */
+const MAX_GATHER_MS = 5000;
+
+const OUTAGE_MS = 3500;
+
+const POLL_MS = 100;
+
+/**
+ * Lets workers refuse all starts from time to time while the load is running.
+ *
+ * @param context - what it acts on
+ */
+export const refuseStarts = async (context: WorkerFaultContext): Promise<void> => {
+  const { clock: time, random: next, site } = context;
+  while (context.isLoadRunning()) {
+    await clock.sleep(time, next() * MAX_REFUSAL_GAP_MS);
+    const refusing = next() < ALL_REFUSE_SHARE ? site.workers : [random.pick(next, site.workers)];
+    for (const { faults } of refusing) faults.refusesStarts = true;
+    const untilMs =
+      time.monotonicMs() + REFUSAL_MS.least + next() * (REFUSAL_MS.most - REFUSAL_MS.least);
+    while (context.isLoadRunning() && time.monotonicMs() < untilMs) {
+      await clock.sleep(time, POLL_MS);
+    }
+    for (const { faults } of refusing) faults.refusesStarts = false;
+  }
+};
+
+/**
+ * Lets hundreds of runs end on one worker while the store is down, so that no end can be acknowledged.
+ *
+ * @param context - what it acts on
+ * @param soakCallers - submit the jobs
+ */
+export const endManyAtOnce = async (
+  context: WorkerFaultContext,
+  soakCallers: callers.Callers,
+): Promise<void> => {
+  const { clock: time, random: next, site } = context;
+  const index = random.integerBelow(next, site.workers.length);
+  const worker = site.workers[index];
+  if (worker === undefined) return;
+  const liveRuns = (): number => worker.runs.filter((it) => it.how === undefined).length;
+  worker.faults.isStalled = true;
+  await soakCallers.submitSmall(soakSite.labelOf(index), SMALL_JOBS);
+  const untilMs = time.monotonicMs() + MAX_GATHER_MS;
+  while (liveRuns() < MANY_RUNS && time.monotonicMs() < untilMs) await clock.sleep(time, POLL_MS);
+  site.store.faults.isDown = true;
+  worker.faults.isStalled = false;
+  await clock.sleep(time, OUTAGE_MS);
+  site.store.faults.isDown = false;
+};
