--- a/src/standins/test/poolPendingJobs.test.ts
+++ b/src/standins/test/poolPendingJobs.test.ts
@@ -117,3 +117,21 @@
     });
   }
 });
+
+// Guards against a running job that stays pending: its former leader ended before it had stored that the job has begun.
+test.it('a job has begun for the next leader once a worker reports a run of it', async () => {
+  const pool = poolHarness.createPool({ workers: 1, workMs: () => WORK_MS });
+  const first = pool.addCandidate();
+  await pool.clock.advance(3000);
+  await pool.submit(fixtures.makeJob([{}], { jobId: JOB }));
+  while (pool.runs().length === 0) await pool.clock.advance(10);
+  first.kill();
+  assert.equal((await pool.progress(JOB))?.state, 'queued');
+  const next = pool.addCandidate();
+  await pool.clock.advance(poolHarness.LEADER_LEASE_MS + 1000);
+  assert.deepEqual(next.leader()?.pendingByQueue(), {});
+  await pool.clock.advance(MAX_COUNT_AGE_MS);
+  assert.equal((await pool.progress(JOB))?.state, 'running');
+  assert.equal(pool.runs().length, 1);
+  pool.dispose();
+});
--- a/tools/guardList.js
+++ b/tools/guardList.js
@@ -32,6 +32,9 @@
   'transport/node/test/answerTimeout.test.js',
   'transport/node/test/connections.test.js',
   'standins/test/poolExploration.test.js',
+  'standins/test/poolWatchExploration.test.js',
+  'standins/test/poolManyEnds.test.js',
+  'standins/test/poolPendingJobs.test.js',
   'standins/test/poolZonesExploration.test.js',
   `${COMMON_POOL}/test/jobState.test.js`,
   `${COMMON_POOL}/test/openStarts.test.js`,
@@ -43,7 +46,9 @@
   `${COMMON_POOL}/test/poolGuards.test.js`,
   `${COMMON_POOL}/test/planRound.test.js`,
   `${COMMON_POOL}/test/progressBatch.test.js`,
+  `${COMMON_POOL}/test/reportReconciliation.test.js`,
   `${COMMON_POOL}/test/runProgress.test.js`,
+  `${NODE_POOL}/test/runInspection.test.js`,
   `${NODE_POOL}/speed/test/speedRecorder.test.js`,
   `${COMMON_POOL}/speed/test/runTiming.test.js`,
   `${COMMON_POOL}/speed/test/speedChoice.test.js`,
@@ -57,6 +62,42 @@
 
 /** Each guard: the property it protects, the built file, the code to replace and its replacement. */
 export const GUARDS = [
+  [
+    'a full list of ends says nothing of the runs that it leaves out',
+    `${COMMON_POOL}/reportReconciliation.js`,
+    ' && view.mayOmitEnds !== true',
+    '',
+  ],
+  [
+    'a full list of ends does not show that a run was stopped before it started',
+    `${NODE_POOL}/orderResultHandler.js`,
+    'if (view.mayOmitEnds === true)',
+    'if (false)',
+  ],
+  [
+    'a list of as many ends as a worker lists counts as full',
+    'platform/workerWire.js',
+    '...(ended.length < MAX_LISTED_ENDS ?',
+    '...(true ?',
+  ],
+  [
+    'a run whose end is not listed yet is not stalled',
+    `${NODE_POOL}/runInspection.js`,
+    'if (hasUnlistedEnd(worker, run))',
+    'if (false)',
+  ],
+  [
+    'a lost run does not show that its job has begun',
+    `${COMMON_POOL}/jobTransitions.js`,
+    "if (how !== 'lost')",
+    'if (true)',
+  ],
+  [
+    'a run that a worker reports shows that its job has begun',
+    `${NODE_POOL}/runControl.js`,
+    'if (run.phase === workerTable.RunPhase.present)\n                recordBegun(run);',
+    '',
+  ],
   [
     'a write that the store may have executed is not sent again through a relay',
     `${NODE_POOL}/storeRelay.js`,
@@ -546,8 +587,8 @@
   [
     'a report of an unannounced incarnation does not settle a stop',
     `${NODE_POOL}/orderResultHandler.js`,
-    'if (news?.view?.incarnationMs !== worker.info?.incarnationMs)',
-    'if (false)',
+    'if (view === undefined || view.incarnationMs !== worker.info?.incarnationMs)',
+    'if (view === undefined)',
   ],
   [
     'a member of a gang that has done its part does not stall while others work',
