--- a/src/standins/test/poolCrashingTasks.test.ts
+++ b/src/standins/test/poolCrashingTasks.test.ts
@@ -7,7 +7,7 @@
 
 import type * as poolJob from '../../state/common/pool/poolJob.js';
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
-import type * as memoryPoolWorker from '../memoryPoolWorker.js';
+import type * as poolWorkerFaults from '../poolWorkerFaults.js';
 import * as poolCrashExploration from './poolCrashExploration.js';
 import * as poolHarness from './poolHarness.js';
 import * as runAssertions from './runAssertions.js';
@@ -21,7 +21,7 @@
 const BACK_AFTER_MS = 3000;
 
 /** How the tasks of jobs whose id begins with `bad` crash their workers. */
-const AT_START: memoryPoolWorker.TaskCrash = {
+const AT_START: poolWorkerFaults.TaskCrash = {
   afterMs: 10,
   backAfterMs: BACK_AFTER_MS,
   keepsId: false,
@@ -52,7 +52,7 @@
 interface CrashCase {
   readonly name: string;
   readonly jobs: readonly JobArguments[];
-  readonly crash?: Partial<memoryPoolWorker.TaskCrash>;
+  readonly crash?: Partial<poolWorkerFaults.TaskCrash>;
   /** Tasks that crash their workers; by default all tasks of jobs whose id begins with `bad`. */
   readonly crashes?: (task: string) => boolean;
   /** Runs for the time of the test. */
