Measure what many tasks that start and end at once cost, in one job and in many

Why: the review saw one job of thousands of tasks stop the scheduler for everybody, and put it down to placing. Nothing of ours could replay such a load. This is the measurement only; nothing of the product is changed.

Change: npm run bench -- largeJobs, the production leader and agents with the stand-ins in virtual time, by processor time.

--- a/src/bench/benches.ts
+++ b/src/bench/benches.ts
@@ -3,6 +3,7 @@
  */
 import * as runCapacity from './capacity/runCapacity.js';
 import * as jobsBench from './jobsBench.js';
+import * as largeJobBench from './largeJobBench.js';
 import * as planningBench from './planningBench.js';
 import * as configurationBench from './configurationBench.js';
 import * as requestsBench from './requestsBench.js';
@@ -22,5 +23,6 @@
   rpc: rpcBench.runRpcBench,
   planning: planningBench.runPlanningBench,
   saturation: saturationBench.runSaturationBench,
+  largeJobs: (_, print) => largeJobBench.runLargeJobBench(print),
   speeds: (_, print) => speedBench.runSpeedBench(print),
 };
