--- a/src/soak/invariants.ts
+++ b/src/soak/invariants.ts
@@ -39,7 +39,8 @@
 
 const noRunAfterDone: Check = (seen) =>
   [...runsByTask(seen)].flatMap(([task, runs]) => {
-    const done = runs.find((it) => isDone(it) && it.isAcknowledged);
+    // An end whose worker's lease expired before its acknowledgement promises nothing.
+    const done = runs.find((it) => isDone(it) && it.isAcknowledged && !it.hasLapsedSince);
     const again = runs.find((it) => done !== undefined && it.startedAtMs > (done.endedAtMs ?? 0));
     return again === undefined ? [] : [`${task}: run ${again.run} began after the task was done`];
   });
--- a/src/soak/test/invariants.test.ts
+++ b/src/soak/test/invariants.test.ts
@@ -102,6 +102,17 @@
     },
     undefined,
   ],
+  [
+    'a second run after an end that was acknowledged only after its lease had expired',
+    {
+      runs: [
+        run({ hasLapsedSince: true }),
+        run({ run: 2, startedAtMs: 210, endedAtMs: 220 }),
+        SECOND,
+      ],
+    },
+    undefined,
+  ],
   [
     'a running job whose submission was refused',
     { calls: [call({ method: 'POST', status: 503 })] },
