Add a run to a worker by one fixture, and wait in the soak by one function

Two new tests made a run on a worker as workerTable.test and poolParts did already; two loops of the soak's new faults were that of its evacuations; four cases of poolManyEnds repeated a job, and all of poolPendingJobs the same duration.

Change: poolFixtures.addRun, waitWhile, and what the cases share stands once. No check, bound or expectation has changed.

--- a/src/coordination/common/pool/test/poolFixtures.ts
+++ b/src/coordination/common/pool/test/poolFixtures.ts
@@ -2,11 +2,12 @@
  * Jobs, workers and units for the tests of pools.
  */
 import type * as poolJob from '../../../../state/common/pool/poolJob.js';
-import type * as poolWorker from '../../../../state/common/pool/poolWorker.js';
+import * as poolWorker from '../../../../state/common/pool/poolWorker.js';
 import * as runtimeEstimates from '../runtimeEstimates.js';
 import * as jobState from '../jobState.js';
 import type * as planTypes from '../planTypes.js';
 import * as readyQueue from '../readyQueue.js';
+import * as workerTable from '../workerTable.js';
 
 /** A step with defaults for all that is not in `changes`. */
 export const makeStep = (changes: Partial<poolJob.Step> = {}): poolJob.Step => ({
@@ -107,6 +108,21 @@
   ...changes,
 });
 
+/** Adds the run of a task to a worker, as the leader registers it. */
+export const addRun = (
+  worker: workerTable.WorkerEntry,
+  step: Partial<poolJob.Step> = {},
+  phase: workerTable.RunPhase = workerTable.RunPhase.present,
+  nowMs = 0,
+): workerTable.ActiveRun => {
+  const entry = jobState.createJobEntry(makeJob([step]), nowMs);
+  const [task] = jobState.tasksOf(entry);
+  if (task === undefined) throw new Error('the step has no task');
+  const run = workerTable.createActiveRun(entry, task, phase, nowMs);
+  worker.runs.set(poolWorker.runKey(run.name, run.run), run);
+  return run;
+};
+
 /** A run that occupies capacity. */
 export const makeAllocation = (
   task: string,
--- a/src/coordination/common/pool/test/reportReconciliation.test.ts
+++ b/src/coordination/common/pool/test/reportReconciliation.test.ts
@@ -4,8 +4,7 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
-import * as poolWorker from '../../../../state/common/pool/poolWorker.js';
-import * as jobState from '../jobState.js';
+import type * as poolWorker from '../../../../state/common/pool/poolWorker.js';
 import * as reportReconciliation from '../reportReconciliation.js';
 import * as workerTable from '../workerTable.js';
 import * as fixtures from './poolFixtures.js';
@@ -48,22 +47,12 @@
   },
 ];
 
-const makeRun = (worker: workerTable.WorkerEntry, phase: workerTable.RunPhase) => {
-  const entry = jobState.createJobEntry(fixtures.makeJob([{}]), 0);
-  const [task] = jobState.tasksOf(entry);
-  assert.ok(task);
-  jobState.assign([{ task, workerId: 'w', incarnationMs: 1, agentId: 'agent' }]);
-  const run = workerTable.createActiveRun(entry, task, phase, 0);
-  run.closeFence = FENCE;
-  worker.runs.set(poolWorker.runKey(run.name, run.run), run);
-  return run;
-};
-
 test.describe('a run that a report does not list', () => {
   for (const { name, phase, mayOmitEnds, change } of CASES) {
     test.it(name, () => {
       const worker = workerTable.createWorkerEntry('agent', 'http://a:1', 1, 0, 0);
-      const run = makeRun(worker, phase);
+      const run = fixtures.addRun(worker, {}, phase);
+      run.closeFence = FENCE;
       const view = {
         incarnationMs: 1,
         clockMs: 1,
--- a/src/coordination/common/pool/test/workerTable.test.ts
+++ b/src/coordination/common/pool/test/workerTable.test.ts
@@ -4,7 +4,6 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
-import * as poolWorker from '../../../../state/common/pool/poolWorker.js';
 import type * as poolJob from '../../../../state/common/pool/poolJob.js';
 import * as runtimeEstimates from '../runtimeEstimates.js';
 import * as jobState from '../jobState.js';
@@ -33,14 +32,6 @@
   return worker;
 };
 
-const addRun = (worker: workerTable.WorkerEntry, step: Partial<poolJob.Step>): void => {
-  const entry = jobState.createJobEntry(fixtures.makeJob([step]), 0);
-  const [task] = jobState.tasksOf(entry);
-  assert.ok(task);
-  const run = workerTable.createActiveRun(entry, task, workerTable.RunPhase.present, 0);
-  worker.runs.set(poolWorker.runKey(run.name, run.run), run);
-};
-
 test.describe('a worker in a planning round', () => {
   const LOSSES: readonly [name: string, step: Partial<poolJob.Step>, unsavedMs: number][] = [
     ['a task without checkpoints loses all its work by a stop', {}, NOW_MS],
@@ -50,7 +41,7 @@
   for (const [name, step, unsavedMs] of LOSSES) {
     test.it(name, () => {
       const worker = createWorker();
-      addRun(worker, step);
+      fixtures.addRun(worker, step);
       const [allocation] = planWorker.toPlanWorker(worker, TIMES)?.allocations ?? [];
       assert.equal(allocation?.unsavedMs, unsavedMs);
     });
@@ -58,7 +49,7 @@
 
   test.it('a filler occupies memory and accelerators, but no processor capacity', () => {
     const worker = createWorker();
-    addRun(worker, { isFiller: true });
+    fixtures.addRun(worker, { isFiller: true });
     assert.deepEqual(workerTable.freeCapacity(worker), {
       cpuMillicores: 8000,
       memoryMb: 7000,
--- a/src/coordination/node/pool/test/runInspection.test.ts
+++ b/src/coordination/node/pool/test/runInspection.test.ts
@@ -5,9 +5,7 @@
 import * as test from 'node:test';
 
 import * as clock from '../../../../base/common/clock.js';
-import * as poolWorker from '../../../../state/common/pool/poolWorker.js';
 import * as fixtures from '../../../common/pool/test/poolFixtures.js';
-import * as jobState from '../../../common/pool/jobState.js';
 import * as workerSuspicion from '../../../common/pool/workerSuspicion.js';
 import * as workerTable from '../../../common/pool/workerTable.js';
 import * as runInspection from '../runInspection.js';
@@ -44,13 +42,8 @@
       const worker = workerTable.createWorkerEntry('agent', 'http://a:1', 1, START_MS, 0);
       worker.isReachable = true;
       worker.info = fixtures.makeWorkerInfo('w');
-      const entry = jobState.createJobEntry(fixtures.makeJob([{ estimatedMs: 1000 }]), START_MS);
-      const [task] = jobState.tasksOf(entry);
-      assert.ok(task);
-      jobState.assign([{ task, workerId: 'w', incarnationMs: 1, agentId: 'agent' }]);
       const { present } = workerTable.RunPhase;
-      const run = workerTable.createActiveRun(entry, task, present, START_MS);
-      worker.runs.set(poolWorker.runKey(run.name, run.run), run);
+      const run = fixtures.addRun(worker, { estimatedMs: 1000 }, present, START_MS);
       await time.advance(stalledMs);
       const reportedAtMs = time.monotonicMs();
       worker.sample = { incarnationMs: 1, clockMs: 1, atMs: reportedAtMs };
--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -14,6 +14,7 @@
 import * as faults from './faults.js';
 import * as invariants from './invariants.js';
 import * as soakSite from './soakSite.js';
+import * as waitWhile from './waitWhile.js';
 import * as workerFaults from './workerFaults.js';
 
 /** Parameters of a soak. */
@@ -119,6 +120,7 @@
   const activeFaults = new Set<() => void>();
   const startedAtMs = time.monotonicMs();
   let isLoadRunning = true;
+  const hasLoad = (): boolean => isLoadRunning;
 
   const unrevokedKeys = (): string[] => REVOCABLE_KEYS.slice(revocations.length);
   const reconfigure = (): Promise<void> => site.configure([...PERMANENT_KEYS, ...unrevokedKeys()]);
@@ -163,8 +165,7 @@
       const zone = random.pick(nextZone, soakSite.ZONES);
       await site.setEvacuated(zone, true);
       const fromMs = time.monotonicMs();
-      const evacuatedUntilMs = fromMs + nextZone() * MAX_EVACUATION_MS;
-      while (isLoadRunning && time.monotonicMs() < evacuatedUntilMs) await clock.sleep(time, 100);
+      await waitWhile.waitWhile(time, nextZone() * MAX_EVACUATION_MS, hasLoad);
       evacuations.push({ zone, fromMs, untilMs: time.monotonicMs() });
       await site.setEvacuated(zone, false);
     }
@@ -188,7 +189,7 @@
     clock: time,
     random: random.createRandom(seed),
     site,
-    isLoadRunning: () => isLoadRunning,
+    isLoadRunning: hasLoad,
   });
   const hasManyEnds = random.createRandom(options.seed + 7)() < MANY_ENDS_SHARE;
   const endMany = async (): Promise<void> => {
--- a/src/soak/workerFaults.ts
+++ b/src/soak/workerFaults.ts
@@ -6,6 +6,7 @@
 import * as random from '../base/common/random.js';
 import type * as callers from './callers.js';
 import * as soakSite from './soakSite.js';
+import * as waitWhile from './waitWhile.js';
 
 /** What the faults act on. */
 export interface WorkerFaultContext {
@@ -36,8 +37,6 @@
 
 const OUTAGE_MS = 3500;
 
-const POLL_MS = 100;
-
 /**
  * Lets workers refuse all starts from time to time while the load is running.
  *
@@ -49,11 +48,8 @@
     await clock.sleep(time, next() * MAX_REFUSAL_GAP_MS);
     const refusing = next() < ALL_REFUSE_SHARE ? site.workers : [random.pick(next, site.workers)];
     for (const { faults } of refusing) faults.refusesStarts = true;
-    const untilMs =
-      time.monotonicMs() + REFUSAL_MS.least + next() * (REFUSAL_MS.most - REFUSAL_MS.least);
-    while (context.isLoadRunning() && time.monotonicMs() < untilMs) {
-      await clock.sleep(time, POLL_MS);
-    }
+    const refusalMs = REFUSAL_MS.least + next() * (REFUSAL_MS.most - REFUSAL_MS.least);
+    await waitWhile.waitWhile(time, refusalMs, context.isLoadRunning);
     for (const { faults } of refusing) faults.refusesStarts = false;
   }
 };
@@ -75,8 +71,7 @@
   const liveRuns = (): number => worker.runs.filter((it) => it.how === undefined).length;
   worker.faults.isStalled = true;
   await soakCallers.submitSmall(soakSite.labelOf(index), SMALL_JOBS);
-  const untilMs = time.monotonicMs() + MAX_GATHER_MS;
-  while (liveRuns() < MANY_RUNS && time.monotonicMs() < untilMs) await clock.sleep(time, POLL_MS);
+  await waitWhile.waitWhile(time, MAX_GATHER_MS, () => liveRuns() < MANY_RUNS);
   site.store.faults.isDown = true;
   worker.faults.isStalled = false;
   await clock.sleep(time, OUTAGE_MS);
--- a/src/standins/test/poolManyEnds.test.ts
+++ b/src/standins/test/poolManyEnds.test.ts
@@ -61,46 +61,42 @@
   assert.equal(pool.runs().filter(({ how }) => how === 'done').length, TASKS);
 };
 
+/** A job of tasks that are done once each. */
+const SMALL_JOB: Omit<poolCases.Case, 'name' | 'act'> = {
+  options: OPTIONS,
+  jobs: [[[SMALL], { jobId: 'a' }]],
+  states: { a: 'complete' },
+  runs: TASKS,
+};
+
 const CASES: readonly poolCases.Case[] = [
   {
+    ...SMALL_JOB,
     name: 'they end while the store is down',
-    options: OPTIONS,
-    jobs: [[[SMALL], { jobId: 'a' }]],
     act: (pool) => endDuringOutage(pool),
-    states: { a: 'complete' },
-    runs: TASKS,
   },
   {
+    ...SMALL_JOB,
     name: 'they end while the store is down, and the leader changes',
-    options: OPTIONS,
-    jobs: [[[SMALL], { jobId: 'a' }]],
     act: (pool, first) =>
       endDuringOutage(pool, () => {
         first.kill();
         pool.addCandidate();
       }),
-    states: { a: 'complete' },
-    runs: TASKS,
   },
   {
+    ...SMALL_JOB,
     name: 'they end while the store is down, and the agent is restarted',
-    options: OPTIONS,
-    jobs: [[[SMALL], { jobId: 'a' }]],
     act: (pool) => endDuringOutage(pool, () => pool.sites[0]?.restartAgent()),
-    states: { a: 'complete' },
-    runs: TASKS,
   },
   {
+    ...SMALL_JOB,
     name: 'the acknowledgement of the first one is delayed',
-    options: OPTIONS,
-    jobs: [[[SMALL], { jobId: 'a' }]],
     act: delayFirstAcknowledgement,
-    states: { a: 'complete' },
-    runs: TASKS,
   },
   {
+    ...SMALL_JOB,
     name: 'runs that have ended are stopped for a claim',
-    options: OPTIONS,
     jobs: [[[SMALL], { jobId: 'a', priority: 2 }]],
     act: async (pool) => {
       await delayFirstAcknowledgement(pool);
--- a/src/standins/test/poolParts.test.ts
+++ b/src/standins/test/poolParts.test.ts
@@ -8,7 +8,6 @@
 import * as errors from '../../base/common/errors.js';
 import * as logging from '../../base/common/logging.js';
 import * as metrics from '../../base/common/metrics.js';
-import * as jobState from '../../coordination/common/pool/jobState.js';
 import * as fixtures from '../../coordination/common/pool/test/poolFixtures.js';
 import * as reportReconciliation from '../../coordination/common/pool/reportReconciliation.js';
 import * as workerTable from '../../coordination/common/pool/workerTable.js';
@@ -59,12 +58,7 @@
   for (const [name, viewFence, isGone] of CASES) {
     test.it(name, () => {
       const worker = workerTable.createWorkerEntry('agent', 'http://a:1', 5, 0, 0);
-      const entry = jobState.createJobEntry(fixtures.makeJob([{}]), 0);
-      const [task] = jobState.tasksOf(entry);
-      assert.ok(task);
-      const run = workerTable.createActiveRun(entry, task, workerTable.RunPhase.closing, 0);
-      run.closeFence = 5;
-      worker.runs.set(poolWorker.runKey(run.name, run.run), run);
+      fixtures.addRun(worker, {}, workerTable.RunPhase.closing).closeFence = 5;
       const view = { incarnationMs: 1, clockMs: 1, running: [], ended: [] };
       const facts = reportReconciliation.applyReport(worker, { view, viewFence }, 0);
       assert.equal(facts.gone.length, isGone ? 1 : 0);
--- a/src/standins/test/poolPendingJobs.test.ts
+++ b/src/standins/test/poolPendingJobs.test.ts
@@ -14,6 +14,9 @@
 const QUEUE = 'queue';
 const WORK_MS = 20_000;
 
+/** Longer than the leases of the worker. */
+const FAILS_FOR_MS = 8000;
+
 /** A count may be this old when it is answered. */
 const MAX_COUNT_AGE_MS = 2000;
 
@@ -21,7 +24,6 @@
   readonly name: string;
   /** Makes starts at the only worker fail to begin. */
   readonly fail: (site: poolHarness.Site) => void;
-  readonly failsForMs: number;
   /** Whether the leader is killed meanwhile. */
   readonly losesLeader?: boolean;
 }
@@ -31,11 +33,10 @@
 };
 
 const CASES: readonly Case[] = [
-  { name: 'its starts are refused', fail: refuse, failsForMs: 8000 },
+  { name: 'its starts are refused', fail: refuse },
   {
     name: 'its starts are refused, and the leader changes',
     fail: refuse,
-    failsForMs: 8000,
     losesLeader: true,
   },
   {
@@ -43,21 +44,18 @@
     fail: ({ worker }) => {
       worker.faults.isSilent = true;
     },
-    failsForMs: 8000,
   },
   {
     name: 'its start does not reach the agent',
     fail: (site) => {
       site.isCut = true;
     },
-    failsForMs: 8000,
   },
   {
     name: 'its start does not reach the agent, and the leader changes',
     fail: (site) => {
       site.isCut = true;
     },
-    failsForMs: 8000,
     losesLeader: true,
   },
 ];
@@ -85,7 +83,7 @@
 
 // Guards against a job that counts as begun once it is assigned: callers saw no pending job while one waited.
 test.describe('a job is pending until a task of it has started', () => {
-  for (const { name, fail, failsForMs, losesLeader = false } of CASES) {
+  for (const { name, fail, losesLeader = false } of CASES) {
     test.it(name, async () => {
       const pool = poolHarness.createPool({ workers: 1, workMs: () => WORK_MS });
       const [site] = pool.sites;
@@ -94,7 +92,7 @@
       await pool.clock.advance(3000);
       fail(site);
       await pool.submit(fixtures.makeJob([{}], { jobId: JOB }));
-      for (let passedMs = 0; passedMs < failsForMs; passedMs += 500) {
+      for (let passedMs = 0; passedMs < FAILS_FOR_MS; passedMs += 500) {
         await pool.clock.advance(500);
         if (losesLeader && passedMs === 1000) {
           candidate.kill();
