--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -213,6 +213,27 @@
     machine.minion = await startMinionOn(machine, `i-${machine.node}`);
   }
 
+  let crashCount = 0;
+  /** A minion crashes with all that runs on it, and does not come back. */
+  const loseMinion = ({ minion }) => {
+    minion.close();
+    for (const it of runs) {
+      if (it.minion === minion.id && it.endedAtMs === undefined) {
+        it.how = 'crashed';
+        it.endedAtMs = performance.now();
+      }
+    }
+    record(`${minion.id} crashes`);
+  };
+  /** A minion crashes; another one starts on its machine later. */
+  const crashMinion = async (machine, downMs) => {
+    loseMinion(machine);
+    await sleep(downMs);
+    crashCount += 1;
+    machine.minion = await startMinionOn(machine, `i-${machine.node}-life-${crashCount + 1}`);
+    record(`${machine.minion.id} starts in its place`);
+  };
+
   /** A client's call; `status` is 0 where there was no answer. */
   const call = (
     method,
@@ -326,6 +347,8 @@
 
   return {
     findIdleWaiting,
+    crashMinion,
+    loseMinion,
     store,
     edgeMachines,
     sideMachines,
