--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -20,7 +20,7 @@
     const target = `/placement/${sites.newJobId()}`;
     const body = {
       spec: JSON.stringify({ ms: WORK_MS }),
-      steps: [{ count: 1, cpu: 26_000, mem_mb: 110_000, gpu: 2, est_ms: WORK_MS }],
+      steps: [{ count: 1, cpu: 5600, mem_mb: 23_000, gpu: 1, est_ms: WORK_MS }],
     };
     const answer = await site.callUntilSettled('POST', target, { body, edge: index % 3 });
     if (answer.status === 200) targets.push(target);
