A lost worker whose agent was restarted holds its tasks no more

Cause: the leader took a worker for reachable where any report of it was known and the update said an age of at most 2.5 s. An agent that was restarted and has had no report says 0, so a missing reading counted as one of this moment: the runs were never looked at once their leases had run out, new starts went there, and the refused ones waited for a report. Ruled out: leases that are renewed (no grant by a sample older than 2.5 s), an open order (none, no `runAwaited`).

Change: reachable is a worker whose last report that the leader has received is young and of the incarnation that it knows; an update without one leaves the age as it is. The same for a worker that announced its shutdown.

--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -268,6 +268,30 @@
 export const isInEvacuatedZone = ({ info, evacuatedZones }: WorkerEntry): boolean =>
   info !== undefined && evacuatedZones.has(info.zone);
 
+/** With an older report a worker counts as unreachable and receives no new tasks. */
+const MAX_REPORT_AGE_MS = 2500;
+
+/**
+ * A report that its agent does not have can't be younger than the last one that the leader received: a restarted agent
+ * of a lost worker has none.
+ *
+ * @param worker - an agent with its worker
+ * @param nowMs - the leader's clock
+ * @returns age of the last report of the worker's current incarnation; infinite where there is none
+ */
+export const reportAgeMs = ({ info, sample }: WorkerEntry, nowMs: number): number =>
+  sample === undefined || sample.incarnationMs !== info?.incarnationMs
+    ? Infinity
+    : nowMs - sample.atMs;
+
+/**
+ * @param worker - an agent with its worker
+ * @param nowMs - the leader's clock
+ * @returns whether the worker's current incarnation has reported recently
+ */
+export const hasReportedRecently = (worker: WorkerEntry, nowMs: number): boolean =>
+  reportAgeMs(worker, nowMs) <= MAX_REPORT_AGE_MS;
+
 /**
  * @param worker - an agent with its worker
  * @returns whether the worker may get new tasks
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -31,6 +31,7 @@
 import * as openOrderRecorder from './openOrderRecorder.js';
 import type * as orderSender from './orderSender.js';
 import * as orderResultHandler from './orderResultHandler.js';
+import * as reachability from './reachability.js';
 import * as runAdoption from './runAdoption.js';
 import * as runInspection from './runInspection.js';
 import type * as speedRecorder from './speed/speedRecorder.js';
@@ -96,9 +97,6 @@
   readonly inspect: () => void;
 }
 
-/** With an older report a worker counts as unreachable and receives no new tasks. */
-const MAX_VIEW_AGE_MS = 2500;
-
 /** A worker that announced its shutdown is assumed gone once it has not answered for this long. */
 const DEPARTED_MS = 1200;
 
@@ -336,8 +334,9 @@
     onWillLapse: crashes.recordLapse,
   });
 
+  const updateReachability = reachability.createReachability(options);
+
   const applyUpdate: RunControl['applyUpdate'] = (worker, news, receivedAtMs) => {
-    const wasReachable = worker.isReachable;
     worker.contactedAtMs = receivedAtMs;
     // A restarted agent does not know which values above the leader's fence it has used.
     if (worker.bootId !== '' && worker.bootId !== news.bootId) fences.raiseFence(worker);
@@ -347,13 +346,13 @@
     const wasDraining = workerTable.isDraining(worker);
     applyInfo(worker, news.worker);
     const stored = applyReport(worker, news, receivedAtMs);
-    worker.isReachable = worker.sample !== undefined && news.viewAgeMs <= MAX_VIEW_AGE_MS;
     const hasDeparted =
-      worker.info?.state === poolWorker.WorkerState.gone && news.viewAgeMs > DEPARTED_MS;
+      worker.info?.state === poolWorker.WorkerState.gone &&
+      workerTable.reportAgeMs(worker, receivedAtMs) > DEPARTED_MS;
     if (hasDeparted && worker.runs.size > 0) detector.markWorkerLost(worker);
     // At once: a run that can't end there starts again elsewhere, and urgent work tolerates less than a second.
     if (workerTable.isDraining(worker) && !wasDraining) inspect();
-    if (worker.isReachable !== wasReachable) options.onDidChange();
+    updateReachability(worker, news, receivedAtMs);
     return stored;
   };
 
--- a/src/standins/test/poolExploration.ts
+++ b/src/standins/test/poolExploration.ts
@@ -25,6 +25,9 @@
 /** Share of the steps at which a worker begins or ceases to refuse starts. */
 const REFUSAL_SHARE = 0.3;
 
+/** Longest pause between the loss of a worker and the restart of its agent. */
+const MAX_AGENT_PAUSE_MS = 4000;
+
 /** Time without faults within which every job must reach a final state. */
 const SETTLE_MS = 90_000;
 
@@ -245,6 +248,30 @@
   }
 };
 
+/**
+ * Loses a worker for good and restarts its agent: at a random step, so that other faults come before and after. What
+ * seeds draw later about this worker has no effect.
+ */
+const createLoss = (pool: poolHarness.Pool, next: random.Random) => {
+  const lostAtStep = random.integerBelow(next, STEPS);
+  const restartAfterMs = next() * MAX_AGENT_PAUSE_MS;
+  const site = random.pick(next, pool.sites);
+  let isLost = false;
+  const keepLost = (): void => {
+    if (isLost) site.worker.faults.isSilent = true;
+  };
+  return {
+    keepLost,
+    reach: (step: number): void => {
+      if (step === lostAtStep) {
+        isLost = true;
+        pool.clock.after(restartAfterMs, site.restartAgent);
+      }
+      keepLost();
+    },
+  };
+};
+
 /** Options of an exploration. */
 export interface Exploration {
   /** Seed of the jobs, the faults and their order. */
@@ -255,6 +282,8 @@
   readonly losesWatches: boolean;
   /** Whether workers refuse all starts from time to time. */
   readonly refusesStarts?: boolean;
+  /** Whether one worker is lost for good and its agent is restarted. */
+  readonly losesWorker?: boolean;
   /** Ends that a worker lists at a time. */
   readonly maxListedEnds?: number;
 }
@@ -264,12 +293,13 @@
  */
 export const explore = async (exploration: Exploration): Promise<void> => {
   const { seed, losesWatches, evacuates = false, refusesStarts = false } = exploration;
-  const { maxListedEnds } = exploration;
+  const { maxListedEnds, losesWorker = false } = exploration;
   const actions = losesWatches ? WATCH_FAULT_ACTIONS : FAULT_ACTIONS;
   const next = random.createRandom(seed);
   // From separate generators, so that the faults of a seed don't change.
   const nextZone = random.createRandom(seed);
   const nextRefusal = random.createRandom(seed);
+  const nextLoss = random.createRandom(seed);
   const pool = poolHarness.createPool({
     workers: WORKERS,
     seed,
@@ -280,6 +310,7 @@
   });
   const jobs = Array.from({ length: JOBS }, (_, index) => makeJob(index, next));
   await pool.ready;
+  const loss = losesWorker ? createLoss(pool, nextLoss) : undefined;
   let leader = pool.addCandidate();
   const submitted: Submission[] = [];
   const cancelled: Cancellations = new Map();
@@ -304,10 +335,12 @@
       const { faults } = random.pick(nextRefusal, pool.sites).worker;
       faults.refusesStarts = !faults.refusesStarts;
     }
+    loss?.reach(step);
     await pool.clock.advance(next() * MAX_PAUSE_MS);
     assertPendingCounted(pool, leader.leader(), submitted, cancelled);
   }
   poolHarness.clearFaults(pool);
+  loss?.keepLost();
   for (const it of evacuations) await takeBack(pool, it);
   await pool.clock.advance(SETTLE_MS);
   assertNoneInEvacuatedZone(pool, evacuations);
