A progress record that the store refuses holds up no other job

The next leader loads the same job and is stuck at the same write.

Cause: a refusal for what a write contains was taken for a failure that passes.

Change: the store's client tells the two apart (`StoreRefused`: any 4xx but 408, 412, 404 and 429). The writer then writes each record of the batch alone; one that is refused alone waits 1 s, doubled up to 60 s, and its unsent starts give their room back; nothing else of that job starts until a write of it is stored. A record above 100 KB is written alone as well, and not again before as much time has passed as its last write took. The stand-in of the store refuses what is too large. The test of the client that expected `internal` for a 403 now expects the refusal: the same statuses, told apart more strictly.

--- a/src/coordination/common/pool/jobState.ts
+++ b/src/coordination/common/pool/jobState.ts
@@ -64,6 +64,8 @@
   readonly discoveredAtMs: number;
   /** How often a run of it was preempted. */
   preemptions: number;
+  /** The store refuses its progress record: nothing of it starts until the record is stored. */
+  isRecordRefused: boolean;
 }
 
 /** Tasks that start together: a gang, or one task. */
@@ -150,6 +152,7 @@
     progressRevision: 0,
     discoveredAtMs: nowMs,
     preemptions: 0,
+    isRecordRefused: false,
   };
   if (job.schedule === undefined) addDueOccurrences(entry, 0);
   return entry;
@@ -309,7 +312,7 @@
  * @returns its units that may start now, provided there is capacity
  */
 export const readyUnits = (entry: JobEntry): ReadyUnit[] => {
-  if (isEnded(entry) || entry.isCancelled) return [];
+  if (isEnded(entry) || entry.isCancelled || entry.isRecordRefused) return [];
   return entry.occurrences.flatMap((steps, occurrence) =>
     entry.job.steps.flatMap((step, stepIndex) => {
       const isReady = step.after.every((before) => areTasksDone(steps[before] ?? []));
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -161,7 +161,17 @@
     },
     onDidWrite: (jobId, revision) => {
       const entry = registry.get(jobId);
-      if (entry !== undefined) entry.progressRevision = revision;
+      if (entry === undefined) return;
+      entry.progressRevision = revision;
+      if (entry.isRecordRefused) driver.schedule();
+      entry.isRecordRefused = false;
+    },
+    onDidRefuse: (jobId) => {
+      const entry = registry.get(jobId);
+      if (entry === undefined) return;
+      entry.isRecordRefused = true;
+      control.dropUnsentStarts(entry);
+      driver.schedule();
     },
     onDidFindCancel: (record) => handleJobRecord(record, 'write'),
     onDidConflict: options.onDidConflict,
--- a/src/coordination/node/pool/progressWriter.ts
+++ b/src/coordination/node/pool/progressWriter.ts
@@ -1,18 +1,20 @@
 /**
  * Stores jobs' progress for the leader: one transaction at a time, with several jobs in each.
  *
- * Guards against three failures. A previous leader that still writes: each transaction is conditional on the
+ * Guards against four failures. A previous leader that still writes: each transaction is conditional on the
  * current leadership record. A delayed duplicate of an unanswered write: each transaction is also conditional on
  * the revisions it overwrites, and no newer one is sent before its outcome is known. A cancellation that the
  * leader has not received, so that a cancelled job would be started: each transaction is conditional on there
- * being none, and a start is sent only after it is stored.
+ * being none, and a start is sent only after it is stored. A record that the store refuses, or that takes long to write,
+ * and holds up all others: it is written alone, with a pause before the next time.
  */
 import * as clock from '../../../base/common/clock.js';
 import * as errors from '../../../base/common/errors.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
 import type * as recordStore from '../../../state/common/pool/recordStore.js';
-import type * as store from '../../../state/common/store.js';
+import * as store from '../../../state/common/store.js';
+import * as dueRecords from '../../common/pool/dueRecords.js';
 import * as progressBatch from '../../common/pool/progressBatch.js';
 
 /** Dependencies of the writer. */
@@ -27,6 +29,8 @@
   readonly recordOf: (jobId: string) => progressBatch.DueRecord | undefined;
   /** Called with the new revision of a job's record. */
   readonly onDidWrite: (jobId: string, revision: number) => void;
+  /** The store refuses a job's record for what it contains; it is written again after a pause. */
+  readonly onDidRefuse: (jobId: string) => void;
   /** Called with a cancellation that the leader had not received; must apply it before returning. */
   readonly onDidFindCancel: (record: store.StoreEntry) => void;
   /** Another process changed a record or leads: the term is over. */
@@ -37,7 +41,8 @@
 export interface ProgressWriter {
   /**
    * @param jobId - a job that changed
-   * @returns settled once the job's current or a later state is stored; never if the term ends before
+   * @returns settled once the job's current or a later state is stored; never if the term ends before, or while the
+   *   store refuses the record
    */
   readonly save: (jobId: string) => Promise<void>;
   /**
@@ -51,41 +56,63 @@
 /** Keeps a transaction well below the store's limit on request bodies. */
 const MAX_BYTES = 400_000;
 
+/** A larger record is written alone, and not again before as long a time has passed as its last write took. */
+const LARGE_BYTES = 100_000;
+
 /** Delay before an unanswered or refused write is retried; the store answers in milliseconds. */
 const RETRY_MS = 150;
 
+/** First pause after the store has refused a record, doubled with each further refusal up to the longest. */
+const FIRST_REFUSAL_PAUSE_MS = 1000;
+const MAX_REFUSAL_PAUSE_MS = 60_000;
+
 interface Waiter {
   readonly resolve: () => void;
 }
 
+/** A job that is being written, with what waits for its record. */
+interface TakenJob extends progressBatch.DueJob {
+  readonly waiters: readonly Waiter[];
+}
+
+/** Result of writing a batch. */
+type WriteResult = 'stored' | 'refused' | 'ended';
+
 /**
  * @param options - its dependencies
  * @returns an idle writer
  */
 export const createProgressWriter = (options: ProgressWriterOptions): ProgressWriter => {
-  const due = new Map<string, Waiter[]>();
-  let writing: { readonly jobIds: readonly string[]; readonly waiters: Waiter[] } | undefined;
+  const { clock: time, log, metrics } = options;
+  const due = dueRecords.createDueRecords<Waiter>();
+  const refusals = new Map<string, number>();
+  let writing: { readonly jobId: string; readonly waiters: Waiter[] }[] = [];
   let isWriting = false;
   let isDisposed = false;
+  let wake: () => void = () => undefined;
+
+  const nowMs = (): number => time.monotonicMs();
 
   const encode = (jobId: string): progressBatch.DueJob | undefined => {
     const record = options.recordOf(jobId);
     return record === undefined ? undefined : { jobId, record };
   };
 
-  const takeBatch = (): { batch: progressBatch.ProgressBatch; waiters: Waiter[] } => {
-    const batch: progressBatch.DueJob[] = [];
-    const waiters: Waiter[] = [];
+  /** Takes the next jobs; what does not fit into the transaction any more stays due. */
+  const takeBatch = (): TakenJob[] => {
+    const batch: TakenJob[] = [];
     let bytes = 0;
-    for (const [jobId, its] of due) {
-      if (batch.length === progressBatch.MAX_JOBS || bytes > MAX_BYTES) break;
-      due.delete(jobId);
-      waiters.push(...its);
-      const job = encode(jobId);
-      if (job !== undefined) batch.push(job);
-      bytes += job?.record.value.length ?? 0;
+    for (const { jobId, waiters } of due.take(nowMs(), progressBatch.MAX_JOBS)) {
+      if (bytes > MAX_BYTES) {
+        due.add(jobId, waiters);
+      } else {
+        const job = encode(jobId);
+        if (job === undefined) waiters.forEach((it) => it.resolve());
+        else batch.push({ ...job, waiters });
+        bytes += job?.record.value.length ?? 0;
+      }
     }
-    return { batch, waiters };
+    return batch;
   };
 
   const attempt = async (
@@ -104,44 +131,104 @@
     return refused.outcome;
   };
 
-  /** @returns whether the current state of the jobs is stored */
-  const write = async (first: progressBatch.ProgressBatch): Promise<boolean> => {
+  const write = async (first: progressBatch.ProgressBatch): Promise<WriteResult> => {
     let batch = first;
     while (!isDisposed && batch.length > 0) {
       try {
         const outcome = await attempt(batch);
-        if (outcome === progressBatch.BatchOutcome.written) return true;
+        if (outcome === progressBatch.BatchOutcome.written) return 'stored';
         if (outcome === progressBatch.BatchOutcome.conflict) {
           options.onDidConflict('another process leads or changed a record');
-          return false;
+          return 'ended';
         }
         batch = batch.map(({ jobId }) => encode(jobId)).filter((it) => it !== undefined);
       } catch (thrown) {
-        options.metrics.count('auburnlift_progress_write_failures_total');
+        if (thrown instanceof store.StoreRefused) return 'refused';
+        metrics.count('auburnlift_progress_write_failures_total');
         const { message } = errors.normalize(thrown);
-        options.log('warn', 'progressWriteFailed', { jobs: batch.length, reason: message });
-        await clock.sleep(options.clock, RETRY_MS);
+        log('warn', 'progressWriteFailed', { jobs: batch.length, reason: message });
+        await clock.sleep(time, RETRY_MS);
       }
     }
-    return !isDisposed;
+    return isDisposed ? 'ended' : 'stored';
+  };
+
+  const finish = ({ jobId, record, waiters }: TakenJob, durationMs: number): void => {
+    refusals.delete(jobId);
+    if (record.value.length > LARGE_BYTES) {
+      due.writeAlone(jobId);
+      due.pause(jobId, nowMs() + durationMs);
+    } else {
+      due.forget(jobId);
+    }
+    waiters.forEach((it) => it.resolve());
+  };
+
+  const putBackRefused = ({ jobId, record, waiters }: TakenJob): void => {
+    const count = refusals.get(jobId) ?? 0;
+    refusals.set(jobId, count + 1);
+    const pauseMs = Math.min(MAX_REFUSAL_PAUSE_MS, FIRST_REFUSAL_PAUSE_MS * 2 ** count);
+    due.pause(jobId, nowMs() + pauseMs);
+    due.add(jobId, waiters);
+    metrics.count('auburnlift_records_refused_total');
+    log('error', 'recordRefused', { job: jobId, bytes: record.value.length, pauseMs });
+    options.onDidRefuse(jobId);
+  };
+
+  /** The store refuses a transaction as a whole, so each of several records is written alone. */
+  const handleRefusal = (batch: readonly TakenJob[]): void => {
+    const [first] = batch;
+    if (batch.length === 1 && first !== undefined) {
+      putBackRefused(first);
+      return;
+    }
+    for (const { jobId, waiters } of batch) {
+      due.writeAlone(jobId);
+      due.add(jobId, waiters);
+    }
   };
 
+  /** @returns whether the term goes on */
+  const writeNext = async (): Promise<boolean> => {
+    const batch = takeBatch();
+    if (batch.length === 0) return true;
+    writing = batch.map(({ jobId, waiters }) => ({ jobId, waiters: [...waiters] }));
+    const startedAtMs = nowMs();
+    const result = await write(batch);
+    if (result === 'ended') return false;
+    const durationMs = nowMs() - startedAtMs;
+    const written = batch.map((it, index) => ({ ...it, waiters: writing[index]?.waiters ?? [] }));
+    writing = [];
+    if (result === 'refused') {
+      handleRefusal(written);
+      return true;
+    }
+    metrics.time('auburnlift_progress_write_ms', durationMs);
+    written.forEach((it) => finish(it, durationMs));
+    return true;
+  };
+
+  /** Settled once a record may be written, or a further one is due. */
+  const waitUntilDue = (): Promise<void> =>
+    new Promise((resolve) => {
+      const timer = time.after(Math.max(0, due.nextAtMs() - nowMs()), () => wake());
+      wake = () => {
+        void timer.dispose();
+        resolve();
+      };
+    });
+
   const run = async (): Promise<void> => {
-    if (isWriting) return;
+    if (isWriting) {
+      wake();
+      return;
+    }
     isWriting = true;
     // Changes within one turn of the event loop are stored in one transaction.
     await Promise.resolve();
-    while (due.size > 0 && !isDisposed) {
-      const { batch, waiters } = takeBatch();
-      const startedAtMs = options.clock.monotonicMs();
-      writing = { jobIds: batch.map((it) => it.jobId), waiters };
-      if (!(await write(batch))) return;
-      writing = undefined;
-      options.metrics.time(
-        'auburnlift_progress_write_ms',
-        options.clock.monotonicMs() - startedAtMs,
-      );
-      waiters.forEach((it) => it.resolve());
+    while (due.nextAtMs() < Infinity && !isDisposed) {
+      if (due.nextAtMs() > nowMs()) await waitUntilDue();
+      else if (!(await writeNext())) return;
     }
     isWriting = false;
   };
@@ -149,7 +236,7 @@
   return {
     whenStored: (jobId) => {
       const waiters =
-        due.get(jobId) ?? (writing?.jobIds.includes(jobId) === true ? writing.waiters : undefined);
+        due.waitersOf(jobId) ?? writing.find((it) => it.jobId === jobId)?.waiters ?? undefined;
       if (waiters === undefined) return Promise.resolve();
       return new Promise((resolve) => {
         waiters.push({ resolve });
@@ -157,14 +244,13 @@
     },
     save: (jobId) =>
       new Promise((resolve) => {
-        const waiters = due.get(jobId) ?? [];
-        waiters.push({ resolve });
-        due.set(jobId, waiters);
+        due.add(jobId, [{ resolve }]);
         void run();
       }),
     dispose: () => {
       isDisposed = true;
       due.clear();
+      wake();
     },
   };
 };
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -86,6 +86,8 @@
   readonly stopGroup: (groupKey: string, cause: string) => void;
   /** Stops the remaining runs of an ended job, and of gangs that lost a member. */
   readonly stopUnwanted: (entry: jobState.JobEntry, cause: string) => void;
+  /** Gives back the room of a job's starts that are not stored and so not sent. */
+  readonly dropUnsentStarts: (entry: jobState.JobEntry) => void;
   /** Ends a run that has certainly ended or can no longer start. */
   readonly markLost: (run: workerTable.ActiveRun, cause: string) => void;
   /** Declares the runs of unreachable workers lost once all their leases have expired. */
@@ -184,6 +186,21 @@
     void endRun(run.entry, run.task, outcome);
   };
 
+  const dropUnsentStarts = (entry: jobState.JobEntry): void => {
+    for (const worker of options.workers.values()) {
+      for (const [key, run] of worker.runs) {
+        const isOrdering = run.entry === entry && run.phase === workerTable.RunPhase.ordering;
+        if (isOrdering && run.task.orderedRun !== run.run) {
+          worker.runs.delete(key);
+          // Whoever waits to send it sees by the phase that it is given up.
+          run.phase = workerTable.RunPhase.closing;
+          jobState.recordNotBegun(run.task, run.run);
+          markLost(run, 'notStored');
+        }
+      }
+    }
+  };
+
   const causeOfLoss = ({ task, run }: workerTable.ActiveRun): string =>
     task.crashes.some((it) => it.run === run) ? 'workerCrashed' : 'notOnWorker';
 
@@ -380,6 +397,7 @@
     stopRun,
     stopGroup,
     stopUnwanted,
+    dropUnsentStarts,
     markLost,
     applyUpdate,
     applyDoneRuns,
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -77,6 +77,7 @@
 }
 
 const OK = 200;
+const TIMED_OUT = 408;
 const NOT_FOUND = 404;
 const GONE = 410;
 const CONDITION_FAILED = 412;
@@ -192,8 +193,8 @@
     if (status === TOO_MANY_REQUESTS || status === UNAVAILABLE) {
       throw unavailable(operation, `status ${status}`);
     }
-    if (status < SERVER_ERROR) {
-      throw errors.fail('internal', `the store refused ${operation} with status ${status}`);
+    if (status < SERVER_ERROR && status !== TIMED_OUT) {
+      throw new store.StoreRefused(`the store refused ${operation} with status ${status}`);
     }
     throw new store.StoreOutcomeUnknown(`status ${status}`);
   };
--- a/src/platform/test/platformStore.test.ts
+++ b/src/platform/test/platformStore.test.ts
@@ -36,6 +36,7 @@
     return await call();
   } catch (thrown) {
     if (thrown instanceof store.StoreOutcomeUnknown) return 'outcomeUnknown';
+    if (thrown instanceof store.StoreRefused) return 'refused';
     return errors.normalize(thrown).kind;
   }
 };
@@ -133,10 +134,22 @@
     outcome: 'outcomeUnknown',
   },
   {
-    name: 'a forbidden write is an internal error',
+    name: 'a forbidden write is refused for what it contains',
     answers: [{ status: 403 }],
     call: transact,
-    outcome: 'internal',
+    outcome: 'refused',
+  },
+  {
+    name: 'a write of a value that is too large is refused for what it contains',
+    answers: [{ status: 413 }],
+    call: transact,
+    outcome: 'refused',
+  },
+  {
+    name: 'a write for which the service has no time may take effect',
+    answers: [{ status: 408 }],
+    call: transact,
+    outcome: 'outcomeUnknown',
   },
   {
     name: 'a list reads all pages and has the revision of the first',
--- a/src/platform/test/storeServer.ts
+++ b/src/platform/test/storeServer.ts
@@ -110,6 +110,7 @@
         return await handle(subject, request);
       } catch (thrown) {
         if (thrown instanceof store.StoreOutcomeUnknown) return httpServer.jsonReply({}, 502);
+        if (thrown instanceof store.StoreRefused) return httpServer.jsonReply({}, 400);
         return httpServer.jsonReply({ reason: errors.normalize(thrown).message }, 503);
       }
     }, MAX_BODY_BYTES),
--- a/src/standins/memoryStore.ts
+++ b/src/standins/memoryStore.ts
@@ -27,6 +27,8 @@
   areWatchesLost: boolean;
   /** The next watch reports a gap in its changes. */
   skipNextWatch: boolean;
+  /** Largest value that transactions may write. */
+  maxValueBytes: number;
 }
 
 /** The stand-in with its fault switches and call counts. */
@@ -83,6 +85,7 @@
     areWatchesSilent: false,
     areWatchesLost: false,
     skipNextWatch: false,
+    maxValueBytes: store.MAX_VALUE_BYTES,
   };
   let revision = 0;
   let leaseCount = 0;
@@ -130,6 +133,11 @@
       throw errors.fail('storeUnavailable', `the stand-in refuses reads of ${prefix}`);
     }
   };
+  const checkSizes = ({ puts }: recordStore.Transaction): void => {
+    const tooLarge = puts.find((it) => Buffer.byteLength(it.value) > faults.maxValueBytes);
+    if (tooLarge === undefined) return;
+    throw new store.StoreRefused(`the value of ${tooLarge.key} is too large`);
+  };
   const entryOf = (key: string): store.StoreEntry | undefined => {
     const stored = values.get(key);
     return stored === undefined
@@ -255,6 +263,7 @@
     },
     transact: async (transaction) => {
       await enter('transact');
+      checkSizes(transaction);
       if (faults.delayTransactions > 0) {
         faults.delayTransactions -= 1;
         timeSource.after(faults.lateByMs, () => change(transaction));
--- a/src/standins/test/poolParts.test.ts
+++ b/src/standins/test/poolParts.test.ts
@@ -38,6 +38,7 @@
       leadership: { key: 'leader', revision },
       recordOf: (jobId) => ({ key: jobId, value: 'progress', revision: 0 }),
       onDidWrite: () => assert.fail('no write may succeed'),
+      onDidRefuse: () => assert.fail('no record is refused'),
       onDidFindCancel: () => assert.fail('no job is cancelled'),
       onDidConflict: (reason) => conflicts.push(reason),
     });
--- a/src/state/common/pool/recordStore.ts
+++ b/src/state/common/pool/recordStore.ts
@@ -1,7 +1,8 @@
 /**
  * The contract with a store that changes several records in one transaction under conditions. Failures
  * are those of {@link store.Store}: `storeUnavailable` if nothing was done, `StoreOutcomeUnknown` if
- * the write may have taken effect or may do so later, as long as its conditions hold.
+ * the write may have taken effect or may do so later, as long as its conditions hold, `StoreRefused`
+ * if it never will.
  */
 import type * as store from '../store.js';
 
--- a/src/state/common/store.ts
+++ b/src/state/common/store.ts
@@ -1,9 +1,9 @@
 /**
  * The contract with the platform's key-value service: compare-and-swap, leases and watches.
  *
- * Every call may fail in two ways: `storeUnavailable` means that nothing was written,
+ * Every call may fail in three ways: `storeUnavailable` means that nothing was written,
  * {@link StoreOutcomeUnknown} means that a write may have taken effect although its answer was
- * lost. Values are text of at most a megabyte. Each call counts against the service's request
+ * lost, {@link StoreRefused} that the service refuses what a write contains. Values are text of at most a megabyte. Each call counts against the service's request
  * budget; a waiting watch counts as one call.
  */
 
@@ -75,6 +75,17 @@
   ) => Promise<WatchResult>;
 }
 
+/** Thrown if the service refuses what a write contains: nothing was written, and the same again is refused again. */
+export class StoreRefused extends Error {
+  /**
+   * @param message - why it was refused
+   */
+  constructor(message: string) {
+    super(message);
+    this.name = 'StoreRefused';
+  }
+}
+
 /** Thrown if a write may have taken effect: read the key back and compare the write id. */
 export class StoreOutcomeUnknown extends Error {
   /**
