A job of more tasks than its record may hold is refused at once

Callers got 200 for a job of any number of tasks and repetitions; above some 10,900 its record exceeds a value of the store and the job never ends. `MAX_TASKS_PER_STEP` was checked nowhere: the schema that names it decodes nothing.

A record that the store refuses for its size (a body above a value) is 413 at once, where it was 503 until the caller's time was over.

--- a/src/coordination/node/pool/jobRequestHandler.ts
+++ b/src/coordination/node/pool/jobRequestHandler.ts
@@ -35,6 +35,8 @@
   readonly storeAgeMs: () => number;
   /** A revoked credential must be refused this long after its revocation. */
   readonly revokeMs: number;
+  /** Largest value that the store takes. */
+  readonly maxValueBytes: number;
 }
 
 /** Properties of every call. */
@@ -118,6 +120,11 @@
 const unresolved = (): errors.AuburnliftError =>
   errors.fail('outcomeUnknown', 'the store did not answer; the outcome is unknown');
 
+const tooLarge = (): errors.AuburnliftError =>
+  errors.fail('tooLarge', 'the store does not take a record of this size; nothing ran', {
+    field: 'body',
+  });
+
 const gone = (): errors.AuburnliftError => errors.fail('gone', 'no such job', { field: 'jobId' });
 
 /**
@@ -127,6 +134,7 @@
 export const createJobRequestHandler = (options: JobRequestHandlerOptions): JobRequestHandler => {
   const { clock: time, feed, log, metrics } = options;
 
+  const maxTasks = poolJob.maxTasksPerJob(options.maxValueBytes);
   const canCheckCredentials = (): boolean => feed.ageMs() <= options.revokeMs * FRESH_SHARE;
   const agoText = (ageMs: number): string => `${Math.round(ageMs)} ms ago`;
   const unconfirmed = (what: string): errors.AuburnliftError =>
@@ -206,6 +214,7 @@
       try {
         return await withDeadline(endMs, options.store.transact(transaction));
       } catch (thrown) {
+        if (thrown instanceof store.StoreRefused) throw tooLarge();
         isOpen ||= thrown instanceof store.StoreOutcomeUnknown;
         logFailure(call, thrown, isOpen);
         if (isDeadlineNear(endMs)) throw isOpen ? unresolved() : unavailable('the write failed');
@@ -275,7 +284,7 @@
   };
 
   const submit: JobRequestHandler['submit'] = async (call, admitted, draft) => {
-    jobChecks.checkSteps(draft.steps);
+    jobChecks.checkJob(draft, maxTasks);
     const startedAtMs = time.monotonicMs();
     const { jobId } = admitted;
     const key = poolKeys.jobKey(jobId, poolKeys.JobPart.spec);
--- a/src/platform/bootSettings.ts
+++ b/src/platform/bootSettings.ts
@@ -11,6 +11,7 @@
 import type * as http from '../base/common/http.js';
 import * as schemaIssues from '../base/common/schemaIssues.js';
 import type * as poolSettings from '../state/common/pool/poolSettings.js';
+import * as store from '../state/common/store.js';
 
 /** Environment variable with the path of the settings file. */
 const PATH_VARIABLE = 'AUBURNLIFT_BOOT';
@@ -51,7 +52,12 @@
     /** Address to which the agent's worker sends heartbeats. */
     control: Schema.optionalKey(AddressText),
   }),
-  platform: Schema.Struct({ addr: AddressText, ttl_min_ms: Positive }),
+  platform: Schema.Struct({
+    addr: AddressText,
+    ttl_min_ms: Positive,
+    /** Largest value that the store takes. */
+    value_bytes: Schema.optionalKey(Positive),
+  }),
   bounds: Schema.Struct({
     grace_s: Positive,
     /** Longest task lease. */
@@ -147,6 +153,7 @@
   ...(file.bounds.evacuate_ms === undefined ? {} : { maxEvacuationMs: file.bounds.evacuate_ms }),
   learnsWorkerSpeeds: parseSpeedsVariable(environment[SPEEDS_VARIABLE]),
   minStoreLeaseMs: file.platform.ttl_min_ms,
+  maxStoreValueBytes: file.platform.value_bytes ?? store.MAX_VALUE_BYTES,
 });
 
 /**
--- a/src/platform/test/relayOutage.ts
+++ b/src/platform/test/relayOutage.ts
@@ -16,6 +16,7 @@
 import * as platformStore from '../platformStore.js';
 import type * as poolConfiguration from '../../state/common/pool/poolConfiguration.js';
 import * as poolKeys from '../../state/common/pool/poolKeys.js';
+import * as stores from '../../state/common/store.js';
 
 /** How the store fails for a machine. */
 export const Fault = { none: 'none', silent: 'silent', busy: 'busy', reset: 'reset' } as const;
@@ -297,6 +298,7 @@
     feed,
     configurationKey: CONFIGURATION_KEY,
     revokeMs: REVOKE_MS,
+    maxValueBytes: stores.MAX_VALUE_BYTES,
   });
 };
 
--- a/src/programs/poolEntry.ts
+++ b/src/programs/poolEntry.ts
@@ -82,6 +82,7 @@
     configurationKey: operatorConfiguration.CONFIGURATION_KEY,
     storeAgeMs: ctx.storeAgeMs,
     revokeMs: settings.maxRevocationMs,
+    maxValueBytes: settings.maxStoreValueBytes,
   });
   const api = jobApi.createJobApi({
     jobs: jobRequests,
--- a/src/standins/test/jobRequestDuration.test.ts
+++ b/src/standins/test/jobRequestDuration.test.ts
@@ -13,6 +13,7 @@
 import * as poolKeys from '../../state/common/pool/poolKeys.js';
 import type * as recordStore from '../../state/common/pool/recordStore.js';
 import * as memoryStore from '../memoryStore.js';
+import * as stores from '../../state/common/store.js';
 
 const ID = '5c0e7a21d94b36f8';
 const MAX_WAIT_MS = 900;
@@ -88,6 +89,7 @@
     configurationKey: 'configuration',
     storeAgeMs: () => 0,
     revokeMs: 5000,
+    maxValueBytes: stores.MAX_VALUE_BYTES,
   });
 };
 
--- a/src/standins/test/jobRequestHandler.test.ts
+++ b/src/standins/test/jobRequestHandler.test.ts
@@ -15,6 +15,7 @@
 import * as poolKeys from '../../state/common/pool/poolKeys.js';
 import * as progressRecord from '../../state/common/pool/progressRecord.js';
 import * as memoryStore from '../memoryStore.js';
+import * as stores from '../../state/common/store.js';
 
 const CONFIGURATION_KEY = 'configuration';
 const ID = '5c0e7a21d94b36f8';
@@ -76,6 +77,7 @@
     configurationKey: CONFIGURATION_KEY,
     storeAgeMs: () => Math.min(feed.ageMs(), time.monotonicMs() - contactAtMs),
     revokeMs: 5000,
+    maxValueBytes: stores.MAX_VALUE_BYTES,
   });
   const hear = (): void => {
     contactAtMs = time.monotonicMs();
@@ -288,6 +290,16 @@
     outcome: 5,
     isStored: false,
   },
+  {
+    // Guards against a caller that retries in vain, although the store will never take its job.
+    name: 'a job that the store refuses for its size is refused at once',
+    act: (rig) => {
+      rig.store.faults.maxValueBytes = 10;
+      return submit(rig);
+    },
+    outcome: 'tooLarge',
+    isStored: false,
+  },
 ];
 
 test.describe('submitting a job', () => {
--- a/src/standins/test/longAnswers.test.ts
+++ b/src/standins/test/longAnswers.test.ts
@@ -18,6 +18,7 @@
 import * as poolKeys from '../../state/common/pool/poolKeys.js';
 import type * as recordStore from '../../state/common/pool/recordStore.js';
 import * as memoryStore from '../memoryStore.js';
+import * as stores from '../../state/common/store.js';
 
 const KEY = 'configuration';
 const ID = '5c0e7a21d94b36f8';
@@ -89,6 +90,7 @@
     configurationKey: KEY,
     storeAgeMs: feed.ageMs,
     revokeMs: 5000,
+    maxValueBytes: stores.MAX_VALUE_BYTES,
   });
   const submit = async (): Promise<unknown> => {
     let outcome: unknown = 'no answer before the deadline of the caller';
--- a/src/state/common/pool/poolJob.ts
+++ b/src/state/common/pool/poolJob.ts
@@ -16,15 +16,25 @@
 /** See {@link Resources}. */
 export type Resources = typeof Resources.Type;
 
-/** Maximum tasks per step; with more, a job's progress would exceed the size of one value of the store. */
-export const MAX_TASKS_PER_STEP = 5000;
+/**
+ * A job's progress is one value of the store, with a row for each task that was started. A row has this many bytes on the
+ * mean at most: with ids of 24 characters, some failures and a few unacknowledged orders and crashes among them.
+ */
+export const MAX_TASK_RECORD_BYTES = 160;
+
+/**
+ * @param maxValueBytes - largest value that the store takes
+ * @returns maximum tasks of a job over all its steps and occurrences
+ */
+export const maxTasksPerJob = (maxValueBytes: number): number =>
+  Math.floor(maxValueBytes / MAX_TASK_RECORD_BYTES);
 
 /** Maximum steps per job. */
 export const MAX_STEPS = 100;
 
 /** Identical tasks that become ready at the same time. */
 export const Step = Schema.Struct({
-  count: units.integerBetween(1, MAX_TASKS_PER_STEP),
+  count: units.Count,
   resources: Resources,
   /** The submitter's estimate of a task's run time; often far off. */
   estimatedMs: units.Count,
--- a/src/state/common/pool/poolSettings.ts
+++ b/src/state/common/pool/poolSettings.ts
@@ -51,4 +51,6 @@
   readonly learnsWorkerSpeeds: boolean;
   /** Shortest lease that the store grants. */
   readonly minStoreLeaseMs: number;
+  /** Largest value that the store takes. */
+  readonly maxStoreValueBytes: number;
 }
