An agent sends sixteen starts at a time, and none after the leader has given up

Change: sixteen starts are open at a time. One that waits longer than 0.6 s is refused unsent, which is true and leaves no open copy; with its three attempts a start that is sent is settled within the 2.5 s that the leader waits.

--- a/src/coordination/node/pool/orderDelivery.ts
+++ b/src/coordination/node/pool/orderDelivery.ts
@@ -2,8 +2,11 @@
  * Delivers the leader's orders from an agent to its worker.
  *
  * Guards against an unanswered order: it is retried up to a limit. Retries are safe, since a worker identifies
- * each run by its number.
+ * each run by its number. Guards against an order of many starts: sent all at once they exceed the memory of the agent, and
+ * the worker serves them later than the leader waits. What can't be sent in time is refused and not sent.
  */
+import * as callLimit from '../../../base/common/callLimit.js';
+import type * as clock from '../../../base/common/clock.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
 import * as agentContract from '../../../state/common/pool/agentContract.js';
@@ -14,6 +17,7 @@
 /** Dependencies of the delivery. */
 export interface OrderDeliveryOptions {
   readonly worker: agentContract.WorkerApi;
+  readonly clock: clock.Clock;
   readonly log: logging.Log;
   readonly metrics: metrics.Metrics;
   /** The worker's newest information about itself. */
@@ -48,6 +52,12 @@
 /** Attempts to deliver one order; the worker is on the same machine and answers in a millisecond. */
 const ORDER_ATTEMPTS = 3;
 
+/** Starts that are sent to the worker at the same time; it serves them one after the other. */
+const MAX_OPEN_STARTS = 16;
+
+/** A start waits this long for earlier ones; with its attempts it is settled before the leader stops waiting. */
+const MAX_START_WAIT_MS = 600;
+
 /** The result of an order that was not sent to the worker. */
 const refused = (
   { task, run }: Pick<agentContract.OrderResult, 'task' | 'run'>,
@@ -67,7 +77,7 @@
  * @returns the delivery
  */
 export const createOrderDelivery = (options: OrderDeliveryOptions): OrderDelivery => {
-  const { worker, log, metrics, workerFence, sentStarts, history } = options;
+  const { worker, clock: time, log, metrics, workerFence, sentStarts, history } = options;
 
   const refusalOf = (request: agentContract.OrderRequest): string | undefined => {
     const info = options.info();
@@ -123,7 +133,7 @@
       : { ...answer, hasOpenCopy };
   };
 
-  const start: OrderDelivery['start'] = async (request, command) => {
+  const sendStart: OrderDelivery['start'] = async (request, command) => {
     const { task, run, jobId, leaseUntilMs, saved, ticket } = command;
     const refusal = startRefusalOf(request);
     if (refusal !== undefined) return refused(command, refusal);
@@ -148,6 +158,17 @@
     return { task, run, ...answer };
   };
 
+  const starts = callLimit.createCallLimit(MAX_OPEN_STARTS);
+  const start: OrderDelivery['start'] = (request, command) => {
+    const receivedAtMs = time.monotonicMs();
+    return starts.run(() => {
+      const isInTime = time.monotonicMs() - receivedAtMs <= MAX_START_WAIT_MS;
+      return isInTime
+        ? sendStart(request, command)
+        : Promise.resolve(refused(command, 'too many earlier starts are on their way'));
+    });
+  };
+
   const stop: OrderDelivery['stop'] = async (request, { task, run }) => {
     const refusal = refusalOf(request);
     if (refusal !== undefined) return refused({ task, run }, refusal);
