A gang waits for no task that lasts

Cause: a task that lasts reports 100 per cent while it is at work. The estimate of the remaining time took that for nearly done, so waiting for it was the cheapest wait there is, and the reservation waited for ends that don't come. The logs show `room is kept for it` for the gang and `no room` for all behind it.

Change: for plans the remaining time of a task that lasts is infinite, and with it the cost of waiting. The stand-in of a worker has tasks that last, at 100 per cent.

--- a/src/coordination/common/pool/futurePlacement.ts
+++ b/src/coordination/common/pool/futurePlacement.ts
@@ -12,7 +12,7 @@
 /** A run that is terminating has ended in about this time. */
 const TERMINATION_MS = 400;
 
-/** Cost of ending or awaiting a run; `undefined` where that must not be done. */
+/** Cost of ending or awaiting a run; `undefined` or infinite where that must not be done. */
 export type CostOf = (allocation: planTypes.Allocation) => number | undefined;
 
 /** A placement of a unit with the groups that have to end first. */
--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -78,6 +78,7 @@
 const preemptLossOf: futurePlacement.CostOf = (allocation) =>
   allocation.preemptions < MAX_PREEMPTIONS ? lossOf(allocation) : undefined;
 
+/** Infinite for a run without an end: a reservation that waits for it would keep idle capacity from all others. */
 const waitCostOf: futurePlacement.CostOf = (allocation) => 1 + allocation.remainingMs;
 
 const acceleratorsOf = (unit: planTypes.PlanUnit): number =>
--- a/src/coordination/common/pool/planTypes.ts
+++ b/src/coordination/common/pool/planTypes.ts
@@ -27,7 +27,7 @@
   readonly unsavedMs: number;
   /** How long its task can start on no other worker if it is stopped now. */
   readonly boundMs: number;
-  /** Expected time to its end. */
+  /** Expected time to its end; infinite for a run that lasts until it is stopped. */
   readonly remainingMs: number;
 }
 
--- a/src/coordination/common/pool/runProgress.ts
+++ b/src/coordination/common/pool/runProgress.ts
@@ -58,12 +58,17 @@
 };
 
 /**
+ * A task that lasts reports 100 per cent while it is at work: taken for nearly done, it would be waited for without end.
+ *
  * @param run - a run
  * @param nowMs - the leader's clock
- * @returns expected time until its own part is done, if it has made no progress since its worker's last report
+ * @returns expected time until its own part is done, if it has made no progress since its worker's last report; infinite
+ *   for a task that lasts
  */
 const cautiousRemainingMsOf = (run: workerTable.ActiveRun, nowMs: number): number =>
-  estimateMs(run, { atMs: nowMs, conclusivePercent: CAUTIOUS_CONCLUSIVE_PERCENT });
+  run.step.isLongRunning
+    ? Infinity
+    : estimateMs(run, { atMs: nowMs, conclusivePercent: CAUTIOUS_CONCLUSIVE_PERCENT });
 
 /** Progress of runs with the members of their gangs on all workers. */
 export interface GroupProgress {
@@ -71,7 +76,7 @@
   readonly remainingMsOf: (run: workerTable.ActiveRun) => number;
   /**
    * @returns the same, as if no run had made progress since its last report, for plans that wait for the end: a unit
-   *   that waits in vain loses more than one that starts elsewhere
+   *   that waits in vain loses more than one that starts elsewhere; infinite for a task that lasts
    */
   readonly cautiousRemainingMsOf: (run: workerTable.ActiveRun) => number;
   /** @returns for how long the run has made no progress; 0 while it waits for other members of its gang */
--- a/src/coordination/common/pool/test/runProgress.test.ts
+++ b/src/coordination/common/pool/test/runProgress.test.ts
@@ -122,6 +122,21 @@
   }
 });
 
+test.describe('the remaining time of a task that lasts', () => {
+  const PERCENTS = [0, 50, 100];
+  for (const percent of PERCENTS) {
+    // Guards against a gang that waits for a task that lasts as for one that is nearly done.
+    test.it(`is infinite for a plan that waits for its end, at ${percent} per cent`, () => {
+      const runs = createRuns({ isLongRunning: true, count: 2, isGang: true });
+      runs.forEach((run) => {
+        run.percent = percent;
+      });
+      const progress = runProgress.createGroupProgress(workersOf(runs), NOW_MS);
+      for (const run of runs) assert.equal(progress.cautiousRemainingMsOf(run), Infinity);
+    });
+  }
+});
+
 interface Member {
   readonly percent: number;
   readonly progressedAtMs: number;
--- a/src/standins/memoryPoolWorker.ts
+++ b/src/standins/memoryPoolWorker.ts
@@ -47,7 +47,7 @@
 export interface MemoryPoolWorkerOptions {
   readonly clock: clock.Clock;
   readonly info: poolWorker.WorkerInfo;
-  /** Duration of a task. */
+  /** Duration of a task; infinite for one that lasts until it is stopped. */
   readonly workMs: (task: string) => number;
   /** Size of the gang of the task; 1 for a task without a gang. */
   readonly gangOf: (task: string) => number;
@@ -152,7 +152,9 @@
       endWithGang(it, 'failed');
       return;
     }
-    it.timer = time.after(options.workMs(it.record.task) * faults.slowFactor, () => {
+    const workMs = options.workMs(it.record.task) * faults.slowFactor;
+    if (workMs === Infinity) return;
+    it.timer = time.after(workMs, () => {
       if (faults.isStalled) work(it);
       else endWithGang(it, 'done');
     });
@@ -316,7 +318,9 @@
     const running = [...live.values()].map(({ record }) => {
       const workedMs = time.monotonicMs() - record.startedAtMs;
       const wholeMs = options.workMs(record.task) * faults.slowFactor;
-      const percent = Math.min(99, Math.floor((100 * workedMs) / wholeMs));
+      // A task that lasts is at 100 per cent while it is at work.
+      const percent =
+        wholeMs === Infinity ? 100 : Math.min(99, Math.floor((100 * workedMs) / wholeMs));
       return { task: record.task, run: record.run, saved: '', percent };
     });
     const { incarnationMs } = info;
