A long wait keeps no room of a half idle pool from units without other room

Change: where half of the pool's cores and accelerators is idle at the start of a round, reservations that wait longer than 2 s give their room back at the end of it, for units that found none elsewhere. Where others have room, where the pool is in use, and for short waits nothing changes.

Measured: of the four cases in planReservations one failed before (`keeps nothing of a pool that is half idle`); the three others hold the limits of the change.

--- a/src/coordination/common/pool/gangPlacement.ts
+++ b/src/coordination/common/pool/gangPlacement.ts
@@ -269,6 +269,19 @@
     return { task, workerId, incarnationMs, agentId };
   });
 
+/**
+ * Gives back the capacity of a placement that {@link reserveCapacity} took.
+ *
+ * @param placement - a placement of a unit that is not isolated
+ */
+export const releaseCapacity = (placement: planTypes.Placement): void => {
+  const { room, stepKey } = placement.unit;
+  for (const worker of placement.workers) {
+    worker.free = poolJob.addResources(worker.free, room);
+    worker.placedSteps.set(stepKey, (worker.placedSteps.get(stepKey) ?? 0) - 1);
+  }
+};
+
 /**
  * Takes the capacity of a placement for the rest of the round.
  *
--- a/src/coordination/common/pool/isolation.ts
+++ b/src/coordination/common/pool/isolation.ts
@@ -61,8 +61,13 @@
   if (unit.isIsolated === true) worker.exclusiveJobId = jobIdOf(unit);
 };
 
-/** Workers that are kept for a suspect count as in use: many suspects would end each other's isolation. */
-const isHalfIdle = (workers: readonly planTypes.PlanWorker[]): boolean => {
+/**
+ * Workers that are kept for a suspect count as in use: many suspects would end each other's isolation.
+ *
+ * @param workers - all workers
+ * @returns whether at least half of their cores and of their accelerators is free
+ */
+export const isHalfIdle = (workers: readonly planTypes.PlanWorker[]): boolean => {
   const sum = (resources: readonly poolJob.Resources[]): poolJob.Resources =>
     resources.reduce((total, it) => poolJob.addResources(total, it), poolJob.NO_RESOURCES);
   const unkept = workers.filter(({ exclusiveJobId }) => exclusiveJobId === undefined);
--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -27,6 +27,12 @@
 /** A unit gets a reservation after this wait; shorter waits mostly end with the next run that ends. */
 const RESERVE_AFTER_MS = 1500;
 
+/**
+ * Where half of the pool is idle, a unit that waits longer for its room does not keep it from units that have no other:
+ * callers expect their tasks to run there.
+ */
+const MAX_IDLE_RESERVATION_MS = 2000;
+
 /** Longest time for which units without value to the caller go last: their callers still want them done. */
 const MAX_DEPRIORITIZED_MS = 30_000;
 
@@ -230,11 +236,14 @@
     return waitForFreeCapacity(unit, groups) || preemptWithin(unit, groups, costs);
   };
 
+  const startAt = (unit: planTypes.PlanUnit, found: planTypes.Placement | undefined): boolean =>
+    start(found && headroom.spare(found, places.localGroupsOf(unit)));
+
   const startNow = (unit: planTypes.PlanUnit, costs: futurePlacement.GroupCosts): boolean => {
     const found = places.findNow(unit);
     const isLate = found !== undefined && !speeds.isInTime(found);
     if (isLate && waitForFasterWorkers(unit, costs)) return true;
-    return start(found && headroom.spare(found, places.localGroupsOf(unit)));
+    return startAt(unit, found);
   };
 
   const claim = (unit: planTypes.PlanUnit): void => {
@@ -268,12 +277,31 @@
     return waitForFreeCapacity(unit, groups) || preemptWithin(unit, groups, preemptCosts);
   };
 
+  /** Starts units without other room in the room that others keep of a pool that is half idle. */
+  const startInIdleReservations = (
+    units: readonly planTypes.PlanUnit[],
+    reserved: readonly planTypes.Placement[],
+  ): void => {
+    if (units.length > 0) reserved.forEach(gangPlacement.releaseCapacity);
+    const full = new Set<string>();
+    for (const unit of units) {
+      const mayFit = reserved.length > 0 && !full.has(unit.stepKey);
+      if (!mayFit || !startAt(unit, places.findNow(unit))) {
+        full.add(unit.stepKey);
+        waits.push({ unit, reason: 'no room' });
+      }
+    }
+  };
+
   const fullSteps = new Set<string>();
   const reservationLimit = Math.max(
     MIN_RESERVATION_LIMIT,
     Math.floor(workers.length / WORKERS_PER_RESERVATION),
   );
   let reservations = 0;
+  const isPoolHalfIdle = isolation.isHalfIdle(workers);
+  const idleReservations: planTypes.Placement[] = [];
+  const withoutRoom: planTypes.PlanUnit[] = [];
   for (const unit of others.filter(isWaiting)) {
     // Tasks of one step are alike, but for bound and isolated ones: where one found no capacity the next finds none either.
     const isSpecial = unit.boundWorkerIds !== undefined || unit.isIsolated === true;
@@ -285,13 +313,19 @@
       const future = isReserving
         ? futurePlacement.findFuturePlacement(runs, places.groupsOf(unit), unit, waitCosts)
         : undefined;
-      if (future !== undefined) {
+      if (future === undefined) {
+        withoutRoom.push(unit);
+      } else {
         gangPlacement.reserveCapacity(future.placement);
         reservations += 1;
+        const waitMs = futurePlacement.longestWaitMs(runs, future.leaving);
+        const isLong = waitMs > MAX_IDLE_RESERVATION_MS && unit.isIsolated !== true;
+        if (isLong && isPoolHalfIdle) idleReservations.push(future.placement);
+        waits.push({ unit, reason: 'room is kept for it' });
       }
-      waits.push({ unit, reason: future === undefined ? 'no room' : 'room is kept for it' });
     }
   }
+  startInIdleReservations(withoutRoom, idleReservations);
   // After all waiting units: a relocated run loses its progress, so it only uses spare capacity.
   const relocations: planTypes.PlanUnit[] = [];
   for (const { unit, workerIds } of input.stragglerUnits) {
--- a/src/coordination/common/pool/test/planReservations.test.ts
+++ b/src/coordination/common/pool/test/planReservations.test.ts
@@ -34,6 +34,9 @@
 const ending = (workerId: string, accelerators = 4): planTypes.PlanWorker =>
   workerWith(workerId, accelerators, { remainingMs: 1000 });
 
+const long = (workerId: string, accelerators: number): planTypes.PlanWorker =>
+  workerWith(workerId, accelerators, { remainingMs: 60_000 });
+
 const CASES: readonly planCases.Case[] = [
   {
     // Guards against a gang that keeps an almost idle pool from all behind it, since it waits for tasks that do not end.
@@ -70,6 +73,35 @@
     waitedMs: WAITED_MS,
     starts: { 'small.0.0.0': ['w1'] },
   },
+  {
+    // Guards against a gang that keeps an almost idle pool from all behind it for as long as one long task runs.
+    name: 'a gang that waits for long keeps nothing of a pool that is half idle from units without other room',
+    workers: () => [long('w1', 1), long('w2', 1)],
+    jobs: [gang(), small],
+    waitedMs: WAITED_MS,
+    starts: { 'small.0.0.0': ['w1'] },
+  },
+  {
+    name: 'a gang that waits for long keeps its workers where others have room',
+    workers: () => [long('w1', 1), long('w2', 1), lasting('w3', 4)],
+    jobs: [gang(), small],
+    waitedMs: WAITED_MS,
+    starts: { 'small.0.0.0': ['w3'] },
+  },
+  {
+    name: 'a gang that waits for long keeps its workers of a pool that is in use',
+    workers: () => [long('w1', 6), long('w2', 6)],
+    jobs: [gang(), small],
+    waitedMs: WAITED_MS,
+    starts: {},
+  },
+  {
+    name: 'a gang that waits for a short time keeps its workers of a pool that is half idle',
+    workers: () => [ending('w1', 1), ending('w2', 1)],
+    jobs: [gang(), small],
+    waitedMs: WAITED_MS,
+    starts: {},
+  },
   {
     // Guards against a claim that waits for a run without an end as for one that is about to end.
     name: 'a claim preempts a run without an end at once',
