The search for stragglers looks at each run once, however large its step

Cause: whether a slow run has siblings elsewhere that are as slow was decided by a list of all siblings for each slow run.

Change: the best speed of a step on each worker is found once; a run is compared with the best of another worker. The decisions are the same.

--- a/src/coordination/common/pool/stragglers.ts
+++ b/src/coordination/common/pool/stragglers.ts
@@ -3,6 +3,7 @@
  * in time only if they are restarted on another one.
  */
 import * as groupBy from '../../../base/common/groupBy.js';
+import * as memoize from '../../../base/common/memoize.js';
 import * as crashAttribution from './crashAttribution.js';
 import * as runtimeEstimates from './runtimeEstimates.js';
 import * as gangPlacement from './gangPlacement.js';
@@ -72,16 +73,34 @@
   readonly run: workerTable.ActiveRun;
 }
 
+/** Speed of the fastest run of a step on another worker than the given one; undefined where none is known. */
+type FastestElsewhere = (worker: workerTable.WorkerEntry) => number | undefined;
+
+/**
+ * Looks at the runs of a step once: compared with each other, those of a step of thousands of tasks, all of them slower than
+ * declared, kept the leader for minutes.
+ */
+const findFastest = (stepRuns: readonly PlacedRun[]): FastestElsewhere => {
+  const speeds = new Map<workerTable.WorkerEntry, number>();
+  for (const { worker, run } of stepRuns) {
+    const { speed } = run.pace;
+    if (speed !== undefined) speeds.set(worker, Math.max(speed, speeds.get(worker) ?? -Infinity));
+  }
+  const [first, second] = [...speeds].sort((a, b) => b[1] - a[1]);
+  return (worker) => (first?.[0] === worker ? second?.[1] : first?.[1]);
+};
+
 /**
  * Where other workers run the same step as slowly, the declaration is wrong. Members of a gang all
  * progress at one speed, whichever worker slows them down, and can't be compared.
  */
-const isSlowElsewhere = (siblings: readonly PlacedRun[], { worker, run }: PlacedRun): boolean => {
+const isSlowElsewhere = (
+  { worker, run }: PlacedRun,
+  fastestElsewhere: FastestElsewhere,
+): boolean => {
   if (run.step.isGang) return false;
-  const speeds = siblings
-    .filter((it) => it.worker !== worker)
-    .flatMap((it) => it.run.pace.speed ?? []);
-  return speeds.length > 0 && (run.pace.speed ?? 0) >= SIBLING_SHARE * Math.max(...speeds);
+  const fastest = fastestElsewhere(worker);
+  return fastest !== undefined && (run.pace.speed ?? 0) >= SIBLING_SHARE * fastest;
 };
 
 const canBeRelocated = (run: workerTable.ActiveRun): boolean =>
@@ -116,10 +135,13 @@
   // Grouped once: with a search through all runs for the siblings of each slow one, the time grew with the square of
   // the runs, and exceeded that of placement on a large fleet.
   const runsByStep = groupBy.groupBy(all, ({ run }) => run.stepKey);
+  const fastestOf = memoize.memoize((stepKey: string) =>
+    findFastest(runsByStep.get(stepKey) ?? []),
+  );
   const slow = candidates.filter(
     (it) =>
       reliableQueues.has(it.run.entry.job.policy.queue) &&
-      !isSlowElsewhere(runsByStep.get(it.run.stepKey) ?? [], it),
+      !isSlowElsewhere(it, fastestOf(it.run.stepKey)),
   );
   const runsByGroup = groupBy.groupBy(all, ({ run }) => run.groupKey);
   return [...new Set(slow.map(({ run }) => run.groupKey))].flatMap((groupKey) => {
--- a/src/coordination/common/pool/test/stragglers.test.ts
+++ b/src/coordination/common/pool/test/stragglers.test.ts
@@ -205,3 +205,27 @@
     },
   );
 });
+
+/** Tasks of one step that are all slower than declared, and how often the speed of each may be read. */
+const SLOW_TASKS = 3000;
+const MAX_READS_PER_RUN = 10;
+
+test.describe('the search for stragglers', () => {
+  // Guards against a leader that compares all runs of a large step with each other, for minutes, whenever it plans.
+  test.it('reads the speed of each run a few times, however many siblings it has', () => {
+    const workers = Array.from({ length: 10 }, (_, index) => createWorker(index));
+    startJob(workers, { count: SLOW_TASKS, estimatedMs: 4000 }, 0.125);
+    let reads = 0;
+    const countReads = (pace: runPace.RunPace): void => {
+      const { speed } = pace;
+      const get = (): number | undefined => {
+        reads += 1;
+        return speed;
+      };
+      Object.defineProperty(pace, 'speed', { get });
+    };
+    for (const { runs } of workers) for (const { pace } of runs.values()) countReads(pace);
+    assert.deepEqual(stragglers.findStragglers(workers, TRUSTED, 0), []);
+    assert.ok(reads > 0 && reads <= MAX_READS_PER_RUN * SLOW_TASKS, `${reads} reads`);
+  });
+});
