A large job starts in parts, and urgent work goes between them

Callers saw no urgent job start for a minute after one accepted job of 6,500 tasks: one round placed all of it, each leader needed longer than its lease for that, lost it, and the next began anew.

Cause: what one round, one message and the end of one run cost grew with the whole job: a round placed every task that had room, each end looked at all tasks of the job and at all runs of the pool.

Change: - a round looks at 256 tasks of a step at most, less those on their way; tasks with an open order come on top; - all rounds together have 64 starts a worker on their way (512 at least); urgent ones always go; - a round begins no sooner after the last than that one took (100 ms at most); - the end of a single task looks at the runs of that task, and at the job's tasks as far as the first that is not done.

--- a/src/coordination/common/pool/jobTransitions.ts
+++ b/src/coordination/common/pool/jobTransitions.ts
@@ -7,16 +7,26 @@
 import * as crashAttribution from './crashAttribution.js';
 import * as jobState from './jobState.js';
 
-const updateJobState = (entry: jobState.JobEntry, wallMs: number): void => {
+const areAllDone = ({ occurrences, job }: jobState.JobEntry): boolean =>
+  occurrences.length === jobState.occurrenceCount(job) &&
+  occurrences.every((steps) => steps.every(jobState.areTasksDone));
+
+/**
+ * Looks at all tasks only as far as the first that is not done: in a job of thousands of tasks it is called for each end.
+ *
+ * @param task - the task that changed, with its gang
+ */
+const updateJobState = (
+  entry: jobState.JobEntry,
+  task: jobState.TaskEntry,
+  wallMs: number,
+): void => {
   if (jobState.isEnded(entry)) return;
-  const tasks = jobState.tasksOf(entry);
-  if (tasks.some((task) => task.phase === progressRecord.TaskPhase.failed)) {
+  const { failed } = progressRecord.TaskPhase;
+  if (jobState.groupOf(entry, task).some(({ phase }) => phase === failed)) {
     entry.state = poolJob.PoolJobState.failed;
     entry.endedAtMs = wallMs;
-    return;
-  }
-  const hasAllOccurrences = entry.occurrences.length === jobState.occurrenceCount(entry.job);
-  if (hasAllOccurrences && jobState.areTasksDone(tasks)) {
+  } else if (areAllDone(entry)) {
     entry.state = poolJob.PoolJobState.complete;
     entry.endedAtMs = wallMs;
   }
@@ -89,7 +99,7 @@
         : progressRecord.TaskPhase.waiting;
     }
   }
-  updateJobState(entry, wallMs);
+  updateJobState(entry, task, wallMs);
   return true;
 };
 
@@ -126,7 +136,7 @@
   const isGivenUp =
     crashAttribution.isProvenCause(task) || (isWaiting && crashAttribution.mayNotStartAgain(task));
   if (isGivenUp) task.phase = progressRecord.TaskPhase.failed;
-  updateJobState(entry, wallMs);
+  updateJobState(entry, task, wallMs);
   return true;
 };
 
@@ -158,7 +168,7 @@
     const { waiting, done } = progressRecord.TaskPhase;
     if (member.phase === waiting) member.phase = done;
   }
-  updateJobState(entry, wallMs);
+  updateJobState(entry, task, wallMs);
   return true;
 };
 
--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -62,6 +62,8 @@
   readonly guarantees: planTypes.Guarantees;
   /** Factor by which a task takes longer remote from its data or rack. */
   readonly remoteFactor: number;
+  /** Tasks that the round may start, besides urgent ones, which may always; no limit by default. */
+  readonly maxStarts?: number;
 }
 
 /**
@@ -146,7 +148,7 @@
  * @returns what to start, preempt and relocate, and what waits
  */
 export const planRound = (input: RoundInput): planTypes.RoundPlan => {
-  const { workers, remoteFactor, nowMs } = input;
+  const { workers, remoteFactor, nowMs, maxStarts = Infinity } = input;
   const starts: planTypes.Placement[] = [];
   const preemptions = new Map<string, planTypes.PlanUnit>();
   const waits: planTypes.Wait[] = [];
@@ -302,12 +304,16 @@
   const isPoolHalfIdle = isolation.isHalfIdle(workers);
   const idleReservations: planTypes.Placement[] = [];
   const withoutRoom: planTypes.PlanUnit[] = [];
+  let startsLeft = maxStarts;
   for (const unit of others.filter(isWaiting)) {
+    if (unit.priority > 0 && startsLeft <= 0) continue;
     // Tasks of one step are alike, but for bound and isolated ones: where one found no capacity the next finds none either.
     const isSpecial = unit.boundWorkerIds !== undefined || unit.isIsolated === true;
     const isKnownNotToFit =
       unit.unit.tasks.length === 1 && !isSpecial && fullSteps.has(unit.stepKey);
-    if (!isKnownNotToFit && !startNow(unit, preemptCosts) && !preempt(unit)) {
+    if (!isKnownNotToFit && startNow(unit, preemptCosts)) {
+      if (unit.priority > 0) startsLeft -= unit.unit.tasks.length;
+    } else if (!isKnownNotToFit && !preempt(unit)) {
       if (!isSpecial) fullSteps.add(unit.stepKey);
       const isReserving = reservations < reservationLimit && unit.waitedMs >= RESERVE_AFTER_MS;
       const future = isReserving
--- a/src/coordination/common/pool/readyQueue.ts
+++ b/src/coordination/common/pool/readyQueue.ts
@@ -18,13 +18,15 @@
    * @param nowMs - the leader's clock
    * @param wallMs - Unix milliseconds now
    * @param slotsOf - the pool's slots
-   * @returns the units that may start now
+   * @param openStartsOf - starts of a step, by its key, that no worker has answered yet; none by default
+   * @returns the units that may start now; of a large step only some, and the others once these have started
    */
   readonly units: (
     entries: Iterable<jobState.JobEntry>,
     nowMs: number,
     wallMs: number,
     slotsOf?: jobChain.SlotsOf,
+    openStartsOf?: (stepKey: string) => number,
   ) => planTypes.PlanUnit[];
   /**
    * @param groups - stragglers
@@ -58,8 +60,13 @@
   };
 };
 
-const isDue = (unit: jobState.ReadyUnit, nowMs: number): boolean =>
-  unit.tasks.every((task) => task.notBeforeMs <= nowMs);
+/**
+ * Starts of one step that are on their way at a time. All at once, those of a job of thousands of tasks kept the leader
+ * longer than its lease, and the next leader began anew; urgent work that came meanwhile waited for all of them.
+ */
+export const MAX_OPEN_STARTS = 256;
+
+const noOpenStarts = (): number => 0;
 
 /**
  * @param estimates - runtime estimates of tasks
@@ -110,11 +117,22 @@
         ),
         workerIds,
       })),
-    units: (entries, nowMs, wallMs, slotsOf = jobChain.unlimitedSlots) => {
+    units: (
+      entries,
+      nowMs,
+      wallMs,
+      slotsOf = jobChain.unlimitedSlots,
+      openStartsOf = noOpenStarts,
+    ) => {
       const sinceMs = new Map<string, number>();
       const units: planTypes.PlanUnit[] = [];
       for (const entry of entries) {
-        const ready = jobState.readyUnits(entry).filter((it) => isDue(it, nowMs));
+        const ready = jobState.readyUnits(entry, {
+          nowMs,
+          maxTasksOf: (occurrence, stepIndex) =>
+            MAX_OPEN_STARTS -
+            openStartsOf(workerTable.stepKeyOf(entry.job.jobId, occurrence, stepIndex)),
+        });
         if (ready.length === 0) continue;
         const timing = timingOf(entry.job, estimates, slotsOf);
         for (const it of ready) {
--- a/src/coordination/common/pool/test/planCases.ts
+++ b/src/coordination/common/pool/test/planCases.ts
@@ -17,6 +17,7 @@
   /** Time since the jobs were accepted. */
   readonly waitedMs?: number;
   readonly guarantees?: planTypes.Guarantees;
+  readonly maxStarts?: number;
   /** Group keys that start, each with its workers. */
   readonly starts: Readonly<Record<string, readonly string[]>>;
   readonly preemptions?: readonly string[];
@@ -45,6 +46,7 @@
           ),
           remoteFactor: 3,
           guarantees: it.guarantees ?? new Map(),
+          ...(it.maxStarts === undefined ? {} : { maxStarts: it.maxStarts }),
         });
         const starts = Object.fromEntries(
           plan.starts.map(({ unit, workers }) => [
--- a/src/coordination/common/pool/test/planRound.test.ts
+++ b/src/coordination/common/pool/test/planRound.test.ts
@@ -201,6 +201,22 @@
     starts: {},
     preemptions: [],
   },
+  {
+    // Guards against thousands of starts at once, which no worker takes in time and for which urgent ones wait.
+    name: 'a round starts no more tasks than it may, but urgent ones',
+    workers: () => [fixtures.makeWorker('w1')],
+    jobs: [
+      fixtures.makeJob([{ count: 3 }], { jobId: 'many', priority: 2 }),
+      fixtures.makeJob([{ count: 3 }], { jobId: 'urgent', priority: 0 }),
+    ],
+    maxStarts: 1,
+    starts: {
+      'many.0.0.0': ['w1'],
+      'urgent.0.0.0': ['w1'],
+      'urgent.0.0.1': ['w1'],
+      'urgent.0.0.2': ['w1'],
+    },
+  },
   {
     // Two waves of small tasks fill every gap on a busy worker, and a task that needs all of it never
     // starts. After its wait the gap is reserved for it.
--- a/src/coordination/common/pool/workerTable.ts
+++ b/src/coordination/common/pool/workerTable.ts
@@ -142,6 +142,15 @@
   suspicion: workerSuspicion.createWorkerSuspicion(),
 });
 
+/**
+ * @param jobId - a job
+ * @param occurrence - one of its occurrences
+ * @param stepIndex - index of one of its steps
+ * @returns key of the step of this occurrence
+ */
+export const stepKeyOf = (jobId: string, occurrence: number, stepIndex: number): string =>
+  `${jobId}.${occurrence}.${stepIndex}`;
+
 /**
  * @param entry - the job
  * @param task - its task
@@ -153,7 +162,7 @@
 ): { readonly name: string; readonly stepKey: string; readonly groupKey: string } => {
   const { jobId, steps } = entry.job;
   const name = poolWorker.formatTaskName({ jobId, ...task });
-  const stepKey = `${jobId}.${task.occurrence}.${task.step}`;
+  const stepKey = stepKeyOf(jobId, task.occurrence, task.step);
   return { name, stepKey, groupKey: steps[task.step]?.isGang === true ? stepKey : name };
 };
 
@@ -245,6 +254,20 @@
   return ((nowMs - first.atMs) * 100) / (100 - first.percent) / distanceFactor;
 };
 
+/**
+ * @param workers - agents with their workers
+ * @returns number of starts by the key of their step that no worker has answered yet
+ */
+export const countOpenStarts = (workers: Iterable<WorkerEntry>): ReadonlyMap<string, number> => {
+  const counts = new Map<string, number>();
+  for (const { runs } of workers) {
+    for (const { phase, stepKey } of runs.values()) {
+      if (phase === RunPhase.ordering) counts.set(stepKey, (counts.get(stepKey) ?? 0) + 1);
+    }
+  }
+  return counts;
+};
+
 /**
  * @param worker - an agent with its worker
  * @returns capacity that no run occupies
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -65,6 +65,18 @@
 /** Changes within this time are planned in the same round. */
 const BATCH_MS = 1;
 
+/**
+ * A round begins no sooner after the last one than that one took, so that the leader's lease, the workers' reports and the
+ * callers' counts get at least half of the time; but this long after it at the latest, since urgent work waits for a round.
+ */
+const MAX_ROUND_PAUSE_MS = 100;
+
+/** Starts that are on their way to one worker on the mean; it serves them one after the other. */
+const MAX_OPEN_STARTS_PER_WORKER = 64;
+
+/** Starts that are on their way at a time also in a small pool: its steps are this wide. */
+const MIN_OPEN_STARTS = 512;
+
 /** Polling interval of a start that waits until the leadership is certain. */
 const RECHECK_MS = 50;
 
@@ -77,13 +89,14 @@
   const queue = readyQueue.createReadyQueue(options.estimates);
   const waitReasons = new Map<string, string>();
   let isDue = false;
+  let lastRoundMs = 0;
 
   const nowMs = (): number => time.monotonicMs();
 
   const schedule = (): void => {
     if (isDue) return;
     isDue = true;
-    time.after(BATCH_MS, plan);
+    time.after(Math.max(BATCH_MS, Math.min(MAX_ROUND_PAUSE_MS, lastRoundMs)), plan);
   };
 
   const tickets = ticketCache.createTicketCache({
@@ -248,15 +261,24 @@
   const plan = (): void => {
     isDue = false;
     if (!options.isReady()) return;
+    const startedAtMs = nowMs();
+    runRound();
+    lastRoundMs = nowMs() - startedAtMs;
+  };
+
+  const runRound = (): void => {
     const now = clock.readClocks(time);
     const { monotonicMs: startedAtMs, wallMs } = now;
     options.speeds.learn();
     addDueOccurrences(wallMs);
+    const openStarts = workerTable.countOpenStarts(workers.values());
+    const openCount = [...openStarts.values()].reduce((sum, it) => sum + it, 0);
     const waiting = queue.units(
       registry.all(),
       startedAtMs,
       wallMs,
       workerTable.createSlotCounter(workers.values()),
+      (stepKey) => openStarts.get(stepKey) ?? 0,
     );
     const units = withStartPlaces(waiting, now);
     const stragglerGroups = findStragglers(now);
@@ -281,6 +303,8 @@
       stragglerUnits: queue.stragglerUnits(stragglerGroups, startedAtMs, wallMs),
       guarantees: guarantees(),
       remoteFactor: options.remoteFactor,
+      maxStarts:
+        Math.max(MIN_OPEN_STARTS, MAX_OPEN_STARTS_PER_WORKER * planWorkers.length) - openCount,
     });
     metrics.time('auburnlift_plan_round_ms', nowMs() - startedAtMs);
     round.starts.forEach(startUnit);
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -132,15 +132,41 @@
     }
   };
 
+  const stopIfUnwanted = (
+    worker: workerTable.WorkerEntry,
+    run: workerTable.ActiveRun,
+    cause: string,
+  ): void => {
+    const isPresent = run.phase === workerTable.RunPhase.present;
+    if (isPresent && !runState.isWanted(run) && !runState.isDone(run)) stopRun(worker, run, cause);
+  };
+
   const stopUnwanted = (entry: jobState.JobEntry, cause: string): void => {
     for (const worker of options.workers.values()) {
       for (const run of worker.runs.values()) {
-        const isOwn = run.entry === entry && run.phase === workerTable.RunPhase.present;
-        if (isOwn && !runState.isWanted(run) && !runState.isDone(run)) stopRun(worker, run, cause);
+        if (run.entry === entry) stopIfUnwanted(worker, run, cause);
       }
     }
   };
 
+  /** Only runs of the same task are concerned: a search through all runs takes seconds for a job of thousands of tasks. */
+  const stopUnwantedOf = (entry: jobState.JobEntry, task: jobState.TaskEntry): void => {
+    const { name } = workerTable.keysOf(entry, task);
+    for (const worker of options.workers.values()) {
+      for (let number = 1; number <= task.run; number += 1) {
+        const run = worker.runs.get(poolWorker.runKey(name, number));
+        if (run !== undefined) stopIfUnwanted(worker, run, 'taskEnded');
+      }
+    }
+  };
+
+  /** Stops what the end of a task's run has made unnecessary. */
+  const stopAfterEnd = (entry: jobState.JobEntry, task: jobState.TaskEntry): void => {
+    if (jobState.isEnded(entry)) stopUnwanted(entry, 'jobEnded');
+    else if (jobState.groupOf(entry, task).length > 1) stopUnwanted(entry, 'gangBroken');
+    else stopUnwantedOf(entry, task);
+  };
+
   /** Marks a run as closing: it counts as gone once the worker has answered under a higher fence. */
   const markClosing = (worker: workerTable.WorkerEntry, run: workerTable.ActiveRun): void => {
     fences.raiseFence(worker);
@@ -168,7 +194,7 @@
     recorder.recordRunEnd(entry, task, outcome);
     const hasEnded = jobState.isEnded(entry);
     if (hasEnded && !hadEnded) recorder.recordJobEnd(entry);
-    stopUnwanted(entry, hasEnded ? 'jobEnded' : 'gangBroken');
+    stopAfterEnd(entry, task);
     options.onDidChange();
     return options.save(jobId);
   };
