Soak: a worker lost for good with its agent, and jobs of thousands of tasks

A quarter of the seeds each, from generators of their own, so that the other faults of a seed stay. The stand-in of a worker can be lost: no answer and no heartbeat, whatever else a fault does to it.

--- a/src/platform/test/workerServer.ts
+++ b/src/platform/test/workerServer.ts
@@ -11,6 +11,8 @@
 export interface ServedWorker {
   readonly link: agentContract.WorkerApi;
   readonly info: () => poolWorker.WorkerInfo;
+  /** A worker that is lost sends no heartbeats; absent for one that is never lost. */
+  readonly faults?: { readonly isLost: boolean };
 }
 
 interface WireOrder {
@@ -114,6 +116,7 @@
   );
   let sequence = 0;
   const sendHeartbeat = (): void => {
+    if (worker.faults?.isLost === true) return;
     sequence += 1;
     const info = worker.info();
     const request = http.request({
--- a/src/soak/callers.ts
+++ b/src/soak/callers.ts
@@ -37,6 +37,8 @@
   readonly submit: () => Promise<void>;
   /** Submits jobs of many small tasks that run on the workers with this label only. */
   readonly submitSmall: (label: string, count: number) => Promise<void>;
+  /** Submits one job of this many small tasks. */
+  readonly submitLarge: (tasks: number) => Promise<void>;
   readonly readAny: () => Promise<void>;
   /** Reads the number of pending jobs. */
   readonly readPending: () => Promise<void>;
@@ -214,6 +216,8 @@
       const step = { ...small, requires, isSmall: true };
       await Promise.all(Array.from({ length: count }, () => submitJob([step])));
     },
+    submitLarge: (count) =>
+      submitJob([{ count, accelerators: 0, isGang: false, after: [], isSmall: true }]),
     readPending: async () => {
       await call('GET', '', '', options.pendingRandom);
     },
--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -71,6 +71,10 @@
 /** Share of seeds in which a worker has more unacknowledged ends than it lists. */
 const MANY_ENDS_SHARE = 0.25;
 
+/** Share of seeds in which a worker is lost for good, and of those with a job of thousands of tasks. */
+const LOST_WORKER_SHARE = 0.25;
+const LARGE_JOB_SHARE = 0.25;
+
 /** A job counts as pending this long after it was accepted at the latest. */
 const VISIBLE_MS = 5000;
 
@@ -198,6 +202,20 @@
     await workerFaults.endManyAtOnce(workerFaultContext(options.seed + 7), soakCallers);
   };
 
+  const hasLargeJob = random.createRandom(options.seed + 9)() < LARGE_JOB_SHARE;
+  const submitLarge = async (): Promise<void> => {
+    if (!hasLargeJob) return;
+    faultLog.push('a job of thousands of tasks');
+    await workerFaults.submitLargeJob(workerFaultContext(options.seed + 9), soakCallers);
+  };
+  // Jobs whose many ends are to be held up run on one worker only, which must not be lost.
+  const losesWorker = !hasManyEnds && random.createRandom(options.seed + 10)() < LOST_WORKER_SHARE;
+  const loseWorker = async (): Promise<void> => {
+    if (!losesWorker) return;
+    const what = await workerFaults.loseWorker(workerFaultContext(options.seed + 10));
+    if (what !== undefined) faultLog.push(what);
+  };
+
   const gaps = random.createRandom(options.seed + 2);
   const runLoad = async (act: () => Promise<void>, share: number): Promise<void> => {
     while (isLoadRunning) {
@@ -218,6 +236,8 @@
       runLoad(soakCallers.readPending, 0.5),
       workerFaults.refuseStarts(workerFaultContext(options.seed + 6)),
       endMany(),
+      submitLarge(),
+      loseWorker(),
       evacuateZones(),
       changeSpeeds(),
     ];
--- a/src/soak/workerFaults.ts
+++ b/src/soak/workerFaults.ts
@@ -1,6 +1,7 @@
 /**
  * Faults of workers that each seed draws from generators of its own, so that its other faults don't change: workers
- * that refuse starts, and one that has more unacknowledged ends than it lists at a time.
+ * that refuse starts, one that has more unacknowledged ends than it lists at a time, one that is lost for good, and a
+ * job of thousands of tasks.
  */
 import * as clock from '../base/common/clock.js';
 import * as random from '../base/common/random.js';
@@ -37,6 +38,18 @@
 
 const OUTAGE_MS = 3500;
 
+/** Longest time from the start of the load until a worker is lost or a large job comes. */
+const MAX_DELAY_MS = 12_000;
+
+/** Longest pause from the loss of a worker to the kill of its agent, which restarts. */
+const MAX_KILL_DELAY_MS = 3000;
+
+/** With fewer workers left a gang of the soak would fit nowhere. */
+const MIN_WORKERS_LEFT = 3;
+
+/** Tasks of a large job. */
+const LARGE_JOB = { least: 1000, most: 3000 } as const;
+
 /**
  * Lets workers refuse all starts from time to time while the load is running.
  *
@@ -77,3 +90,39 @@
   await clock.sleep(time, OUTAGE_MS);
   site.store.faults.isDown = false;
 };
+
+/**
+ * Loses one worker for good and kills its agent.
+ *
+ * @param context - what it acts on
+ * @returns what happened; undefined where too few workers would be left
+ */
+export const loseWorker = async (context: WorkerFaultContext): Promise<string | undefined> => {
+  const { clock: time, random: next, site } = context;
+  if (site.workers.length <= MIN_WORKERS_LEFT) return undefined;
+  const index = random.integerBelow(next, site.workers.length);
+  const [worker, agent] = [site.workers[index], site.agents[index]];
+  if (worker === undefined || agent === undefined) return undefined;
+  await clock.sleep(time, next() * MAX_DELAY_MS);
+  worker.faults.isLost = true;
+  await clock.sleep(time, next() * MAX_KILL_DELAY_MS);
+  agent.process.kill(0);
+  return `worker ${worker.info().workerId} lost for good with its agent`;
+};
+
+/**
+ * Submits a job of thousands of tasks.
+ *
+ * @param context - what it acts on
+ * @param soakCallers - submit the job
+ */
+export const submitLargeJob = async (
+  context: WorkerFaultContext,
+  soakCallers: callers.Callers,
+): Promise<void> => {
+  const { clock: time, random: next } = context;
+  await clock.sleep(time, next() * MAX_DELAY_MS);
+  await soakCallers.submitLarge(
+    LARGE_JOB.least + random.integerBelow(next, LARGE_JOB.most - LARGE_JOB.least),
+  );
+};
--- a/src/standins/memoryPoolWorker.ts
+++ b/src/standins/memoryPoolWorker.ts
@@ -255,6 +255,7 @@
     return ACCEPTED;
   };
 
+  const isAway = (): boolean => faults.isSilent || faults.isLost;
   const waitInVain = async (): Promise<typeof NO_ANSWER> => {
     if (faults.timeoutMs > 0) await clock.sleep(time, faults.timeoutMs);
     return NO_ANSWER;
@@ -264,7 +265,7 @@
     workerId: string,
     action: (isLate: boolean) => agentContract.WorkerAnswer,
   ): Promise<agentContract.WorkerAnswer> => {
-    if (faults.isSilent) return waitInVain();
+    if (isAway()) return waitInVain();
     if (faults.delayOrders > 0) {
       faults.delayOrders -= 1;
       time.after(faults.lateByMs, () => {
@@ -274,7 +275,7 @@
     }
     if (workerId !== info.workerId) return { outcome: 'refused', reason: '421' };
     const answer = action(false);
-    return faults.isSilent || faults.areAnswersLost ? waitInVain() : answer;
+    return isAway() || faults.areAnswersLost ? waitInVain() : answer;
   };
 
   const checkLease = (): void => {
@@ -291,7 +292,7 @@
     workerId: string | undefined,
     request: agentContract.WorkerReportRequest,
   ): Promise<agentContract.WorkerReportAnswer> => {
-    if (faults.isSilent) return waitInVain();
+    if (isAway()) return waitInVain();
     if (workerId !== undefined && workerId !== info.workerId) {
       return { outcome: 'refused', reason: '421' };
     }
@@ -314,7 +315,7 @@
         });
       });
     }
-    if (faults.isSilent || faults.areAnswersLost) return waitInVain();
+    if (isAway() || faults.areAnswersLost) return waitInVain();
     const running = [...live.values()].map(({ record }) => {
       const workedMs = time.monotonicMs() - record.startedAtMs;
       const wholeMs = options.workMs(record.task) * faults.slowFactor;
--- a/src/standins/poolWorkerFaults.ts
+++ b/src/standins/poolWorkerFaults.ts
@@ -16,6 +16,8 @@
 export interface PoolWorkerFaults {
   /** No call is answered, and none takes effect. */
   isSilent: boolean;
+  /** The worker is gone for good: it answers no call and sends no heartbeat. */
+  isLost: boolean;
   /** Calls take effect, but their answers are lost, and so are the worker's heartbeats. */
   areAnswersLost: boolean;
   /** How long a caller waits for an answer that does not arrive. */
@@ -40,6 +42,7 @@
  */
 export const createFaults = (): PoolWorkerFaults => ({
   isSilent: false,
+  isLost: false,
   areAnswersLost: false,
   timeoutMs: 0,
   delayOrders: 0,
