Checkpoints that make a job's record too large are left out of it

Change: a record above the store's limit is encoded without checkpoints. The running leader still has them; a later one starts these tasks from the beginning.

Measured: the table of progressRecord. No run with such checkpoints.

--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -49,6 +49,8 @@
   readonly remoteFactor: number;
   /** Time that a task takes to resume from a checkpoint. */
   readonly restoreMs: number;
+  /** Largest value that the store takes. */
+  readonly maxValueBytes: number;
 }
 
 /** Dependencies of a leader. */
@@ -153,7 +155,9 @@
     recordOf: (jobId) => {
       const entry = registry.get(jobId);
       if (entry === undefined) return undefined;
-      const value = progressRecord.encodeProgress(jobState.toProgressRecord(entry));
+      const progress = jobState.toProgressRecord(entry);
+      const { maxValueBytes } = options.limits;
+      const value = progressRecord.encodeProgressWithin(progress, maxValueBytes);
       const record = { key: poolKeys.progressKey(jobId), value, revision: entry.progressRevision };
       return entry.isCancelled
         ? record
--- a/src/programs/poolScheduler.ts
+++ b/src/programs/poolScheduler.ts
@@ -154,6 +154,7 @@
             statusMs: settings.statusRetentionMs,
             remoteFactor: settings.remoteFactor,
             restoreMs: settings.restoreMs,
+            maxValueBytes: settings.maxStoreValueBytes,
           },
           learnsSpeeds: settings.learnsWorkerSpeeds,
           configuration: () => feed.current()?.configuration,
--- a/src/standins/test/poolHarness.ts
+++ b/src/standins/test/poolHarness.ts
@@ -19,6 +19,7 @@
 import * as poolKeys from '../../state/common/pool/poolKeys.js';
 import * as poolWorker from '../../state/common/pool/poolWorker.js';
 import * as progressRecord from '../../state/common/pool/progressRecord.js';
+import * as stores from '../../state/common/store.js';
 import * as memoryPoolWorker from '../memoryPoolWorker.js';
 import * as memoryStore from '../memoryStore.js';
 import * as poolPromises from './poolPromises.js';
@@ -308,6 +309,7 @@
             statusMs: 120_000,
             remoteFactor: 3,
             restoreMs: 250,
+            maxValueBytes: stores.MAX_VALUE_BYTES,
           },
           learnsSpeeds: options.learnsSpeeds ?? true,
           configuration: () => configuration,
--- a/src/state/common/pool/progressRecord.ts
+++ b/src/state/common/pool/progressRecord.ts
@@ -236,6 +236,23 @@
   });
 };
 
+/**
+ * Leaves out checkpoints that make a record larger than the store takes: their length is up to the workers. A later leader
+ * starts these tasks from the beginning, where a job whose record can't be stored would not go on at all.
+ *
+ * @param record - a job's progress
+ * @param maxBytes - largest value that the store takes
+ * @returns its serialized record
+ */
+export const encodeProgressWithin = (record: ProgressRecord, maxBytes: number): string => {
+  const value = encodeProgress(record);
+  // A character takes three bytes at most.
+  const mayBeTooLarge = 3 * value.length > maxBytes;
+  if (!mayBeTooLarge || new TextEncoder().encode(value).length <= maxBytes) return value;
+  const tasks = record.tasks.map((row) => (row.saved === '' ? row : { ...row, saved: '' }));
+  return encodeProgress({ ...record, tasks });
+};
+
 /**
  * @param text - a record that the leader wrote
  * @returns the progress
--- a/src/state/common/pool/test/progressRecord.test.ts
+++ b/src/state/common/pool/test/progressRecord.test.ts
@@ -85,3 +85,40 @@
     assert.equal(tasks[0]?.[15], 20);
   });
 });
+
+interface SizeCase {
+  readonly name: string;
+  readonly saved: string;
+  /** Bytes that the store takes, beyond the record without checkpoints. */
+  readonly spareBytes: number;
+  readonly isKept: boolean;
+}
+
+const SIZE_CASES: readonly SizeCase[] = [
+  { name: 'are kept where they fit', saved: 'x'.repeat(500), spareBytes: 1000, isKept: true },
+  {
+    name: 'are left out where they do not',
+    saved: 'x'.repeat(500),
+    spareBytes: 999,
+    isKept: false,
+  },
+  { name: 'count in bytes', saved: 'ü'.repeat(500), spareBytes: 1999, isKept: false },
+  { name: 'of no length change nothing', saved: '', spareBytes: 0, isKept: true },
+];
+
+test.describe('checkpoints in the record of a job', () => {
+  for (const { name, saved, spareBytes, isKept } of SIZE_CASES) {
+    // Guards against a job that never goes on since the checkpoints of its tasks make its record too large for the store.
+    test.it(name, () => {
+      const record = (text: string): progressRecord.ProgressRecord => ({
+        state: 'running',
+        endedAtMs: 0,
+        tasks: [ROW, { ...ROW, index: 3 }].map((row) => ({ ...row, saved: text })),
+      });
+      const maxBytes = progressRecord.encodeProgress(record('')).length + spareBytes;
+      const value = progressRecord.encodeProgressWithin(record(saved), maxBytes);
+      const decoded = progressRecord.decodeProgress(value);
+      assert.deepEqual(decoded, record(isKept ? saved : ''));
+    });
+  }
+});
