A stored job that a leader can't handle is set aside

Change: a job that can't be read, or has more tasks than its record could hold with the shortest rows (40 bytes), is set aside as it is read. Where a round throws, each job is planned alone without effect, and the ones that throw are set aside.

--- a/src/coordination/common/pool/jobRegistry.ts
+++ b/src/coordination/common/pool/jobRegistry.ts
@@ -27,19 +27,35 @@
   readonly applyRecord: (record: store.StoreEntry, nowMs: number) => RecordEffect;
   readonly applyProgress: (record: store.StoreEntry) => void;
   readonly remove: (jobId: string) => boolean;
+  /** Leaves a job out from now on that this leader can't handle; nothing of it starts. */
+  readonly setAside: (jobId: string, reason: string) => void;
   /** Number of jobs by queue of which no task has started. */
   readonly pendingByQueue: () => Record<string, number>;
 }
 
 /**
- * @param log - receives records that can't be parsed
+ * Guards against a job that ends each leader in turn: one that can't be read, has more tasks than a leader can hold, or on
+ * which planning fails is set aside, and the others are served.
+ *
+ * @param log - receives records that can't be parsed, and jobs that are set aside
+ * @param isTooLarge - whether a job has more tasks than can be handled; none has by default
  * @returns a registry without jobs
  */
-export const createJobRegistry = (log: logging.Log): JobRegistry => {
+export const createJobRegistry = (
+  log: logging.Log,
+  isTooLarge: (job: poolJob.PoolJob) => boolean = () => false,
+): JobRegistry => {
   const jobs = new Map<string, jobState.JobEntry>();
   const cancelled = new Set<string>();
-  /** Jobs whose progress can't be read: their tasks may run or be done, so they are neither started nor written. */
-  const setAside = new Set<string>();
+  /** Their tasks may run or be done, so these jobs are neither started nor written. */
+  const jobsSetAside = new Set<string>();
+
+  const setAside = (jobId: string, reason: string): void => {
+    if (jobsSetAside.has(jobId)) return;
+    log('error', 'jobSetAside', { job: jobId, reason });
+    jobsSetAside.add(jobId);
+    jobs.delete(jobId);
+  };
 
   const parse = <T>(record: store.StoreEntry, decode: (text: string) => T): T | undefined => {
     try {
@@ -52,11 +68,15 @@
   };
 
   const submit = (record: store.StoreEntry, jobId: string, nowMs: number): RecordEffect => {
-    if (jobs.has(jobId) || setAside.has(jobId)) return RecordEffect.none;
-    const entry = parse(record, (text) =>
-      jobState.createJobEntry(JSON.parse(text) as poolJob.PoolJob, nowMs),
-    );
-    if (entry === undefined) return RecordEffect.none;
+    if (jobs.has(jobId) || jobsSetAside.has(jobId)) return RecordEffect.none;
+    const entry = parse(record, (text) => {
+      const job = JSON.parse(text) as poolJob.PoolJob;
+      return isTooLarge(job) ? undefined : jobState.createJobEntry(job, nowMs);
+    });
+    if (entry === undefined) {
+      setAside(jobId, 'it can not be read, or has too many tasks');
+      return RecordEffect.none;
+    }
     entry.isCancelled = cancelled.has(jobId);
     jobs.set(jobId, entry);
     return RecordEffect.submitted;
@@ -84,15 +104,15 @@
       const entry = jobs.get(jobId);
       const progress = parse(record, progressRecord.decodeProgress);
       if (progress === undefined) {
-        setAside.add(jobId);
-        jobs.delete(jobId);
+        setAside(jobId, 'its progress can not be read');
       } else if (entry !== undefined) {
         jobState.restoreProgress(entry, progress, record.revision);
       }
     },
+    setAside,
     remove: (jobId) => {
       cancelled.delete(jobId);
-      setAside.delete(jobId);
+      jobsSetAside.delete(jobId);
       return jobs.delete(jobId);
     },
     pendingByQueue: () => {
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -4,6 +4,7 @@
  */
 import * as poolWorker from '../../../state/common/pool/poolWorker.js';
 import * as clock from '../../../base/common/clock.js';
+import * as errors from '../../../base/common/errors.js';
 import type * as logging from '../../../base/common/logging.js';
 import type * as metrics from '../../../base/common/metrics.js';
 import type * as poolConfiguration from '../../../state/common/pool/poolConfiguration.js';
@@ -262,10 +263,59 @@
     isDue = false;
     if (!options.isReady()) return;
     const startedAtMs = nowMs();
-    runRound();
+    try {
+      runRound();
+    } catch (thrown) {
+      setAsideCulprits(thrown);
+    }
     lastRoundMs = nowMs() - startedAtMs;
   };
 
+  /** Times of the runs as of now. */
+  const allocationTimes = (now: clock.ClockReadings): planWorker.AllocationTimes => ({
+    nowMs: now.monotonicMs,
+    boundMsOf: (task) => startPlaces.boundMs(workers, task, now),
+    remainingMsOf: runProgress.createGroupProgress(workers.values(), now.monotonicMs)
+      .cautiousRemainingMsOf,
+    speedFactorOf: options.speeds.factorOf,
+    restoreMs: options.restoreMs,
+  });
+
+  const createPlanWorkers = (now: clock.ClockReadings): planTypes.PlanWorker[] => {
+    const times = allocationTimes(now);
+    return [...workers.values()]
+      .map((it) => planWorker.toPlanWorker(it, times))
+      .filter((it) => it !== undefined);
+  };
+
+  /** Plans one job alone, without effect. */
+  const tryJob = (entry: jobState.JobEntry, now: clock.ClockReadings): void => {
+    const trial = readyQueue.createReadyQueue(options.estimates);
+    planRound.planRound({
+      nowMs: now.monotonicMs,
+      workers: createPlanWorkers(now),
+      units: trial.units([entry], now.monotonicMs, now.wallMs),
+      stragglerUnits: [],
+      guarantees: guarantees(),
+      remoteFactor: options.remoteFactor,
+    });
+  };
+
+  /** Guards against a job on which planning fails at each leader: without it, nothing of any job would start. */
+  const setAsideCulprits = (failure: unknown): void => {
+    const now = clock.readClocks(time);
+    const { message } = errors.normalize(failure);
+    metrics.count('auburnlift_rounds_failed_total');
+    log('error', 'roundFailed', { reason: message });
+    for (const entry of [...registry.all()]) {
+      try {
+        tryJob(entry, now);
+      } catch (thrown) {
+        registry.setAside(entry.job.jobId, errors.normalize(thrown).message);
+      }
+    }
+  };
+
   const runRound = (): void => {
     const now = clock.readClocks(time);
     const { monotonicMs: startedAtMs, wallMs } = now;
@@ -283,17 +333,7 @@
     const units = withStartPlaces(waiting, now);
     const stragglerGroups = findStragglers(now);
     if (units.length === 0 && stragglerGroups.length === 0) return;
-    const progress = runProgress.createGroupProgress(workers.values(), startedAtMs);
-    const times: planWorker.AllocationTimes = {
-      nowMs: startedAtMs,
-      boundMsOf: (task) => startPlaces.boundMs(workers, task, now),
-      remainingMsOf: progress.cautiousRemainingMsOf,
-      speedFactorOf: options.speeds.factorOf,
-      restoreMs: options.restoreMs,
-    };
-    const planWorkers = [...workers.values()]
-      .map((it) => planWorker.toPlanWorker(it, times))
-      .filter((it) => it !== undefined);
+    const planWorkers = createPlanWorkers(now);
     const entries = registry.all();
     startPlaces.holdRetryRooms({ workers, entries, planWorkers, units, now });
     const round = planRound.planRound({
--- a/src/coordination/node/pool/poolLeader.ts
+++ b/src/coordination/node/pool/poolLeader.ts
@@ -9,8 +9,8 @@
 import type * as metrics from '../../../base/common/metrics.js';
 import type * as agentContract from '../../../state/common/pool/agentContract.js';
 import type * as poolConfiguration from '../../../state/common/pool/poolConfiguration.js';
+import * as poolJob from '../../../state/common/pool/poolJob.js';
 import * as poolKeys from '../../../state/common/pool/poolKeys.js';
-import * as progressRecord from '../../../state/common/pool/progressRecord.js';
 import type * as recordStore from '../../../state/common/pool/recordStore.js';
 import type * as store from '../../../state/common/store.js';
 import * as evacuations from '../../common/pool/evacuations.js';
@@ -32,6 +32,7 @@
 import * as planDriver from './planDriver.js';
 import type * as poolLeadership from './poolLeadership.js';
 import * as progressWriter from './progressWriter.js';
+import * as recordEncoding from './recordEncoding.js';
 import * as recordFeed from './recordFeed.js';
 import * as runControl from './runControl.js';
 import * as speedRecorder from './speed/speedRecorder.js';
@@ -112,7 +113,9 @@
 export const startPoolLeader = (options: PoolLeaderOptions): PoolLeader => {
   const { clock: time, log, metrics, term } = options;
   const owned = disposable.createDisposableStore();
-  const registry = jobRegistry.createJobRegistry(log);
+  const registry = jobRegistry.createJobRegistry(log, (job) =>
+    poolJob.isTooLargeToEnd(job, options.limits.maxValueBytes),
+  );
   const workers = new Map<string, workerTable.WorkerEntry>();
   const progressedJobs = new Set<string>();
   const estimates = runtimeEstimates.createRuntimeEstimates();
@@ -152,17 +155,7 @@
     log,
     metrics,
     leadership: term.condition,
-    recordOf: (jobId) => {
-      const entry = registry.get(jobId);
-      if (entry === undefined) return undefined;
-      const progress = jobState.toProgressRecord(entry);
-      const { maxValueBytes } = options.limits;
-      const value = progressRecord.encodeProgressWithin(progress, maxValueBytes);
-      const record = { key: poolKeys.progressKey(jobId), value, revision: entry.progressRevision };
-      return entry.isCancelled
-        ? record
-        : { ...record, cancelKey: poolKeys.jobKey(jobId, poolKeys.JobPart.cancel) };
-    },
+    recordOf: recordEncoding.createRecordEncoding(registry, options.limits.maxValueBytes),
     onDidWrite: (jobId, revision) => {
       const entry = registry.get(jobId);
       if (entry === undefined) return;
--- a/src/state/common/pool/poolJob.ts
+++ b/src/state/common/pool/poolJob.ts
@@ -29,6 +29,22 @@
 export const maxTasksPerJob = (maxValueBytes: number): number =>
   Math.floor(maxValueBytes / MAX_TASK_RECORD_BYTES);
 
+/** The shortest row of a task that was started. */
+const MIN_TASK_RECORD_BYTES = 40;
+
+/**
+ * @param job - a job, which an earlier version may have accepted
+ * @param maxValueBytes - largest value that the store takes
+ * @returns whether it has so many tasks that its progress can't be stored until its end, whatever their rows are
+ */
+export const isTooLargeToEnd = (
+  { steps, schedule }: Pick<PoolJob, 'steps' | 'schedule'>,
+  maxValueBytes: number,
+): boolean => {
+  const tasks = steps.reduce((sum, { count }) => sum + count, 0) * (schedule?.occurrences ?? 1);
+  return tasks * MIN_TASK_RECORD_BYTES > maxValueBytes;
+};
+
 /** Maximum steps per job. */
 export const MAX_STEPS = 100;
 
