Idle capacity is judged by service, and only a job's own failure sets it aside

A long wait gave its room back by what is idle in all services together, where the rule speaks of the unit's service.

Measured: the tables of planReservations and the seven cases of poolBadJobs.

--- a/src/coordination/common/pool/isolation.ts
+++ b/src/coordination/common/pool/isolation.ts
@@ -1,6 +1,7 @@
 /**
  * Isolation of units under suspicion of crashing their workers from tasks of other jobs.
  */
+import * as groupBy from '../../../base/common/groupBy.js';
 import * as poolJob from '../../../state/common/pool/poolJob.js';
 import type * as planTypes from './planTypes.js';
 
@@ -63,11 +64,8 @@
 
 /**
  * Workers that are kept for a suspect count as in use: many suspects would end each other's isolation.
- *
- * @param workers - all workers
- * @returns whether at least half of their cores and of their accelerators is free
  */
-export const isHalfIdle = (workers: readonly planTypes.PlanWorker[]): boolean => {
+const isHalfIdle = (workers: readonly planTypes.PlanWorker[]): boolean => {
   const sum = (resources: readonly poolJob.Resources[]): poolJob.Resources =>
     resources.reduce((total, it) => poolJob.addResources(total, it), poolJob.NO_RESOURCES);
   const unkept = workers.filter(({ exclusiveJobId }) => exclusiveJobId === undefined);
@@ -79,6 +77,15 @@
   );
 };
 
+/**
+ * @param workers - all workers
+ * @returns services of whose workers at least half of the cores and of the accelerators is free
+ */
+export const halfIdleServices = (workers: readonly planTypes.PlanWorker[]): ReadonlySet<string> => {
+  const byService = groupBy.groupBy(workers, ({ service }) => service);
+  return new Set([...byService].flatMap(([service, its]) => (isHalfIdle(its) ? [service] : [])));
+};
+
 /**
  * Lets units that have waited too long for an empty worker start beside tasks that run already, but beside no other suspect.
  * Without it they would wait forever where long-running tasks are on each worker; how often they start is limited anyway.
--- a/src/coordination/common/pool/planRound.ts
+++ b/src/coordination/common/pool/planRound.ts
@@ -28,8 +28,8 @@
 const RESERVE_AFTER_MS = 1500;
 
 /**
- * Where half of the pool is idle, a unit that waits longer for its room does not keep it from units that have no other:
- * callers expect their tasks to run there.
+ * Where half of its service's workers is idle, a unit that waits longer for its room does not keep it from units that have
+ * no other: callers expect their tasks to run there.
  */
 const MAX_IDLE_RESERVATION_MS = 2000;
 
@@ -279,7 +279,7 @@
     return waitForFreeCapacity(unit, groups) || preemptWithin(unit, groups, preemptCosts);
   };
 
-  /** Starts units without other room in the room that others keep of a pool that is half idle. */
+  /** Starts units without other room in the room that others keep although half of their service's workers is idle. */
   const startInIdleReservations = (
     units: readonly planTypes.PlanUnit[],
     reserved: readonly planTypes.Placement[],
@@ -301,7 +301,7 @@
     Math.floor(workers.length / WORKERS_PER_RESERVATION),
   );
   let reservations = 0;
-  const isPoolHalfIdle = isolation.isHalfIdle(workers);
+  const idleServices = isolation.halfIdleServices(workers);
   const idleReservations: planTypes.Placement[] = [];
   const withoutRoom: planTypes.PlanUnit[] = [];
   let startsLeft = maxStarts;
@@ -326,7 +326,8 @@
         reservations += 1;
         const waitMs = futurePlacement.longestWaitMs(runs, future.leaving);
         const isLong = waitMs > MAX_IDLE_RESERVATION_MS && unit.isIsolated !== true;
-        if (isLong && isPoolHalfIdle) idleReservations.push(future.placement);
+        const isIdle = idleServices.has(unit.unit.entry.job.policy.service);
+        if (isLong && isIdle) idleReservations.push(future.placement);
         waits.push({ unit, reason: 'room is kept for it' });
       }
     }
--- a/src/coordination/node/pool/planDriver.ts
+++ b/src/coordination/node/pool/planDriver.ts
@@ -75,7 +75,7 @@
 /** Starts that are on their way to one worker on the mean; it serves them one after the other. */
 const MAX_OPEN_STARTS_PER_WORKER = 64;
 
-/** Starts that are on their way at a time also in a small pool: its steps are this wide. */
+/** A pool of few workers has this many starts on their way all the same: a wide step begins in one round. */
 const MIN_OPEN_STARTS = 512;
 
 /** Polling interval of a start that waits until the leadership is certain. */
@@ -301,19 +301,35 @@
     });
   };
 
-  /** Guards against a job on which planning fails at each leader: without it, nothing of any job would start. */
+  /** @returns why planning the job fails; undefined where it does not */
+  const planningFailureOf = (
+    entry: jobState.JobEntry,
+    now: clock.ClockReadings,
+  ): string | undefined => {
+    try {
+      tryJob(entry, now);
+      return undefined;
+    } catch (thrown) {
+      return errors.normalize(thrown).message;
+    }
+  };
+
+  /**
+   * Guards against a job on which planning fails at each leader: without it, nothing of any job would start. A failure of
+   * no single job ends the process, and another leader begins with a state of its own.
+   */
   const setAsideCulprits = (failure: unknown): void => {
     const now = clock.readClocks(time);
+    const reasons = [...registry.all()].flatMap((entry) => {
+      const reason = planningFailureOf(entry, now);
+      return reason === undefined ? [] : [{ jobId: entry.job.jobId, reason }];
+    });
     const { message } = errors.normalize(failure);
     metrics.count('auburnlift_rounds_failed_total');
-    log('error', 'roundFailed', { reason: message });
-    for (const entry of [...registry.all()]) {
-      try {
-        tryJob(entry, now);
-      } catch (thrown) {
-        registry.setAside(entry.job.jobId, errors.normalize(thrown).message);
-      }
-    }
+    log('error', 'roundFailed', { reason: message, jobs: reasons.length });
+    if (reasons.length === 0) throw failure;
+    reasons.forEach(({ jobId, reason }) => registry.setAside(jobId, reason));
+    schedule();
   };
 
   const runRound = (): void => {
--- a/src/state/common/pool/agentContract.ts
+++ b/src/state/common/pool/agentContract.ts
@@ -78,7 +78,7 @@
   view: Schema.optionalKey(poolWorker.WorkerReport),
   /** Fence under which the worker sent the report. */
   viewFence: units.Count,
-  /** Time since the agent received the report, by the agent's clock. */
+  /** Time since the agent received the report, by the agent's clock; 0 without a report, which says nothing of the worker. */
   viewAgeMs: units.Count,
   /** Time since the worker's current incarnation left a request unanswered; absent while it answers. */
   silentForMs: Schema.optionalKey(units.Count),
