--- a/src/coordination/common/pool/readyQueue.ts
+++ b/src/coordination/common/pool/readyQueue.ts
@@ -10,6 +10,7 @@
 import * as jobOutcome from './jobOutcome.js';
 import type * as planTypes from './planTypes.js';
 import * as workerTable from './workerTable.js';
+import * as readyUnits from './readyUnits.js';
 
 /** Tracks since when each unit has been ready. */
 export interface ReadyQueue {
@@ -127,7 +128,7 @@
       const sinceMs = new Map<string, number>();
       const units: planTypes.PlanUnit[] = [];
       for (const entry of entries) {
-        const ready = jobState.readyUnits(entry, {
+        const ready = readyUnits.readyUnits(entry, {
           nowMs,
           maxTasksOf: (occurrence, stepIndex) =>
             MAX_OPEN_STARTS -
--- a/src/coordination/common/pool/test/jobState.test.ts
+++ b/src/coordination/common/pool/test/jobState.test.ts
@@ -9,6 +9,7 @@
 import * as jobState from '../jobState.js';
 import * as jobTransitions from '../jobTransitions.js';
 import * as fixtures from './poolFixtures.js';
+import * as readyUnits from '../readyUnits.js';
 
 type End = readonly [
   step: number,
@@ -128,7 +129,7 @@
 ];
 
 const assignAll = (entry: jobState.JobEntry): void => {
-  for (const { tasks } of jobState.readyUnits(entry)) {
+  for (const { tasks } of readyUnits.readyUnits(entry)) {
     const place = { workerId: 'w', incarnationMs: 1, agentId: 'a' };
     jobState.assign(tasks.map((task) => ({ task, ...place })));
   }
@@ -143,7 +144,7 @@
 };
 
 const readyOf = (entry: jobState.JobEntry): string[] =>
-  jobState.readyUnits(entry).map((it) => `${it.stepIndex}.${it.tasks[0]?.index ?? ''}`);
+  readyUnits.readyUnits(entry).map((it) => `${it.stepIndex}.${it.tasks[0]?.index ?? ''}`);
 
 test.describe('state of a job', () => {
   for (const it of CASES) {
@@ -186,7 +187,7 @@
     const schedule = { firstAtMs: 1000, intervalMs: 500, occurrences: 2 };
     const entry = jobState.createJobEntry(fixtures.makeJob([{}], { schedule }), 0);
     jobState.addDueOccurrences(entry, 999);
-    assert.equal(jobState.readyUnits(entry).length, 0);
+    assert.equal(readyUnits.readyUnits(entry).length, 0);
     jobState.addDueOccurrences(entry, 1000);
     assignAll(entry);
     recordAll(entry, [[0, 0, 1, 'done']]);
--- a/src/coordination/common/pool/test/jobTransitions.test.ts
+++ b/src/coordination/common/pool/test/jobTransitions.test.ts
@@ -9,6 +9,7 @@
 import * as jobState from '../jobState.js';
 import * as jobTransitions from '../jobTransitions.js';
 import * as fixtures from './poolFixtures.js';
+import * as readyUnits from '../readyUnits.js';
 
 const LOST = { run: 1, how: 'lost', saved: '' } as const;
 
@@ -86,7 +87,7 @@
 
 const assignAll = (entry: jobState.JobEntry): void => {
   const place = { workerId: 'w', incarnationMs: 1, agentId: 'a' };
-  for (const { tasks } of jobState.readyUnits(entry)) {
+  for (const { tasks } of readyUnits.readyUnits(entry)) {
     jobState.assign(tasks.map((task) => ({ task, ...place })));
   }
 };
@@ -117,7 +118,7 @@
         jobTransitions.recordRunEnd(entry, later, { run: 2, how: it.laterHow, saved: '' }, 6);
       }
       assert.equal(entry.state, it.state);
-      assert.equal(jobState.readyUnits(entry).length > 0, it.isReady);
+      assert.equal(readyUnits.readyUnits(entry).length > 0, it.isReady);
     });
   }
 });
--- a/src/coordination/node/pool/runControl.ts
+++ b/src/coordination/node/pool/runControl.ts
@@ -34,6 +34,7 @@
 import * as reachability from './reachability.js';
 import * as runAdoption from './runAdoption.js';
 import * as runInspection from './runInspection.js';
+import * as runStops from './runStops.js';
 import type * as speedRecorder from './speed/speedRecorder.js';
 import * as workerInfoHandler from './workerInfoHandler.js';
 
@@ -77,15 +78,9 @@
   /** Applies completed runs that this process received in an earlier term and could not store. */
   readonly applyDoneRuns: () => void;
   readonly adoptAssigned: runAdoption.RunAdoption['adoptAssigned'];
-  readonly stopRun: (
-    worker: workerTable.WorkerEntry,
-    run: workerTable.ActiveRun,
-    cause: string,
-  ) => void;
-  /** Stops the present runs of a group. */
-  readonly stopGroup: (groupKey: string, cause: string) => void;
-  /** Stops the remaining runs of an ended job, and of gangs that lost a member. */
-  readonly stopUnwanted: (entry: jobState.JobEntry, cause: string) => void;
+  readonly stopRun: runStops.RunStops['stopRun'];
+  readonly stopGroup: runStops.RunStops['stopGroup'];
+  readonly stopUnwanted: runStops.RunStops['stopUnwanted'];
   /** Gives back the room of a job's starts that are not stored and so not sent. */
   readonly dropUnsentStarts: (entry: jobState.JobEntry) => void;
   /** Ends a run that has certainly ended or can no longer start. */
@@ -107,65 +102,12 @@
  * @returns run control
  */
 export const createRunControl = (options: RunControlOptions): RunControl => {
-  const { clock: time, log, metrics } = options;
+  const { clock: time, log } = options;
   const nowMs = (): number => time.monotonicMs();
   const recorder = endRecorder.createEndRecorder(options);
 
-  const stopRun = (
-    worker: workerTable.WorkerEntry,
-    run: workerTable.ActiveRun,
-    cause: string,
-  ): void => {
-    run.phase = workerTable.RunPhase.stopping;
-    run.stopSentAtMs = nowMs();
-    log('info', 'runStopped', { task: run.name, run: run.run, agent: worker.agentId, cause });
-    metrics.count('auburnlift_stops_total', { cause });
-    options.orderSender().stop(worker, run);
-  };
-
-  const stopGroup = (groupKey: string, cause: string): void => {
-    for (const worker of options.workers.values()) {
-      for (const run of worker.runs.values()) {
-        const isMember = run.groupKey === groupKey && run.phase === workerTable.RunPhase.present;
-        if (isMember) stopRun(worker, run, cause);
-      }
-    }
-  };
-
-  const stopIfUnwanted = (
-    worker: workerTable.WorkerEntry,
-    run: workerTable.ActiveRun,
-    cause: string,
-  ): void => {
-    const isPresent = run.phase === workerTable.RunPhase.present;
-    if (isPresent && !runState.isWanted(run) && !runState.isDone(run)) stopRun(worker, run, cause);
-  };
-
-  const stopUnwanted = (entry: jobState.JobEntry, cause: string): void => {
-    for (const worker of options.workers.values()) {
-      for (const run of worker.runs.values()) {
-        if (run.entry === entry) stopIfUnwanted(worker, run, cause);
-      }
-    }
-  };
-
-  /** Only runs of the same task are concerned: a search through all runs takes seconds for a job of thousands of tasks. */
-  const stopUnwantedOf = (entry: jobState.JobEntry, task: jobState.TaskEntry): void => {
-    const { name } = workerTable.keysOf(entry, task);
-    for (const worker of options.workers.values()) {
-      for (let number = 1; number <= task.run; number += 1) {
-        const run = worker.runs.get(poolWorker.runKey(name, number));
-        if (run !== undefined) stopIfUnwanted(worker, run, 'taskEnded');
-      }
-    }
-  };
-
-  /** Stops what the end of a task's run has made unnecessary. */
-  const stopAfterEnd = (entry: jobState.JobEntry, task: jobState.TaskEntry): void => {
-    if (jobState.isEnded(entry)) stopUnwanted(entry, 'jobEnded');
-    else if (jobState.groupOf(entry, task).length > 1) stopUnwanted(entry, 'gangBroken');
-    else stopUnwantedOf(entry, task);
-  };
+  const stops = runStops.createRunStops(options);
+  const { stopRun, stopGroup, stopUnwanted } = stops;
 
   /** Marks a run as closing: it counts as gone once the worker has answered under a higher fence. */
   const markClosing = (worker: workerTable.WorkerEntry, run: workerTable.ActiveRun): void => {
@@ -194,7 +136,7 @@
     recorder.recordRunEnd(entry, task, outcome);
     const hasEnded = jobState.isEnded(entry);
     if (hasEnded && !hadEnded) recorder.recordJobEnd(entry);
-    stopAfterEnd(entry, task);
+    stops.stopAfterEnd(entry, task);
     options.onDidChange();
     return options.save(jobId);
   };
