--- a/tools/guardList.js
+++ b/tools/guardList.js
@@ -10,6 +10,7 @@
   'standins/test/poolLateOrders.test.js',
   'standins/test/poolOrderRetries.test.js',
   'standins/test/poolDepartures.test.js',
+  'standins/test/poolRefusedRecords.test.js',
   'standins/test/poolDrains.test.js',
   'standins/test/poolEvacuations.test.js',
   'standins/test/poolEvacuationEffects.test.js',
@@ -605,9 +606,27 @@
   [
     'a job whose progress can not be read is put aside',
     `${COMMON_POOL}/jobRegistry.js`,
-    'setAside.add(jobId);',
+    "setAside(jobId, 'its progress can not be read');",
     '',
   ],
+  [
+    'a worker whose agent has no report of it does not stay reachable',
+    `${NODE_POOL}/reachability.js`,
+    'workerTable.hasReportedRecently(worker, receivedAtMs)',
+    'worker.sample !== undefined',
+  ],
+  [
+    'a write that the store refuses for what it contains is not repeated before all others',
+    `${NODE_POOL}/progressWriter.js`,
+    'if (thrown instanceof store.StoreRefused)',
+    'if (false)',
+  ],
+  [
+    'no plan waits for the end of a task that lasts',
+    `${COMMON_POOL}/runProgress.js`,
+    'run.step.isLongRunning',
+    'false',
+  ],
   [
     'workers in an evacuated zone accept no tasks',
     `${COMMON_POOL}/workerTable.js`,
