--- a/src/platform/test/bootFile.ts
+++ b/src/platform/test/bootFile.ts
@@ -20,6 +20,10 @@
   readonly workerAddress?: string;
   /** Zones that may be evacuated, and the time after which nothing starts there; absent where none are. */
   readonly evacuation?: { readonly zones: readonly string[]; readonly evacuateMs: number };
+  /** What the process may use; absent where the platform sets no limit. */
+  readonly limits?: { readonly memoryMb: number; readonly maxFds: number };
+  /** Time after SIGTERM at which the process is killed; 6 s if absent. */
+  readonly graceS?: number;
 }
 
 /**
@@ -42,6 +46,10 @@
           '[zones]',
           ...zones.map((zone) => `${zone} = "region"`),
         ].join('\n');
+  const limits =
+    file.limits === undefined
+      ? ''
+      : `[limits]\nmemory_mb = ${file.limits.memoryMb}\nmax_fds = ${file.limits.maxFds}`;
   const text = `
 node = "${file.nodeId}"
 ip = "127.0.0.1"
@@ -52,11 +60,12 @@
 ${worker}
 [listen]
 ${listen.join('\n')}
+${limits}
 [platform]
 addr = "${file.storeAddress}"
 ttl_min_ms = 1000
 [bounds]
-grace_s = 6
+grace_s = ${file.graceS ?? 6}
 hold_max_ms = 6000
 status_s = 120
 revoke_ms = 5000
