An error tells of twenty issues of a document at most

A body with a wrong value in each of twenty thousand steps got an issue for each of them, three times over: in the message, in the facts and in the log line, some megabytes for one refused request of a client that need not read them. The first twenty say what is wrong.

--- a/src/base/common/schemaIssues.ts
+++ b/src/base/common/schemaIssues.ts
@@ -42,6 +42,9 @@
 /** Handling of fields that are not in the schema; an external system may add some at any time. */
 export const Excess = { refuse: 'error', ignore: 'ignore' } as const;
 
+/** Issues that an error tells of; a large document may have one for each of its fields. */
+const MAX_REPORTED_ISSUES = 20;
+
 /** One of the values of {@link Excess}. */
 export type Excess = (typeof Excess)[keyof typeof Excess];
 
@@ -85,7 +88,7 @@
 ): T => {
   const decoded = decode(schema, input, excess);
   if (decoded.isValid) return decoded.value;
-  const { issues } = decoded;
+  const issues = decoded.issues.slice(0, MAX_REPORTED_ISSUES);
   const text = issues.map((it) => `${it.field}: ${it.message}`).join('; ');
   throw errors.fail('invalidRequest', `${what} refused, nothing ran: ${text}`, {
     field: issues[0]?.field ?? '(document)',
