What clients cost a process is limited at all of its ports together

What callers saw: a crowd of 60 connections ended an entry (heap out of memory) with bodies in chunks of one byte, with requests sent ahead whose answers nobody reads, known, unknown or without a Host; 150 large or 500 announced bodies that stop short took it to 222 and 194 MB of 160; 300 connections without a request took more sockets than the process may have; a shutdown waited for bodies that nobody sends. The readiness port, the ports between processes and the agent's port for its worker ended the same way.

Cause: the HTTP parser creates objects for every request and chunk in the data that it is given; limits counted the bytes of one body on one listener, and nothing counted connections, heads, unread answers or work for callers who had left over all ports. Requests without a Host or with another expectation are answered by the library itself, past the listener.

Change: a connection is a stream of its own in front of the parser and passes on one request at a time; what follows stays unparsed, counted, and the socket is not read on. A body is copied at once into one buffer that counts with its capacity. Connections, buffered bytes and requests worked on have one limit for the process, from its memory, heap and descriptors; at the limit the connection that has made no progress for longest gives way, never one that is worked on. Heads, bodies, unread answers and idle connections have time limits. After a last answer the connection discards what still arrives, so that a 413 is read.

The scheduler's case aimed at a port where nobody listens at first; with the right port the process ended on. An idle connection takes 6.7 KB of heap and 17 KB of resident memory (1,000 of them); the limit counts 20 KB.

Failures on the way: a first form drove the parser from the stream's read call and stood still after the first piece of a body; a property test of requests cut at any place found that line ends inside a head were skipped after a chunked body. A first share of the buffers left out what the runtime has not collected yet, 161 MB of 160; 64 MB are now set aside for it.

--- a/src/platform/bootSettings.ts
+++ b/src/platform/bootSettings.ts
@@ -10,6 +10,7 @@
 import * as errors from '../base/common/errors.js';
 import type * as http from '../base/common/http.js';
 import * as schemaIssues from '../base/common/schemaIssues.js';
+import * as clientLimits from '../state/common/clientLimits.js';
 import type * as poolSettings from '../state/common/pool/poolSettings.js';
 import * as store from '../state/common/store.js';
 
@@ -19,6 +20,9 @@
 /** Environment variable of the deploy file that switches the learning of workers' speeds. */
 const SPEEDS_VARIABLE = 'AUBURNLIFT_WORKER_SPEEDS';
 
+/** Environment variable of the deploy file with limits on clients, as JSON. */
+const CLIENT_LIMITS_VARIABLE = 'AUBURNLIFT_CLIENT_LIMITS';
+
 /** Values of {@link SPEEDS_VARIABLE}, and whether speeds are learnt with them; without the variable they are. */
 const LEARNS_SPEEDS: Readonly<Record<string, boolean>> = { learn: true, equal: false };
 
@@ -57,7 +61,17 @@
     ttl_min_ms: Positive,
     /** Largest value that the store takes. */
     value_bytes: Schema.optionalKey(Positive),
+    /** Calls that the store takes from all processes together. */
+    reads_per_s: Schema.optionalKey(Positive),
+    writes_per_s: Schema.optionalKey(Positive),
   }),
+  /** What the process may use. */
+  limits: Schema.optionalKey(
+    Schema.Struct({
+      memory_mb: Schema.optionalKey(Positive),
+      max_fds: Schema.optionalKey(Positive),
+    }),
+  ),
   bounds: Schema.Struct({
     grace_s: Positive,
     /** Longest task lease. */
@@ -85,6 +99,7 @@
 export type PoolProgram = keyof typeof PORT_OFFSETS;
 
 const MS_PER_S = 1000;
+const BYTES_PER_MB = 1_048_576;
 
 /** Where the platform does not tell how long a task takes to resume; the known ones say 100 to 600 ms. */
 const DEFAULT_RESTORE_MS = 250;
@@ -120,6 +135,32 @@
   });
 };
 
+const parseClientLimits = (text = '{}'): clientLimits.ClientLimitSettings => {
+  let parsed: unknown;
+  try {
+    parsed = JSON.parse(text);
+  } catch {
+    throw errors.fail('invalidRequest', `${CLIENT_LIMITS_VARIABLE}: not JSON: ${text}`, {
+      field: CLIENT_LIMITS_VARIABLE,
+    });
+  }
+  return schemaIssues.decodeOrFail(
+    clientLimits.ClientLimitSettings,
+    parsed,
+    CLIENT_LIMITS_VARIABLE,
+  );
+};
+
+const toProcessBudget = ({
+  limits,
+  platform,
+}: BootFile): poolSettings.PoolSettings['processBudget'] => ({
+  ...(limits?.memory_mb === undefined ? {} : { memoryBytes: limits.memory_mb * BYTES_PER_MB }),
+  ...(limits?.max_fds === undefined ? {} : { maxDescriptors: limits.max_fds }),
+  ...(platform.reads_per_s === undefined ? {} : { storeReadsPerS: platform.reads_per_s }),
+  ...(platform.writes_per_s === undefined ? {} : { storeWritesPerS: platform.writes_per_s }),
+});
+
 /** Environment of a process. */
 type Environment = Readonly<Record<string, string | undefined>>;
 
@@ -154,6 +195,8 @@
   learnsWorkerSpeeds: parseSpeedsVariable(environment[SPEEDS_VARIABLE]),
   minStoreLeaseMs: file.platform.ttl_min_ms,
   maxStoreValueBytes: file.platform.value_bytes ?? store.MAX_VALUE_BYTES,
+  processBudget: toProcessBudget(file),
+  clientLimits: parseClientLimits(environment[CLIENT_LIMITS_VARIABLE]),
 });
 
 /**
--- a/src/programs/agent.ts
+++ b/src/programs/agent.ts
@@ -206,7 +206,13 @@
     }),
   );
   const server = await httpServer.listen(
-    { ...settings.peers, maxBodyBytes: settings.maxBodyBytes, maxConnections: MAX_CONNECTIONS },
+    {
+      ...settings.peers,
+      maxBodyBytes: settings.maxBodyBytes,
+      maxConnections: MAX_CONNECTIONS,
+      guard: ctx.guard,
+      name: 'peers',
+    },
     listener,
   );
   ctx.owned.add(server);
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -161,6 +161,8 @@
       ...settings.callers,
       maxBodyBytes: settings.maxBodyBytes,
       maxConnections: MAX_CONNECTIONS,
+      guard: ctx.guard,
+      name: 'callers',
     },
     httpServer.toListener(
       levels.observeCalls(
@@ -180,7 +182,7 @@
         }),
       ),
       settings.maxBodyBytes,
-      settings.maxOpenBytes ?? MAX_OPEN_BYTES,
+      { maxBufferedBytes: settings.maxOpenBytes ?? MAX_OPEN_BYTES },
     ),
   );
   const authenticate = operatorAuth.createAuthenticator(settings.operatorTokens);
@@ -207,6 +209,8 @@
       ...settings.operators,
       maxBodyBytes: settings.maxBodyBytes,
       maxConnections: MAX_CONNECTIONS,
+      guard: ctx.guard,
+      name: 'operators',
     },
     httpServer.toListener(
       (request) => (consoleApp.isConsolePath(request.path) ? pages(request) : api(request)),
@@ -218,7 +222,13 @@
     throw errors.fail('notFound', `no page ${request.path}`, { field: 'path' });
   };
   const peers = await httpServer.listen(
-    { ...settings.peers, maxBodyBytes: rpcServer.MAX_RPC_BYTES, maxConnections: MAX_CONNECTIONS },
+    {
+      ...settings.peers,
+      maxBodyBytes: rpcServer.MAX_RPC_BYTES,
+      maxConnections: MAX_CONNECTIONS,
+      guard: ctx.guard,
+      name: 'peers',
+    },
     rpcServer.createRpcListener(
       entryRouter.createEntryRouter(
         configurationLinks.withVersions(
--- a/src/programs/poolAgent.ts
+++ b/src/programs/poolAgent.ts
@@ -60,6 +60,8 @@
         ...heartbeats,
         maxBodyBytes: MAX_HEARTBEAT_BYTES,
         maxConnections: MAX_WORKER_CONNECTIONS,
+        guard: ctx.guard,
+        name: 'worker',
       },
       httpServer.toListener(api, MAX_HEARTBEAT_BYTES),
     ),
--- a/src/programs/poolContext.ts
+++ b/src/programs/poolContext.ts
@@ -3,6 +3,7 @@
  * other processes.
  */
 import * as crypto from 'node:crypto';
+import * as v8 from 'node:v8';
 
 import type * as clock from '../base/common/clock.js';
 import * as disposable from '../base/common/disposable.js';
@@ -24,6 +25,8 @@
 import * as poolKeys from '../state/common/pool/poolKeys.js';
 import type * as poolSettings from '../state/common/pool/poolSettings.js';
 import type * as recordStore from '../state/common/pool/recordStore.js';
+import * as clientLimits from '../state/common/clientLimits.js';
+import * as connectionGuard from '../transport/node/connectionGuard.js';
 import * as healthApi from '../transport/node/healthApi.js';
 import * as httpClient from '../transport/node/httpClient.js';
 import * as httpServer from '../transport/node/httpServer.js';
@@ -49,6 +52,8 @@
   /** The active settings; a reload replaces them. */
   readonly settings: () => poolSettings.PoolSettings;
   readonly sender: () => envelope.Sender;
+  /** Limits on clients, at all ports of the process. */
+  readonly guard: connectionGuard.ConnectionGuard;
   /** Addresses of entries and schedulers on other machines; empty in an agent. */
   readonly peerUrls: (role: poolKeys.PeerRole) => readonly string[];
 }
@@ -67,8 +72,8 @@
 
 const MAX_REPLY_BYTES = 8_388_608;
 
-/** Maximum number of connections of other processes: all agents of a leader, with a margin. */
-const MAX_PEER_CONNECTIONS = 2048;
+/** Part of a process's connections that other processes may take up; the rest is for clients. */
+const PEER_SHARE = 0.5;
 
 /**
  * Empty, since the platform gives the processes no common secret; the ports between them are reachable
@@ -109,6 +114,16 @@
   );
   const counters = metrics.createMetrics();
   const logger = log.createLog('info', { role, node: settings().nodeId });
+  const { processBudget, clientLimits: limitSettings } = settings();
+  const heapBytes = v8.getHeapStatistics().heap_size_limit;
+  const guard = owned.add(
+    connectionGuard.createConnectionGuard({
+      limits: clientLimits.deriveClientLimits({ heapBytes, ...processBudget }, limitSettings),
+      clock: systemClock.systemClock,
+      log: logger,
+      metrics: counters,
+    }),
+  );
   const entriesWithin = (timeoutMs: number): rpcClient.RpcClients =>
     rpcClient.createRpcClients({
       call: client.call,
@@ -165,6 +180,7 @@
     storeAgeMs: storeContact.ageMs,
     settings,
     sender,
+    guard,
     peerUrls,
   };
 };
@@ -215,7 +231,9 @@
     {
       ...ctx.settings().peers,
       maxBodyBytes: rpcServer.MAX_RPC_BYTES,
-      maxConnections: MAX_PEER_CONNECTIONS,
+      maxConnections: Math.ceil(ctx.guard.limits.maxConnections * PEER_SHARE),
+      guard: ctx.guard,
+      name: 'peers',
     },
     router === undefined ? listener : rpcServer.createRpcListener(router, PEER_SECRET, listener),
   );
--- a/src/programs/processContext.ts
+++ b/src/programs/processContext.ts
@@ -2,6 +2,7 @@
  * Services shared by the parts of a program: log, metrics, connections and clients of other processes.
  */
 import * as crypto from 'node:crypto';
+import * as v8 from 'node:v8';
 
 import type * as clock from '../base/common/clock.js';
 import * as disposable from '../base/common/disposable.js';
@@ -14,6 +15,8 @@
 import * as systemClock from '../base/node/systemClock.js';
 import * as configurationHolder from '../coordination/common/configurationHolder.js';
 import type * as envelope from '../protocol/common/envelope.js';
+import * as clientLimits from '../state/common/clientLimits.js';
+import * as connectionGuard from '../transport/node/connectionGuard.js';
 import * as httpClient from '../transport/node/httpClient.js';
 import * as rpcClient from '../transport/node/rpcClient.js';
 
@@ -32,6 +35,7 @@
   readonly processId: string;
   readonly peerSecret: string;
   readonly logLevel: logging.LogLevel;
+  readonly clientLimits?: clientLimits.ClientLimitSettings;
 }
 
 /** Services that every program has. */
@@ -48,6 +52,8 @@
   /** Fires with the configuration version of each answer from another process. */
   readonly onDidReceiveVersion: event.Event<rpcClient.PeerVersion>;
   readonly sender: () => envelope.Sender;
+  /** Limits on clients, at all ports of the process. */
+  readonly guard: connectionGuard.ConnectionGuard;
   readonly peerHeaders: Readonly<Record<string, string>>;
 }
 
@@ -84,13 +90,24 @@
   const receivedVersions = owned.add(event.createEmitter<rpcClient.PeerVersion>());
   const configuration = configurationHolder.createConfigurationHolder();
   const { processId, peerSecret, logLevel } = settings;
+  const logger = log.createLog(logLevel, { role, processId });
+  const counters = metrics.createMetrics();
+  const heapBytes = v8.getHeapStatistics().heap_size_limit;
+  const guard = owned.add(
+    connectionGuard.createConnectionGuard({
+      limits: clientLimits.deriveClientLimits({ heapBytes }, settings.clientLimits),
+      clock: timeSource,
+      log: logger,
+      metrics: counters,
+    }),
+  );
   const call: http.HttpCall = (request) => client.call(request);
   return {
     clock: timeSource,
     random: random.createRandom(crypto.randomInt(2 ** 31)),
     newId: () => crypto.randomUUID(),
-    log: log.createLog(logLevel, { role, processId }),
-    metrics: metrics.createMetrics(),
+    log: logger,
+    metrics: counters,
     owned,
     http: client,
     clients: rpcClient.createRpcClients({
@@ -101,6 +118,7 @@
     }),
     onDidReceiveVersion: receivedVersions.event,
     configuration,
+    guard,
     sender: () => ({ processId, role, configVersion: configuration.version() }),
     peerHeaders: { [rpcClient.PEER_SECRET_HEADER]: peerSecret },
   };
--- a/src/programs/scheduler.ts
+++ b/src/programs/scheduler.ts
@@ -122,6 +122,8 @@
       ...settings.peers,
       maxBodyBytes: rpcServer.MAX_RPC_BYTES,
       maxConnections: MAX_CONNECTIONS,
+      guard: ctx.guard,
+      name: 'peers',
     },
     rpcServer.createRpcListener(
       schedulerRouter.createSchedulerRouter(
--- a/src/programs/test/crowds/poolSite.ts
+++ b/src/programs/test/crowds/poolSite.ts
@@ -150,7 +150,8 @@
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'auburnlift-crowd-'));
   const block = await portBlock.reservePorts(process.pid);
   const at = (offset: number): number => block.firstPort + offset;
-  const ports = { peers: at(0), front: at(20), ready: at(21), control: at(22) };
+  const peers = at(options.program === 'poolScheduler' ? 1 : 0);
+  const ports = { peers, front: at(20), ready: at(21), control: at(22) };
   const store = memoryStore.createMemoryStore(systemClock.systemClock);
   if (options.hasConfiguration !== false) {
     await store.transact({ conditions: [], puts: [bootFile.CONFIGURATION], removes: [] });
@@ -165,7 +166,7 @@
   const { memoryMb, heapMb, maxFds } = options.limits;
   const env = bootFile.writeBootFile(folder, {
     nodeId: 'node-1',
-    peerPort: ports.peers,
+    peerPort: at(0),
     storeAddress: storeServer.formatServerAddress(served),
     front: ports.front,
     ready: ports.ready,
--- a/src/state/common/pool/poolSettings.ts
+++ b/src/state/common/pool/poolSettings.ts
@@ -2,6 +2,7 @@
  * Settings of the programs that serve pools, as the platform's adapter decodes them.
  */
 import type * as http from '../../../base/common/http.js';
+import type * as clientLimits from '../clientLimits.js';
 
 /** Settings that a process reads when it starts and again when they change. */
 export interface PoolSettings {
@@ -53,4 +54,8 @@
   readonly minStoreLeaseMs: number;
   /** Largest value that the store takes. */
   readonly maxStoreValueBytes: number;
+  /** What the platform lets the process use; the heap is the runtime's own setting. */
+  readonly processBudget: Omit<clientLimits.ProcessBudget, 'heapBytes'>;
+  /** Limits on clients that are set; the others have defaults. */
+  readonly clientLimits: clientLimits.ClientLimitSettings;
 }
--- a/src/state/common/settings.ts
+++ b/src/state/common/settings.ts
@@ -3,6 +3,7 @@
  */
 import * as Schema from 'effect/Schema';
 
+import * as clientLimits from './clientLimits.js';
 import * as units from './units.js';
 
 /** Address on which a server listens; port 0 selects any free port. */
@@ -31,6 +32,8 @@
   logLevel: Schema.Literals(['debug', 'info', 'warn', 'error']),
   /** Longest time that a graceful shutdown waits for requests in flight. */
   drainMs: units.DurationMs,
+  /** Limits on what clients may cost the process; each has a default. */
+  clientLimits: Schema.optionalKey(clientLimits.ClientLimitSettings),
 };
 
 const storeAccess = {
--- a/src/transport/node/exchangeServer.ts
+++ b/src/transport/node/exchangeServer.ts
@@ -68,13 +68,11 @@
     return toReply(options, head, await options.host.exchange(head, request.body));
   };
   const exchangeListener = httpServer.toListener(handler, options.maxBodyBytes);
-  const refuse = httpServer.toListener(() => {
-    throw errors.fail('unauthenticated', 'the peer secret is missing or wrong');
-  }, options.maxBodyBytes);
-  return (message, response) => {
-    if (message.url !== exchange.EXCHANGE_PATH) return options.fallback(message, response);
+  const refuse = rpcServer.createRefusal(options.maxBodyBytes);
+  return (message, response, context) => {
+    if (message.url !== exchange.EXCHANGE_PATH) return options.fallback(message, response, context);
     return rpcServer.isPeer(message, options.peerSecret)
-      ? exchangeListener(message, response)
-      : refuse(message, response);
+      ? exchangeListener(message, response, context)
+      : refuse(message, response, context);
   };
 };
--- a/src/transport/node/httpServer.ts
+++ b/src/transport/node/httpServer.ts
@@ -2,12 +2,21 @@
  * HTTP server with bounded bodies, typed errors, and a shutdown that lets open requests finish within a time limit.
  */
 import * as nodeHttp from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
+import * as v8 from 'node:v8';
 
 import type * as disposable from '../../base/common/disposable.js';
 import * as errorKinds from '../../base/common/errorKinds.js';
 import * as errors from '../../base/common/errors.js';
 import type * as http from '../../base/common/http.js';
+import * as logging from '../../base/common/logging.js';
+import * as metrics from '../../base/common/metrics.js';
+import * as systemClock from '../../base/node/systemClock.js';
+import * as clientLimits from '../../state/common/clientLimits.js';
+import * as connectionState from '../common/connectionState.js';
+import * as connectionGuard from './connectionGuard.js';
+import type * as guardedConnection from './guardedConnection.js';
+import * as requestBody from './requestBody.js';
 
 /** A request with its complete body. */
 export interface ServerRequest {
@@ -37,7 +46,12 @@
   /** 0 selects any free port. */
   readonly port: number;
   readonly maxBodyBytes: number;
+  /** Limit of this port's connections, besides that of the process. */
   readonly maxConnections: number;
+  /** Limits of the process, shared by its ports; without them the server has limits of its own. */
+  readonly guard?: connectionGuard.ConnectionGuard;
+  /** Name of the port in logs. */
+  readonly name?: string;
 }
 
 /** A listening server. */
@@ -55,40 +69,17 @@
   readonly drain: (timeoutMs: number) => Promise<void>;
 }
 
-/** Time after which an idle connection is closed. */
-const KEEP_ALIVE_MS = 65_000;
-
 /** Interval at which a draining server checks for open requests. */
 const DRAIN_POLL_MS = 10;
 
-/** Request body bytes in memory, counted from their arrival until the response is closed. */
-interface BufferedBytes {
-  current: number;
-  readonly max: number;
-}
+/** Time that a draining server gives to bodies that have begun. */
+const DRAIN_STALL_MS = 1000;
 
-/** Retry delay sent to callers that were refused because of buffered bytes. */
-const BUFFER_RETRY_MS = 1000;
+/** A body that is at most this long is discarded after a refusal, so that its connection stays open. */
+const MAX_DISCARDED_BODY_BYTES = 65_536;
 
-const readBody = async (
-  message: nodeHttp.IncomingMessage,
-  maxBytes: number,
-  reserve: (bytes: number) => void,
-): Promise<Uint8Array> => {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of message) {
-    size += (chunk as Buffer).length;
-    reserve((chunk as Buffer).length);
-    if (size > maxBytes) {
-      throw errors.fail('tooLarge', `the body is larger than ${maxBytes} bytes; nothing ran`, {
-        field: 'body',
-      });
-    }
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks, size);
-};
+/** Retry delay sent to callers that were refused because of too many requests. */
+const BUSY_RETRY_MS = 1000;
 
 /**
  * @param thrown - anything caught
@@ -131,75 +122,197 @@
   }
 };
 
-const toServerRequest = (
-  message: nodeHttp.IncomingMessage,
-  body: Uint8Array,
-  signal: AbortSignal,
-): ServerRequest => {
+/** Head of a request whose body has not arrived. */
+export type RequestHead = Pick<ServerRequest, 'method' | 'path' | 'query' | 'headers'>;
+
+/** Optional limits of a listener. */
+export interface ListenerOptions {
+  /** Limit of all bodies of this listener in memory together, besides that of the process. */
+  readonly maxBufferedBytes?: number;
+  /** Limit of one body now, where it changes; at most the fixed one counts. */
+  readonly currentMaxBodyBytes?: () => number;
+  /** Time that the caller gives a request, from its head; a body may take as long. */
+  readonly deadlineMs?: (head: RequestHead) => number;
+  /** Refuses a request with a body by its head, before the body is received; undefined goes on. */
+  readonly refuseHead?: (head: RequestHead) => ServerReply | undefined;
+}
+
+/** Memory that a request holds until it is answered and its handler has ended. */
+interface RequestMemory {
+  readonly reserve: (bytes: number) => boolean;
+  /** Gives back what a body held that was broken off. */
+  readonly releaseAll: () => void;
+}
+
+const toHead = (message: nodeHttp.IncomingMessage): RequestHead => {
   const url = new URL(message.url ?? '/', 'http://localhost');
   return {
     method: message.method ?? 'GET',
     path: url.pathname,
     query: url.searchParams,
     headers: message.headers,
-    body,
-    signal,
   };
 };
 
+/**
+ * @param message - a request
+ * @returns whether its head announces a body
+ */
+export const hasBody = (message: nodeHttp.IncomingMessage): boolean =>
+  requestBody.announcedBytes(message) > 0 || message.headers['transfer-encoding'] !== undefined;
+
+/**
+ * Sends an answer. A short rest of the body is discarded; after a longer one the connection closes, once the client
+ * has had time to read the answer.
+ *
+ * @param message - the request
+ * @param response - its response
+ * @param reply - what to send
+ * @param connection - the client's connection
+ */
+export const sendReply = (
+  message: nodeHttp.IncomingMessage,
+  response: nodeHttp.ServerResponse,
+  reply: ServerReply,
+  { phase }: Pick<guardedConnection.GuardedConnection, 'phase'>,
+): void => {
+  if (response.destroyed || response.headersSent) return;
+  const body = Buffer.from(reply.body ?? '');
+  const announced = requestBody.announcedBytes(message);
+  const isShort = announced > 0 && announced <= MAX_DISCARDED_BODY_BYTES;
+  const isClosing = phase === connectionState.Phase.closing;
+  if (isClosing || (!message.complete && !isShort)) response.setHeader('connection', 'close');
+  response.writeHead(reply.status, {
+    ...reply.headers,
+    'content-length': String(body.byteLength),
+  });
+  response.end(body);
+  message.resume();
+};
+
+/**
+ * @param guard - limits of the process
+ * @returns a function that ends the request
+ * @throws AuburnliftError `overloaded` if too many are worked on
+ */
+export const beginRequest = (guard: connectionGuard.ConnectionGuard): (() => void) => {
+  const end = guard.beginRequest();
+  if (end !== undefined) return end;
+  throw errors.fail('overloaded', 'too many requests are worked on; nothing ran', {
+    retryAfterMs: BUSY_RETRY_MS,
+  });
+};
+
 /**
  * @param handler - handles the requests
  * @param maxBodyBytes - limit of one body
- * @param maxBufferedBytes - limit of all bodies in memory together; without it a burst of large ones
- *   would use up the process's memory long before the limit on requests is reached
- * @returns a listener for a plain Node server
+ * @param options - further limits
+ * @returns a listener for {@link listen}
  */
 export const toListener = (
   handler: Handler,
   maxBodyBytes: number,
-  maxBufferedBytes = Infinity,
-): ((message: nodeHttp.IncomingMessage, response: nodeHttp.ServerResponse) => Promise<void>) => {
-  const buffered: BufferedBytes = { current: 0, max: maxBufferedBytes };
-  return async (message, response) => {
-    const disconnected = new AbortController();
+  options: ListenerOptions = {},
+): Listener => {
+  const { maxBufferedBytes = Infinity } = options;
+  let listenerBytes = 0;
+
+  const createMemory = ({ guard, connection }: ListenerContext): RequestMemory => {
     let requestBytes = 0;
-    const reserve = (bytes: number): void => {
-      requestBytes += bytes;
-      buffered.current += bytes;
-      if (buffered.current > buffered.max) {
-        throw errors.fail('overloaded', 'too many body bytes are buffered; nothing ran', {
-          retryAfterMs: BUFFER_RETRY_MS,
-        });
-      }
+    return {
+      reserve: (bytes) => {
+        requestBytes += bytes;
+        listenerBytes += bytes;
+        return guard.reserve(connection, bytes) && listenerBytes <= maxBufferedBytes;
+      },
+      releaseAll: () => {
+        listenerBytes -= requestBytes;
+        guard.release(connection, requestBytes);
+        requestBytes = 0;
+      },
     };
-    response.on('close', () => {
-      buffered.current -= requestBytes;
-      requestBytes = 0;
+  };
+
+  const receive = async (
+    message: nodeHttp.IncomingMessage,
+    context: ListenerContext,
+    memory: RequestMemory,
+  ): Promise<Uint8Array> => {
+    const { connection, guard } = context;
+    const current = options.currentMaxBodyBytes?.() ?? maxBodyBytes;
+    context.sendContinue();
+    try {
+      return await requestBody.receiveBody({
+        message,
+        connection,
+        maxBodyBytes: Math.min(maxBodyBytes, current),
+        reserve: memory.reserve,
+        recordLimit: guard.recordLimit,
+      });
+    } catch (thrown) {
+      memory.releaseAll();
+      throw thrown;
+    }
+  };
+
+  const answer = async (
+    message: nodeHttp.IncomingMessage,
+    context: ListenerContext,
+    signal: AbortSignal,
+    memory: RequestMemory,
+  ): Promise<ServerReply> => {
+    const head = toHead(message);
+    const isWithBody = hasBody(message);
+    if (isWithBody) {
+      const refusal = options.refuseHead?.(head);
+      if (refusal !== undefined) return refusal;
+      const { connection, guard } = context;
+      const deadlineMs = options.deadlineMs?.(head) ?? 0;
+      connection.bodyTimeoutMs = Math.max(guard.limits.bodyTimeoutMs, deadlineMs);
+    }
+    const body = isWithBody ? await receive(message, context, memory) : new Uint8Array();
+    const end = beginRequest(context.guard);
+    try {
+      return await handler({ ...head, body, signal });
+    } finally {
+      end();
+    }
+  };
+
+  return async (message, response, context) => {
+    const disconnected = new AbortController();
+    const memory = createMemory(context);
+    const closed = new Promise<void>((resolve) => {
+      response.once('close', resolve);
+    });
+    response.once('close', () => {
       if (!response.writableFinished) disconnected.abort();
     });
     let reply: ServerReply;
     try {
-      const body = await readBody(message, maxBodyBytes, reserve);
-      reply = await handler(toServerRequest(message, body, disconnected.signal));
+      reply = await answer(message, context, disconnected.signal, memory);
     } catch (thrown) {
       reply = errorReply(thrown);
     }
-    if (response.destroyed) return;
-    const body = Buffer.from(reply.body ?? '');
-    // The unread rest of the body would be parsed as the next request, so the connection can't be reused.
-    if (!message.complete) response.setHeader('connection', 'close');
-    response.writeHead(reply.status, {
-      ...reply.headers,
-      'content-length': String(body.byteLength),
-    });
-    response.end(body);
+    sendReply(message, response, reply, context.connection);
+    await closed;
+    memory.releaseAll();
   };
 };
 
+/** What a listener may use besides the request. */
+export interface ListenerContext {
+  readonly guard: connectionGuard.ConnectionGuard;
+  readonly connection: guardedConnection.GuardedConnection;
+  /** Tells a client that waits for it that its body is wanted. */
+  readonly sendContinue: () => void;
+}
+
 /** Handles a request with Node's own objects; needed for handlers that a library provides. */
 export type Listener = (
   message: nodeHttp.IncomingMessage,
   response: nodeHttp.ServerResponse,
+  context: ListenerContext,
 ) => void | Promise<void>;
 
 const waitUntil = async (isDone: () => boolean, timeoutMs: number): Promise<void> => {
@@ -211,6 +324,77 @@
   }
 };
 
+/** Requests that the HTTP library would otherwise answer by itself, past every limit. */
+const refusalOf = (message: nodeHttp.IncomingMessage): errors.AuburnliftError | undefined => {
+  if (message.headers.host !== undefined || message.httpVersion === '1.0') return undefined;
+  return errors.fail('invalidRequest', 'the Host header is missing; nothing ran', {
+    field: 'host',
+  });
+};
+
+const unsupportedExpectation = (): errors.AuburnliftError =>
+  errors.fail('invalidRequest', 'only 100-continue may be expected; nothing ran', {
+    field: 'expect',
+  });
+
+/** Without settings of the process, as for a stand-in, the heap decides. */
+const createOwnGuard = (): connectionGuard.ConnectionGuard =>
+  connectionGuard.createConnectionGuard({
+    limits: clientLimits.deriveClientLimits({
+      heapBytes: v8.getHeapStatistics().heap_size_limit,
+    }),
+    clock: systemClock.systemClock,
+    log: logging.silentLog,
+    metrics: metrics.createMetrics(),
+  });
+
+const MALFORMED = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+
+/** An HTTP parser that gets its connections from elsewhere. */
+const createParser = (
+  guard: connectionGuard.ConnectionGuard,
+  connectionOf: (socket: object) => guardedConnection.GuardedConnection | undefined,
+  listener: Listener,
+  onWillHandle: (response: nodeHttp.ServerResponse) => void,
+): nodeHttp.Server => {
+  const server = nodeHttp.createServer({ requireHostHeader: false });
+  server.keepAliveTimeout = guard.limits.idleTimeoutMs;
+
+  const dispatch =
+    (given: { readonly refusal?: () => errors.AuburnliftError; readonly isWaiting?: boolean }) =>
+    (message: nodeHttp.IncomingMessage, response: nodeHttp.ServerResponse): void => {
+      const connection = connectionOf(message.socket);
+      if (connection === undefined) {
+        message.destroy();
+        return;
+      }
+      const handle = (): void => {
+        onWillHandle(response);
+        const refusal = given.refusal?.() ?? refusalOf(message);
+        if (refusal !== undefined) {
+          response.setHeader('connection', 'close');
+          sendReply(message, response, errorReply(refusal), connection);
+          return;
+        }
+        const sendContinue = (): void => {
+          if (given.isWaiting === true) response.writeContinue();
+        };
+        void listener(message, response, { guard, connection, sendContinue });
+      };
+      connection.accept({ message, response, handle });
+    };
+
+  server.on('request', dispatch({}));
+  server.on('checkContinue', dispatch({ isWaiting: true }));
+  server.on('checkExpectation', dispatch({ refusal: unsupportedExpectation }));
+  server.on('clientError', (error, socket) => {
+    guard.recordLimit(connectionState.LimitName.malformed);
+    if (socket.writable) socket.end(MALFORMED);
+    else socket.destroy(error);
+  });
+  return server;
+};
+
 /**
  * @param options - listening address and limits
  * @param listener - handles the requests
@@ -220,21 +404,33 @@
   options: HttpServerOptions,
   listener: Listener,
 ): Promise<HttpServer> => {
+  const ownGuard = options.guard === undefined ? createOwnGuard() : undefined;
+  const guard = options.guard ?? ownGuard ?? createOwnGuard();
+  const port = guard.openPort(options.name ?? 'http', options.maxConnections);
   const open = new Set<nodeHttp.ServerResponse>();
+  const connections = new WeakMap<object, guardedConnection.GuardedConnection>();
   let isDraining = false;
-  const server = nodeHttp.createServer((message, response) => {
-    open.add(response);
-    response.on('close', () => open.delete(response));
-    if (isDraining) response.setHeader('connection', 'close');
-    void listener(message, response);
+  const parser = createParser(
+    guard,
+    (socket) => connections.get(socket),
+    listener,
+    (response) => {
+      open.add(response);
+      response.once('close', () => open.delete(response));
+      if (isDraining) response.setHeader('connection', 'close');
+    },
+  );
+  const server = net.createServer({ allowHalfOpen: true, noDelay: true }, (socket) => {
+    const connection = port.admit(socket);
+    if (connection === undefined) return;
+    connections.set(connection.stream, connection);
+    parser.emit('connection', connection.stream);
   });
-  server.keepAliveTimeout = KEEP_ALIVE_MS;
-  server.maxConnections = options.maxConnections;
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(options.port, options.host, resolve);
   });
-  const { port } = server.address() as net.AddressInfo;
+  const { port: boundPort } = server.address() as net.AddressInfo;
   /** Includes open responses: their callers would otherwise send the next request to a closed server. */
   const sendConnectionClose = (): void => {
     isDraining = true;
@@ -244,18 +440,21 @@
   };
   const close = async (): Promise<void> => {
     server.close();
-    server.closeAllConnections();
-    await Promise.resolve();
+    await port.dispose();
+    await ownGuard?.dispose();
   };
   return {
-    address: { host: options.host, port },
+    address: { host: options.host, port: boundPort },
     openRequests: () => open.size,
     requestConnectionClose: sendConnectionClose,
     drain: async (timeoutMs) => {
       sendConnectionClose();
       server.close();
-      server.closeIdleConnections();
-      await waitUntil(() => open.size === 0, timeoutMs);
+      const isDone = (): boolean => {
+        port.closeUnfinished(DRAIN_STALL_MS);
+        return open.size === 0;
+      };
+      await waitUntil(isDone, timeoutMs);
       await close();
     },
     dispose: close,
--- a/src/transport/node/test/connections.test.ts
+++ b/src/transport/node/test/connections.test.ts
@@ -220,7 +220,10 @@
       }
       return { status: 200 };
     };
-    const server = await httpServer.listen(LISTEN, httpServer.toListener(handler, 1000, 1500));
+    const server = await httpServer.listen(
+      LISTEN,
+      httpServer.toListener(handler, 1000, { maxBufferedBytes: 1500 }),
+    );
     const client = httpClient.createHttpClient({ ...LIMITS, clock: systemClock.systemClock });
     const send = () =>
       client.call({ ...requestTo(server.address), method: 'POST', body: new Uint8Array(900) });
