An entry refuses by the head, and one customer's calls leave room for others

What callers saw: bodies were received in full before a missing key, an unknown queue, a missing configuration or an unreachable store refused them; each refused request left a log line, and each method that a client can name a histogram; one key could use up the store's rate.

Change: what is known from the head is checked before the body. Log lines of one status and customer are limited a second, the next one tells how many were left out; methods other than the three share one label.

--- a/src/coordination/node/pool/jobRequestHandler.ts
+++ b/src/coordination/node/pool/jobRequestHandler.ts
@@ -71,6 +71,8 @@
 export interface JobRequestHandler {
   /** Whether the configuration was confirmed as current recently enough to check credentials by it. */
   readonly canCheckCredentials: () => boolean;
+  /** @throws AuburnliftError `storeUnavailable` if no job can be stored now */
+  readonly checkStore: () => void;
   /** @throws AuburnliftError `notFound`, `unauthenticated` or `staleConfiguration` */
   readonly admit: (call: Call) => AdmittedCall;
   readonly submit: (call: Call, admitted: AdmittedCall, draft: JobDraft) => Promise<void>;
@@ -202,13 +204,17 @@
     });
   };
 
+  const checkStore = (): void => {
+    if (options.storeAgeMs() > STORE_LOST_MS) throw unavailable('the store is unreachable');
+  };
+
   /** Retries a transaction until it is answered or the deadline has passed. */
   const transact = async (
     call: Call,
     endMs: number,
     transaction: recordStore.Transaction,
   ): Promise<recordStore.TransactionResult> => {
-    if (options.storeAgeMs() > STORE_LOST_MS) throw unavailable('the store is unreachable');
+    checkStore();
     let isOpen = false;
     for (;;) {
       try {
@@ -350,5 +356,5 @@
       : poolJob.PoolJobState.queued;
   };
 
-  return { canCheckCredentials, admit, submit, cancel, state };
+  return { canCheckCredentials, checkStore, admit, submit, cancel, state };
 };
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -4,13 +4,16 @@
 import * as Schema from 'effect/Schema';
 
 import * as errors from '../base/common/errors.js';
+import * as logLimit from '../base/common/logLimit.js';
 import type * as logging from '../base/common/logging.js';
 import type * as metrics from '../base/common/metrics.js';
 import * as schemaIssues from '../base/common/schemaIssues.js';
+import * as customerQuota from '../coordination/common/pool/customerQuota.js';
 import type * as jobRequestHandler from '../coordination/node/pool/jobRequestHandler.js';
 import type * as poolJob from '../state/common/pool/poolJob.js';
 import * as poolKeys from '../state/common/pool/poolKeys.js';
 import * as httpServer from '../transport/node/httpServer.js';
+import * as requestBody from '../transport/node/requestBody.js';
 
 /** What the API needs. */
 export interface JobApiOptions {
@@ -25,6 +28,9 @@
   readonly shouldCloseConnections: () => boolean;
   /** Called when a record of a job was stored. */
   readonly onDidStore: (jobId: string, part: poolKeys.JobPart) => void;
+  /** What one customer may use. */
+  readonly quota: customerQuota.CustomerQuota;
+  readonly maxRefusalLinesPerS: number;
   readonly newRequestId: () => string;
   readonly nowMs: () => number;
   readonly log: logging.Log;
@@ -152,35 +158,70 @@
 const singleHeader = (value: string | string[] | undefined): string | undefined =>
   Array.isArray(value) ? value[0] : value;
 
-const deadlineOf = (request: httpServer.ServerRequest): number => {
+const deadlineOf = (request: httpServer.RequestHead): number => {
   const given = Number(singleHeader(request.headers[DEADLINE_HEADER]));
   return Number.isFinite(given) && given > 0 ? given : DEFAULT_DEADLINE_MS;
 };
 
 /** Returns the host name without the port. */
-const hostOf = (request: httpServer.ServerRequest): string =>
+const hostOf = (request: httpServer.RequestHead): string =>
   (request.headers.host ?? '').replace(/:\d+$/, '');
 
+const METHODS: readonly string[] = ['GET', 'POST', 'DELETE'];
+
+/** A client may name any of dozens of methods, and each would get histograms of its own. */
+const methodLabel = (method: string): string => (METHODS.includes(method) ? method : 'other');
+
+/** Longest path in a log line. */
+const MAX_LOGGED_PATH = 200;
+
+/** Lines about a customer's calls, for each line about a refusal of one kind. */
+const LINES_PER_REFUSAL_LINE = 10;
+
+/** A call whose customer is added once it is known. */
+interface ObservedCall extends jobRequestHandler.Call {
+  customerId: string;
+}
+
+/** The API, as a listener of HTTP takes it. */
+export interface JobApi {
+  readonly handler: httpServer.Handler;
+  readonly listenerOptions: httpServer.ListenerOptions;
+}
+
+const checkMethod = (method: string): void => {
+  if (METHODS.includes(method)) return;
+  throw errors.fail('invalidRequest', `method ${method} is not supported; nothing ran`);
+};
+
+const checkJobId = (jobId: string): void => {
+  if (JOB_ID.test(jobId)) return;
+  throw errors.fail('notFound', 'a job id must have 16 hexadecimal digits; nothing ran', {
+    field: 'path',
+  });
+};
+
+const kindOf = (method: string): customerQuota.CallKind =>
+  method === 'GET' ? customerQuota.CallKind.read : customerQuota.CallKind.write;
+
 /**
  * @param options - what the API needs
- * @returns its handler
+ * @returns the API
  */
-export const createJobApi = (options: JobApiOptions): httpServer.Handler => {
-  const handleCall = async (
+export const createJobApi = (options: JobApiOptions): JobApi => {
+  const limitedLog = logLimit.createLogLimit(options.log, options.nowMs);
+
+  const handleJob = async (
     request: httpServer.ServerRequest,
     call: jobRequestHandler.Call,
+    admitted: jobRequestHandler.AdmittedCall,
   ): Promise<httpServer.ServerReply> => {
     const { jobs: desk } = options;
-    const admitted = desk.admit(call);
     const { queue, jobId } = admitted;
     if (jobId === '' && request.method === 'GET') {
       return httpServer.jsonReply({ pending: await options.pending(queue.policy.queue) });
     }
-    if (!JOB_ID.test(jobId)) {
-      throw errors.fail('notFound', 'a job id must have 16 hexadecimal digits; nothing ran', {
-        field: 'path',
-      });
-    }
+    checkJobId(jobId);
     switch (request.method) {
       case 'POST':
         if (request.body.byteLength > options.maxBodyBytes()) {
@@ -191,49 +232,117 @@
         return httpServer.jsonReply({});
       case 'GET':
         return httpServer.jsonReply({ state: await desk.state(call, admitted) });
-      case 'DELETE':
+      default:
         await desk.cancel(call, admitted);
         options.onDidStore(jobId, poolKeys.JobPart.cancel);
         return httpServer.jsonReply({});
-      default:
-        throw errors.fail(
-          'invalidRequest',
-          `method ${request.method} is not supported; nothing ran`,
-        );
     }
   };
 
-  return async (request) => {
-    const startedAtMs = options.nowMs();
-    const call: jobRequestHandler.Call = {
-      requestId: options.newRequestId(),
-      host: hostOf(request),
-      path: request.path,
-      apiKey: singleHeader(request.headers[KEY_HEADER]),
-      deadlineMs: deadlineOf(request),
-    };
-    let reply: httpServer.ServerReply;
-    let reason: string | undefined;
+  const handleCall = async (
+    request: httpServer.ServerRequest,
+    call: ObservedCall,
+  ): Promise<httpServer.ServerReply> => {
+    const admitted = options.jobs.admit(call);
+    call.customerId = admitted.customerId;
+    checkMethod(request.method);
+    const end = options.quota.begin(admitted.customerId, kindOf(request.method));
     try {
-      reply = await handleCall(request, call);
-    } catch (thrown) {
-      reply = httpServer.errorReply(thrown);
-      reason = errors.normalize(thrown).message;
+      return await handleJob(request, call, admitted);
+    } finally {
+      end();
     }
+  };
+
+  /** Finds all that refuses a request without its body. */
+  const checkHead = (head: httpServer.RequestHead, call: ObservedCall): void => {
+    const { jobId, customerId } = options.jobs.admit(call);
+    call.customerId = customerId;
+    checkMethod(head.method);
+    if (head.method !== 'POST') return;
+    checkJobId(jobId);
+    const maxBytes = options.maxBodyBytes();
+    if (requestBody.announcedBytes(head) > maxBytes) throw requestBody.bodyTooLarge(maxBytes);
+    options.jobs.checkStore();
+  };
+
+  const toCall = (head: httpServer.RequestHead): ObservedCall => ({
+    requestId: options.newRequestId(),
+    host: hostOf(head),
+    path: head.path,
+    apiKey: singleHeader(head.headers[KEY_HEADER]),
+    deadlineMs: deadlineOf(head),
+    customerId: '',
+  });
+
+  const withClose = (reply: httpServer.ServerReply): httpServer.ServerReply =>
+    options.shouldCloseConnections()
+      ? { ...reply, headers: { ...reply.headers, connection: 'close' } }
+      : reply;
+
+  const report = (
+    method: string,
+    call: ObservedCall,
+    startedAtMs: number,
+    status: number,
+    reason?: string,
+  ): void => {
     const durationMs = options.nowMs() - startedAtMs;
-    const { method } = request;
-    const { status } = reply;
-    options.metrics.time('auburnlift_call_ms', durationMs, { method, status: String(status) });
-    options.log(status < 400 || status === 410 ? 'info' : 'warn', 'answered', {
+    const labels = { method: methodLabel(method), status: String(status) };
+    options.metrics.time('auburnlift_call_ms', durationMs, labels);
+    const isServed = status < 400;
+    const maxPerS = options.maxRefusalLinesPerS * (isServed ? LINES_PER_REFUSAL_LINE : 1);
+    const isExpected = isServed || status === 410;
+    limitedLog(`${status} ${call.customerId}`, maxPerS, isExpected ? 'info' : 'warn', 'answered', {
       request: call.requestId,
       method,
-      path: call.path,
+      path: call.path.slice(0, MAX_LOGGED_PATH),
       status,
       durationMs: Math.round(durationMs),
-      reason,
+      reason: reason?.slice(0, MAX_LOGGED_PATH * 2),
     });
-    return options.shouldCloseConnections()
-      ? { ...reply, headers: { ...reply.headers, connection: 'close' } }
-      : reply;
+  };
+
+  const refuse = (
+    method: string,
+    call: ObservedCall,
+    startedAtMs: number,
+    thrown: unknown,
+  ): httpServer.ServerReply => {
+    const reply = httpServer.errorReply(thrown);
+    report(method, call, startedAtMs, reply.status, errors.normalize(thrown).message);
+    return withClose(reply);
+  };
+
+  const handler: httpServer.Handler = async (request) => {
+    const startedAtMs = options.nowMs();
+    const call = toCall(request);
+    try {
+      const reply = await handleCall(request, call);
+      report(request.method, call, startedAtMs, reply.status);
+      return withClose(reply);
+    } catch (thrown) {
+      return refuse(request.method, call, startedAtMs, thrown);
+    }
+  };
+
+  const refuseHead = (head: httpServer.RequestHead): httpServer.ServerReply | undefined => {
+    const startedAtMs = options.nowMs();
+    const call = toCall(head);
+    try {
+      checkHead(head, call);
+      return undefined;
+    } catch (thrown) {
+      return refuse(head.method, call, startedAtMs, thrown);
+    }
+  };
+
+  return {
+    handler,
+    listenerOptions: {
+      refuseHead,
+      currentMaxBodyBytes: options.maxBodyBytes,
+      deadlineMs: deadlineOf,
+    },
   };
 };
--- a/src/platform/test/jobApi.test.ts
+++ b/src/platform/test/jobApi.test.ts
@@ -22,6 +22,7 @@
   return {
     drafts,
     canCheckCredentials: () => true,
+    checkStore: () => undefined,
     admit: (call) => ({
       queue: {
         policy: {
@@ -58,12 +59,14 @@
   body: string,
   overrides: Partial<jobApi.JobApiOptions> = {},
 ): Promise<httpServer.ServerReply> => {
-  const handler = jobApi.createJobApi({
+  const { handler } = jobApi.createJobApi({
     jobs: desk,
     pending: () => Promise.resolve(12),
     maxBodyBytes: () => 3000,
     shouldCloseConnections: () => false,
     onDidStore: () => undefined,
+    quota: { begin: () => () => undefined },
+    maxRefusalLinesPerS: 20,
     newRequestId: () => 'id',
     nowMs: () => 0,
     log: logging.silentLog,
--- a/src/programs/poolEntry.ts
+++ b/src/programs/poolEntry.ts
@@ -2,6 +2,7 @@
  * The entry of pools: accepts clients' jobs, cancels them and reports their state. None of this requires
  * a leader.
  */
+import * as customerQuota from '../coordination/common/pool/customerQuota.js';
 import * as poolConfigurationFeed from '../coordination/node/pool/configurationFeed.js';
 import * as configurationShare from '../coordination/node/pool/configurationShare.js';
 import * as jobRequestHandler from '../coordination/node/pool/jobRequestHandler.js';
@@ -20,8 +21,14 @@
 import * as relayRpc from './relayRpc.js';
 import * as schedulerNotifier from './schedulerNotifier.js';
 
-/** Limit of clients' connections; the platform allows a process about four thousand descriptors. */
-const MAX_CONNECTIONS = 3000;
+/** Part of the entry's connections for clients; other processes may have the rest. */
+const CLIENT_SHARE = 0.6;
+
+/** Connections of the balancer's health check, which opens one at a time. */
+const MAX_READINESS_CONNECTIONS = 16;
+
+/** Part of the requests worked on that one customer may take up. */
+const CUSTOMER_SHARE = 0.5;
 
 /** Above any configured limit, so that a body over the configured limit gets a clear error. */
 const MAX_BODY_BYTES = 1_048_576;
@@ -49,6 +56,7 @@
   ctx: poolContext.PoolContext,
 ): Promise<poolContext.PoolProgram> => {
   const settings = ctx.settings();
+  const { limits } = ctx.guard;
   let isLeaving = false;
   const feed = ctx.owned.add(
     poolConfigurationFeed.startConfigurationFeed({
@@ -90,6 +98,12 @@
     maxBodyBytes: () => feed.current()?.configuration.maxBodyBytes ?? MAX_BODY_BYTES,
     shouldCloseConnections: () => notReadyReason() !== undefined,
     onDidStore: schedulerNotifier.createSchedulerNotifier(ctx),
+    quota: customerQuota.createCustomerQuota({
+      maxPerS: { read: limits.maxCustomerReadsPerS, write: limits.maxCustomerWritesPerS },
+      maxOpen: Math.ceil(limits.maxHandledRequests * CUSTOMER_SHARE),
+      nowMs: ctx.clock.monotonicMs,
+    }),
+    maxRefusalLinesPerS: limits.maxRefusalLinesPerS,
     newRequestId: () => ctx.newId().slice(0, 8),
     nowMs: ctx.clock.monotonicMs,
     log: ctx.log,
@@ -130,14 +144,25 @@
       },
     );
   }
-  const limits = { maxBodyBytes: MAX_BODY_BYTES, maxConnections: MAX_CONNECTIONS };
   const front = await httpServer.listen(
-    { ...settings.front, ...limits },
-    httpServer.toListener(api, MAX_BODY_BYTES),
+    {
+      ...settings.front,
+      maxBodyBytes: MAX_BODY_BYTES,
+      maxConnections: Math.ceil(limits.maxConnections * CLIENT_SHARE),
+      guard: ctx.guard,
+      name: 'clients',
+    },
+    httpServer.toListener(api.handler, MAX_BODY_BYTES, api.listenerOptions),
   );
   const ready = await httpServer.listen(
-    { ...settings.readiness, ...limits },
-    httpServer.toListener(readiness, MAX_BODY_BYTES),
+    {
+      ...settings.readiness,
+      maxBodyBytes: 0,
+      maxConnections: MAX_READINESS_CONNECTIONS,
+      guard: ctx.guard,
+      name: 'readiness',
+    },
+    httpServer.toListener(readiness, 0),
   );
   ctx.owned.add(front);
   ctx.owned.add(ready);
