--- a/src/programs/test/childPrograms.ts
+++ b/src/programs/test/childPrograms.ts
@@ -21,7 +21,12 @@
 
 /** Child processes of one test. */
 export interface ChildPrograms {
-  readonly start: (program: string, settings: object) => Promise<ChildProgram>;
+  /** @param flags - flags of Node.js, such as the size of the heap */
+  readonly start: (
+    program: string,
+    settings: object,
+    flags?: readonly string[],
+  ) => Promise<ChildProgram>;
   /** Runs a program that is expected to exit on its own. */
   readonly run: (program: string, settingsText: string) => { status: number; stderr: string };
   readonly dispose: () => Promise<void>;
@@ -75,10 +80,10 @@
     return code ?? -1;
   };
   return {
-    start: async (program, settings) => {
+    start: async (program, settings, flags = []) => {
       const file = writeSettings(`// written by a test\n${JSON.stringify(settings, null, 2)}`);
       const script = path.join(BIN, `${program}.js`);
-      const child = childProcess.spawn(process.execPath, [script, '--settings', file], {
+      const child = childProcess.spawn(process.execPath, [...flags, script, '--settings', file], {
         stdio: ['ignore', 'pipe', 'ignore'],
       });
       children.add(child);
