Tests: limits on clients are checked when settings are read

A limit that is misspelt, out of range or not JSON is refused with the variable and the field; what the platform lets the process use is decoded where it is told.

--- a/src/platform/test/decoding.test.ts
+++ b/src/platform/test/decoding.test.ts
@@ -106,6 +106,37 @@
       );
     });
 
+    const CLIENT_LIMITS: readonly [value: string, outcome: object | RegExp][] = [
+      ['{}', {}],
+      ['{"maxConnections":400}', { maxConnections: 400 }],
+      ['{"maxConnections":0}', /AUBURNLIFT_CLIENT_LIMITS.*maxConnections/],
+      ['{"headTimeoutMs":"long"}', /AUBURNLIFT_CLIENT_LIMITS.*headTimeoutMs/],
+      ['{"unknown":1}', /AUBURNLIFT_CLIENT_LIMITS.*unknown/],
+      ['400', /AUBURNLIFT_CLIENT_LIMITS/],
+      ['{', /AUBURNLIFT_CLIENT_LIMITS: not JSON/],
+    ];
+    for (const [value, outcome] of CLIENT_LIMITS) {
+      // Guards against a limit that is misspelt and silently has its default.
+      test.it(`AUBURNLIFT_CLIENT_LIMITS = ${value}`, () => {
+        const parse = (): object =>
+          bootSettings.parseBootSettings(SETTINGS, 'f', 'entry', {
+            AUBURNLIFT_CLIENT_LIMITS: value,
+          }).clientLimits;
+        if (outcome instanceof RegExp) assert.throws(parse, outcome);
+        else assert.deepEqual(parse(), outcome);
+      });
+    }
+
+    test.it('what the process and the store may take is decoded where it is told', () => {
+      const told = `${SETTINGS}\n[limits]\nmemory_mb = 2\nmax_fds = 400\n`;
+      assert.deepEqual(
+        [told, SETTINGS].map(
+          (it) => bootSettings.parseBootSettings(it, 'f', 'entry').processBudget,
+        ),
+        [{ memoryBytes: 2_097_152, maxDescriptors: 400 }, {}],
+      );
+    });
+
     const SPEEDS: readonly [value: string | undefined, learns: boolean | undefined][] = [
       [undefined, true],
       ['learn', true],
