Soak: crowds of clients that don't behave, beside its faults

They have a generator of their own, so the faults of earlier seeds stay. Nothing is promised to them; what callers get is judged as always, and a process that ends by itself is a failure.

--- a/src/soak/soakRun.ts
+++ b/src/soak/soakRun.ts
@@ -12,6 +12,7 @@
 import * as callers from './callers.js';
 import type * as evidence from './evidence.js';
 import * as faults from './faults.js';
+import * as hostileClients from './hostileClients.js';
 import * as invariants from './invariants.js';
 import * as soakSite from './soakSite.js';
 import * as waitWhile from './waitWhile.js';
@@ -75,6 +76,9 @@
 const LOST_WORKER_SHARE = 0.25;
 const LARGE_JOB_SHARE = 0.25;
 
+/** Share of seeds with crowds of clients that don't behave. */
+const HOSTILE_CLIENTS_SHARE = 0.4;
+
 /** A job counts as pending this long after it was accepted at the latest. */
 const VISIBLE_MS = 5000;
 
@@ -216,6 +220,18 @@
     if (what !== undefined) faultLog.push(what);
   };
 
+  const hasHostileClients = random.createRandom(options.seed + 11)() < HOSTILE_CLIENTS_SHARE;
+  const sendCrowds = async (): Promise<void> => {
+    if (!hasHostileClients) return;
+    faultLog.push("crowds of clients that don't behave");
+    await hostileClients.sendCrowds({
+      clock: time,
+      random: random.createRandom(options.seed + 11),
+      ports: site.callerPorts,
+      isLoadRunning: hasLoad,
+    });
+  };
+
   const gaps = random.createRandom(options.seed + 2);
   const runLoad = async (act: () => Promise<void>, share: number): Promise<void> => {
     while (isLoadRunning) {
@@ -240,6 +256,7 @@
       loseWorker(),
       evacuateZones(),
       changeSpeeds(),
+      sendCrowds(),
     ];
     const untilMs = time.monotonicMs() + options.faultsMs;
     while (time.monotonicMs() < untilMs) {
