Tests: crowds take the platform's names from its own test folder

check-house: only src/platform knows the platform's names. What the crowds send and their bounds are unchanged; a header's name is sent in lower case now.

--- a/src/platform/test/bootFile.ts
+++ b/src/platform/test/bootFile.ts
@@ -93,3 +93,9 @@
 
 /** Headers of a client's calls, with its credential. */
 export const API_KEY_HEADERS = { 'auburnlift-key': 'key', host: 'h' };
+
+/** The credential as a line of a request's head, for tests that send heads themselves. */
+export const API_KEY_LINE = `auburnlift-key: ${API_KEY_HEADERS['auburnlift-key']}\r\n`;
+
+/** Path of a worker's heartbeats. */
+export const HEARTBEAT_PATH = '/-/Instances.Heartbeat/i-1';
--- a/src/programs/test/crowds/calmClients.test.ts
+++ b/src/programs/test/crowds/calmClients.test.ts
@@ -5,13 +5,15 @@
 import * as net from 'node:net';
 import * as test from 'node:test';
 
+import * as bootFile from '../../../platform/test/bootFile.js';
+
 import * as poolSite from './poolSite.js';
 
 const LIMITS: poolSite.SiteLimits = { memoryMb: 160, heapMb: 48, maxFds: 1000 };
 
 const BODY_BYTES = 262_144;
 
-const KEY = 'Auburnlift-Key: key\r\n';
+const KEY = bootFile.API_KEY_LINE;
 
 const jobOf = (bytes: number): string => {
   const bare = JSON.stringify({ spec: 'text', padding: '', steps: [{ count: 1 }] });
--- a/src/programs/test/crowds/entryCrowds.test.ts
+++ b/src/programs/test/crowds/entryCrowds.test.ts
@@ -5,6 +5,7 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
+import * as bootFile from '../../../platform/test/bootFile.js';
 import * as until from '../../../standins/test/until.js';
 
 import * as crowd from './crowd.js';
@@ -21,7 +22,7 @@
 /** The largest body that the configuration of the tests allows. */
 const BODY_BYTES = 262_144;
 
-const KEY = 'Auburnlift-Key: key\r\n';
+const KEY = bootFile.API_KEY_LINE;
 const CHUNKED = 'Transfer-Encoding: chunked\r\n';
 
 const idOf = (index: number): string => index.toString(16).padStart(16, '0');
--- a/src/programs/test/crowds/portCrowds.test.ts
+++ b/src/programs/test/crowds/portCrowds.test.ts
@@ -5,6 +5,8 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
+import * as bootFile from '../../../platform/test/bootFile.js';
+
 import * as crowd from './crowd.js';
 import * as poolSite from './poolSite.js';
 
@@ -54,7 +56,7 @@
 
 const READY = { method: 'GET', path: '/-/ready' };
 const METRICS = { method: 'GET', path: '/metrics' };
-const BEAT = { method: 'POST', path: '/-/Instances.Heartbeat/i-1', body: HEARTBEAT };
+const BEAT = { method: 'POST', path: bootFile.HEARTBEAT_PATH, body: HEARTBEAT };
 
 const PORT_CASES: readonly PortCase[] = [
   {
@@ -110,7 +112,7 @@
     name: 'the worker of an agent: heartbeats in chunks of one byte',
     program: 'poolAgent',
     port: 'control',
-    crowd: smallChunks('/-/Instances.Heartbeat/i-1'),
+    crowd: smallChunks(bootFile.HEARTBEAT_PATH),
     ordinary: BEAT,
   },
 ];
