--- a/src/base/common/logLimit.ts
+++ b/src/base/common/logLimit.ts
@@ -17,9 +17,14 @@
 /**
  * @param log - where lines are written
  * @param nowMs - monotonic time
+ * @param onDidLeaveOut - called for each line that is left out
  * @returns the limited log; the caller keeps the number of kinds small
  */
-export const createLogLimit = (log: logging.Log, nowMs: () => number): LimitedLog => {
+export const createLogLimit = (
+  log: logging.Log,
+  nowMs: () => number,
+  onDidLeaveOut: () => void,
+): LimitedLog => {
   const windows = new Map<string, Window>();
   return (kind, maxPerS, level, event, fields = {}) => {
     const now = nowMs();
@@ -31,6 +36,7 @@
     }
     if (window.lines >= maxPerS) {
       window.leftOut += 1;
+      onDidLeaveOut();
       return;
     }
     window.lines += 1;
--- a/src/base/common/test/logLimit.test.ts
+++ b/src/base/common/test/logLimit.test.ts
@@ -9,10 +9,14 @@
 // Guards against a flood of one kind of line that leaves the others no room in the log.
 test.test('lines of one kind are limited, counted and leave other kinds alone', () => {
   let nowMs = 0;
+  let leftOut = 0;
   const lines: unknown[] = [];
   const log = logLimit.createLogLimit(
     (_level, event, fields) => lines.push([event, fields?.linesLeftOut]),
     () => nowMs,
+    () => {
+      leftOut += 1;
+    },
   );
   for (let count = 0; count < 10; count += 1) log('404', 2, 'warn', 'flood');
   log('200', 2, 'info', 'ordinary');
@@ -24,4 +28,5 @@
     ['ordinary', undefined],
     ['flood', 8],
   ]);
+  assert.equal(leftOut, 8);
 });
--- a/src/coordination/common/pool/customerQuota.ts
+++ b/src/coordination/common/pool/customerQuota.ts
@@ -19,6 +19,8 @@
   /** Calls of one customer that are worked on at the same time. */
   readonly maxOpen: number;
   readonly nowMs: () => number;
+  /** Called for each call that is refused. */
+  readonly onDidRefuse: (kind: CallKind) => void;
 }
 
 /** Admits the calls of customers. */
@@ -52,6 +54,7 @@
   maxPerS,
   maxOpen,
   nowMs,
+  onDidRefuse,
 }: CustomerQuotaOptions): CustomerQuota => {
   const usages = new Map<string, Usage>();
 
@@ -79,6 +82,7 @@
       const usage = usageOf(customerId);
       refill(usage);
       if (usage.left[kind] < 1 || usage.open >= maxOpen) {
+        onDidRefuse(kind);
         throw errors.fail('quotaExceeded', 'too many calls of this customer; nothing ran', {
           retryAfterMs: RETRY_MS,
         });
--- a/src/coordination/common/pool/test/customerQuota.test.ts
+++ b/src/coordination/common/pool/test/customerQuota.test.ts
@@ -14,6 +14,7 @@
     maxPerS: { read: 10, write: 2 },
     maxOpen,
     nowMs: () => nowMs,
+    onDidRefuse: () => undefined,
   });
   const countBegun = (customer: string, kind: customerQuota.CallKind, tries: number): number => {
     let begun = 0;
--- a/src/platform/jobApi.ts
+++ b/src/platform/jobApi.ts
@@ -209,7 +209,9 @@
  * @returns the API
  */
 export const createJobApi = (options: JobApiOptions): JobApi => {
-  const limitedLog = logLimit.createLogLimit(options.log, options.nowMs);
+  const limitedLog = logLimit.createLogLimit(options.log, options.nowMs, () => {
+    options.metrics.count('auburnlift_log_lines_left_out_total');
+  });
 
   const handleJob = async (
     request: httpServer.ServerRequest,
--- a/src/programs/poolEntry.ts
+++ b/src/programs/poolEntry.ts
@@ -102,6 +102,7 @@
       maxPerS: { read: limits.maxCustomerReadsPerS, write: limits.maxCustomerWritesPerS },
       maxOpen: Math.ceil(limits.maxHandledRequests * CUSTOMER_SHARE),
       nowMs: ctx.clock.monotonicMs,
+      onDidRefuse: (kind) => ctx.metrics.count('auburnlift_customer_refusals_total', { kind }),
     }),
     maxRefusalLinesPerS: limits.maxRefusalLinesPerS,
     newRequestId: () => ctx.newId().slice(0, 8),
--- a/src/transport/common/connectionState.ts
+++ b/src/transport/common/connectionState.ts
@@ -50,7 +50,7 @@
   idleTime: 'idleTime',
   bodyBytes: 'bodyBytes',
   malformed: 'malformed',
-  customerRate: 'customerRate',
+  aheadRate: 'aheadRate',
 } as const;
 
 /** One of the values of {@link LimitName}. */
--- a/src/transport/node/connectionGuard.ts
+++ b/src/transport/node/connectionGuard.ts
@@ -172,6 +172,7 @@
       const connection = guardedConnection.guardConnection(socket, {
         limits,
         nowMs: time.monotonicMs,
+        recordLimit,
         account: (it, bytes) => {
           account(it, bytes);
           if (bytes > 0 && bufferedBytes > limits.maxBufferedBytes) freeBytes(it);
--- a/src/transport/node/exchangeServer.ts
+++ b/src/transport/node/exchangeServer.ts
@@ -7,6 +7,7 @@
 import * as exchange from '../../protocol/common/exchange.js';
 import type * as requestRecord from '../../protocol/common/requestRecord.js';
 import type * as requestHost from '../../protocol/node/requestHost.js';
+import type * as httpParser from './httpParser.js';
 import * as httpServer from './httpServer.js';
 import * as rpcServer from './rpcServer.js';
 
@@ -18,7 +19,7 @@
   readonly host: requestHost.RequestHost;
   readonly recordVersion: (version: number) => void;
   /** Handles all other paths. */
-  readonly fallback: httpServer.Listener;
+  readonly fallback: httpParser.Listener;
 }
 
 const parseHead = (header: string | string[] | undefined): exchange.ExchangeRequest => {
@@ -61,7 +62,7 @@
  * @param options - dependencies and limits
  * @returns a listener that handles forwarded requests and passes all others on
  */
-export const createExchangeListener = (options: ExchangeListenerOptions): httpServer.Listener => {
+export const createExchangeListener = (options: ExchangeListenerOptions): httpParser.Listener => {
   const handler: httpServer.Handler = async (request) => {
     const head = parseHead(request.headers[exchange.REQUEST_HEADER]);
     options.recordVersion(head.from.configVersion);
--- a/src/transport/node/guardedConnection.ts
+++ b/src/transport/node/guardedConnection.ts
@@ -18,6 +18,7 @@
   readonly nowMs: () => number;
   /** Accounts for bytes that the connection holds, or releases them if negative. */
   readonly account: (connection: GuardedConnection, bytes: number) => void;
+  readonly recordLimit: (limit: connectionState.LimitName) => void;
   /** Called once, as soon as its descriptor is free. */
   readonly onDidClose: () => void;
 }
@@ -263,8 +264,12 @@
   const feedLater = (): void => {
     if (held.current() === undefined) return;
     const delayMs = pace.takeMs();
-    if (delayMs === 0) setImmediate(feed);
-    else setTimeout(feed, delayMs);
+    if (delayMs === 0) {
+      setImmediate(feed);
+      return;
+    }
+    options.recordLimit(connectionState.LimitName.aheadRate);
+    setTimeout(feed, delayMs);
   };
   const requests = createRequestQueue(connection, options, enter, feedLater);
 
--- a/src/transport/node/httpServer.ts
+++ b/src/transport/node/httpServer.ts
@@ -16,6 +16,7 @@
 import * as connectionState from '../common/connectionState.js';
 import * as connectionGuard from './connectionGuard.js';
 import type * as guardedConnection from './guardedConnection.js';
+import * as httpParser from './httpParser.js';
 import * as requestBody from './requestBody.js';
 
 /** A request with its complete body. */
@@ -213,11 +214,11 @@
   handler: Handler,
   maxBodyBytes: number,
   options: ListenerOptions = {},
-): Listener => {
+): httpParser.Listener => {
   const { maxBufferedBytes = Infinity } = options;
   let listenerBytes = 0;
 
-  const createMemory = ({ guard, connection }: ListenerContext): RequestMemory => {
+  const createMemory = ({ guard, connection }: httpParser.ListenerContext): RequestMemory => {
     let requestBytes = 0;
     return {
       reserve: (bytes) => {
@@ -235,7 +236,7 @@
 
   const receive = async (
     message: nodeHttp.IncomingMessage,
-    context: ListenerContext,
+    context: httpParser.ListenerContext,
     memory: RequestMemory,
   ): Promise<Uint8Array> => {
     const { connection, guard } = context;
@@ -257,7 +258,7 @@
 
   const answer = async (
     message: nodeHttp.IncomingMessage,
-    context: ListenerContext,
+    context: httpParser.ListenerContext,
     signal: AbortSignal,
     memory: RequestMemory,
   ): Promise<ServerReply> => {
@@ -300,21 +301,6 @@
   };
 };
 
-/** What a listener may use besides the request. */
-export interface ListenerContext {
-  readonly guard: connectionGuard.ConnectionGuard;
-  readonly connection: guardedConnection.GuardedConnection;
-  /** Tells a client that waits for it that its body is wanted. */
-  readonly sendContinue: () => void;
-}
-
-/** Handles a request with Node's own objects; needed for handlers that a library provides. */
-export type Listener = (
-  message: nodeHttp.IncomingMessage,
-  response: nodeHttp.ServerResponse,
-  context: ListenerContext,
-) => void | Promise<void>;
-
 const waitUntil = async (isDone: () => boolean, timeoutMs: number): Promise<void> => {
   const untilMs = Date.now() + timeoutMs;
   while (!isDone() && Date.now() < untilMs) {
@@ -324,19 +310,6 @@
   }
 };
 
-/** Requests that the HTTP library would otherwise answer by itself, past every limit. */
-const refusalOf = (message: nodeHttp.IncomingMessage): errors.AuburnliftError | undefined => {
-  if (message.headers.host !== undefined || message.httpVersion === '1.0') return undefined;
-  return errors.fail('invalidRequest', 'the Host header is missing; nothing ran', {
-    field: 'host',
-  });
-};
-
-const unsupportedExpectation = (): errors.AuburnliftError =>
-  errors.fail('invalidRequest', 'only 100-continue may be expected; nothing ran', {
-    field: 'expect',
-  });
-
 /** Without settings of the process, as for a stand-in, the heap decides. */
 const createOwnGuard = (): connectionGuard.ConnectionGuard =>
   connectionGuard.createConnectionGuard({
@@ -348,53 +321,6 @@
     metrics: metrics.createMetrics(),
   });
 
-const MALFORMED = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
-
-/** An HTTP parser that gets its connections from elsewhere. */
-const createParser = (
-  guard: connectionGuard.ConnectionGuard,
-  connectionOf: (socket: object) => guardedConnection.GuardedConnection | undefined,
-  listener: Listener,
-  onWillHandle: (response: nodeHttp.ServerResponse) => void,
-): nodeHttp.Server => {
-  const server = nodeHttp.createServer({ requireHostHeader: false });
-  server.keepAliveTimeout = guard.limits.idleTimeoutMs;
-
-  const dispatch =
-    (given: { readonly refusal?: () => errors.AuburnliftError; readonly isWaiting?: boolean }) =>
-    (message: nodeHttp.IncomingMessage, response: nodeHttp.ServerResponse): void => {
-      const connection = connectionOf(message.socket);
-      if (connection === undefined) {
-        message.destroy();
-        return;
-      }
-      const handle = (): void => {
-        onWillHandle(response);
-        const refusal = given.refusal?.() ?? refusalOf(message);
-        if (refusal !== undefined) {
-          response.setHeader('connection', 'close');
-          sendReply(message, response, errorReply(refusal), connection);
-          return;
-        }
-        const sendContinue = (): void => {
-          if (given.isWaiting === true) response.writeContinue();
-        };
-        void listener(message, response, { guard, connection, sendContinue });
-      };
-      connection.accept({ message, response, handle });
-    };
-
-  server.on('request', dispatch({}));
-  server.on('checkContinue', dispatch({ isWaiting: true }));
-  server.on('checkExpectation', dispatch({ refusal: unsupportedExpectation }));
-  server.on('clientError', (error, socket) => {
-    guard.recordLimit(connectionState.LimitName.malformed);
-    if (socket.writable) socket.end(MALFORMED);
-    else socket.destroy(error);
-  });
-  return server;
-};
-
 /**
  * @param options - listening address and limits
  * @param listener - handles the requests
@@ -402,7 +328,7 @@
  */
 export const listen = async (
   options: HttpServerOptions,
-  listener: Listener,
+  listener: httpParser.Listener,
 ): Promise<HttpServer> => {
   const ownGuard = options.guard === undefined ? createOwnGuard() : undefined;
   const guard = options.guard ?? ownGuard ?? createOwnGuard();
@@ -410,16 +336,20 @@
   const open = new Set<nodeHttp.ServerResponse>();
   const connections = new WeakMap<object, guardedConnection.GuardedConnection>();
   let isDraining = false;
-  const parser = createParser(
+  const parser = httpParser.createParser({
     guard,
-    (socket) => connections.get(socket),
+    connectionOf: (socket) => connections.get(socket),
     listener,
-    (response) => {
+    refuse: (message, response, error, connection) => {
+      response.setHeader('connection', 'close');
+      sendReply(message, response, errorReply(error), connection);
+    },
+    onWillHandle: (response) => {
       open.add(response);
       response.once('close', () => open.delete(response));
       if (isDraining) response.setHeader('connection', 'close');
     },
-  );
+  });
   const server = net.createServer({ allowHalfOpen: true, noDelay: true }, (socket) => {
     const connection = port.admit(socket);
     if (connection === undefined) return;
--- a/src/transport/node/rpcServer.ts
+++ b/src/transport/node/rpcServer.ts
@@ -8,6 +8,7 @@
 import * as standalone from '@trpc/server/adapters/standalone';
 
 import * as errors from '../../base/common/errors.js';
+import type * as httpParser from './httpParser.js';
 import * as httpServer from './httpServer.js';
 import * as requestBody from './requestBody.js';
 import * as rpcClient from './rpcClient.js';
@@ -31,7 +32,7 @@
  * @param maxBodyBytes - limit of a body
  * @returns a listener that refuses requests without the peer secret by their heads
  */
-export const createRefusal = (maxBodyBytes: number): httpServer.Listener => {
+export const createRefusal = (maxBodyBytes: number): httpParser.Listener => {
   const refusal = (): httpServer.ServerReply =>
     httpServer.errorReply(
       errors.fail('unauthenticated', 'the peer secret is missing or wrong; nothing ran'),
@@ -48,7 +49,7 @@
 
 /** Receives the body under the limits of the process, and gives it to the library as one text. */
 const receiveFirst =
-  (handle: LibraryHandler): httpServer.Listener =>
+  (handle: LibraryHandler): httpParser.Listener =>
   async (message, response, context) => {
     const { guard, connection, sendContinue } = context;
     const held = { bytes: 0 };
@@ -83,8 +84,8 @@
 export const createRpcListener = (
   router: trpcServer.AnyTRPCRouter,
   peerSecret: string,
-  fallback: httpServer.Listener,
-): httpServer.Listener => {
+  fallback: httpParser.Listener,
+): httpParser.Listener => {
   const handle = receiveFirst(
     standalone.createHTTPHandler({
       router,
