--- a/src/programs/test/crowds/poolSite.ts
+++ b/src/programs/test/crowds/poolSite.ts
@@ -110,7 +110,11 @@
     request.end(body);
   });
 
-const peakMemoryMbOf = (processId: number): number => {
+/**
+ * @param processId - a process of the test
+ * @returns its highest resident memory so far
+ */
+export const peakMemoryMbOf = (processId: number): number => {
   const status = fs.readFileSync(`/proc/${processId}/status`, 'utf8');
   return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1] ?? Infinity) / KB_PER_MB;
 };
--- a/src/programs/test/crowds/productCrowds.test.ts
+++ b/src/programs/test/crowds/productCrowds.test.ts
@@ -3,7 +3,6 @@
  * and other processes, and the agent's.
  */
 import * as assert from 'node:assert/strict';
-import * as fs from 'node:fs';
 import * as test from 'node:test';
 
 import * as http from '../../../base/common/http.js';
@@ -25,8 +24,6 @@
 /** As much as a process of the pool with this heap. */
 const MEMORY_MB = 160;
 
-const KB_PER_MB = 1024;
-
 const smallChunks = (path: string): crowd.Crowd => ({
   connections: 60,
   isReading: false,
@@ -73,11 +70,6 @@
   { name: 'other processes: metrics sent ahead', port: 'url', crowd: sentAhead('/metrics') },
 ];
 
-const peakMemoryMb = (processId: number): number => {
-  const status = fs.readFileSync(`/proc/${processId}/status`, 'utf8');
-  return Math.round(Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1] ?? Infinity) / KB_PER_MB);
-};
-
 test.describe("the product's entry lives, stays within its memory and answers beside", () => {
   for (const { name, port, crowd: guests } of PRODUCT_CASES) {
     // Guards against limits that hold in the pool's programs only.
@@ -127,7 +119,7 @@
           const { status } = await poolSite.ask(addressOf(port).port, 'GET', path);
           return status < 500;
         });
-        const memoryMb = peakMemoryMb(entry.processId);
+        const memoryMb = Math.round(poolSite.peakMemoryMbOf(entry.processId));
         assert.ok(memoryMb <= MEMORY_MB, `${memoryMb} MB of ${MEMORY_MB} MB`);
         connected.dispose();
       } finally {
