--- a/review/stand-ins-3/minion.mjs
+++ b/review/stand-ins-3/minion.mjs
@@ -32,6 +32,8 @@
   let isUp = false;
   let isQuiet = false;
   let isFailing = false;
+  /** Settled once its machine goes on; undefined while it isn't suspended. */
+  let resumed;
   let state = 'ready';
   let remainingMs;
   let fault = () => undefined;
@@ -51,8 +53,10 @@
     seenUpTo: 0,
     seq: 0,
     waiters: new Set(),
+    suspendedMs: 0,
   });
-  const clockOf = (its) => Math.floor(performance.now() - its.bornAtMs);
+  /** The steady clock of its machine, which stands still while the machine is suspended. */
+  const clockOf = (its) => Math.floor(performance.now() - its.bornAtMs - its.suspendedMs);
   const wake = (its) => {
     const woken = [...its.waiters];
     its.waiters.clear();
@@ -107,7 +111,7 @@
   };
 
   const tick = () => {
-    if (!isUp) return;
+    if (!isUp || resumed !== undefined) return;
     const its = life;
     if (its.live.size > 0 && clockOf(its) > its.leaseUntilMs) {
       for (const run of [...its.live.values()]) end(its, run, 'lapsed');
@@ -206,6 +210,7 @@
 
   const answer = async (request, response) => {
     const body = JSON.parse((await readBody(request)) || '{}');
+    await resumed;
     const its = life;
     const operation = request.url.slice('/-/'.length);
     const wrong = fault(operation, body);
@@ -227,6 +232,7 @@
       return;
     }
     const [status, reason, lists] = await execute(false);
+    await resumed;
     if (wrong?.kind === 'lost' || its !== life || !isUp) {
       response.destroy();
       return;
@@ -261,7 +267,7 @@
     request.end(JSON.stringify(body));
   };
   const heartbeat = () => {
-    if (!isUp || isQuiet) return;
+    if (!isUp || isQuiet || resumed !== undefined) return;
     life.seq += 1;
     tell(`/-/Instances.Heartbeat/${id}`, {
       backend: options.backend,
@@ -347,6 +353,29 @@
       isQuiet = next;
     },
     heartbeat,
+    /** Its machine is suspended: nothing works, and the steady clock stands still. */
+    suspend: async (ms) => {
+      const its = life;
+      const fromMs = performance.now();
+      record.write('suspended', { minion: id });
+      resumed = new Promise((resolve) => {
+        setTimeout(resolve, ms);
+      });
+      await resumed;
+      const awayMs = performance.now() - fromMs;
+      its.suspendedMs += awayMs;
+      for (const run of its.live.values()) {
+        if (run.workingSinceMs !== undefined) run.workingSinceMs += awayMs;
+        if (run.stopAtMs !== undefined) run.stopAtMs += awayMs;
+        run.startedMs += awayMs;
+      }
+      resumed = undefined;
+      record.write('resumed', {
+        minion: id,
+        clockMs: clockOf(its),
+        leaseUntilMs: its.leaseUntilMs,
+      });
+    },
     up: async (next = {}) => {
       id = next.id ?? id;
       labels = next.labels ?? labels;
--- a/review/stand-ins-3/site.mjs
+++ b/review/stand-ins-3/site.mjs
@@ -10,6 +10,7 @@
 import * as path from 'node:path';
 import * as url from 'node:url';
 
+import * as links from './link.mjs';
 import * as minions from './minion.mjs';
 import * as stores from './store.mjs';
 import { sleep, waitFor } from './record.mjs';
@@ -102,6 +103,14 @@
   let isClosing = false;
   let hostCount = 0;
 
+  const translations = new Map();
+  store.setTranslation((key, text) => {
+    const machine = translations.get(key);
+    return machine === undefined
+      ? text
+      : text.replace(`${machine.host}:${PORTS.first}`, `${machine.linkHost}:${PORTS.first}`);
+  });
+
   const newHost = () => {
     hostCount += 1;
     return `${network}.${hostCount}`;
@@ -244,6 +253,15 @@
       machine.app = `${machine.host}:${machine.minion.port()}`;
     }
     await writeSettings(machine);
+    if (kind === 'side' && options.hasLinks) {
+      machine.linkHost = newHost();
+      const port = PORTS.first;
+      machine.link = await links.openLink(
+        { host: machine.linkHost, port },
+        { host: machine.host, port },
+      );
+      translations.set(`auburnlift/live/agents/${machine.node}`, machine);
+    }
     machine.processes = Object.fromEntries(
       ALLOWED_ROLES[kind].map((role) => [role, startProcess(machine, role)]),
     );
@@ -380,6 +398,7 @@
       });
       await waitFor(() => processes.every((it) => it.hasExited), 3000);
       await Promise.all(sides.map((it) => it.minion.close()));
+      sides.forEach((it) => it.link?.close());
       store.close();
       if (process.env.KEEP === undefined) fs.rmSync(folder, { recursive: true, force: true });
       else process.stdout.write(`${folder}\n`);
--- a/review/stand-ins-3/store.mjs
+++ b/review/stand-ins-3/store.mjs
@@ -24,6 +24,7 @@
   let revision = 1;
   let leaseCount = 0;
   let fault = () => undefined;
+  let translate = (key, value) => value;
   const servers = [];
 
   const wake = () => {
@@ -39,7 +40,7 @@
   };
   const put = (key, value, lease) => {
     const created = items.get(key)?.created ?? revision;
-    const item = { key, value, rev: revision, created, lease };
+    const item = { key, value: translate(key, value), rev: revision, created, lease };
     items.set(key, item);
     log({ key, rev: revision, item });
   };
@@ -191,6 +192,13 @@
     setFault: (next) => {
       fault = next;
     },
+    /** Puts a link's address in the place of the machine's behind it, as a network that translates addresses. */
+    setTranslation: (next) => {
+      translate = (key, value) => {
+        const text = Buffer.from(value, 'base64').toString('utf8');
+        return Buffer.from(next(key, text)).toString('base64');
+      };
+    },
     get: (key) => {
       const item = items.get(key);
       return item === undefined ? undefined : Buffer.from(item.value, 'base64').toString('utf8');
